--- /dev/null
+++ b/Libraries/LibCore/Json.cpp
@@ -0,0 +1,31 @@
+#include <LibCore/Json.h>
+
+#include <LibCore/Error.h>
+
+namespace Jujube
+{
+
+bool isValidUtf8(std::string_view text)
+{
+    // The strict serializer of the JSON library validates UTF-8 and throws on the first invalid byte.
+    try {
+        [[maybe_unused]] const auto dumped = nlohmann::json(text).dump();
+        return true;
+    } catch (const nlohmann::json::type_error &) {
+        return false;
+    }
+}
+
+absl::StatusOr<nlohmann::json> parseJson(std::string_view text)
+{
+    auto json = nlohmann::json::parse(text, nullptr, false);
+    if (!json.is_discarded()) {
+        return json;
+    }
+    if (!isValidUtf8(text)) {
+        return makeError(ErrorKind::InvalidUtf8, "the body is not valid UTF-8");
+    }
+    return makeError(ErrorKind::MalformedJson, "the body is not valid JSON");
+}
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibEvents/EventKind.cpp
@@ -0,0 +1,73 @@
+#include <LibEvents/EventKind.h>
+
+#include <algorithm>
+#include <array>
+
+namespace Jujube
+{
+
+namespace
+{
+
+constexpr std::array Kinds {
+    EventKindInfo {EventKind::ProcessStarted, "process_started", "A process has started and serves its address."},
+    EventKindInfo {EventKind::ProcessDraining, "process_draining", "A graceful shutdown has begun: no new work, running work goes on."},
+    EventKindInfo {EventKind::ProcessStopped, "process_stopped", "The process has finished its work and exits."},
+    EventKindInfo {EventKind::RequestAccepted, "request_accepted", "A caller's request has passed authentication and validation."},
+    EventKindInfo {EventKind::RequestRefused, "request_refused", "A request was answered with an error kind."},
+    EventKindInfo {EventKind::RequestFinished, "request_finished", "A request was answered completely."},
+    EventKindInfo {EventKind::TargetChosen, "target_chosen", "The policy has placed a request on a target."},
+    EventKindInfo {EventKind::TargetAnswered, "target_answered", "A target has answered a service call."},
+    EventKindInfo {EventKind::TargetLost, "target_lost", "The connection to a target failed or ended early."},
+    EventKindInfo {EventKind::TargetSilent, "target_silent", "A stream's silence deadline passed; it is resumed over a new connection."},
+    EventKindInfo {EventKind::StreamStarted, "stream_started", "The first token of a generation was sent to the caller."},
+    EventKindInfo {EventKind::StreamResumed, "stream_resumed", "A caller came back with an event id and the generation goes on from there."},
+    EventKindInfo {EventKind::StreamContinued, "stream_continued", "A generation goes on with a new attempt on another target."},
+    EventKindInfo {EventKind::StreamFinished, "stream_finished", "The last token and the final count and checksum were sent to the caller."},
+    EventKindInfo {EventKind::StreamCallerLost, "stream_caller_lost", "The caller's connection failed during a stream."},
+    EventKindInfo {EventKind::StreamFailed, "stream_failed", "A stream ended with an error event."},
+    EventKindInfo {EventKind::ClaimWritten, "claim_written", "The claim of a one-time call was written; this gateway may send the call."},
+    EventKindInfo {EventKind::ClaimFound, "claim_found", "A claim of another request exists; the call is not sent."},
+    EventKindInfo {EventKind::ClaimReadBack, "claim_read_back", "The answer to a claim's write was lost; the claim was read back."},
+    EventKindInfo {EventKind::CallSent, "call_sent", "A one-time call was sent to its target."},
+    EventKindInfo {EventKind::OutcomeRecorded, "outcome_recorded", "The outcome of a one-time call was recorded."},
+    EventKindInfo {EventKind::OutcomeUnrecorded, "outcome_unrecorded", "The outcome of a one-time call could not be recorded yet and is retried."},
+    EventKindInfo {EventKind::CallNotRun, "call_not_run", "A claimed call provably did not reach its target."},
+    EventKindInfo {EventKind::DocumentInForce, "document_in_force", "A newer environment document is in force on this node."},
+    EventKindInfo {EventKind::DocumentRefused, "document_refused", "An offered environment document was older, damaged or invalid."},
+    EventKindInfo {EventKind::DataCentreOut, "data_centre_out", "A data centre was taken out of service; it gets no new work."},
+    EventKindInfo {EventKind::DataCentreIn, "data_centre_in", "A data centre is back in service."},
+    EventKindInfo {EventKind::PlatformLost, "platform_lost", "The table service does not answer."},
+    EventKindInfo {EventKind::PlatformRegained, "platform_regained", "The table service answers again."},
+    EventKindInfo {EventKind::GatewayIsolated, "gateway_isolated", "Neither the platform nor enough peers answer; no new work is started."},
+    EventKindInfo {EventKind::GatewayReconnected, "gateway_reconnected", "The gateway is no longer isolated."},
+    EventKindInfo {EventKind::PeerJoined, "peer_joined", "A gateway was heard of for the first time, or under a new incarnation."},
+    EventKindInfo {EventKind::PeerLost, "peer_lost", "A gateway's heartbeats stopped."},
+    EventKindInfo {EventKind::TargetLeaving, "target_leaving", "A target is leaving; it gets no new work."},
+    EventKindInfo {EventKind::TargetReturned, "target_returned", "A target is back under a new incarnation."},
+    EventKindInfo {EventKind::TargetCold, "target_cold", "A target reports a cold start; new work needs a permit."},
+    EventKindInfo {EventKind::TargetWarm, "target_warm", "A target reports that it is warm."},
+    EventKindInfo {EventKind::PermitGranted, "permit_granted", "A cold-target permit was granted to a gateway."},
+    EventKindInfo {EventKind::PermitReturned, "permit_returned", "A cold-target permit was returned."},
+    EventKindInfo {EventKind::LeaseAcquired, "lease_acquired", "A controller holds the lease, with a new fencing number."},
+    EventKindInfo {EventKind::LeaseLost, "lease_lost", "A controller has lost its lease or stopped using it."},
+    EventKindInfo {EventKind::OrderSent, "order_sent", "An order was sent to an engine."},
+    EventKindInfo {EventKind::OrderRefused, "order_refused", "An engine refused an order because of its fencing number."},
+    EventKindInfo {EventKind::CrashSuspected, "crash_suspected", "A target died while it ran this request."},
+    EventKindInfo {EventKind::CrashRefused, "crash_refused", "A request was refused because targets crashed while they ran it."},
+};
+
+}
+
+std::span<const EventKindInfo> eventKinds()
+{
+    return Kinds;
+}
+
+std::string_view nameOf(EventKind kind)
+{
+    const auto *found = std::find_if(Kinds.begin(), Kinds.end(), [kind](const auto &info) { return info.kind == kind; });
+    return found == Kinds.end() ? std::string_view("unknown") : found->name;
+}
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibHttp/HttpTransfer.cpp
@@ -0,0 +1,142 @@
+#include <LibHttp/HttpTransfer.h>
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_cat.h>
+#include <LibCore/AbslView.h>
+
+namespace Jujube
+{
+
+HttpTransfer::HttpTransfer(HttpClient::StreamId id, HttpCall call, HttpStreamSink sink)
+    : m_id(id)
+    , m_call(std::move(call))
+    , m_sink(std::move(sink))
+    , m_handle(curl_easy_init())
+    , m_lastByte(monotonicNow())
+{
+    applyCall();
+}
+
+HttpTransfer::~HttpTransfer()
+{
+    curl_easy_cleanup(m_handle);
+    curl_slist_free_all(m_headerList);
+}
+
+void HttpTransfer::applyCall()
+{
+    curl_easy_setopt(m_handle, CURLOPT_PRIVATE, this);
+    curl_easy_setopt(m_handle, CURLOPT_URL, m_call.url.c_str());
+    curl_easy_setopt(m_handle, CURLOPT_CUSTOMREQUEST, m_call.method.c_str());
+    curl_easy_setopt(m_handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(m_handle, CURLOPT_PROXY, "");
+    curl_easy_setopt(m_handle, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(m_handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(m_call.connectTimeout.count()));
+    curl_easy_setopt(m_handle, CURLOPT_TIMEOUT_MS, static_cast<long>(m_call.totalTimeout.count()));
+    curl_easy_setopt(m_handle, CURLOPT_WRITEFUNCTION, &HttpTransfer::receiveBody);
+    curl_easy_setopt(m_handle, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(m_handle, CURLOPT_HEADERFUNCTION, &HttpTransfer::receiveHeader);
+    curl_easy_setopt(m_handle, CURLOPT_HEADERDATA, this);
+    if (m_call.freshConnection) {
+        curl_easy_setopt(m_handle, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(m_handle, CURLOPT_FORBID_REUSE, 1L);
+    }
+    if (!m_call.body.empty() || m_call.method == "POST" || m_call.method == "PUT") {
+        curl_easy_setopt(m_handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(m_call.body.size()));
+        curl_easy_setopt(m_handle, CURLOPT_POSTFIELDS, m_call.body.c_str());
+    }
+    // Without this, libcurl waits up to a second for "100 Continue" before it sends a larger body.
+    m_headerList = curl_slist_append(m_headerList, "Expect:");
+    for (const auto &[name, value] : m_call.headers) {
+        m_headerList = curl_slist_append(m_headerList, absl::StrCat(name, ": ", value).c_str());
+    }
+    curl_easy_setopt(m_handle, CURLOPT_HTTPHEADER, m_headerList);
+}
+
+bool HttpTransfer::isSilent(MonotonicTime now) const
+{
+    return !m_paused && m_call.silenceTimeout.count() > 0 && now - m_lastByte > m_call.silenceTimeout;
+}
+
+void HttpTransfer::resume(MonotonicTime now)
+{
+    m_paused = false;
+    m_lastByte = now;
+    curl_easy_pause(m_handle, CURLPAUSE_CONT);
+}
+
+size_t HttpTransfer::receiveBody(char *data, size_t size, size_t count, void *self)
+{
+    return static_cast<HttpTransfer *>(self)->acceptBody({data, size * count});
+}
+
+size_t HttpTransfer::acceptBody(std::string_view bytes)
+{
+    constexpr size_t Abort = 0;
+    m_lastByte = monotonicNow();
+    if (m_sink.onBytes) {
+        if (!m_sink.onBytes(m_answer.status, bytes)) {
+            m_paused = true;
+            return CURL_WRITEFUNC_PAUSE;
+        }
+        return bytes.size();
+    }
+    if (m_answer.body.size() + bytes.size() > m_call.answerLimitBytes) {
+        return Abort;
+    }
+    m_answer.body.append(bytes);
+    return bytes.size();
+}
+
+size_t HttpTransfer::receiveHeader(char *data, size_t size, size_t count, void *self)
+{
+    auto &transfer = *static_cast<HttpTransfer *>(self);
+    const std::string_view line(data, size * count);
+    transfer.m_lastByte = monotonicNow();
+    const auto colon = line.find(':');
+    if (colon != std::string_view::npos) {
+        const auto name = absl::AsciiStrToLower(toAbsl(line.substr(0, colon)));
+        transfer.m_answer.headers[name] = std::string(absl::StripAsciiWhitespace(toAbsl(line.substr(colon + 1))));
+    }
+    long status = 0;
+    curl_easy_getinfo(transfer.m_handle, CURLINFO_RESPONSE_CODE, &status);
+    transfer.m_answer.status = static_cast<int>(status);
+    return line.size();
+}
+
+bool HttpTransfer::wasSent() const
+{
+    // A connection that was never made, and no request byte handed to the socket: only then is the request certain not to have left.
+    long requestSize = 0;
+    curl_off_t connectTime = 0;
+    curl_easy_getinfo(m_handle, CURLINFO_REQUEST_SIZE, &requestSize);
+    curl_easy_getinfo(m_handle, CURLINFO_CONNECT_TIME_T, &connectTime);
+    return requestSize > 0 || connectTime > 0;
+}
+
+HttpEnd HttpTransfer::endFor(CURLcode result) const
+{
+    if (result == CURLE_OK) {
+        return HttpEnd::Complete;
+    }
+    if (!wasSent()) {
+        return HttpEnd::NotSent;
+    }
+    return result == CURLE_OPERATION_TIMEDOUT ? HttpEnd::TimedOut : HttpEnd::Broken;
+}
+
+void HttpTransfer::finish(CURLcode result)
+{
+    finish(endFor(result), result == CURLE_OK ? "" : curl_easy_strerror(result));
+}
+
+void HttpTransfer::finish(HttpEnd end, std::string error)
+{
+    m_answer.end = end;
+    m_answer.error = std::move(error);
+    if (m_sink.onEnd) {
+        m_sink.onEnd(m_answer);
+    }
+}
+
+} // namespace Jujube
