--- /dev/null
+++ b/Libraries/LibGeneration/Cursor.cpp
@@ -0,0 +1,114 @@
+#include <LibGeneration/Cursor.h>
+
+#include <LibCore/AbslView.h>
+#include <LibCore/Digest.h>
+#include <LibCore/Error.h>
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/numbers.h>
+#include <Cursor_types.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace Jujube
+{
+
+namespace
+{
+
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+
+constexpr size_t MacBytes = 16;
+constexpr size_t MaxTextBytes = 1024;
+constexpr size_t GenerationBytes = 16;
+
+absl::Status invalidCursor()
+{
+    return makeError(ErrorKind::InvalidCursor, "the event id was not issued by this system for this request");
+}
+
+Thrift::CursorRecord toRecord(const Cursor &cursor)
+{
+    Thrift::CursorRecord record;
+    record.workspace = cursor.workspace;
+    record.generation = absl::HexStringToBytes(cursor.generation);
+    record.attempt = cursor.attempt;
+    record.target = cursor.target;
+    record.nextOffset = cursor.nextOffset;
+    record.checksum = static_cast<int64_t>(cursor.checksum);
+    record.bodyDigest = static_cast<int64_t>(cursor.bodyDigest);
+    record.wallMs = cursor.time.wallMs;
+    record.counter = static_cast<int32_t>(cursor.time.counter);
+    return record;
+}
+
+Cursor fromRecord(const Thrift::CursorRecord &record)
+{
+    return {
+        .workspace = record.workspace,
+        .generation = absl::BytesToHexString(record.generation),
+        .attempt = record.attempt,
+        .target = record.target,
+        .nextOffset = record.nextOffset,
+        .checksum = static_cast<uint64_t>(record.checksum),
+        .bodyDigest = static_cast<uint64_t>(record.bodyDigest),
+        .time = {.wallMs = record.wallMs, .counter = static_cast<uint32_t>(record.counter)},
+    };
+}
+
+} // namespace
+
+CursorCodec::CursorCodec(Options options)
+    : m_options(std::move(options))
+{
+}
+
+std::string CursorCodec::encode(const Cursor &cursor) const
+{
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+    toRecord(cursor).write(&protocol);
+    std::string bytes = buffer->getBufferAsString();
+    bytes += hmacSha256(m_options.key, bytes).substr(0, MacBytes);
+    return absl::WebSafeBase64Escape(bytes);
+}
+
+absl::StatusOr<Cursor> CursorCodec::decode(std::string_view text) const
+{
+    std::string bytes;
+    if (text.size() > MaxTextBytes || !absl::WebSafeBase64Unescape(toAbsl(text), &bytes) || bytes.size() <= MacBytes) {
+        return invalidCursor();
+    }
+    const std::string mac = bytes.substr(bytes.size() - MacBytes);
+    bytes.resize(bytes.size() - MacBytes);
+    const bool madeWithKey = equalInConstantTime(mac, hmacSha256(m_options.key, bytes).substr(0, MacBytes));
+    const bool madeWithPrevious = !m_options.previousKey.empty() && equalInConstantTime(mac, hmacSha256(m_options.previousKey, bytes).substr(0, MacBytes));
+    if (!madeWithKey && !madeWithPrevious) {
+        return invalidCursor();
+    }
+    try {
+        const auto buffer
+            = std::make_shared<TMemoryBuffer>(reinterpret_cast<uint8_t *>(bytes.data()), static_cast<uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE);
+        TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+        Thrift::CursorRecord record;
+        record.read(&protocol);
+        if (record.generation.size() != GenerationBytes || record.nextOffset < 0 || record.attempt < 1) {
+            return invalidCursor();
+        }
+        return fromRecord(record);
+    } catch (const apache::thrift::TException &) {
+        return invalidCursor();
+    }
+}
+
+uint64_t bodyDigest(std::string_view body)
+{
+    constexpr size_t Digits = 16;
+    uint64_t value = 0;
+    // Sixteen hexadecimal digits always fit.
+    [[maybe_unused]] const bool parsed = absl::SimpleHexAtoi(sha256Hex(body).substr(0, Digits), &value);
+    return value;
+}
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibOneTime/OneTimeCall.cpp
@@ -0,0 +1,194 @@
+#include <LibOneTime/OneTimeCall.h>
+
+namespace Jujube
+{
+
+using namespace OneTimeAction;
+
+OneTimeCall::OneTimeCall(Options options, MonotonicTime now)
+    : m_options(std::move(options))
+    , m_begin(now)
+{
+}
+
+OneTimeSteps OneTimeCall::start()
+{
+    return writeClaim(0);
+}
+
+OneTimeSteps OneTimeCall::writeClaim(uint64_t revision)
+{
+    m_expectedRevision = revision;
+    const ClaimRecord claim {
+        .state = ClaimState::Claimed,
+        .nonce = m_options.nonce,
+        .bodyDigest = m_options.bodyDigest,
+        .gateway = m_options.gateway,
+        .wallMs = m_options.wallMs,
+    };
+    return {WriteClaim {.value = claim.toText(), .revision = revision}};
+}
+
+OneTimeSteps OneTimeCall::onWritten(ClaimWriteEnd end, const ClaimRow &row, MonotonicTime now)
+{
+    switch (end) {
+    case ClaimWriteEnd::Done:
+        return onOwned(row.revision, now);
+    case ClaimWriteEnd::Conflict:
+        return onRow(row, now);
+    case ClaimWriteEnd::NotDone:
+        if (m_writeUnresolved) {
+            return resolveOrRefuse();
+        }
+        return refuse(ErrorKind::PlatformUnavailable, "the table service is unavailable; the call was not sent");
+    case ClaimWriteEnd::Unknown:
+        m_writeUnresolved = true;
+        return resolveOrRefuse();
+    }
+    return {};
+}
+
+OneTimeSteps OneTimeCall::resolveOrRefuse()
+{
+    if (m_resolves >= m_options.resolveLimit) {
+        // A claim that still takes effect later belongs to a call that is never sent, so "not run" stays true.
+        OneTimeSteps steps {ReleaseClaim {.nonce = m_options.nonce, .notRunValue = outcomeText(ClaimState::NotRun, {})}};
+        auto refusal = refuse(ErrorKind::PlatformUnavailable, "the claim could not be confirmed; the call was not sent");
+        steps.insert(steps.end(), refusal.begin(), refusal.end());
+        return steps;
+    }
+    ++m_resolves;
+    return {Pause {m_options.readPause}};
+}
+
+OneTimeSteps OneTimeCall::onTime()
+{
+    return {ReadClaim {}};
+}
+
+OneTimeSteps OneTimeCall::onReadFailed(MonotonicTime now)
+{
+    if (m_writeUnresolved) {
+        return resolveOrRefuse();
+    }
+    if (now - m_begin > m_options.claimDeadline) {
+        return refuse(ErrorKind::OutcomeUnknown, "another request with this idempotency key has not finished");
+    }
+    return {Pause {m_options.readPause}};
+}
+
+OneTimeSteps OneTimeCall::onRead(const std::optional<ClaimRow> &row, MonotonicTime now)
+{
+    if (row) {
+        return onRow(*row, now);
+    }
+    // The lost write has not taken effect. Writing the same claim again is safe: whichever write lands first, the row carries the same nonce.
+    return writeClaim(0);
+}
+
+OneTimeSteps OneTimeCall::onRow(const ClaimRow &row, MonotonicTime now)
+{
+    const auto record = ClaimRecord::fromText(row.value);
+    if (!record) {
+        return refuse(ErrorKind::Internal, "the record of this idempotency key is damaged");
+    }
+    if (record->nonce == m_options.nonce && record->state == ClaimState::Claimed) {
+        return onOwned(row.revision, now);
+    }
+    return onClaimOfOther(*record, row, now);
+}
+
+OneTimeSteps OneTimeCall::onClaimOfOther(const ClaimRecord &record, const ClaimRow &row, MonotonicTime now)
+{
+    if (record.bodyDigest != m_options.bodyDigest) {
+        return refuse(ErrorKind::IdempotencyKeyReused, "this idempotency key was used with another body");
+    }
+    switch (record.state) {
+    case ClaimState::Done:
+        return {Answer {
+            .answer = {.end = CallEnd::Answered, .status = record.status, .contentType = record.contentType, .body = record.body},
+            .isReplay = true,
+        }};
+    case ClaimState::NotRun:
+        if (m_resolves >= m_options.resolveLimit) {
+            return refuse(ErrorKind::PlatformUnavailable, "the call was not sent; several requests with this key compete");
+        }
+        ++m_resolves;
+        return writeClaim(row.revision);
+    case ClaimState::Unknown:
+        return refuse(ErrorKind::OutcomeUnknown, "an earlier request with this key was sent and its outcome is not known");
+    case ClaimState::Claimed:
+        break;
+    }
+    m_writeUnresolved = false;
+    if (now - m_begin > m_options.claimDeadline) {
+        return refuse(ErrorKind::OutcomeUnknown, "another request with this idempotency key has not finished");
+    }
+    return {Pause {m_options.readPause}};
+}
+
+OneTimeSteps OneTimeCall::onOwned(uint64_t revision, MonotonicTime now)
+{
+    m_revision = revision;
+    if (m_called) {
+        return refuse(ErrorKind::Internal, "the call was claimed twice by the same request");
+    }
+    if (now - m_begin > m_options.claimDeadline) {
+        // The process was suspended. The caller has given up, and others were told that the outcome is unknown.
+        auto steps = record(ClaimState::NotRun, {});
+        auto refusal = refuse(ErrorKind::PlatformUnavailable, "the claim took too long; the call was not sent");
+        steps.insert(steps.end(), refusal.begin(), refusal.end());
+        return steps;
+    }
+    m_called = true;
+    return {SendCall {}};
+}
+
+OneTimeSteps OneTimeCall::onCalled(const CallAnswer &answer)
+{
+    OneTimeSteps steps;
+    OneTimeSteps last;
+    switch (answer.end) {
+    case CallEnd::Answered:
+        steps = record(ClaimState::Done, answer);
+        last = {Answer {.answer = answer}};
+        break;
+    case CallEnd::NotSent:
+        steps = record(ClaimState::NotRun, {});
+        last = refuse(ErrorKind::TargetUnavailable, "no connection to the target; the call was not sent");
+        break;
+    case CallEnd::Unknown:
+        steps = record(ClaimState::Unknown, {});
+        last = refuse(ErrorKind::OutcomeUnknown, "the call was sent and its answer was lost");
+        break;
+    }
+    steps.insert(steps.end(), last.begin(), last.end());
+    return steps;
+}
+
+std::string OneTimeCall::outcomeText(ClaimState state, const CallAnswer &answer) const
+{
+    const ClaimRecord outcome {
+        .state = state,
+        .nonce = m_options.nonce,
+        .bodyDigest = m_options.bodyDigest,
+        .gateway = m_options.gateway,
+        .wallMs = m_options.wallMs,
+        .status = answer.status,
+        .contentType = answer.contentType,
+        .body = answer.body,
+    };
+    return outcome.toText();
+}
+
+OneTimeSteps OneTimeCall::record(ClaimState state, const CallAnswer &answer) const
+{
+    return {RecordOutcome {.value = outcomeText(state, answer), .revision = m_revision}};
+}
+
+OneTimeSteps OneTimeCall::refuse(ErrorKind kind, const std::string &detail)
+{
+    return {Refuse {{.kind = kind, .detail = detail, .retryAfter = errorKindInfo(kind).retryAfter}}};
+}
+
+} // namespace Jujube
