Add the types and a first parser of environment documents

Other parts read an environment only through these structs, so they come before the full validation. Priorities are stated per kind of generation, limits per gateway.

--- /dev/null
+++ b/Libraries/LibEnvironment/EnvironmentDocument.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Jujube
+{
+
+// Whether operators allow new work in a data centre.
+enum class DataCentreState {
+    In,
+    Out,
+};
+
+enum class WorkspaceTier {
+    Paying,
+    Trial,
+};
+
+// Whether another engine continues a generation exactly from its token log.
+enum class Continuation {
+    None,
+    Exact,
+};
+
+// Whether an engine rejects orders that carry an old fencing number.
+enum class Fencing {
+    Honoured,
+    Ignored,
+};
+
+// The kind of a generation, as callers name it in their requests.
+enum class GenerationKind {
+    Draft,
+    Suggestion,
+};
+
+enum class CallMethod {
+    Get,
+    Post,
+};
+
+struct DataCentre {
+    DataCentreState state = DataCentreState::In;
+    std::string region;
+};
+
+// Limits of one workspace over all gateways together. Zero means no limit.
+struct WorkspaceLimits {
+    uint32_t requestsPerSecond = 0;
+    uint32_t tokensPerSecond = 0;
+    uint32_t openStreams = 0;
+};
+
+struct Workspace {
+    WorkspaceTier tier = WorkspaceTier::Trial;
+    // SHA-256 of the workspace key, 64 lower-case hexadecimal digits. The key itself is never stored.
+    std::string keySha256;
+    WorkspaceLimits limits;
+};
+
+struct Model {
+    Continuation continuation = Continuation::None;
+    std::string version;
+    // Largest max_tokens that a request may ask for.
+    uint32_t maxTokens = 4096;
+};
+
+struct ServiceCall {
+    CallMethod method = CallMethod::Post;
+    // Path on the target, starting with '/'. Defaults to '/' and the name of the call.
+    std::string path;
+    // A call that is not repeatable runs at most once per idempotency key.
+    bool repeatable = false;
+    // Age up to which a cached answer may be served. Zero means that answers are not cached.
+    std::chrono::milliseconds fresh {0};
+    std::chrono::milliseconds timeout {10000};
+};
+
+struct Service {
+    std::map<std::string, ServiceCall, std::less<>> calls;
+};
+
+// Larger numbers go first.
+struct Priorities {
+    uint32_t draft = 8;
+    uint32_t suggestion = 2;
+
+    uint32_t of(GenerationKind kind) const
+    {
+        return kind == GenerationKind::Draft ? draft : suggestion;
+    }
+};
+
+// Limits of one gateway.
+struct GatewayLimits {
+    uint32_t openStreams = 2000;
+    uint32_t queuedRequests = 1000;
+    // Time after which a queued request is rejected as not run.
+    std::chrono::milliseconds queueWait {10000};
+    // Retries in percent of first attempts.
+    uint32_t retryPercent = 10;
+};
+
+// A model engine if it has models, an order desk if it has a service. Never both.
+struct TargetEntry {
+    // "address:port".
+    std::string address;
+    std::string dataCentre;
+    std::vector<std::string> models;
+    std::string service;
+    // Whether the engine resumes a stream at GET /generations/{id}?from=N.
+    bool resume = true;
+    Fencing fencing = Fencing::Ignored;
+    // Requests that the target can carry at once during a cold start.
+    uint32_t coldLimit = 1;
+    // Cache memory of the engine, in tokens. Zero for services.
+    uint64_t memoryTokens = 0;
+
+    bool isEngine() const
+    {
+        return !models.empty();
+    }
+};
+
+// An environment as operators describe it (docs/design.md, section 10). The maps are keyed by name.
+struct EnvironmentDocument {
+    std::string name;
+    std::map<std::string, DataCentre, std::less<>> dataCentres;
+    std::map<std::string, Workspace, std::less<>> workspaces;
+    std::map<std::string, Model, std::less<>> models;
+    std::map<std::string, Service, std::less<>> services;
+    Priorities priorities;
+    GatewayLimits limits;
+    std::map<std::string, TargetEntry, std::less<>> targets;
+};
+
+std::string_view nameOf(DataCentreState state);
+std::string_view nameOf(WorkspaceTier tier);
+std::string_view nameOf(Continuation continuation);
+std::string_view nameOf(Fencing fencing);
+std::string_view nameOf(GenerationKind kind);
+std::string_view nameOf(CallMethod method);
+
+// Parses a document. Errors: ErrorKind::InvalidUtf8, or ErrorKind::InvalidDocument with one line "line:column: text" for every mistake found.
+absl::StatusOr<EnvironmentDocument> parseEnvironmentDocument(std::string_view yaml);
+
+} // namespace Jujube
