--- a/Libraries/LibHttp/HttpResponder.cpp
+++ b/Libraries/LibHttp/HttpResponder.cpp
@@ -57,6 +57,11 @@
     return write(absl::StrCat(statusLine(Ok), "Content-Type: ", toAbsl(contentType), "\r\nCache-Control: no-store\r\nConnection: close\r\n\r\n"));
 }
 
+void HttpResponder::closeConnection()
+{
+    mg_disable_connection_keep_alive(m_connection);
+}
+
 bool HttpResponder::write(std::string_view bytes)
 {
     return mg_write(m_connection, bytes.data(), bytes.size()) == static_cast<int>(bytes.size());
--- a/Libraries/LibHttp/HttpResponder.h
+++ b/Libraries/LibHttp/HttpResponder.h
@@ -28,6 +28,9 @@
     // Sends bytes of a stream at once. Returns false if the caller is gone or has not read for the server's request timeout.
     bool write(std::string_view bytes);
 
+    // Closes the connection once the handler returns. Without an answer sent before, the caller gets none.
+    void closeConnection();
+
     int status() const
     {
         return m_status;
