--- a/Libraries/LibEnvironment/EnvironmentDocument.h
+++ b/Libraries/LibEnvironment/EnvironmentDocument.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Workload.h>
 #include <absl/status/statusor.h>
 #include <chrono>
 #include <cstdint>
@@ -18,11 +19,6 @@
     Out,
 };
 
-enum class WorkspaceTier {
-    Paying,
-    Trial,
-};
-
 // Whether another engine continues a generation exactly from its token log.
 enum class Continuation {
     None,
@@ -35,12 +31,6 @@
     Ignored,
 };
 
-// The kind of a generation, as callers name it in their requests.
-enum class GenerationKind {
-    Draft,
-    Suggestion,
-};
-
 enum class CallMethod {
     Get,
     Post,
--- a/Libraries/LibPolicy/PlacementTypes.h
+++ b/Libraries/LibPolicy/PlacementTypes.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Error.h>
 #include <LibCore/Time.h>
+#include <LibCore/Workload.h>
 
 #include <array>
 #include <cstdint>
@@ -12,16 +13,6 @@
 namespace Jujube
 {
 
-enum class WorkspaceTier : uint8_t {
-    Paying,
-    Trial,
-};
-
-enum class GenerationKind : uint8_t {
-    Draft,
-    Suggestion,
-};
-
 // Tier and kind together, in descending default priority.
 enum class WorkClass : uint8_t {
     PayingDraft,
