Add the platform clients and the platform stand-in

Results tell done, conflict, provably not done and unknown apart, and the resolved writes read a lost answer back. Writes use a connection of their own: libcurl repeats a request on a reused connection that turns out to be closed, and would take the write's own first effect for a conflict.

A server handler that sends nothing now closes its connection. Before, the connection was kept open and the caller waited for its timeout.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -149,6 +149,10 @@
     const auto *server = static_cast<const HttpServer *>(mg_get_user_data(mg_get_context(connection)));
     HttpResponder responder(connection);
     server->handle(connection, responder);
+    if (responder.status() == 0) {
+        // A handler that sends nothing ends the connection; the caller would wait for an answer that never comes otherwise.
+        mg_disable_connection_keep_alive(connection);
+    }
     return responder.status() > 0 ? responder.status() : HandledWithoutStatus;
 }
 
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -12,7 +12,7 @@
 namespace Jujube
 {
 
-// Handles one request on a thread of the server.
+// Handles one request on a thread of the server. If it sends nothing, the connection is closed without an answer.
 using HttpHandler = std::function<void(const HttpRequest &, HttpResponder &)>;
 
 // An HTTP/1.1 server on CivetWeb. Requests with a body or header above the limits are answered with a problem object and never reach the handler.
--- /dev/null
+++ b/Libraries/LibPlatform/PlatformMessage.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+#include <LibHttp/HttpClient.h>
+#include <LibPlatform/TableRow.h>
+#include <nlohmann/json.hpp>
+#include <string_view>
+
+namespace Jujube
+{
+
+// Percent-encodes a path and keeps its slashes (RFC 3986, section 3.3).
+std::string encodePath(std::string_view path);
+
+// Percent-encodes the value of a query parameter.
+std::string encodeParameter(std::string_view value);
+
+// Whether and how a write took effect, from the end of its call alone. Refusals before any effect (429 and 503, RFC 9110 and RFC 6585, and other 4xx) are
+// NotDone; 412 is Conflict; any other failure leaves the effect open.
+WriteEnd writeEndOf(const HttpAnswer &answer);
+
+// A short description of how a call failed.
+std::string describe(const HttpAnswer &answer);
+
+// Errors: ErrorKind::InvalidValue if a field is missing or has the wrong type.
+absl::StatusOr<TableRow> rowFromJson(const nlohmann::json &json);
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibPlatform/TableRow.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Jujube
+{
+
+// A row of the table service. The service gives a row a higher revision with each write.
+struct TableRow {
+    std::string key;
+    std::string value;
+    int64_t revision = 0;
+
+    bool operator==(const TableRow &) const = default;
+};
+
+// How a read ended.
+enum class ReadEnd {
+    Found,
+    // The service answered that there is no such row, object or list.
+    Absent,
+    // No usable answer arrived.
+    Failed,
+};
+
+struct RowReadResult {
+    ReadEnd end = ReadEnd::Failed;
+    // Valid if end is Found.
+    TableRow row;
+    std::string error;
+};
+
+struct RowListResult {
+    // Found or Failed; a prefix without rows is Found with an empty list.
+    ReadEnd end = ReadEnd::Failed;
+    std::vector<TableRow> rows;
+    std::string error;
+};
+
+// How a write ended.
+enum class WriteEnd {
+    Done,
+    // The condition did not hold, and nothing was written.
+    Conflict,
+    // The write provably has no effect: the request was not sent, or the service refused it.
+    NotDone,
+    // The answer was lost. The write may have taken effect, and may still do so later.
+    Unknown,
+};
+
+struct WriteResult {
+    WriteEnd end = WriteEnd::Unknown;
+    // The row's revision after the write. Valid if end is Done.
+    int64_t revision = 0;
+    // Whether `current` holds the answer of a read after a conflict. False if that read failed.
+    bool currentKnown = false;
+    // The row that stands in the way. Nothing if the row does not exist.
+    std::optional<TableRow> current;
+    std::string error;
+};
+
+} // namespace Jujube
