--- /dev/null
+++ b/Libraries/LibGateway/GatewayOptions.cpp
@@ -0,0 +1,77 @@
+#include <LibGateway/GatewayOptions.h>
+
+namespace Jujube
+{
+
+namespace
+{
+
+constexpr int64_t MaxIntervalMs = 60'000;
+constexpr int64_t MinThreads = 16;
+constexpr int64_t MaxThreads = 4096;
+
+SettingCheck checkInterval()
+{
+    return checkNumber(1, MaxIntervalMs);
+}
+
+SettingCheck checkPolicy()
+{
+    return checkOneOf({"round-robin", "least-outstanding", "least-reported-memory", "memory-forecast"});
+}
+
+}
+
+std::vector<Setting> GatewayOptions::settings()
+{
+    return {
+        {.name = "name", .help = "Name of this gateway, unique in the environment", .required = true},
+        {.name = "data-centre", .help = "Data centre of this gateway, as in the environment document", .required = true},
+        {.name = "region", .help = "Region of the data centre", .required = true},
+        {.name = "listen", .help = "Address for callers and operators", .defaultValue = "127.0.0.1:8100", .check = checkAddress()},
+        {.name = "gossip", .help = "UDP address for heartbeats; the same as --listen if empty", .check = checkAddress()},
+        {.name = "peers", .help = "UDP addresses of other gateways, separated by commas", .check = checkAddressList()},
+        {.name = "platform", .help = "Address of the platform's table service, object store and VM list", .check = checkAddress(), .required = true},
+        {.name = "environment", .help = "Name of the environment", .required = true},
+        {.name = "cursor-key", .help = "Key that signs event ids, the same on all gateways", .required = true, .secret = true},
+        {.name = "cursor-key-previous", .help = "Earlier key, accepted while keys are replaced", .secret = true},
+        {.name = "cluster-key", .help = "Key that authenticates heartbeats; the cursor key if empty", .secret = true},
+        {.name = "policy", .help = "Placement policy", .defaultValue = "memory-forecast", .check = checkPolicy()},
+        {.name = "threads", .help = "Largest number of open requests", .defaultValue = "512", .check = checkNumber(MinThreads, MaxThreads)},
+        {.name = "document-interval-ms", .help = "Time between reads of the environment's head", .defaultValue = "1000", .check = checkInterval()},
+        {.name = "load-interval-ms", .help = "Time between reads of a target's load", .defaultValue = "250", .check = checkInterval()},
+        {.name = "vm-list-interval-ms", .help = "Time between reads of the VM list", .defaultValue = "1000", .check = checkInterval()},
+        {.name = "silence-timeout-ms", .help = "A stream without a byte for this time is read over a new connection", .defaultValue = "3000", .check = checkInterval()},
+        {.name = "keep-alive-ms", .help = "Time between comment lines to a caller that waits", .defaultValue = "5000", .check = checkInterval()},
+    };
+}
+
+GatewayOptions GatewayOptions::fromSettings(const Settings &settings)
+{
+    GatewayOptions options {
+        .name = settings.text("name"),
+        .dataCentre = settings.text("data-centre"),
+        .region = settings.text("region"),
+        .listen = settings.text("listen"),
+        .gossip = settings.text("gossip"),
+        .peers = settings.list("peers"),
+        .platform = settings.text("platform"),
+        .environment = settings.text("environment"),
+        .cursorKey = settings.text("cursor-key"),
+        .previousCursorKey = settings.text("cursor-key-previous"),
+        .clusterKey = settings.text("cluster-key"),
+        .policy = placementPolicyKindFromName(settings.text("policy")).value_or(PlacementPolicyKind::MemoryForecast),
+        .threads = static_cast<int>(settings.number("threads")),
+        .documentInterval = settings.milliseconds("document-interval-ms"),
+        .loadInterval = settings.milliseconds("load-interval-ms"),
+        .vmListInterval = settings.milliseconds("vm-list-interval-ms"),
+        .silenceTimeout = settings.milliseconds("silence-timeout-ms"),
+        .keepAliveInterval = settings.milliseconds("keep-alive-ms"),
+    };
+    if (options.clusterKey.empty()) {
+        options.clusterKey = options.cursorKey;
+    }
+    return options;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/GatewayOptions.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <LibCore/Settings.h>
+#include <LibPolicy/PlacementPolicy.h>
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace Jujube
+{
+
+// What a gateway process is told at its start.
+struct GatewayOptions {
+    std::string name;
+    std::string dataCentre;
+    std::string region;
+    // "address:port" for callers and operators.
+    std::string listen = "127.0.0.1:0";
+    // UDP "address:port" for heartbeats. The port of `listen` by default.
+    std::string gossip;
+    std::vector<std::string> peers;
+    // "address:port" of the platform.
+    std::string platform;
+    std::string environment;
+    std::string cursorKey;
+    std::string previousCursorKey;
+    std::string clusterKey;
+    PlacementPolicyKind policy = PlacementPolicyKind::MemoryForecast;
+    int threads = 512;
+    std::chrono::milliseconds documentInterval {1000};
+    std::chrono::milliseconds loadInterval {250};
+    std::chrono::milliseconds vmListInterval {1000};
+    std::chrono::milliseconds silenceTimeout {3000};
+    std::chrono::milliseconds keepAliveInterval {5000};
+
+    // The settings that parse() reads.
+    static std::vector<Setting> settings();
+
+    static GatewayOptions fromSettings(const Settings &settings);
+};
+
+}
