Add the membership between gateways

Gateways need each other's addresses, load, document version and silence, and the table service cannot carry that: 390 nodes that write once a second would use its whole write budget.

Datagrams carry changes first, then the freshest member of each data centre, then others. Ruled out: full tables in each datagram (390 entries exceed one datagram), and timeouts on relayed ages alone (a table of 390 entries refreshes too slowly for them).

--- /dev/null
+++ b/Libraries/LibMembership/MembershipRound.cpp
@@ -0,0 +1,309 @@
+// The part of MembershipView that runs once in each round: deadlines, and the heartbeats to send.
+#include <LibMembership/MembershipView.h>
+
+#include <algorithm>
+#include <LibMembership/WireConversion.h>
+
+namespace Jujube
+{
+
+namespace
+{
+
+// A change is sent in this many datagrams for each doubling of the membership. Two are enough without losses; three leave room for them.
+constexpr int SendingsPerDoubling = 3;
+constexpr int RequestsPerRound = 4;
+constexpr size_t RecordsPerDatagram = 2;
+constexpr size_t SeedsPerRound = 3;
+// A process that exits tells this many reachable members directly.
+constexpr size_t DepartureReceivers = 8;
+
+// Ages on the wire are non-negative.
+int64_t ageMs(MonotonicTime now, MonotonicTime at)
+{
+    return std::max<int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count());
+}
+
+// Takes up to count names that still have sendings left, those with the most first.
+std::vector<std::string> takeNames(std::map<std::string, int> &queue, size_t count)
+{
+    std::vector<std::pair<int, std::string>> order;
+    order.reserve(queue.size());
+    for (const auto &[name, left] : queue) {
+        order.emplace_back(left, name);
+    }
+    std::sort(order.rbegin(), order.rend());
+    order.resize(std::min(order.size(), count));
+    std::vector<std::string> names;
+    for (auto &[left, name] : order) {
+        if (--queue[name] <= 0) {
+            queue.erase(name);
+        }
+        names.push_back(std::move(name));
+    }
+    return names;
+}
+
+} // namespace
+
+std::vector<OutgoingHeartbeat> MembershipView::round(MonotonicTime now, const HybridTime &stamp, std::mt19937_64 &random)
+{
+    noteFreeze(now);
+    applyDeadlines(now);
+    forgetGone(now);
+    m_crashes.forgetOld(now);
+    m_requestsLeft = RequestsPerRound;
+    m_sequence += 1;
+    const auto peers = plan(now, random);
+    std::vector<OutgoingHeartbeat> out;
+    for (const auto &address : peers.watchers) {
+        auto heartbeat = fullHeartbeat(now, stamp, random);
+        heartbeat.__set_watch(true);
+        out.push_back({address, std::move(heartbeat)});
+    }
+    for (const auto &address : peers.others) {
+        out.push_back({address, fullHeartbeat(now, stamp, random)});
+    }
+    for (const auto &address : seedsToTry(random)) {
+        out.push_back({address, basicHeartbeat(now, stamp)});
+    }
+    return out;
+}
+
+std::vector<OutgoingHeartbeat> MembershipView::depart(MonotonicTime now, const HybridTime &stamp, std::mt19937_64 &random)
+{
+    m_departed = true;
+    m_sequence += 1;
+    std::vector<std::string> addresses;
+    m_table.forEach([this, now, &addresses](const MemberEntry &entry) {
+        if (m_table.isReachable(entry, now) && !entry.member.identity.gossipAddress.empty()) {
+            addresses.push_back(entry.member.identity.gossipAddress);
+        }
+    });
+    std::shuffle(addresses.begin(), addresses.end(), random);
+    addresses.resize(std::min(addresses.size(), DepartureReceivers));
+    std::vector<OutgoingHeartbeat> out;
+    out.reserve(addresses.size());
+    for (auto &address : addresses) {
+        out.push_back({std::move(address), basicHeartbeat(now, stamp)});
+    }
+    return out;
+}
+
+void MembershipView::noteFreeze(MonotonicTime now)
+{
+    const bool wasFrozen = m_lastRound && now - *m_lastRound > m_options.tuning.frozenAfter;
+    m_lastRound = now;
+    if (!wasFrozen) {
+        return;
+    }
+    // The silence was this process's own. Members get the time to be heard of again, and the view counts as stale until one was.
+    m_fresh = false;
+    m_heldUntil = now + m_table.contactTimeout();
+    m_table.forEach([now](MemberEntry &entry) {
+        entry.watched = false;
+        if (entry.suspectSince) {
+            entry.suspectSince = now;
+        }
+    });
+}
+
+void MembershipView::applyDeadlines(MonotonicTime now)
+{
+    if (m_heldUntil && now < *m_heldUntil) {
+        return;
+    }
+    m_heldUntil = std::nullopt;
+    m_table.forEach([this, now](MemberEntry &entry) {
+        if (entry.goneSince || !entry.member.evidenceAt) {
+            return;
+        }
+        const auto silence = now - *entry.member.evidenceAt;
+        if (!entry.suspectSince && entry.watched && silence > m_options.tuning.watchTimeout) {
+            entry.suspectSince = now;
+            entry.suspicionReported = true;
+            spread(entry);
+        } else if (!entry.suspectSince && silence > m_table.staleTimeout()) {
+            entry.suspectSince = now;
+        } else if (entry.suspectSince && now - *entry.suspectSince > m_options.tuning.refuteTime) {
+            markGone(entry, now);
+        }
+    });
+}
+
+void MembershipView::forgetGone(MonotonicTime now)
+{
+    std::vector<std::string> names;
+    m_table.forEach([this, now, &names](const MemberEntry &entry) {
+        const auto since = entry.goneSince.value_or(entry.createdAt);
+        const bool isOut = entry.goneSince || !entry.member.evidenceAt;
+        // Only a list that was fetched long after the member went says that it is gone for good.
+        const bool isUnlisted = m_listAt && *m_listAt - since > m_options.tuning.forgetUnlisted && entry.everListed && !entry.listed;
+        const bool isLongAgo = now - since > m_options.tuning.forgetAfter && !entry.listed;
+        const bool hasDeparted = entry.departed && now - since > m_options.tuning.forgetUnlisted;
+        if (isOut && (isUnlisted || isLongAgo || hasDeparted)) {
+            names.push_back(entry.member.identity.name);
+        }
+    });
+    for (const auto &name : names) {
+        m_changes.erase(name);
+        m_newRecords.erase(name);
+        m_table.erase(name);
+    }
+}
+
+PeerPlan MembershipView::plan(MonotonicTime now, std::mt19937_64 &random) const
+{
+    std::vector<PeerCandidate> candidates;
+    candidates.reserve(m_table.size());
+    m_table.forEach([this, now, &candidates](const MemberEntry &entry) {
+        const auto &identity = entry.member.identity;
+        if (entry.departed || identity.gossipAddress.empty()) {
+            return;
+        }
+        candidates.push_back({.hash = entry.hash,
+                              .dataCentre = identity.dataCentre,
+                              .region = identity.region,
+                              .gossipAddress = identity.gossipAddress,
+                              .reachable = m_table.isReachable(entry, now)});
+    });
+    const auto &self = m_options.self;
+    const PeerCandidate own {.hash = m_ownHash, .dataCentre = self.dataCentre, .region = self.region, .gossipAddress = self.gossipAddress};
+    return planPeers(own, candidates, m_options.tuning.watchers, m_options.tuning.crossRegionPerRound, random);
+}
+
+std::vector<std::string> MembershipView::seedsToTry(std::mt19937_64 &random) const
+{
+    auto seeds = m_options.seeds;
+    std::erase(seeds, m_options.self.gossipAddress);
+    m_table.forEach([&seeds](const MemberEntry &entry) { std::erase(seeds, entry.member.identity.gossipAddress); });
+    std::shuffle(seeds.begin(), seeds.end(), random);
+    seeds.resize(std::min(seeds.size(), SeedsPerRound));
+    return seeds;
+}
+
+Wire::Heartbeat MembershipView::basicHeartbeat(MonotonicTime now, const HybridTime &stamp) const
+{
+    Wire::Heartbeat heartbeat;
+    heartbeat.sender = toWire(m_options.self);
+    heartbeat.sequence = m_sequence;
+    heartbeat.documentVersion = m_own.documentVersion;
+    if (const auto confirmed = confirmedAt()) {
+        heartbeat.__set_confirmationAgeMs(ageMs(now, *confirmed));
+    }
+    if (const auto platformAt = std::max(m_platformAt, m_own.platformAt)) {
+        heartbeat.__set_platformAgeMs(ageMs(now, *platformAt));
+    }
+    if (m_own.openStreams > 0) {
+        heartbeat.__set_openStreams(m_own.openStreams);
+    }
+    if (m_own.leaving) {
+        heartbeat.__set_leaving(true);
+    }
+    if (m_departed) {
+        heartbeat.__set_departed(true);
+    }
+    heartbeat.hybridWallMs = stamp.wallMs;
+    heartbeat.hybridCounter = static_cast<int32_t>(stamp.counter);
+    return heartbeat;
+}
+
+Wire::Heartbeat MembershipView::fullHeartbeat(MonotonicTime now, const HybridTime &stamp, std::mt19937_64 &random)
+{
+    auto heartbeat = basicHeartbeat(now, stamp);
+    for (const auto &name : takeNames(m_newRecords, RecordsPerDatagram)) {
+        if (const auto *entry = m_table.find(name)) {
+            heartbeat.records.push_back(toWire(entry->member.identity));
+        }
+    }
+    heartbeat.__isset.records = !heartbeat.records.empty();
+    heartbeat.crashes = m_crashes.take(now);
+    heartbeat.__isset.crashes = !heartbeat.crashes.empty();
+    addDigests(heartbeat, now, random);
+    heartbeat.__isset.digests = !heartbeat.digests.empty();
+    return heartbeat;
+}
+
+void MembershipView::addDigests(Wire::Heartbeat &heartbeat, MonotonicTime now, std::mt19937_64 &random)
+{
+    const size_t limit = m_options.tuning.digestsPerDatagram;
+    std::vector<uint32_t> taken;
+    const auto add = [this, &heartbeat, &taken, now](const MemberEntry &entry) {
+        if (std::find(taken.begin(), taken.end(), entry.hash) == taken.end()) {
+            taken.push_back(entry.hash);
+            heartbeat.digests.push_back(digestOf(entry, now));
+        }
+    };
+    for (const auto &name : takeNames(m_changes, limit)) {
+        if (const auto *entry = m_table.find(name)) {
+            add(*entry);
+        }
+    }
+    std::vector<const MemberEntry *> usable;
+    m_table.forEach([&usable](const MemberEntry &entry) {
+        if (entry.member.evidenceAt && !entry.suspectSince && !entry.goneSince) {
+            usable.push_back(&entry);
+        }
+    });
+    std::sort(usable.begin(), usable.end(), [](const auto *a, const auto *b) { return a->member.evidenceAt > b->member.evidenceAt; });
+    std::vector<std::string_view> dataCentres;
+    for (const auto *entry : usable) {
+        const std::string_view dataCentre = entry->member.identity.dataCentre;
+        if (std::find(dataCentres.begin(), dataCentres.end(), dataCentre) == dataCentres.end()) {
+            dataCentres.push_back(dataCentre);
+            add(*entry);
+        }
+    }
+    // The square of a uniform number prefers fresh entries and leaves none out.
+    for (size_t tries = 0; tries < 2 * limit && heartbeat.digests.size() < std::min(limit, usable.size()); ++tries) {
+        const double uniform = std::uniform_real_distribution<>(0, 1)(random);
+        add(*usable[static_cast<size_t>(uniform * uniform * static_cast<double>(usable.size()))]);
+    }
+}
+
+Wire::MemberDigest MembershipView::digestOf(const MemberEntry &entry, MonotonicTime now) const
+{
+    Wire::MemberDigest digest;
+    digest.identity = static_cast<int32_t>(entry.hash);
+    digest.sequence = entry.member.sequence;
+    if (entry.departed) {
+        digest.__set_kind(Wire::DigestKind::Departed);
+        return digest;
+    }
+    if (entry.suspicionReported) {
+        digest.__set_kind(Wire::DigestKind::Suspect);
+        return digest;
+    }
+    if (entry.leaving) {
+        digest.__set_kind(Wire::DigestKind::Leaving);
+    }
+    if (entry.member.evidenceAt) {
+        digest.__set_ageTenths(static_cast<int32_t>(ageMs(now, *entry.member.evidenceAt) / 100));
+    }
+    if (entry.member.openStreams > 0) {
+        digest.__set_openStreams(entry.member.openStreams);
+    }
+    if (entry.member.documentVersion != m_own.documentVersion) {
+        digest.__set_documentVersion(entry.member.documentVersion);
+    }
+    return digest;
+}
+
+void MembershipView::spread(const MemberEntry &entry)
+{
+    m_changes[entry.member.identity.name] = sendings();
+}
+
+void MembershipView::emit(MembershipChange change, const MemberEntry &entry, MonotonicTime now)
+{
+    auto member = entry.member;
+    member.state = m_table.stateOf(entry, now);
+    m_events.push_back({.change = change, .member = std::move(member)});
+}
+
+int MembershipView::sendings() const
+{
+    return SendingsPerDoubling * doublings(m_table.size() + 1);
+}
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibMembership/MembershipView.cpp
@@ -0,0 +1,307 @@
+#include <LibMembership/MembershipView.h>
+
+#include <algorithm>
+#include <LibMembership/WireConversion.h>
+#include <utility>
+
+namespace Jujube
+{
+
+namespace
+{
+
+// 16 records of about 70 bytes fit into one datagram.
+constexpr size_t MaxRecordsPerAnswer = 16;
+
+std::optional<MonotonicTime> latest(std::optional<MonotonicTime> a, std::optional<MonotonicTime> b)
+{
+    return std::max(a, b);
+}
+
+} // namespace
+
+MembershipView::MembershipView(Options options)
+    : m_options(std::move(options))
+    , m_ownHash(hashOf(m_options.self))
+    , m_table(m_options.tuning)
+{
+}
+
+void MembershipView::setOwnState(const OwnState &state)
+{
+    if (state.documentVersion != m_own.documentVersion) {
+        m_confirmedAt = std::nullopt;
+    }
+    m_own = state;
+}
+
+void MembershipView::applyVmList(const std::vector<VmListEntry> &list, MonotonicTime now)
+{
+    m_listAt = now;
+    m_table.forEach([](MemberEntry &entry) { entry.listed = false; });
+    for (const auto &listed : list) {
+        if (listed.identity.name == m_options.self.name) {
+            continue;
+        }
+        // A list that is ahead of the heartbeats does not displace a member that is still heard of.
+        auto *entry = m_table.find(listed.identity.name);
+        if (!entry || (entry->goneSince && entry->member.identity.incarnation < listed.identity.incarnation)) {
+            entry = admit(listed.identity, now);
+        }
+        if (!entry) {
+            continue;
+        }
+        entry->listed = true;
+        entry->everListed = true;
+        entry->listIncarnation = std::max(entry->listIncarnation, listed.identity.incarnation);
+        if (listed.leaving && listed.identity.incarnation >= entry->member.identity.incarnation) {
+            markLeaving(*entry, now);
+        }
+    }
+}
+
+std::vector<OutgoingHeartbeat> MembershipView::receive(const Wire::Heartbeat &heartbeat, const std::string &source, MonotonicTime now, const HybridTime &stamp)
+{
+    auto identity = identityFromWire(heartbeat.sender);
+    if (identity.gossipAddress.empty()) {
+        identity.gossipAddress = source;
+    }
+    if (identity.name == m_options.self.name) {
+        if (identity.incarnation > m_options.self.incarnation && !m_replaced) {
+            m_replaced = true;
+            m_events.push_back({.change = MembershipChange::Replaced, .member = {.identity = identity}});
+        }
+        return {};
+    }
+    auto *sender = admit(identity, now);
+    // Datagrams of a displaced incarnation and datagrams that arrive again are dropped whole.
+    if (!sender || heartbeat.sequence < sender->directSequence) {
+        return {};
+    }
+    takeSender(*sender, heartbeat, now);
+    std::vector<int32_t> wanted;
+    for (const auto &record : heartbeat.records) {
+        const auto known = identityFromWire(record);
+        if (known.name != m_options.self.name) {
+            admit(known, now);
+        }
+    }
+    for (const auto &digest : heartbeat.digests) {
+        takeDigest(digest, heartbeat.documentVersion, now, wanted);
+    }
+    for (const auto &crash : heartbeat.crashes) {
+        reportCrash(CrashCarrier::fromWire(crash, now), now);
+    }
+    std::vector<OutgoingHeartbeat> answers;
+    if (!heartbeat.wanted.empty()) {
+        auto answer = basicHeartbeat(now, stamp);
+        for (const auto hash : heartbeat.wanted) {
+            const auto *entry = m_table.findHash(static_cast<uint32_t>(hash));
+            if (entry && answer.records.size() < MaxRecordsPerAnswer) {
+                answer.records.push_back(toWire(entry->member.identity));
+            }
+        }
+        answer.__isset.records = true;
+        answers.push_back({identity.gossipAddress, std::move(answer)});
+    }
+    if (!wanted.empty() && m_requestsLeft > 0) {
+        m_requestsLeft -= 1;
+        auto request = basicHeartbeat(now, stamp);
+        wanted.resize(std::min(wanted.size(), MaxRecordsPerAnswer));
+        request.__set_wanted(wanted);
+        answers.push_back({identity.gossipAddress, std::move(request)});
+    }
+    return answers;
+}
+
+MemberEntry *MembershipView::admit(const MemberIdentity &identity, MonotonicTime now)
+{
+    return m_table.admit(identity, now, [this, now](const MemberEntry &old) {
+        if (old.joined && !old.goneSince) {
+            emit(MembershipChange::Lost, old, now);
+        }
+    });
+}
+
+void MembershipView::retireSameAddress(const MemberEntry &newcomer, MonotonicTime now)
+{
+    m_table.forEach([this, &newcomer, now](MemberEntry &other) {
+        const bool isSameAddress = other.member.identity.address == newcomer.member.identity.address;
+        if (isSameAddress && other.member.identity.incarnation < newcomer.member.identity.incarnation) {
+            markGone(other, now);
+        }
+    });
+}
+
+void MembershipView::takeEvidence(MemberEntry &entry, const Evidence &evidence, MonotonicTime now)
+{
+    if (entry.departed || evidence.sequence <= entry.member.sequence) {
+        return;
+    }
+    entry.member.sequence = evidence.sequence;
+    entry.member.evidenceAt = latest(entry.member.evidenceAt, evidence.at);
+    m_table.noteContact(entry.member.identity.dataCentre, evidence.at);
+    const bool isRecent = now - evidence.at < m_table.staleTimeout();
+    if (!isRecent) {
+        return;
+    }
+    const bool wasGone = entry.goneSince.has_value();
+    if (entry.suspectSince || wasGone) {
+        // A watcher that was wrong once, because its link from this member loses datagrams, watches again after the next direct heartbeat.
+        entry.watched = false;
+        entry.suspectSince = std::nullopt;
+        entry.goneSince = std::nullopt;
+        entry.suspicionReported = false;
+        spread(entry);
+    }
+    if (wasGone || !entry.joined) {
+        entry.joined = true;
+        m_newRecords[entry.member.identity.name] = sendings();
+        retireSameAddress(entry, now);
+        spread(entry);
+        emit(MembershipChange::Joined, entry, now);
+    }
+}
+
+void MembershipView::takeSender(MemberEntry &sender, const Wire::Heartbeat &heartbeat, MonotonicTime now)
+{
+    m_peerAt = now;
+    m_fresh = true;
+    sender.directSequence = heartbeat.sequence;
+    sender.member.openStreams = heartbeat.openStreams;
+    sender.member.documentVersion = heartbeat.documentVersion;
+    takeEvidence(sender, {.sequence = heartbeat.sequence, .at = now}, now);
+    sender.watched = heartbeat.watch;
+    if (heartbeat.leaving) {
+        markLeaving(sender, now);
+    }
+    if (heartbeat.departed && !sender.departed) {
+        sender.departed = true;
+        markGone(sender, now);
+        spread(sender);
+    }
+    takeDocument(heartbeat, sender.member, now);
+}
+
+void MembershipView::takeDocument(const Wire::Heartbeat &heartbeat, const Member &sender, MonotonicTime now)
+{
+    if (heartbeat.__isset.platformAgeMs && heartbeat.platformAgeMs >= 0) {
+        m_platformAt = latest(m_platformAt, now - std::chrono::milliseconds(heartbeat.platformAgeMs));
+    }
+    // Only a confirmation of the same version counts: an older head says nothing of a newer document, and a newer head confirms that this one is obsolete.
+    if (heartbeat.documentVersion == m_own.documentVersion && heartbeat.__isset.confirmationAgeMs && heartbeat.confirmationAgeMs >= 0) {
+        m_confirmedAt = latest(m_confirmedAt, now - std::chrono::milliseconds(heartbeat.confirmationAgeMs));
+    }
+    if (heartbeat.documentVersion > m_own.documentVersion) {
+        m_events.push_back({.change = MembershipChange::OffersDocument, .member = sender, .documentVersion = heartbeat.documentVersion});
+    }
+}
+
+void MembershipView::takeDigest(const Wire::MemberDigest &digest, int64_t senderVersion, MonotonicTime now, std::vector<int32_t> &wanted)
+{
+    const auto hash = static_cast<uint32_t>(digest.identity);
+    if (hash == m_ownHash) {
+        // A suspicion of this process is refuted by its next heartbeats.
+        return;
+    }
+    auto *entry = m_table.findHash(hash);
+    if (!entry) {
+        wanted.push_back(digest.identity);
+        return;
+    }
+    if (digest.kind == Wire::DigestKind::Suspect) {
+        takeSuspicion(*entry, digest.sequence, now);
+        return;
+    }
+    if (digest.kind == Wire::DigestKind::Departed) {
+        if (!entry->departed) {
+            entry->departed = true;
+            markGone(*entry, now);
+            spread(*entry);
+        }
+        return;
+    }
+    if (digest.sequence > entry->member.sequence) {
+        entry->member.openStreams = digest.openStreams;
+        entry->member.documentVersion = digest.__isset.documentVersion ? digest.documentVersion : senderVersion;
+    }
+    takeEvidence(*entry, {.sequence = digest.sequence, .at = now - std::chrono::milliseconds(100) * std::max(0, digest.ageTenths)}, now);
+    if (digest.kind == Wire::DigestKind::Leaving) {
+        markLeaving(*entry, now);
+    }
+}
+
+void MembershipView::takeSuspicion(MemberEntry &entry, int64_t sequence, MonotonicTime now)
+{
+    if (sequence < entry.member.sequence) {
+        // This process knows better; the reporter and those that believed it have to hear the higher number.
+        spread(entry);
+        return;
+    }
+    entry.member.sequence = sequence;
+    if (!entry.goneSince && !entry.suspicionReported) {
+        entry.suspectSince = entry.suspectSince.value_or(now);
+        entry.suspicionReported = true;
+        spread(entry);
+    }
+}
+
+void MembershipView::markLeaving(MemberEntry &entry, MonotonicTime now)
+{
+    if (entry.leaving) {
+        return;
+    }
+    entry.leaving = true;
+    spread(entry);
+    emit(MembershipChange::Leaving, entry, now);
+}
+
+void MembershipView::markGone(MemberEntry &entry, MonotonicTime now)
+{
+    if (entry.goneSince) {
+        return;
+    }
+    entry.goneSince = now;
+    if (entry.joined) {
+        emit(MembershipChange::Lost, entry, now);
+    }
+}
+
+void MembershipView::reportCrash(const CrashReport &report, MonotonicTime now)
+{
+    if (now - report.at > CrashCarrier::KeepTime || !m_crashes.merge(report, sendings())) {
+        return;
+    }
+    m_events.push_back({.change = MembershipChange::CrashReported, .member = {}});
+}
+
+std::vector<MembershipEvent> MembershipView::takeEvents()
+{
+    return std::exchange(m_events, {});
+}
+
+Reachability MembershipView::reachability(MonotonicTime now) const
+{
+    Reachability result;
+    m_table.forEach([this, now, &result](const MemberEntry &entry) {
+        const bool isOrderlyGone = entry.departed || (entry.leaving && entry.goneSince);
+        result.known += isOrderlyGone ? 0 : 1;
+        result.reachable += m_table.isReachable(entry, now) ? 1 : 0;
+    });
+    const auto age = [now](MonotonicTime at) { return std::chrono::duration_cast<std::chrono::milliseconds>(now - at); };
+    if (m_peerAt) {
+        result.peerAge = age(*m_peerAt);
+    }
+    if (const auto platformAt = latest(m_platformAt, m_own.platformAt)) {
+        result.platformAge = age(*platformAt);
+    }
+    result.fresh = m_fresh;
+    return result;
+}
+
+std::optional<MonotonicTime> MembershipView::confirmedAt() const
+{
+    return latest(m_confirmedAt, m_own.confirmedAt);
+}
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibMembership/PeerPlan.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Jujube
+{
+
+// A member that a heartbeat can be sent to.
+struct PeerCandidate {
+    uint32_t hash = 0;
+    std::string dataCentre;
+    std::string region;
+    std::string gossipAddress;
+    bool reachable = false;
+};
+
+// The receivers of one round. Their number does not grow with the membership.
+struct PeerPlan {
+    // The next members on the ring of hashes, in the same data centre if possible. They report a silence.
+    std::vector<std::string> watchers;
+    // One random member of the region, a share of rounds one of another region, and one that is not reachable, so that a healed partition is noticed.
+    std::vector<std::string> others;
+};
+
+PeerPlan
+planPeers(const PeerCandidate &self, const std::vector<PeerCandidate> &candidates, size_t watchers, double crossRegionPerRound, std::mt19937_64 &random);
+
+} // namespace Jujube
