--- /dev/null
+++ b/Libraries/LibGateway/DocumentKeeper.cpp
@@ -0,0 +1,249 @@
+#include <LibGateway/DocumentKeeper.h>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+namespace Jujube
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto PeerConnectTimeout = 500ms;
+constexpr auto PeerTimeout = 2000ms;
+// Reads are spread by up to this share of the interval, so that the gateways do not read at the same moment.
+constexpr int JitterPercent = 20;
+constexpr int Percent = 100;
+
+std::shared_ptr<const DocumentInForce> makeInForce(const DocumentLedger &ledger)
+{
+    auto inForce = std::make_shared<DocumentInForce>();
+    inForce->version = static_cast<int64_t>(ledger.version());
+    inForce->digest = ledger.digest();
+    inForce->bytes = ledger.bytes();
+    inForce->document = *ledger.document();
+    for (const auto &[name, workspace] : inForce->document.workspaces) {
+        inForce->workspaceByKeyHash[workspace.keySha256] = name;
+    }
+    return inForce;
+}
+
+}
+
+DocumentKeeper::DocumentKeeper(Options options)
+    : m_options(std::move(options))
+    , m_table({.address = m_options.platform, .transport = m_options.transport})
+    , m_objects({.address = m_options.platform, .transport = m_options.transport})
+    , m_judge({.self = m_options.self})
+    , m_random(std::random_device {}())
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+DocumentKeeper::~DocumentKeeper()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wakeup.notify_all();
+    m_thread.join();
+}
+
+std::shared_ptr<const DocumentInForce> DocumentKeeper::current() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_current;
+}
+
+void DocumentKeeper::wake()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_wanted = true;
+    }
+    m_wakeup.notify_all();
+}
+
+Connectivity DocumentKeeper::connectivity(MonotonicTime now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_judge.judge(now);
+}
+
+nlohmann::json DocumentKeeper::statusJson(MonotonicTime now) const
+{
+    const std::lock_guard lock(m_mutex);
+    nlohmann::json json {
+        {"environment", m_options.environment},
+        {"gateway", m_options.self},
+        {"version", m_ledger.version()},
+        {"digest", m_ledger.digest()},
+        {"connectivity", nameOf(m_judge.judge(now))},
+    };
+    if (const auto age = m_ledger.age(now)) {
+        json["age_ms"] = age->count();
+    }
+    if (const auto age = m_ledger.confirmedAge(now)) {
+        json["confirmed_age_ms"] = age->count();
+    }
+    return json;
+}
+
+void DocumentKeeper::run()
+{
+    while (true) {
+        round();
+        std::unique_lock lock(m_mutex);
+        const auto jitter = m_options.interval * static_cast<int>(m_random() % JitterPercent) / Percent;
+        m_wakeup.wait_for(lock, m_options.interval - jitter, [this] { return m_stopping || m_wanted; });
+        m_wanted = false;
+        if (m_stopping) {
+            return;
+        }
+    }
+}
+
+void DocumentKeeper::round()
+{
+    const auto peers = m_options.peers ? m_options.peers() : PeerSnapshot {};
+    observePeers(peers);
+    if (!readTable()) {
+        fetchFromPeers(peers);
+    }
+    noteConnectivity();
+    if (m_options.onRound) {
+        std::unique_lock lock(m_mutex);
+        const auto version = m_ledger.version();
+        const auto confirmedAge = m_ledger.confirmedAge(monotonicNow());
+        const auto platformAt = m_platformAt;
+        lock.unlock();
+        m_options.onRound(version, confirmedAge, platformAt);
+    }
+}
+
+void DocumentKeeper::observePeers(const PeerSnapshot &peers)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto now = monotonicNow();
+    m_judge.setMembers(peers.members);
+    for (const auto &contact : peers.contacts) {
+        m_judge.peerHeard({.peer = contact.name, .age = contact.age, .platformAge = peers.platformAge}, now);
+    }
+}
+
+bool DocumentKeeper::readTable()
+{
+    const auto sentAt = monotonicNow();
+    const auto result = m_table.get(documentHeadKey(m_options.environment));
+    if (result.end == ReadEnd::Failed) {
+        return false;
+    }
+    uint64_t versionInForce = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_platformAt = sentAt;
+        m_judge.platformAnswered(sentAt);
+        versionInForce = m_ledger.version();
+    }
+    if (result.end == ReadEnd::Absent) {
+        return true;
+    }
+    const auto head = DocumentHead::parse(result.row.value);
+    if (!head.ok()) {
+        record(EventKind::DocumentRefused, absl::StrCat("the head in the table is damaged: ", head.status().message()));
+        return true;
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        m_ledger.tableHeadSeen(head->version, head->digest, sentAt);
+    }
+    if (head->version > versionInForce) {
+        fetchFromObjectStore(*head, sentAt);
+    }
+    return true;
+}
+
+void DocumentKeeper::fetchFromObjectStore(const DocumentHead &head, MonotonicTime readSentAt)
+{
+    const auto object = m_objects.get(head.object);
+    if (object.end != ReadEnd::Found) {
+        record(EventKind::DocumentRefused, absl::StrCat("version ", head.version, ": the object store did not deliver its bytes"));
+        return;
+    }
+    offer({.source = DocumentSource::Table, .version = head.version, .digest = head.digest, .bytes = object.bytes}, readSentAt);
+}
+
+void DocumentKeeper::fetchFromPeers(const PeerSnapshot &peers)
+{
+    uint64_t versionInForce = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        versionInForce = m_ledger.version();
+    }
+    const PeerContact *best = nullptr;
+    for (const auto &contact : peers.contacts) {
+        if (contact.documentVersion > versionInForce && (!best || contact.documentVersion > best->documentVersion)) {
+            best = &contact;
+        }
+    }
+    if (!best || !m_options.transport) {
+        return;
+    }
+    const auto url = absl::StrCat("http://", best->address, "/environment/document");
+    const auto answer = m_options.transport({.url = url, .connectTimeout = PeerConnectTimeout, .totalTimeout = PeerTimeout});
+    uint64_t version = 0;
+    const auto versionHeader = answer.headers.find("jujube-document-version");
+    const auto digestHeader = answer.headers.find("jujube-document-digest");
+    if (!answer.isSuccess() || versionHeader == answer.headers.end() || digestHeader == answer.headers.end()
+        || !absl::SimpleAtoi(versionHeader->second, &version)) {
+        return;
+    }
+    offer({.source = DocumentSource::Peer, .version = version, .digest = digestHeader->second, .bytes = answer.body, .confirmedAge = std::nullopt},
+          monotonicNow());
+}
+
+void DocumentKeeper::offer(const DocumentOffer &offer, MonotonicTime now)
+{
+    std::shared_ptr<const DocumentInForce> accepted;
+    OfferResult result {};
+    std::string problem;
+    {
+        const std::lock_guard lock(m_mutex);
+        result = m_ledger.offer(offer, now);
+        if (result == OfferResult::Accepted) {
+            m_current = makeInForce(m_ledger);
+            accepted = m_current;
+        }
+        problem = m_ledger.lastProblem();
+    }
+    if (accepted) {
+        record(EventKind::DocumentInForce, absl::StrCat("version ", accepted->version, " digest ", accepted->digest));
+        m_options.onInForce(accepted);
+    } else if (result != OfferResult::AlreadyInForce) {
+        record(EventKind::DocumentRefused, absl::StrCat("version ", offer.version, ": ", std::string(nameOf(result)), " ", problem));
+    }
+}
+
+void DocumentKeeper::noteConnectivity()
+{
+    const auto now = monotonicNow();
+    const auto connectivity = this->connectivity(now);
+    const auto previous = std::exchange(m_lastConnectivity, connectivity);
+    const bool reachable = connectivity == Connectivity::Connected;
+    if (std::exchange(m_platformReachable, reachable) != reachable) {
+        record(reachable ? EventKind::PlatformRegained : EventKind::PlatformLost, std::string(nameOf(connectivity)));
+    }
+    if ((connectivity == Connectivity::Isolated) != (previous == Connectivity::Isolated)) {
+        record(connectivity == Connectivity::Isolated ? EventKind::GatewayIsolated : EventKind::GatewayReconnected, std::string(nameOf(connectivity)));
+    }
+}
+
+void DocumentKeeper::record(EventKind kind, std::string detail) const
+{
+    m_options.events->record({.kind = kind, .detail = std::move(detail)}, wallMsNow());
+}
+
+}
