Add the gateway

The gateway joins the state machines with the world: a document keeper, a fleet keeper and the membership have a thread each; requests run on the HTTP server's threads and read their engine streams from bounded rings that the client's thread fills. A full ring pauses the engine's connection.

Engine streams never use a connection twice, so that a resumed stream gets around a connection that went silent.

--- /dev/null
+++ b/Libraries/LibGateway/FleetKeeper.cpp
@@ -0,0 +1,329 @@
+#include <LibGateway/FleetKeeper.h>
+
+#include <LibCore/Json.h>
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace Jujube
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto LoadConnectTimeout = 500ms;
+constexpr auto LoadTimeout = 1000ms;
+// A load report is on average half an interval old when it is read.
+constexpr auto AssumedReportAge = 100ms;
+
+LoadReport parseLoad(const nlohmann::json &json)
+{
+    LoadReport report;
+    report.incarnation = json.value("incarnation", uint64_t {0});
+    report.running = json.value("running", 0);
+    report.waiting = json.value("waiting", 0);
+    report.memoryUsed = json.value("memory_used", int64_t {0});
+    report.memoryLimit = json.value("memory_limit", int64_t {0});
+    report.cold = json.value("cold", false);
+    report.leaving = json.value("leaving", false);
+    report.preemptions = json.value("preemptions", uint64_t {0});
+    return report;
+}
+
+TargetDescription describe(const EnvironmentDocument &document, const std::string &name, const TargetEntry &entry)
+{
+    const auto dataCentre = document.dataCentres.find(entry.dataCentre);
+    TargetDescription description {
+        .name = name,
+        .dataCentre = entry.dataCentre,
+        .region = dataCentre == document.dataCentres.end() ? std::string() : dataCentre->second.region,
+        .models = entry.models,
+        .memoryTokens = static_cast<int64_t>(entry.memoryTokens),
+        .coldLimit = static_cast<int>(entry.coldLimit),
+    };
+    if (!entry.service.empty()) {
+        description.models = {serviceModelName(entry.service)};
+    }
+    return description;
+}
+
+}
+
+std::string serviceModelName(const std::string &service)
+{
+    return "service:" + service;
+}
+
+FleetKeeper::FleetKeeper(Options options)
+    : m_options(std::move(options))
+    , m_vmList({.address = m_options.platform, .transport = [http = m_options.http](HttpCall call) { return http->call(std::move(call)); }})
+    , m_policy(makePlacementPolicy(m_options.placement))
+    , m_random(std::random_device {}())
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+FleetKeeper::~FleetKeeper()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_stopSignal.notify_all();
+    m_turn.notify_all();
+    m_thread.join();
+    std::unique_lock lock(m_mutex);
+    m_stopSignal.wait(lock, [this] { return m_pendingLoads == 0; });
+}
+
+void FleetKeeper::apply(const std::shared_ptr<const DocumentInForce> &document, MonotonicTime now)
+{
+    const std::lock_guard lock(m_mutex);
+    auto &fleet = m_policy->fleet();
+    if (m_document) {
+        for (const auto &[name, entry] : m_document->document.targets) {
+            if (!document->document.targets.contains(name)) {
+                fleet.removeTarget(name);
+            }
+        }
+    }
+    for (const auto &[name, entry] : document->document.targets) {
+        fleet.setTarget(describe(document->document, name, entry));
+    }
+    for (const auto &[name, dataCentre] : document->document.dataCentres) {
+        const bool out = dataCentre.state == DataCentreState::Out;
+        const auto before = m_document ? m_document->document.dataCentres.find(name) : document->document.dataCentres.end();
+        const bool wasKnown = m_document && before != m_document->document.dataCentres.end();
+        const bool wasOut = wasKnown && before->second.state == DataCentreState::Out;
+        if (out != wasOut) {
+            m_options.events->record({.kind = out ? EventKind::DataCentreOut : EventKind::DataCentreIn, .dataCentre = name}, wallMsNow());
+        }
+        // Told on every change only: repeating "in" would begin the return of a data centre anew.
+        if (out != wasOut || !wasKnown) {
+            fleet.setDataCentreOut(name, out, now);
+        }
+    }
+    m_document = document;
+    wakeReady(now);
+}
+
+PlacementDecision FleetKeeper::place(PlacementRequest request, MonotonicTime now)
+{
+    request.dataCentre = m_options.dataCentre;
+    request.region = m_options.region;
+    const std::lock_guard lock(m_mutex);
+    m_ready.erase(request.id);
+    return m_policy->place(request, now, m_random());
+}
+
+void FleetKeeper::generationStarted(const std::string &id, MonotonicTime now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_policy->generationStarted(id, now);
+}
+
+void FleetKeeper::tokensProduced(const std::string &id, int64_t count, MonotonicTime now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_policy->tokensProduced(id, count, now);
+}
+
+void FleetKeeper::generationFinished(const std::string &id, MonotonicTime now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_policy->generationFinished(id, now);
+    wakeReady(now);
+}
+
+void FleetKeeper::generationFailed(const std::string &id, FailureReason reason, MonotonicTime now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_policy->generationFailed(id, reason, now);
+    wakeReady(now);
+}
+
+void FleetKeeper::abandoned(const std::string &id, MonotonicTime now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_policy->abandoned(id, now);
+}
+
+void FleetKeeper::noteCold(const std::string &target, MonotonicTime now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_policy->fleet().noteCold(target, now);
+}
+
+void FleetKeeper::waitForTurn(const std::string &id, MonotonicTime until)
+{
+    std::unique_lock lock(m_mutex);
+    m_turn.wait_until(lock, until, [this, &id] { return m_stopping || m_ready.contains(id); });
+    m_ready.erase(id);
+}
+
+void FleetKeeper::wakeReady(MonotonicTime now)
+{
+    const auto ready = m_policy->takeReady(now);
+    m_ready.insert(ready.begin(), ready.end());
+    if (!ready.empty()) {
+        m_turn.notify_all();
+    }
+}
+
+std::optional<std::string> FleetKeeper::chooseServiceTarget(const std::string &service, const std::set<std::string> &excluded, MonotonicTime now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto &fleet = m_policy->fleet();
+    // The own data centre, then the own region, then everything else.
+    std::array<std::vector<std::string>, 3> byDistance;
+    for (const auto &group : fleet.targetsOf(serviceModelName(service))) {
+        const auto &dataCentre = fleet.dataCentre(group.dataCentre);
+        const size_t distance = dataCentre.name == m_options.dataCentre ? 0 : dataCentre.region == m_options.region ? 1 : 2;
+        for (const auto index : group.targets) {
+            const auto &target = fleet.target(index);
+            // Plain services have no cold start; only leaving targets and data centres that are out are left alone.
+            if (!target.isLeaving() && !dataCentre.out && !excluded.contains(target.description.name)) {
+                byDistance.at(distance).push_back(target.description.name);
+            }
+        }
+    }
+    for (const auto &names : byDistance) {
+        if (!names.empty()) {
+            return names[m_serviceTurn++ % names.size()];
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> FleetKeeper::addressOf(const std::string &target) const
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_document) {
+        return std::nullopt;
+    }
+    const auto found = m_document->document.targets.find(target);
+    return found == m_document->document.targets.end() ? std::nullopt : std::optional(found->second.address);
+}
+
+void FleetKeeper::setLiveGateways(int count)
+{
+    const std::lock_guard lock(m_mutex);
+    m_policy->setLiveGateways(count);
+}
+
+void FleetKeeper::run()
+{
+    auto nextVmList = monotonicNow();
+    std::unique_lock lock(m_mutex);
+    while (!m_stopping) {
+        lock.unlock();
+        pollLoads();
+        if (monotonicNow() >= nextVmList) {
+            readVmList();
+            nextVmList = monotonicNow() + m_options.vmListInterval;
+        }
+        lock.lock();
+        m_stopSignal.wait_for(lock, m_options.loadInterval, [this] { return m_stopping; });
+    }
+}
+
+void FleetKeeper::pollLoads()
+{
+    std::vector<std::pair<std::string, std::string>> targets;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_document) {
+            return;
+        }
+        for (const auto &[name, entry] : m_document->document.targets) {
+            targets.emplace_back(name, entry.address);
+        }
+        m_pendingLoads += static_cast<int>(targets.size());
+    }
+    for (const auto &[name, address] : targets) {
+        const auto sentAt = monotonicNow();
+        auto body = std::make_shared<std::string>();
+        m_options.http->open({.url = absl::StrCat("http://", address, "/load"), .connectTimeout = LoadConnectTimeout, .totalTimeout = LoadTimeout},
+                             {.onBytes =
+                                  [body](int, std::string_view bytes) {
+                                      body->append(bytes);
+                                      return true;
+                                  },
+                              .onEnd =
+                                  [this, body, name = name, sentAt](HttpAnswer answer) {
+                                      answer.body = *body;
+                                      takeLoad(name, answer, sentAt);
+                                      endLoad();
+                                  }});
+    }
+}
+
+void FleetKeeper::endLoad()
+{
+    const std::lock_guard lock(m_mutex);
+    --m_pendingLoads;
+    m_stopSignal.notify_all();
+}
+
+void FleetKeeper::takeLoad(const std::string &target, const HttpAnswer &answer, MonotonicTime sentAt)
+{
+    if (!answer.isSuccess()) {
+        return;
+    }
+    const auto json = parseJson(answer.body);
+    if (!json.ok() || !json->is_object()) {
+        return;
+    }
+    LoadReport report;
+    try {
+        report = parseLoad(*json);
+    } catch (const nlohmann::json::exception &) {
+        m_options.metrics->count("jujube_invalid_load_reports_total");
+        return;
+    }
+    const auto now = monotonicNow();
+    const std::lock_guard lock(m_mutex);
+    const auto index = m_policy->fleet().find(target);
+    if (!index) {
+        return;
+    }
+    const auto before = m_policy->fleet().target(*index);
+    m_policy->loadReported(target, report, now - sentAt + AssumedReportAge, now);
+    recordChanges(target, before.load, before.hasReport, report);
+    wakeReady(now);
+}
+
+void FleetKeeper::recordChanges(const std::string &target, const LoadReport &before, bool hadReport, const LoadReport &after) const
+{
+    const auto record = [this, &target](EventKind kind) { m_options.events->record({.kind = kind, .target = target}, wallMsNow()); };
+    if (after.leaving && !(hadReport && before.leaving)) {
+        record(EventKind::TargetLeaving);
+    }
+    if (hadReport && after.incarnation > before.incarnation) {
+        record(EventKind::TargetReturned);
+    }
+    if (after.cold != (hadReport && before.cold)) {
+        record(after.cold ? EventKind::TargetCold : EventKind::TargetWarm);
+    }
+}
+
+void FleetKeeper::readVmList()
+{
+    const auto list = m_vmList.read();
+    if (list.end != ReadEnd::Found) {
+        return;
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto &vm : list.vms) {
+            m_policy->fleet().setVmState(vm.name, vm.incarnation, vm.state == VmState::Leaving);
+        }
+    }
+    if (m_options.onVmList) {
+        m_options.onVmList(list.vms);
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/FleetKeeper.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <LibEvents/EventLog.h>
+#include <LibGateway/DocumentInForce.h>
+#include <LibHttp/HttpClient.h>
+#include <LibMetrics/Metrics.h>
+#include <LibPlatform/VmListClient.h>
+#include <LibPolicy/PlacementPolicy.h>
+#include <condition_variable>
+#include <mutex>
+#include <random>
+#include <set>
+#include <thread>
+
+namespace Jujube
+{
+
+// What a gateway knows about the targets, and its placement policy. Reads the targets' load and the VM list on a thread of its own. Safe to use from
+// several threads: the policy is called under one lock.
+class FleetKeeper
+{
+public:
+    struct Options {
+        std::string dataCentre;
+        std::string region;
+        std::string platform;
+        PlacementOptions placement;
+        std::chrono::milliseconds loadInterval {250};
+        std::chrono::milliseconds vmListInterval {1000};
+        HttpClient *http = nullptr;
+        EventLog *events = nullptr;
+        Metrics *metrics = nullptr;
+        // Called on the keeper's thread with each VM list.
+        std::function<void(const std::vector<Vm> &)> onVmList;
+    };
+
+    explicit FleetKeeper(Options options);
+    ~FleetKeeper();
+    FleetKeeper(const FleetKeeper &) = delete;
+    FleetKeeper &operator=(const FleetKeeper &) = delete;
+
+    // Takes over the targets and data centres of a document.
+    void apply(const std::shared_ptr<const DocumentInForce> &document, MonotonicTime now);
+
+    // Decides about a generation. The own data centre and region are filled in.
+    PlacementDecision place(PlacementRequest request, MonotonicTime now);
+    void generationStarted(const std::string &id, MonotonicTime now);
+    void tokensProduced(const std::string &id, int64_t count, MonotonicTime now);
+    void generationFinished(const std::string &id, MonotonicTime now);
+    void generationFailed(const std::string &id, FailureReason reason, MonotonicTime now);
+    void abandoned(const std::string &id, MonotonicTime now);
+    void noteCold(const std::string &target, MonotonicTime now);
+
+    // Waits until the time, or until the policy names the generation as ready for another decision.
+    void waitForTurn(const std::string &id, MonotonicTime until);
+
+    // A usable target of a plain service, the own data centre first, or nothing.
+    std::optional<std::string> chooseServiceTarget(const std::string &service, const std::set<std::string> &excluded, MonotonicTime now);
+
+    // The "address:port" of a target of the document in force, or nothing.
+    std::optional<std::string> addressOf(const std::string &target) const;
+
+    void setLiveGateways(int count);
+
+private:
+    void run();
+    void pollLoads();
+    void readVmList();
+    void endLoad();
+    void takeLoad(const std::string &target, const HttpAnswer &answer, MonotonicTime sentAt);
+    void recordChanges(const std::string &target, const LoadReport &before, bool hadReport, const LoadReport &after) const;
+    // Wakes the waiting generations that the policy names. Called with the lock held.
+    void wakeReady(MonotonicTime now);
+
+    const Options m_options;
+    const VmListClient m_vmList;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_stopSignal;
+    std::condition_variable m_turn;
+    std::set<std::string> m_ready;
+    std::unique_ptr<PlacementPolicy> m_policy;
+    std::shared_ptr<const DocumentInForce> m_document;
+    std::mt19937_64 m_random;
+    uint64_t m_serviceTurn = 0;
+    bool m_stopping = false;
+    // Load reads whose answers still come. They refer to this object.
+    int m_pendingLoads = 0;
+    std::thread m_thread;
+};
+
+// The name under which the policy's fleet view lists the targets of a plain service.
+std::string serviceModelName(const std::string &service);
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/Gateway.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <LibGateway/GenerationHandler.h>
+#include <LibGateway/ServiceHandler.h>
+#include <LibHttp/HttpServer.h>
+
+namespace Jujube
+{
+
+// A whole gateway: its parts, its threads and its HTTP interface.
+class Gateway
+{
+public:
+    // Errors: ErrorKind::InvalidValue if an address cannot be bound.
+    static absl::StatusOr<std::unique_ptr<Gateway>> start(GatewayOptions options);
+
+    ~Gateway();
+    Gateway(const Gateway &) = delete;
+    Gateway &operator=(const Gateway &) = delete;
+
+    const std::string &address() const
+    {
+        return m_server->address();
+    }
+
+    // Begins a graceful shutdown: new requests are refused as not run, running ones go on.
+    void drain();
+
+    // Whether all requests have finished and all outcomes are recorded.
+    bool isDrained();
+
+private:
+    explicit Gateway(GatewayOptions options);
+
+    absl::Status startParts();
+    absl::Status startMembership();
+    void startDocuments();
+    DocumentKeeper::PeerSnapshot peerSnapshot() const;
+    void onVmList(const std::vector<Vm> &vms) const;
+    void publishOwnState(uint64_t version, std::optional<std::chrono::milliseconds> confirmedAge, std::optional<MonotonicTime> platformAt);
+
+    void handle(const HttpRequest &request, HttpResponder &responder);
+    void handleCaller(const HttpRequest &request, HttpResponder &responder);
+    // Returns false if the path is not one for operators.
+    bool handleOperator(const HttpRequest &request, HttpResponder &responder);
+    void sendDocument(HttpResponder &responder) const;
+    void sendReadiness(HttpResponder &responder) const;
+    void sendMetrics(HttpResponder &responder) const;
+    void listGateways(HttpResponder &responder) const;
+
+    GatewayParts m_parts;
+    std::unique_ptr<GenerationHandler> m_generations;
+    std::unique_ptr<ServiceHandler> m_services;
+    std::unique_ptr<HttpServer> m_server;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/GenerationRequest.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <LibCore/Workload.h>
+#include <LibGateway/RequestContext.h>
+#include <absl/status/statusor.h>
+#include <string>
+#include <string_view>
+
+namespace Jujube
+{
+
+// The validated body of POST /v1/generations.
+struct GenerationBody {
+    std::string model;
+    std::string prompt;
+    GenerationKind kind = GenerationKind::Draft;
+    int64_t maxTokens = 0;
+};
+
+// Errors: ErrorKind::MalformedJson, InvalidUtf8, UnknownField, InvalidValue, UnknownModel.
+absl::StatusOr<GenerationBody> parseGenerationBody(std::string_view text, const EnvironmentDocument &document);
+
+// A generation id. With an idempotency key it is derived from workspace, key and body, so that a repeated request joins the same generation.
+std::string generationIdFor(const std::string &workspace, std::string_view idempotencyKey, std::string_view body);
+
+// The seed of a generation: the first 64 bits of its id, so that every gateway that has the id has the seed.
+uint64_t seedOf(const std::string &generation);
+
+// A rough number of tokens of a prompt, for placement before an engine has counted them.
+int64_t estimatePromptTokens(std::string_view prompt);
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/GenerationStream.cpp
@@ -0,0 +1,384 @@
+#include <LibGateway/GenerationStream.h>
+
+#include <absl/strings/str_cat.h>
+
+namespace Jujube
+{
+
+using namespace SessionAction;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto EngineConnectTimeout = 1000ms;
+constexpr auto AbandonTimeout = 1000ms;
+constexpr auto NoLimit = 0ms;
+
+// Bytes are collected while more tokens are at hand, and written together.
+constexpr size_t FlushBytes = 16 * 1024;
+
+GenerationSession::Options sessionOptions(const GenerationStream::Options &options)
+{
+    const auto &model = options.caller.document->document.models.at(options.body.model);
+    return {
+        .generation = options.generation,
+        .continuesExactly = model.continuation == Continuation::Exact,
+        .cursor = options.cursor,
+    };
+}
+
+double secondsBetween(MonotonicTime from, MonotonicTime to)
+{
+    return std::chrono::duration<double>(to - from).count();
+}
+
+}
+
+GenerationStream::GenerationStream(Options options, HttpResponder &responder)
+    : m_options(std::move(options))
+    , m_parts(*m_options.parts)
+    , m_responder(responder)
+    , m_session(sessionOptions(m_options), monotonicNow())
+    , m_acceptedAt(monotonicNow())
+    , m_lastWrite(m_acceptedAt)
+{
+}
+
+void GenerationStream::run()
+{
+    if (m_options.cursor) {
+        record(EventKind::StreamResumed, m_options.cursor->target, absl::StrCat("from offset ", m_options.cursor->nextOffset));
+    }
+    perform(m_session.start(monotonicNow()));
+    while (!m_session.isOver() && !m_callerGone) {
+        if (m_upstream) {
+            readUpstream();
+        } else {
+            waitForTarget();
+        }
+    }
+    settle();
+}
+
+void GenerationStream::perform(GenerationActions actions)
+{
+    m_pending.insert(m_pending.end(), std::make_move_iterator(actions.begin()), std::make_move_iterator(actions.end()));
+    while (!m_pending.empty()) {
+        const auto action = std::move(m_pending.front());
+        m_pending.erase(m_pending.begin());
+        std::visit([this](const auto &concrete) { perform(concrete); }, action);
+    }
+}
+
+PlacementRequest GenerationStream::placementRequest(const std::set<std::string> &excluded) const
+{
+    const auto &body = m_options.body;
+    return {
+        .id = m_options.generation,
+        .workspace = m_options.caller.workspace,
+        .tier = m_options.caller.settings().tier,
+        .kind = body.kind,
+        .model = body.model,
+        .promptTokens = estimatePromptTokens(body.prompt),
+        .producedTokens = m_session.producedTokens(),
+        .maxTokens = body.maxTokens,
+        .accepted = m_session.producedTokens() > 0 || m_answerBegun,
+        .excludedTargets = {excluded.begin(), excluded.end()},
+    };
+}
+
+void GenerationStream::perform(const Place &action)
+{
+    const auto now = monotonicNow();
+    GenerationActions next;
+    if (!m_parts.documents->permissions(now).newWork && m_session.attempt() == 1 && m_session.producedTokens() == 0) {
+        // Drafts are patient: the request waits for contact until the document's queue wait has passed.
+        const bool waitedLongEnough = now - m_acceptedAt > m_options.caller.document->document.limits.queueWait;
+        const Problem isolated {
+            .kind = ErrorKind::Isolated,
+            .detail = "this gateway reaches neither the platform nor enough gateways",
+            .retryAfter = errorKindInfo(ErrorKind::Isolated).retryAfter,
+        };
+        next = waitedLongEnough ? m_session.onRefused(isolated, now) : m_session.onHeld(now + 100ms, now);
+        m_pending.insert(m_pending.end(), next.begin(), next.end());
+        return;
+    }
+    const auto decision = m_parts.fleet->place(placementRequest(action.excludedTargets), now);
+    if (const auto *placed = std::get_if<PlaceOnTarget>(&decision)) {
+        m_placed = true;
+        record(EventKind::TargetChosen, placed->target);
+        next = m_session.onPlaced(placed->target, now);
+    } else if (const auto *held = std::get_if<WaitUntil>(&decision)) {
+        next = m_session.onHeld(held->time, now);
+    } else {
+        const auto &refused = std::get<RefuseRequest>(decision);
+        const Problem problem {.kind = refused.kind, .detail = "no target has room for this request", .retryAfter = refused.retryAfter};
+        next = m_session.onRefused(problem, now);
+    }
+    m_pending.insert(m_pending.end(), next.begin(), next.end());
+}
+
+HttpCall GenerationStream::generateCall(const std::string &address, const Generate &action) const
+{
+    const auto &body = m_options.body;
+    const nlohmann::json json {
+        {"generation", m_options.generation},
+        {"attempt", action.attempt},
+        {"model", body.model},
+        {"prompt", body.prompt},
+        {"seed", seedOf(m_options.generation)},
+        {"max_tokens", body.maxTokens},
+        {"priority", m_options.caller.document->document.priorities.of(body.kind)},
+        {"workspace", m_options.caller.workspace},
+        {"tier", nameOf(m_options.caller.settings().tier)},
+        {"tokens", action.tokens},
+    };
+    return {
+        .method = "POST",
+        .url = absl::StrCat("http://", address, "/generate"),
+        .headers = {{"Content-Type", "application/json"}},
+        .body = json.dump(),
+    };
+}
+
+void GenerationStream::perform(const Generate &action)
+{
+    const auto address = m_parts.fleet->addressOf(action.target);
+    if (!address) {
+        auto next = m_session.onUpstreamEnd(UpstreamEnd::Unreachable, monotonicNow());
+        m_pending.insert(m_pending.end(), next.begin(), next.end());
+        return;
+    }
+    if (action.attempt > 1) {
+        record(EventKind::StreamContinued, action.target, absl::StrCat("attempt ", action.attempt, " from offset ", m_session.producedTokens()));
+    }
+    // A caller that waits for a long prompt can come back with the id of the chosen target.
+    if (m_session.producedTokens() == 0 && !beginAnswer()) {
+        return;
+    }
+    openUpstream(generateCall(*address, action));
+}
+
+void GenerationStream::perform(const Resume &action)
+{
+    const auto address = m_parts.fleet->addressOf(action.target);
+    if (!address) {
+        auto next = m_session.onUpstreamEnd(UpstreamEnd::Unreachable, monotonicNow());
+        m_pending.insert(m_pending.end(), next.begin(), next.end());
+        return;
+    }
+    openUpstream({.url = absl::StrCat("http://", *address, "/generations/", m_options.generation, "?from=", action.from)});
+}
+
+void GenerationStream::openUpstream(HttpCall call)
+{
+    call.connectTimeout = EngineConnectTimeout;
+    call.totalTimeout = NoLimit;
+    call.silenceTimeout = m_parts.options.silenceTimeout;
+    // A silent connection must not be used again for the attempt to get around it.
+    call.freshConnection = true;
+    m_upstream = std::make_shared<UpstreamStream>(*m_parts.http, std::move(call));
+}
+
+void GenerationStream::perform(const Abandon &action)
+{
+    m_upstream.reset();
+    const auto address = m_parts.fleet->addressOf(action.target);
+    if (!address) {
+        return;
+    }
+    const auto url = absl::StrCat("http://", *address, "/generations/", m_options.generation);
+    // Nobody waits for the answer: a target that is gone has no generation left to drop.
+    m_parts.http->open({.method = "DELETE", .url = url, .connectTimeout = AbandonTimeout, .totalTimeout = AbandonTimeout}, {});
+}
+
+void GenerationStream::perform(const ReportLost &action)
+{
+    const auto now = monotonicNow();
+    record(EventKind::TargetLost, action.target);
+    m_parts.metrics->count("jujube_targets_lost_total");
+    if (m_placed) {
+        m_placed = false;
+        m_parts.fleet->generationFailed(m_options.generation, action.end == UpstreamEnd::Busy ? FailureReason::Moved : FailureReason::TargetLost, now);
+    }
+}
+
+void GenerationStream::perform(const Deliver &action)
+{
+    const auto now = monotonicNow();
+    if (!beginAnswer()) {
+        return;
+    }
+    if (!m_lastToken) {
+        record(EventKind::StreamStarted, m_session.target());
+        m_parts.metrics->observe("jujube_time_to_first_token_seconds", secondsBetween(m_acceptedAt, now));
+    } else {
+        m_parts.metrics->observe("jujube_time_between_tokens_seconds", secondsBetween(*m_lastToken, now));
+    }
+    m_lastToken = now;
+    const nlohmann::json data {{"index", action.index}, {"text", action.text}};
+    const auto id = m_parts.cursors->encode(cursorAt(action.index + 1, action.checksum));
+    absl::StrAppend(&m_output, "id: ", id, "\nevent: token\ndata: ", data.dump(), "\n\n");
+    if (m_output.size() > FlushBytes) {
+        flush();
+    }
+}
+
+void GenerationStream::perform(const Complete &action)
+{
+    if (!beginAnswer()) {
+        return;
+    }
+    const nlohmann::json data {{"count", action.count}, {"checksum", action.checksum}};
+    absl::StrAppend(&m_output, "event: done\ndata: ", data.dump(), "\n\n");
+    if (flush()) {
+        record(EventKind::StreamFinished, m_session.target(), absl::StrCat("count ", action.count, " checksum ", action.checksum));
+    }
+}
+
+void GenerationStream::perform(const Fail &action)
+{
+    if (!m_answerBegun) {
+        refuse(m_parts, m_responder, action.problem, m_options.generation);
+        return;
+    }
+    const std::string name(errorKindInfo(action.problem.kind).name);
+    m_parts.metrics->count("jujube_stream_failures_total", absl::StrCat("kind=\"", name, "\""));
+    record(EventKind::StreamFailed, m_session.target(), absl::StrCat(name, ": ", action.problem.detail));
+    absl::StrAppend(&m_output, "event: error\ndata: ", action.problem.toJson().dump(), "\n\n");
+    flush();
+}
+
+void GenerationStream::perform(const Wait &action)
+{
+    m_upstream.reset();
+    m_waitUntil = action.until;
+}
+
+void GenerationStream::waitForTarget()
+{
+    const auto now = monotonicNow();
+    const auto until = std::min(m_waitUntil.value_or(now + 100ms), now + m_parts.options.keepAliveInterval);
+    m_parts.fleet->waitForTurn(m_options.generation, until);
+    if (keepAlive()) {
+        perform(m_session.onTime(monotonicNow()));
+    }
+}
+
+void GenerationStream::readUpstream()
+{
+    auto piece = m_upstream->next(m_output.empty() ? 500ms : 0ms);
+    if (!piece) {
+        flush();
+        keepAlive();
+        return;
+    }
+    if (const auto *end = std::get_if<UpstreamEnd>(&*piece)) {
+        m_upstream.reset();
+        if (*end == UpstreamEnd::Silent) {
+            record(EventKind::TargetSilent, m_session.target());
+        }
+        perform(m_session.onUpstreamEnd(*end, monotonicNow()));
+        return;
+    }
+    takeBytes(std::get<std::string>(*piece));
+}
+
+void GenerationStream::takeBytes(const std::string &bytes)
+{
+    // An action may replace the upstream stream; the lines left over belong to the old one, whose parser must outlive this call.
+    const auto source = m_upstream;
+    const auto before = m_session.producedTokens();
+    source->parser().feed(bytes, [this, &source](const EngineLine &line) {
+        if (m_upstream != source || m_session.isOver() || m_callerGone) {
+            return;
+        }
+        if (line.cold) {
+            m_parts.fleet->noteCold(m_session.target(), monotonicNow());
+        }
+        perform(m_session.onLine(line, monotonicNow()));
+    });
+    const auto produced = m_session.producedTokens() - before;
+    if (m_placed && produced > 0) {
+        if (before == 0) {
+            m_parts.fleet->generationStarted(m_options.generation, monotonicNow());
+        }
+        m_parts.fleet->tokensProduced(m_options.generation, produced, monotonicNow());
+    }
+}
+
+Cursor GenerationStream::cursorAt(int32_t nextOffset, uint64_t checksum) const
+{
+    return {
+        .workspace = m_options.caller.workspace,
+        .generation = m_options.generation,
+        .attempt = m_session.attempt(),
+        .target = m_session.target(),
+        .nextOffset = nextOffset,
+        .checksum = checksum,
+        .bodyDigest = m_options.bodyDigest,
+        .time = m_parts.events->tick(wallMsNow()),
+    };
+}
+
+bool GenerationStream::beginAnswer()
+{
+    if (m_answerBegun) {
+        return !m_callerGone;
+    }
+    m_answerBegun = true;
+    if (!m_responder.beginStream("text/event-stream")) {
+        m_callerGone = true;
+        return false;
+    }
+    if (!m_options.cursor) {
+        absl::StrAppend(&m_output, "id: ", m_parts.cursors->encode(cursorAt(0, 0)), "\n\n");
+    }
+    return true;
+}
+
+bool GenerationStream::flush()
+{
+    if (m_output.empty() || m_callerGone) {
+        return !m_callerGone;
+    }
+    m_callerGone = !m_responder.write(m_output);
+    m_output.clear();
+    m_lastWrite = monotonicNow();
+    return !m_callerGone;
+}
+
+bool GenerationStream::keepAlive()
+{
+    if (m_callerGone || !m_answerBegun || monotonicNow() - m_lastWrite < m_parts.options.keepAliveInterval) {
+        return !m_callerGone;
+    }
+    m_output += ": keep-alive\n\n";
+    return flush();
+}
+
+void GenerationStream::settle()
+{
+    const auto now = monotonicNow();
+    m_upstream.reset();
+    if (m_callerGone) {
+        // The engine goes on, so that the caller can come back at any gateway.
+        record(EventKind::StreamCallerLost, m_session.target(), absl::StrCat("after ", m_session.producedTokens(), " tokens"));
+    }
+    if (!m_placed) {
+        m_parts.fleet->abandoned(m_options.generation, now);
+    } else if (m_callerGone) {
+        m_parts.fleet->generationFailed(m_options.generation, FailureReason::Cancelled, now);
+    } else {
+        m_parts.fleet->generationFinished(m_options.generation, now);
+    }
+    record(EventKind::RequestFinished);
+}
+
+void GenerationStream::record(EventKind kind, const std::string &target, std::string detail) const
+{
+    m_parts.record({.kind = kind, .request = m_options.generation, .target = target, .detail = std::move(detail)});
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/OneTimeRunner.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <LibGateway/OutcomeRecorder.h>
+#include <LibGateway/RequestContext.h>
+#include <LibOneTime/OneTimeCall.h>
+
+namespace Jujube
+{
+
+// Runs one call that must not run twice: carries out the steps of a OneTimeCall with the table service and the target. Runs on the thread that serves the
+// request.
+class OneTimeRunner
+{
+public:
+    struct Options {
+        const GatewayParts *parts = nullptr;
+        const TableClient *table = nullptr;
+        OutcomeRecorder *recorder = nullptr;
+        std::string tableKey;
+        std::string bodyDigest;
+        std::string request;
+        // Sends the call once.
+        std::function<CallAnswer()> send;
+    };
+
+    explicit OneTimeRunner(Options options);
+
+    std::variant<OneTimeAction::Answer, Problem> run();
+
+private:
+    void push(OneTimeSteps steps);
+    void perform(const OneTimeAction::WriteClaim &step);
+    void perform(const OneTimeAction::ReadClaim &step);
+    void perform(const OneTimeAction::SendCall &step);
+    void perform(const OneTimeAction::RecordOutcome &step);
+    void perform(const OneTimeAction::ReleaseClaim &step);
+    void perform(const OneTimeAction::Pause &step);
+    void perform(const OneTimeAction::Answer &step);
+    void perform(const OneTimeAction::Refuse &step);
+    void record(EventKind kind, std::string detail = {}) const;
+
+    const Options m_options;
+    OneTimeCall m_call;
+    std::vector<OneTimeStep> m_steps;
+    std::variant<OneTimeAction::Answer, Problem> m_result = Problem {};
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/ServiceHandler.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <LibGateway/OneTimeRunner.h>
+#include <LibGateway/RequestContext.h>
+#include <LibGateway/StatusCache.h>
+
+namespace Jujube
+{
+
+// Serves calls to plain services: /v1/services/{service}/{call} and /v1/services/{service}/{call}/{id}.
+class ServiceHandler
+{
+public:
+    explicit ServiceHandler(GatewayParts &parts);
+
+    void handle(const HttpRequest &request, const Caller &caller, HttpResponder &responder);
+
+    // Waits until all outcomes are recorded, for a graceful shutdown.
+    bool waitUntilRecorded(std::chrono::milliseconds timeout)
+    {
+        return m_recorder.waitUntilDone(timeout);
+    }
+
+private:
+    struct Route {
+        std::string service;
+        std::string call;
+        std::string id;
+        ServiceCall declared;
+    };
+
+    static absl::StatusOr<Route> findRoute(const HttpRequest &request, const EnvironmentDocument &document);
+    void handleOneTime(const HttpRequest &request, const Caller &caller, const Route &route, HttpResponder &responder);
+    void handleRepeatable(const HttpRequest &request, const Caller &caller, const Route &route, HttpResponder &responder);
+    // Sends a call that may be repeated, to another target each time, until one answers.
+    std::variant<HttpAnswer, Problem> sendRepeatable(const HttpRequest &request, const Caller &caller, const Route &route);
+    CallAnswer sendOnce(const HttpRequest &request, const Caller &caller, const Route &route, const std::string &requestId);
+    static HttpCall makeCall(const HttpRequest &request, const Caller &caller, const Route &route, const std::string &address);
+
+    GatewayParts &m_parts;
+    const TableClient m_table;
+    OutcomeRecorder m_recorder;
+    StatusCache m_cache;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/UpstreamStream.cpp
@@ -0,0 +1,85 @@
+#include <LibGateway/UpstreamStream.h>
+
+#include <atomic>
+
+namespace Jujube
+{
+
+namespace
+{
+
+constexpr size_t RingCapacity = 64;
+
+constexpr int Ok = 200;
+constexpr int NotFoundStatus = 404;
+constexpr int TooManyRequestsStatus = 429;
+constexpr int UnavailableStatus = 503;
+
+}
+
+struct UpstreamStream::Shared {
+    BoundedRing<Piece> ring {RingCapacity};
+    std::atomic<bool> paused {false};
+};
+
+UpstreamEnd upstreamEndOf(const HttpAnswer &answer)
+{
+    switch (answer.end) {
+    case HttpEnd::NotSent:
+        return UpstreamEnd::Unreachable;
+    case HttpEnd::Silent:
+        return UpstreamEnd::Silent;
+    case HttpEnd::Broken:
+    case HttpEnd::TimedOut:
+    case HttpEnd::Cancelled:
+        return UpstreamEnd::Broken;
+    case HttpEnd::Complete:
+        break;
+    }
+    switch (answer.status) {
+    case Ok:
+        return UpstreamEnd::Closed;
+    case NotFoundStatus:
+        return UpstreamEnd::NotFound;
+    case TooManyRequestsStatus:
+    case UnavailableStatus:
+        return UpstreamEnd::Busy;
+    default:
+        return UpstreamEnd::Rejected;
+    }
+}
+
+UpstreamStream::UpstreamStream(HttpClient &client, HttpCall call)
+    : m_client(client)
+    , m_shared(std::make_shared<Shared>())
+{
+    const auto onBytes = [shared = m_shared](int status, std::string_view bytes) {
+        if (status != Ok) {
+            // The body of an error is of no use here.
+            return true;
+        }
+        if (shared->ring.tryPush(std::string(bytes))) {
+            return true;
+        }
+        shared->paused = true;
+        return false;
+    };
+    const auto onEnd = [shared = m_shared](const HttpAnswer &answer) { shared->ring.pushLast(upstreamEndOf(answer)); };
+    m_id = m_client.open(std::move(call), {.onBytes = onBytes, .onEnd = onEnd});
+}
+
+UpstreamStream::~UpstreamStream()
+{
+    m_client.cancel(m_id);
+}
+
+std::optional<UpstreamStream::Piece> UpstreamStream::next(std::chrono::milliseconds timeout)
+{
+    auto piece = m_shared->ring.popFor(timeout);
+    if (m_shared->ring.size() < RingCapacity / 2 && m_shared->paused.exchange(false)) {
+        m_client.resume(m_id);
+    }
+    return piece;
+}
+
+}
--- /dev/null
+++ b/Services/Gateway/main.cpp
@@ -0,0 +1,58 @@
+#include <LibCore/Settings.h>
+#include <LibCore/Time.h>
+#include <LibGateway/Gateway.h>
+#include <csignal>
+#include <glog/logging.h>
+#include <iostream>
+#include <thread>
+
+using namespace Jujube;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr int ExitCannotStart = 3;
+
+// Signals are blocked before any thread starts, so that only the main thread receives them.
+sigset_t blockStopSignals()
+{
+    sigset_t signals {};
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    int exitCode = 0;
+    const auto settings = Settings::parseForMain({.program = "jujube-gateway",
+                                                  .description = "Accepts callers' requests and serves them on targets",
+                                                  .version = JUJUBE_VERSION,
+                                                  .settings = GatewayOptions::settings()},
+                                                 argc,
+                                                 argv,
+                                                 exitCode);
+    if (!settings) {
+        return exitCode;
+    }
+    google::InitGoogleLogging(argv[0]);
+    FLAGS_logtostderr = true;
+    const auto signals = blockStopSignals();
+    auto gateway = Gateway::start(GatewayOptions::fromSettings(*settings));
+    if (!gateway.ok()) {
+        std::cerr << gateway.status().message() << '\n';
+        return ExitCannotStart;
+    }
+    int signal = 0;
+    sigwait(&signals, &signal);
+    (*gateway)->drain();
+    while (!(*gateway)->isDrained()) {
+        std::this_thread::sleep_for(50ms);
+    }
+    return 0;
+}
