Validate environment documents completely, with positions

The first parser stopped at the first mistake, ignored unknown keys and let yaml-cpp build its own tree of hostile texts. YAML::Load was ruled out because it offers no limits and drops duplicate keys and the key's position. Mistakes of values, unknown and duplicate keys and references between sections are collected and reported together with line and column; an error of YAML syntax ends the reading, so it is reported alone.

A call that is not repeatable may take at most 15 s, because requests that find its claim wait no longer than that.

--- a/Libraries/LibEnvironment/DocumentParser.cpp
+++ b/Libraries/LibEnvironment/DocumentParser.cpp
@@ -1,119 +1,309 @@
-#include <LibEnvironment/EnvironmentDocument.h>
+#include <LibEnvironment/DocumentParser.h>
 
+#include <LibCore/AbslView.h>
 #include <LibCore/Error.h>
+#include <LibEnvironment/DocumentTree.h>
 
-#include <yaml-cpp/yaml.h>
+#include <absl/strings/numbers.h>
+#include <algorithm>
+#include <arpa/inet.h>
 
 namespace Jujube
 {
 
+using namespace std::chrono_literals;
+
 namespace
 {
 
-template<typename T>
-T valueOr(const YAML::Node &node, const char *key, T fallback)
+// The design size is 8 data centres, 550 workspaces, 7 models and 2,800 targets. The limits leave room for a few times that.
+constexpr size_t MaxDataCentres = 64;
+constexpr size_t MaxWorkspaces = 4000;
+constexpr size_t MaxModels = 128;
+constexpr size_t MaxServices = 64;
+constexpr size_t MaxCalls = 64;
+constexpr size_t MaxTargets = 10000;
+
+constexpr size_t MaxTextBytes = 64;
+constexpr size_t MaxPathBytes = 256;
+constexpr uint64_t MaxRate = 100'000'000;
+constexpr uint64_t MaxCount = 1'000'000;
+constexpr uint64_t MaxTokensPerAnswer = 1'000'000;
+constexpr uint64_t MaxMemoryTokens = 1'000'000'000;
+constexpr uint64_t MaxPriority = 9;
+constexpr uint64_t MaxPercent = 100;
+constexpr auto MaxFresh = 1h;
+constexpr auto MinTimeout = 10ms;
+constexpr auto MaxTimeout = 120s;
+// Requests that find the claim of a call wait for it at most this long (docs/design.md, section 9), so a longer call would be answered "unknown" while it
+// still runs.
+constexpr auto MaxOneTimeTimeout = 15s;
+constexpr auto MaxQueueWait = 600s;
+
+bool isSha256(std::string_view text)
+{
+    constexpr size_t Sha256Digits = 64;
+    const auto isDigit = [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); };
+    return text.size() == Sha256Digits && std::all_of(text.begin(), text.end(), isDigit);
+}
+
+// Accepts "127.0.0.1:8301" and "[::1]:8301". Targets are reached by IP address, so host names are not accepted.
+bool isIpAddressWithPort(const std::string &text)
+{
+    constexpr uint32_t MaxPort = 65535;
+    const auto colon = text.rfind(':');
+    uint32_t port = 0;
+    if (colon == std::string::npos || !absl::SimpleAtoi(text.substr(colon + 1), &port) || port == 0 || port > MaxPort) {
+        return false;
+    }
+    const auto host = text.substr(0, colon);
+    in6_addr parsed {};
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+        return inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(), &parsed) == 1;
+    }
+    return inet_pton(AF_INET, host.c_str(), &parsed) == 1;
+}
+
+bool isPath(std::string_view path)
+{
+    constexpr std::string_view Forbidden = " ?#%\\\t\r\n";
+    return path.starts_with('/') && path.find_first_of(Forbidden) == std::string_view::npos;
+}
+
+} // namespace
+
+EnvironmentDocument DocumentParser::read(const DocumentNode &root)
 {
-    const YAML::Node child = node[key];
-    return child ? child.as<T>() : fallback;
+    using Entry = void (DocumentParser::*)(const std::string &, const DocumentNode &, const std::string &);
+    const auto entries = [this](Entry entry) {
+        return [this, entry](const std::string &name, const DocumentNode &node, const std::string &path) { (this->*entry)(name, node, path); };
+    };
+    MapReader reader(root, "", m_mistakes);
+    if (const auto *name = reader.require("environment"); name && reader.readText("environment", m_document.name, MaxTextBytes)) {
+        if (!isDocumentName(m_document.name)) {
+            reader.report(*name, "environment", "must be a name from a-z, 0-9, '.', '_' and '-'");
+        }
+    }
+    reader.require("data_centres");
+    reader.readEntries("data_centres", MaxDataCentres, entries(&DocumentParser::readDataCentre));
+    reader.readEntries("workspaces", MaxWorkspaces, entries(&DocumentParser::readWorkspace));
+    reader.readEntries("models", MaxModels, entries(&DocumentParser::readModel));
+    reader.readEntries("services", MaxServices, entries(&DocumentParser::readService));
+    readPriorities(reader);
+    readGatewayLimits(reader);
+    // Targets refer to the sections above, wherever these stand in the text.
+    reader.readEntries("targets", MaxTargets, entries(&DocumentParser::readTarget));
+    reader.finish();
+    return std::move(m_document);
 }
 
-std::chrono::milliseconds secondsOr(const YAML::Node &node, const char *key, std::chrono::milliseconds fallback)
+void DocumentParser::readDataCentre(const std::string &name, const DocumentNode &node, const std::string &path)
 {
-    constexpr double MillisecondsPerSecond = 1000.0;
-    const YAML::Node child = node[key];
-    return child ? std::chrono::milliseconds(static_cast<int64_t>(child.as<double>() * MillisecondsPerSecond)) : fallback;
+    MapReader reader(node, path, m_mistakes);
+    DataCentre dataCentre;
+    reader.readEnum("state", dataCentre.state, {DataCentreState::In, DataCentreState::Out});
+    reader.require("region");
+    reader.readText("region", dataCentre.region, MaxTextBytes);
+    reader.finish();
+    m_document.dataCentres.emplace(name, std::move(dataCentre));
 }
 
-Workspace readWorkspace(const YAML::Node &node)
+void DocumentParser::readWorkspace(const std::string &name, const DocumentNode &node, const std::string &path)
 {
+    MapReader reader(node, path, m_mistakes);
     Workspace workspace;
-    workspace.tier = node["tier"].as<std::string>() == "paying" ? WorkspaceTier::Paying : WorkspaceTier::Trial;
-    workspace.keySha256 = node["key_sha256"].as<std::string>();
-    if (const YAML::Node limits = node["limits"]) {
-        workspace.limits.requestsPerSecond = valueOr<uint32_t>(limits, "requests_per_s", 0);
-        workspace.limits.tokensPerSecond = valueOr<uint32_t>(limits, "tokens_per_s", 0);
-        workspace.limits.openStreams = valueOr<uint32_t>(limits, "open_streams", 0);
+    reader.require("tier");
+    reader.readEnum("tier", workspace.tier, {WorkspaceTier::Paying, WorkspaceTier::Trial});
+    readKeyHash(reader, name, workspace.keySha256);
+    readWorkspaceLimits(reader, path, workspace.limits);
+    reader.finish();
+    m_document.workspaces.emplace(name, std::move(workspace));
+}
+
+void DocumentParser::readKeyHash(MapReader &reader, const std::string &name, std::string &hash)
+{
+    const auto *node = reader.require("key_sha256");
+    if (!node || !reader.readText("key_sha256", hash, MaxTextBytes)) {
+        return;
+    }
+    if (!isSha256(hash)) {
+        reader.report(*node, "key_sha256", "must have 64 lower-case hexadecimal digits");
+        return;
+    }
+    const auto [owner, inserted] = m_keyHashOwners.emplace(hash, name);
+    if (!inserted) {
+        reader.report(*node, "key_sha256", absl::StrCat("is the key of workspace \"", owner->second, "\" already"));
+    }
+}
+
+void DocumentParser::readWorkspaceLimits(MapReader &reader, const std::string &path, WorkspaceLimits &limits)
+{
+    const auto *node = reader.find("limits");
+    if (!node) {
+        return;
     }
-    return workspace;
+    MapReader fields(*node, path + ".limits", m_mistakes);
+    fields.readNumber("requests_per_s", limits.requestsPerSecond, 0, MaxRate);
+    fields.readNumber("tokens_per_s", limits.tokensPerSecond, 0, MaxRate);
+    fields.readNumber("open_streams", limits.openStreams, 0, MaxCount);
+    fields.finish();
+}
+
+void DocumentParser::readModel(const std::string &name, const DocumentNode &node, const std::string &path)
+{
+    MapReader reader(node, path, m_mistakes);
+    Model model;
+    reader.readEnum("continuation", model.continuation, {Continuation::None, Continuation::Exact});
+    reader.readText("version", model.version, MaxTextBytes);
+    reader.readNumber("max_tokens", model.maxTokens, 1, MaxTokensPerAnswer);
+    reader.finish();
+    m_document.models.emplace(name, std::move(model));
 }
 
-Service readService(const YAML::Node &node)
+void DocumentParser::readService(const std::string &name, const DocumentNode &node, const std::string &path)
 {
+    MapReader reader(node, path, m_mistakes);
     Service service;
-    for (const auto &entry : node["calls"]) {
-        const auto name = entry.first.as<std::string>();
-        ServiceCall call;
-        call.method = valueOr<std::string>(entry.second, "method", "POST") == "GET" ? CallMethod::Get : CallMethod::Post;
-        call.path = valueOr<std::string>(entry.second, "path", "/" + name);
-        call.repeatable = valueOr(entry.second, "repeatable", call.repeatable);
-        call.fresh = secondsOr(entry.second, "fresh_s", call.fresh);
-        call.timeout = secondsOr(entry.second, "timeout_s", call.timeout);
-        service.calls.emplace(name, call);
+    reader.require("calls");
+    reader.readEntries("calls", MaxCalls, [this, &service](const std::string &callName, const DocumentNode &callNode, const std::string &callPath) {
+        service.calls.emplace(callName, readCall(callName, callNode, callPath));
+    });
+    reader.finish();
+    m_document.services.emplace(name, std::move(service));
+}
+
+ServiceCall DocumentParser::readCall(const std::string &name, const DocumentNode &node, const std::string &path)
+{
+    MapReader reader(node, path, m_mistakes);
+    ServiceCall call {.path = "/" + name};
+    reader.readEnum("method", call.method, {CallMethod::Get, CallMethod::Post});
+    if (reader.readText("path", call.path, MaxPathBytes) && !isPath(call.path)) {
+        reader.report(*reader.find("path"), "path", "must start with '/' and have no space, '?', '#', '%' or '\\'");
     }
-    return service;
+    reader.readBool("repeatable", call.repeatable);
+    reader.readSeconds("fresh_s", call.fresh, 0s, MaxFresh);
+    reader.readSeconds("timeout_s", call.timeout, MinTimeout, MaxTimeout);
+    if (call.method == CallMethod::Get && !call.repeatable) {
+        reader.report("a GET call must be repeatable");
+    }
+    if (call.method != CallMethod::Get && call.fresh > 0s) {
+        reader.report(*reader.find("fresh_s"), "fresh_s", "only answers to GET calls are cached");
+    }
+    if (!call.repeatable && call.timeout > MaxOneTimeTimeout) {
+        reader.report(
+            *reader.find("timeout_s"), "timeout_s", absl::StrCat("must be at most ", MaxOneTimeTimeout.count(), " for a call that is not repeatable"));
+    }
+    reader.finish();
+    return call;
+}
+
+void DocumentParser::readPriorities(MapReader &root)
+{
+    const auto *node = root.find("priorities");
+    if (!node) {
+        return;
+    }
+    MapReader reader(*node, "priorities", m_mistakes);
+    reader.readNumber(nameOf(GenerationKind::Draft), m_document.priorities.draft, 0, MaxPriority);
+    reader.readNumber(nameOf(GenerationKind::Suggestion), m_document.priorities.suggestion, 0, MaxPriority);
+    reader.finish();
+}
+
+void DocumentParser::readGatewayLimits(MapReader &root)
+{
+    const auto *node = root.find("limits");
+    if (!node) {
+        return;
+    }
+    auto &limits = m_document.limits;
+    MapReader reader(*node, "limits", m_mistakes);
+    reader.readNumber("open_streams", limits.openStreams, 1, MaxCount);
+    reader.readNumber("queued_requests", limits.queuedRequests, 0, MaxCount);
+    reader.readSeconds("queue_wait_s", limits.queueWait, 0s, MaxQueueWait);
+    reader.readNumber("retry_percent", limits.retryPercent, 0, MaxPercent);
+    reader.finish();
 }
 
-TargetEntry readTarget(const YAML::Node &node)
+void DocumentParser::readTarget(const std::string &name, const DocumentNode &node, const std::string &path)
 {
+    MapReader reader(node, path, m_mistakes);
     TargetEntry target;
-    target.address = node["address"].as<std::string>();
-    target.dataCentre = node["data_centre"].as<std::string>();
-    target.models = valueOr(node, "models", target.models);
-    target.service = valueOr(node, "service", target.service);
-    target.resume = valueOr(node, "resume", target.resume);
-    target.fencing = valueOr<std::string>(node, "fencing", "ignored") == "honoured" ? Fencing::Honoured : Fencing::Ignored;
-    target.coldLimit = valueOr(node, "cold_limit", target.coldLimit);
-    target.memoryTokens = valueOr(node, "memory_tokens", target.memoryTokens);
-    return target;
-}
-
-EnvironmentDocument readDocument(const YAML::Node &root)
-{
-    EnvironmentDocument document;
-    document.name = root["environment"].as<std::string>();
-    for (const auto &entry : root["data_centres"]) {
-        const auto state = valueOr<std::string>(entry.second, "state", "in") == "out" ? DataCentreState::Out : DataCentreState::In;
-        document.dataCentres[entry.first.as<std::string>()] = {.state = state, .region = entry.second["region"].as<std::string>()};
-    }
-    for (const auto &entry : root["workspaces"]) {
-        document.workspaces[entry.first.as<std::string>()] = readWorkspace(entry.second);
-    }
-    for (const auto &entry : root["models"]) {
-        Model model;
-        model.continuation = valueOr<std::string>(entry.second, "continuation", "none") == "exact" ? Continuation::Exact : Continuation::None;
-        model.version = valueOr<std::string>(entry.second, "version", "");
-        model.maxTokens = valueOr(entry.second, "max_tokens", model.maxTokens);
-        document.models[entry.first.as<std::string>()] = model;
-    }
-    for (const auto &entry : root["services"]) {
-        document.services[entry.first.as<std::string>()] = readService(entry.second);
-    }
-    if (const YAML::Node priorities = root["priorities"]) {
-        document.priorities.draft = valueOr(priorities, "draft", document.priorities.draft);
-        document.priorities.suggestion = valueOr(priorities, "suggestion", document.priorities.suggestion);
-    }
-    if (const YAML::Node limits = root["limits"]) {
-        document.limits.openStreams = valueOr(limits, "open_streams", document.limits.openStreams);
-        document.limits.queuedRequests = valueOr(limits, "queued_requests", document.limits.queuedRequests);
-        document.limits.queueWait = secondsOr(limits, "queue_wait_s", document.limits.queueWait);
-        document.limits.retryPercent = valueOr(limits, "retry_percent", document.limits.retryPercent);
-    }
-    for (const auto &entry : root["targets"]) {
-        document.targets[entry.first.as<std::string>()] = readTarget(entry.second);
+    readAddress(reader, name, target.address);
+    const auto *dataCentre = reader.require("data_centre");
+    if (dataCentre && reader.readText("data_centre", target.dataCentre, MaxTextBytes) && !m_document.dataCentres.contains(target.dataCentre)) {
+        reader.report(*dataCentre, "data_centre", absl::StrCat("the data centre \"", target.dataCentre, "\" is not in data_centres"));
     }
-    return document;
+    readDuties(reader, target);
+    reader.readNumber("cold_limit", target.coldLimit, 1, MaxCount);
+    readEngineFields(reader, target);
+    reader.finish();
+    m_document.targets.emplace(name, std::move(target));
 }
 
-} // namespace
+void DocumentParser::readAddress(MapReader &reader, const std::string &name, std::string &address)
+{
+    const auto *node = reader.require("address");
+    if (!node || !reader.readText("address", address, MaxTextBytes)) {
+        return;
+    }
+    if (!isIpAddressWithPort(address)) {
+        reader.report(*node, "address", absl::StrCat("\"", address, "\" is not an IP address and port of the form 10.0.0.1:8301"));
+        return;
+    }
+    const auto [owner, inserted] = m_addressOwners.emplace(address, name);
+    if (!inserted) {
+        reader.report(*node, "address", absl::StrCat("is the address of target \"", owner->second, "\" already"));
+    }
+}
+
+void DocumentParser::readDuties(MapReader &reader, TargetEntry &target)
+{
+    for (const auto *item : reader.readItems("models", MaxModels)) {
+        if (!m_document.models.contains(item->text)) {
+            reader.report(*item, "models", absl::StrCat("the model \"", item->text, "\" is not in models"));
+        }
+        if (std::find(target.models.begin(), target.models.end(), item->text) != target.models.end()) {
+            reader.report(*item, "models", absl::StrCat("the model \"", item->text, "\" is listed twice"));
+        }
+        target.models.push_back(item->text);
+    }
+    const auto *service = reader.find("service");
+    if (service && reader.readText("service", target.service, MaxTextBytes) && !m_document.services.contains(target.service)) {
+        reader.report(*service, "service", absl::StrCat("the service \"", target.service, "\" is not in services"));
+    }
+    if ((service != nullptr) == !target.models.empty()) {
+        reader.report("must have either models or a service");
+    }
+}
+
+void DocumentParser::readEngineFields(MapReader &reader, TargetEntry &target)
+{
+    reader.readBool("resume", target.resume);
+    reader.readEnum("fencing", target.fencing, {Fencing::Honoured, Fencing::Ignored});
+    reader.readNumber("memory_tokens", target.memoryTokens, 1, MaxMemoryTokens);
+    if (target.isEngine()) {
+        reader.require("memory_tokens");
+        return;
+    }
+    for (const std::string_view key : {"resume", "fencing", "memory_tokens"}) {
+        if (const auto *node = reader.find(key)) {
+            reader.report(*node, key, "applies to model engines only");
+        }
+    }
+}
 
 absl::StatusOr<EnvironmentDocument> parseEnvironmentDocument(std::string_view yaml)
 {
-    // FIXME: report every mistake with its line and column, and reject unknown keys and wrong references.
-    try {
-        return readDocument(YAML::Load(std::string(yaml)));
-    } catch (const YAML::Exception &error) {
-        return makeError(ErrorKind::InvalidDocument, error.what());
+    DocumentMistakes mistakes;
+    const auto root = parseDocumentTree(yaml, mistakes);
+    if (!root.ok()) {
+        return root.status();
+    }
+    auto document = DocumentParser(mistakes).read(*root);
+    if (auto status = mistakes.toStatus(); !status.ok()) {
+        return status;
     }
+    return document;
 }
 
 } // namespace Jujube
--- /dev/null
+++ b/Libraries/LibEnvironment/DocumentParser.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <LibEnvironment/EnvironmentDocument.h>
+#include <LibEnvironment/MapReader.h>
+
+namespace Jujube
+{
+
+// Reads the sections of a document from its tree, and checks values and the references between sections.
+class DocumentParser
+{
+public:
+    explicit DocumentParser(DocumentMistakes &mistakes)
+        : m_mistakes(mistakes)
+    {
+    }
+
+    EnvironmentDocument read(const DocumentNode &root);
+
+private:
+    void readDataCentre(const std::string &name, const DocumentNode &node, const std::string &path);
+    void readWorkspace(const std::string &name, const DocumentNode &node, const std::string &path);
+    void readWorkspaceLimits(MapReader &reader, const std::string &path, WorkspaceLimits &limits);
+    void readKeyHash(MapReader &reader, const std::string &name, std::string &hash);
+    void readModel(const std::string &name, const DocumentNode &node, const std::string &path);
+    void readService(const std::string &name, const DocumentNode &node, const std::string &path);
+    ServiceCall readCall(const std::string &name, const DocumentNode &node, const std::string &path);
+    void readPriorities(MapReader &root);
+    void readGatewayLimits(MapReader &root);
+    void readTarget(const std::string &name, const DocumentNode &node, const std::string &path);
+    void readAddress(MapReader &reader, const std::string &name, std::string &address);
+    void readDuties(MapReader &reader, TargetEntry &target);
+    void readEngineFields(MapReader &reader, TargetEntry &target);
+
+    DocumentMistakes &m_mistakes;
+    EnvironmentDocument m_document;
+    // Which workspace or target uses a key hash or an address first.
+    std::map<std::string, std::string> m_keyHashOwners;
+    std::map<std::string, std::string> m_addressOwners;
+};
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibEnvironment/MapReader.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <absl/strings/str_cat.h>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <initializer_list>
+#include <LibEnvironment/DocumentMistakes.h>
+#include <optional>
+#include <string_view>
+
+namespace Jujube
+{
+
+// Reads the fields of one map of a document. A field that is absent leaves its variable at the default; a field with a mistake is reported and leaves it too.
+class MapReader
+{
+public:
+    // The path names the map in messages, for example "targets.engine-1". A null counts as an empty map.
+    MapReader(const DocumentNode &node, std::string path, DocumentMistakes &mistakes);
+
+    // Returns nothing if the key is absent.
+    const DocumentNode *find(std::string_view key);
+
+    // Reports a mistake if the key is absent.
+    const DocumentNode *require(std::string_view key);
+
+    // Also reports an empty text and one over the limit. Returns whether the variable was set.
+    bool readText(std::string_view key, std::string &out, size_t maxBytes);
+
+    template<typename Number>
+    void readNumber(std::string_view key, Number &out, uint64_t low, uint64_t high)
+    {
+        if (const auto number = numberOf(key, low, high)) {
+            out = static_cast<Number>(*number);
+        }
+    }
+
+    // A field in seconds, with decimals, rounded to milliseconds.
+    void readSeconds(std::string_view key, std::chrono::milliseconds &out, std::chrono::milliseconds low, std::chrono::milliseconds high);
+
+    void readBool(std::string_view key, bool &out);
+
+    // One of the words that nameOf() gives for the values.
+    template<typename Enum>
+    void readEnum(std::string_view key, Enum &out, std::initializer_list<Enum> values)
+    {
+        std::vector<std::string_view> words;
+        for (const auto value : values) {
+            words.push_back(nameOf(value));
+        }
+        if (const auto index = indexOf(key, words)) {
+            out = values.begin()[*index];
+        }
+    }
+
+    // A sequence of texts.
+    std::vector<const DocumentNode *> readItems(std::string_view key, size_t maxItems);
+
+    // Calls the function for every entry of a map of named entries. Reports names that are not made of a-z, 0-9, '.', '_' and '-'.
+    using EntryFunction = std::function<void(const std::string &name, const DocumentNode &node, const std::string &path)>;
+    void readEntries(std::string_view key, size_t maxEntries, const EntryFunction &function);
+
+    // Reports a mistake of a field.
+    void report(const DocumentNode &node, std::string_view key, std::string_view text);
+
+    // Reports a mistake of the whole map.
+    void report(std::string_view text);
+
+    // Reports every key that was never asked for, with the nearest one that was.
+    void finish();
+
+private:
+    std::optional<uint64_t> numberOf(std::string_view key, uint64_t low, uint64_t high);
+    std::optional<size_t> indexOf(std::string_view key, const std::vector<std::string_view> &words);
+    const DocumentNode *findScalar(std::string_view key);
+    std::string pathOf(std::string_view key) const;
+    std::string nearestKnownKey(std::string_view key) const;
+
+    const DocumentNode &m_node;
+    const std::string m_path;
+    DocumentMistakes &m_mistakes;
+    std::vector<std::string> m_knownKeys;
+};
+
+// Whether a name is acceptable for an environment or an entry. Names become parts of table keys, so they cannot have a slash.
+bool isDocumentName(std::string_view name);
+
+} // namespace Jujube
