--- a/Libraries/LibCore/Workload.h
+++ b/Libraries/LibCore/Workload.h
@@ -17,4 +17,4 @@
     Suggestion,
 };
 
-}
+} // namespace Jujube
--- a/Libraries/LibEnvironment/EnvironmentDocument.h
+++ b/Libraries/LibEnvironment/EnvironmentDocument.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <LibCore/Workload.h>
 #include <absl/status/statusor.h>
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <LibCore/Workload.h>
 #include <map>
 #include <string>
 #include <string_view>
--- a/Libraries/LibGateway/DocumentInForce.h
+++ b/Libraries/LibGateway/DocumentInForce.h
@@ -17,4 +17,4 @@
     std::map<std::string, std::string, std::less<>> workspaceByKeyHash;
 };
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/DocumentKeeper.cpp
+++ b/Libraries/LibGateway/DocumentKeeper.cpp
@@ -30,7 +30,7 @@
     return inForce;
 }
 
-}
+} // namespace
 
 DocumentKeeper::DocumentKeeper(Options options)
     : m_options(std::move(options))
@@ -246,4 +246,4 @@
     m_options.events->record({.kind = kind, .detail = std::move(detail)}, wallMsNow());
 }
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/DocumentKeeper.h
+++ b/Libraries/LibGateway/DocumentKeeper.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <condition_variable>
 #include <LibEnvironment/ConnectivityJudge.h>
 #include <LibEnvironment/DocumentHead.h>
 #include <LibEnvironment/DocumentLedger.h>
@@ -7,7 +8,6 @@
 #include <LibGateway/DocumentInForce.h>
 #include <LibPlatform/ObjectClient.h>
 #include <LibPlatform/TableClient.h>
-#include <condition_variable>
 #include <mutex>
 #include <random>
 #include <set>
@@ -102,4 +102,4 @@
     std::thread m_thread;
 };
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/FleetKeeper.cpp
+++ b/Libraries/LibGateway/FleetKeeper.cpp
@@ -49,7 +49,7 @@
     return description;
 }
 
-}
+} // namespace
 
 std::string serviceModelName(const std::string &service)
 {
@@ -172,7 +172,7 @@
     }
 }
 
-std::optional<std::string> FleetKeeper::chooseServiceTarget(const std::string &service, const std::set<std::string> &excluded, MonotonicTime now)
+std::optional<std::string> FleetKeeper::chooseServiceTarget(const std::string &service, const std::set<std::string> &excluded)
 {
     const std::lock_guard lock(m_mutex);
     const auto &fleet = m_policy->fleet();
@@ -326,4 +326,4 @@
     }
 }
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/FleetKeeper.h
+++ b/Libraries/LibGateway/FleetKeeper.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include <condition_variable>
 #include <LibEvents/EventLog.h>
 #include <LibGateway/DocumentInForce.h>
 #include <LibHttp/HttpClient.h>
 #include <LibMetrics/Metrics.h>
 #include <LibPlatform/VmListClient.h>
 #include <LibPolicy/PlacementPolicy.h>
-#include <condition_variable>
 #include <mutex>
 #include <random>
 #include <set>
@@ -55,7 +55,7 @@
     void waitForTurn(const std::string &id, MonotonicTime until);
 
     // A usable target of a plain service, the own data centre first, or nothing.
-    std::optional<std::string> chooseServiceTarget(const std::string &service, const std::set<std::string> &excluded, MonotonicTime now);
+    std::optional<std::string> chooseServiceTarget(const std::string &service, const std::set<std::string> &excluded);
 
     // The "address:port" of a target of the document in force, or nothing.
     std::optional<std::string> addressOf(const std::string &target) const;
@@ -91,4 +91,4 @@
 // The name under which the policy's fleet view lists the targets of a plain service.
 std::string serviceModelName(const std::string &service);
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -32,7 +32,7 @@
     return {.kind = kind, .detail = std::move(detail), .retryAfter = errorKindInfo(kind).retryAfter};
 }
 
-}
+} // namespace
 
 Gateway::Gateway(GatewayOptions options)
 {
@@ -300,10 +300,8 @@
         responder.sendProblem({.kind = ErrorKind::NotFound, .detail = "no environment document has been read yet"});
         return;
     }
-    responder.send(Ok,
-                   "application/yaml",
-                   document->bytes,
-                   {{"Jujube-Document-Version", absl::StrCat(document->version)}, {"Jujube-Document-Digest", document->digest}});
+    responder.send(
+        Ok, "application/yaml", document->bytes, {{"Jujube-Document-Version", absl::StrCat(document->version)}, {"Jujube-Document-Digest", document->digest}});
 }
 
 void Gateway::sendReadiness(HttpResponder &responder) const
@@ -356,4 +354,4 @@
     responder.sendJson(Ok, {{"gateways", list}, {"ttl_s", GatewayListSeconds}});
 }
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -54,4 +54,4 @@
     std::unique_ptr<HttpServer> m_server;
 };
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/GatewayOptions.cpp
+++ b/Libraries/LibGateway/GatewayOptions.cpp
@@ -20,7 +20,7 @@
     return checkOneOf({"round-robin", "least-outstanding", "least-reported-memory", "memory-forecast"});
 }
 
-}
+} // namespace
 
 std::vector<Setting> GatewayOptions::settings()
 {
@@ -41,7 +41,10 @@
         {.name = "document-interval-ms", .help = "Time between reads of the environment's head", .defaultValue = "1000", .check = checkInterval()},
         {.name = "load-interval-ms", .help = "Time between reads of a target's load", .defaultValue = "250", .check = checkInterval()},
         {.name = "vm-list-interval-ms", .help = "Time between reads of the VM list", .defaultValue = "1000", .check = checkInterval()},
-        {.name = "silence-timeout-ms", .help = "A stream without a byte for this time is read over a new connection", .defaultValue = "3000", .check = checkInterval()},
+        {.name = "silence-timeout-ms",
+         .help = "A stream without a byte for this time is read over a new connection",
+         .defaultValue = "3000",
+         .check = checkInterval()},
         {.name = "keep-alive-ms", .help = "Time between comment lines to a caller that waits", .defaultValue = "5000", .check = checkInterval()},
     };
 }
@@ -74,4 +77,4 @@
     return options;
 }
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/GatewayOptions.h
+++ b/Libraries/LibGateway/GatewayOptions.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include <chrono>
 #include <LibCore/Settings.h>
 #include <LibPolicy/PlacementPolicy.h>
-#include <chrono>
 #include <string>
 #include <vector>
 
@@ -39,4 +39,4 @@
     static GatewayOptions fromSettings(const Settings &settings);
 };
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/GenerationHandler.cpp
+++ b/Libraries/LibGateway/GenerationHandler.cpp
@@ -43,9 +43,9 @@
     const auto generation = *cursor ? (*cursor)->generation : generationIdFor(caller.workspace, request.header("idempotency-key"), request.body);
     const auto detail = absl::StrCat(caller.workspace, " ", body->model, " ", std::string(nameOf(body->kind)));
     m_parts.record({.kind = EventKind::RequestAccepted, .request = generation, .detail = detail});
-    GenerationStream stream({.parts = &m_parts, .caller = caller, .body = *body, .generation = generation, .bodyDigest = bodyDigest(request.body), .cursor = *cursor},
-                            responder);
+    GenerationStream stream(
+        {.parts = &m_parts, .caller = caller, .body = *body, .generation = generation, .bodyDigest = bodyDigest(request.body), .cursor = *cursor}, responder);
     stream.run();
 }
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/GenerationHandler.h
+++ b/Libraries/LibGateway/GenerationHandler.h
@@ -21,4 +21,4 @@
     GatewayParts &m_parts;
 };
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/GenerationRequest.cpp
+++ b/Libraries/LibGateway/GenerationRequest.cpp
@@ -42,7 +42,7 @@
     return absl::OkStatus();
 }
 
-}
+} // namespace
 
 absl::StatusOr<GenerationBody> parseGenerationBody(std::string_view text, const EnvironmentDocument &document)
 {
@@ -108,4 +108,4 @@
     return static_cast<int64_t>(prompt.size()) / BytesPerToken + 1;
 }
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/GenerationRequest.h
+++ b/Libraries/LibGateway/GenerationRequest.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include <absl/status/statusor.h>
 #include <LibCore/Workload.h>
 #include <LibGateway/RequestContext.h>
-#include <absl/status/statusor.h>
 #include <string>
 #include <string_view>
 
@@ -29,4 +29,4 @@
 // A rough number of tokens of a prompt, for placement before an engine has counted them.
 int64_t estimatePromptTokens(std::string_view prompt);
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/GenerationStream.cpp
+++ b/Libraries/LibGateway/GenerationStream.cpp
@@ -33,7 +33,7 @@
     return std::chrono::duration<double>(to - from).count();
 }
 
-}
+} // namespace
 
 GenerationStream::GenerationStream(Options options, HttpResponder &responder)
     : m_options(std::move(options))
@@ -381,4 +381,4 @@
     m_parts.record({.kind = kind, .request = m_options.generation, .target = target, .detail = std::move(detail)});
 }
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/GenerationStream.h
+++ b/Libraries/LibGateway/GenerationStream.h
@@ -71,4 +71,4 @@
     bool m_callerGone = false;
 };
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/OneTimeRunner.cpp
+++ b/Libraries/LibGateway/OneTimeRunner.cpp
@@ -35,7 +35,7 @@
     return {.value = "", .revision = static_cast<uint64_t>(result.revision)};
 }
 
-}
+} // namespace
 
 OneTimeRunner::OneTimeRunner(Options options)
     : m_options(std::move(options))
@@ -147,4 +147,4 @@
     m_options.parts->record({.kind = kind, .request = m_options.request, .detail = std::move(detail)});
 }
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/OneTimeRunner.h
+++ b/Libraries/LibGateway/OneTimeRunner.h
@@ -45,4 +45,4 @@
     std::variant<OneTimeAction::Answer, Problem> m_result = Problem {};
 };
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/OutcomeRecorder.cpp
+++ b/Libraries/LibGateway/OutcomeRecorder.cpp
@@ -15,7 +15,7 @@
 constexpr auto FirstPause = 200ms;
 constexpr auto LongestPause = 5000ms;
 
-}
+} // namespace
 
 OutcomeRecorder::OutcomeRecorder(const TableClient &table, EventLog &events)
     : m_table(table)
@@ -102,4 +102,4 @@
     return tryRecord({.tableKey = outcome.tableKey, .value = outcome.value, .revision = read.row.revision, .releaseNonce = "", .request = outcome.request});
 }
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/OutcomeRecorder.h
+++ b/Libraries/LibGateway/OutcomeRecorder.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <LibEvents/EventLog.h>
-#include <LibPlatform/TableClient.h>
 #include <condition_variable>
 #include <deque>
+#include <LibEvents/EventLog.h>
+#include <LibPlatform/TableClient.h>
 #include <mutex>
 #include <thread>
 
@@ -50,4 +50,4 @@
     std::thread m_thread;
 };
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/RequestContext.cpp
+++ b/Libraries/LibGateway/RequestContext.cpp
@@ -1,7 +1,7 @@
 #include <LibGateway/RequestContext.h>
 
-#include <LibCore/Digest.h>
 #include <absl/strings/str_cat.h>
+#include <LibCore/Digest.h>
 
 namespace Jujube
 {
@@ -32,4 +32,4 @@
     responder.sendProblem(problem);
 }
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/RequestContext.h
+++ b/Libraries/LibGateway/RequestContext.h
@@ -1,14 +1,15 @@
 #pragma once
 
+#include <atomic>
 #include <LibEvents/EventLog.h>
 #include <LibGateway/DocumentKeeper.h>
 #include <LibGateway/FleetKeeper.h>
 #include <LibGateway/GatewayOptions.h>
 #include <LibGeneration/Cursor.h>
 #include <LibHttp/HttpClient.h>
+#include <LibHttp/HttpResponder.h>
 #include <LibMembership/Membership.h>
 #include <LibMetrics/Metrics.h>
-#include <atomic>
 
 namespace Jujube
 {
@@ -73,4 +74,4 @@
 // Answers with a problem, and counts and records the refusal.
 void refuse(const GatewayParts &parts, HttpResponder &responder, const Problem &problem, const std::string &request);
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/ServiceHandler.cpp
+++ b/Libraries/LibGateway/ServiceHandler.cpp
@@ -36,7 +36,7 @@
     return found == answer.headers.end() ? "application/octet-stream" : found->second;
 }
 
-}
+} // namespace
 
 ServiceHandler::ServiceHandler(GatewayParts &parts)
     : m_parts(parts)
@@ -146,7 +146,7 @@
 {
     std::set<std::string> tried;
     for (int i = 0; i < MaxTargetsTried; ++i) {
-        const auto target = m_parts.fleet->chooseServiceTarget(route.service, tried, monotonicNow());
+        const auto target = m_parts.fleet->chooseServiceTarget(route.service, tried);
         const auto address = target ? m_parts.fleet->addressOf(*target) : std::nullopt;
         if (!address) {
             break;
@@ -195,7 +195,7 @@
 {
     std::set<std::string> tried;
     for (int i = 0; i < MaxTargetsTried; ++i) {
-        const auto target = m_parts.fleet->chooseServiceTarget(route.service, tried, monotonicNow());
+        const auto target = m_parts.fleet->chooseServiceTarget(route.service, tried);
         const auto address = target ? m_parts.fleet->addressOf(*target) : std::nullopt;
         if (!address) {
             break;
@@ -211,4 +211,4 @@
     return Problem {.kind = kind, .detail = "no target of the service answered", .retryAfter = errorKindInfo(kind).retryAfter};
 }
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/ServiceHandler.h
+++ b/Libraries/LibGateway/ServiceHandler.h
@@ -43,4 +43,4 @@
     StatusCache m_cache;
 };
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/StatusCache.cpp
+++ b/Libraries/LibGateway/StatusCache.cpp
@@ -33,4 +33,4 @@
     }
 }
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/StatusCache.h
+++ b/Libraries/LibGateway/StatusCache.h
@@ -48,4 +48,4 @@
     std::map<Key, Entry> m_entries;
 };
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/UpstreamStream.cpp
+++ b/Libraries/LibGateway/UpstreamStream.cpp
@@ -15,7 +15,7 @@
 constexpr int TooManyRequestsStatus = 429;
 constexpr int UnavailableStatus = 503;
 
-}
+} // namespace
 
 struct UpstreamStream::Shared {
     BoundedRing<Piece> ring {RingCapacity};
@@ -82,4 +82,4 @@
     return piece;
 }
 
-}
+} // namespace Jujube
--- a/Libraries/LibGateway/UpstreamStream.h
+++ b/Libraries/LibGateway/UpstreamStream.h
@@ -45,4 +45,4 @@
 // What an answer's end and status mean for a generation.
 UpstreamEnd upstreamEndOf(const HttpAnswer &answer);
 
-}
+} // namespace Jujube
--- a/Libraries/LibMetrics/Metrics.cpp
+++ b/Libraries/LibMetrics/Metrics.cpp
@@ -19,7 +19,7 @@
     return labels.empty() ? std::string() : "{" + labels + "}";
 }
 
-}
+} // namespace
 
 void Metrics::count(const std::string &name, const std::string &labels, uint64_t amount)
 {
@@ -87,4 +87,4 @@
     absl::StrAppend(&text, name, "_bucket{le=\"+Inf\"} ", total, "\n", name, "_sum ", series.sum, "\n", name, "_count ", total, "\n");
 }
 
-}
+} // namespace Jujube
--- a/Libraries/LibMetrics/Metrics.h
+++ b/Libraries/LibMetrics/Metrics.h
@@ -45,4 +45,4 @@
     std::map<std::string, TimeSeries> m_histograms;
 };
 
-}
+} // namespace Jujube
--- a/Services/Gateway/main.cpp
+++ b/Services/Gateway/main.cpp
@@ -1,9 +1,9 @@
-#include <LibCore/Settings.h>
-#include <LibCore/Time.h>
-#include <LibGateway/Gateway.h>
 #include <csignal>
 #include <glog/logging.h>
 #include <iostream>
+#include <LibCore/Settings.h>
+#include <LibCore/Time.h>
+#include <LibGateway/Gateway.h>
 #include <thread>
 
 using namespace Jujube;
@@ -25,7 +25,7 @@
     return signals;
 }
 
-}
+} // namespace
 
 int main(int argc, char **argv)
 {
@@ -48,6 +48,7 @@
         std::cerr << gateway.status().message() << '\n';
         return ExitCannotStart;
     }
+    std::cout << "listening on " << (*gateway)->address() << std::endl;
     int signal = 0;
     sigwait(&signals, &signal);
     (*gateway)->drain();
