--- /dev/null
+++ b/Utilities/Load/LineSplitter.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace Jujube
+{
+
+// Cuts a stream of bytes, which arrive in any portions, into lines. A carriage return before the line feed is dropped.
+class LineSplitter
+{
+public:
+    void feed(std::string_view bytes, const std::function<void(std::string_view line)> &onLine)
+    {
+        m_rest.append(bytes);
+        size_t begin = 0;
+        for (auto end = m_rest.find('\n'); end != std::string::npos; end = m_rest.find('\n', begin)) {
+            std::string_view line(m_rest.data() + begin, end - begin);
+            if (line.ends_with('\r')) {
+                line.remove_suffix(1);
+            }
+            onLine(line);
+            begin = end + 1;
+        }
+        m_rest.erase(0, begin);
+    }
+
+private:
+    std::string m_rest;
+};
+
+} // namespace Jujube
--- a/Utilities/StandIns/Engine/TokenSource.cpp
+++ b/Utilities/StandIns/Engine/TokenSource.cpp
@@ -1,5 +1,6 @@
 #include <StandIns/Engine/TokenSource.h>
 
+#include <absl/strings/str_format.h>
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -27,6 +28,8 @@
 // With this spread, 95% of the generations stay below 1,200 tokens and one in a thousand exceeds 9,000.
 constexpr double LengthSigma = 1.4;
 constexpr int64_t MaxLength = 60000;
+constexpr int64_t OriginInterval = 16;
+constexpr uint64_t OriginMask = 0xffff;
 constexpr std::string_view LengthMark = "length=";
 
 uint64_t mix(uint64_t value)
@@ -69,6 +72,9 @@
 
 std::string TokenSource::tokenAt(int64_t index) const
 {
+    if (index % OriginInterval == 0) {
+        return absl::StrFormat(" no-%04x", m_contentHash & OriginMask);
+    }
     const auto hash = mix(m_contentHash + static_cast<uint64_t>(index));
     const auto &words = (hash & 1) == 0 ? EnglishWords : GujaratiWords;
     std::string text(" ");
