--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -52,7 +52,7 @@
 absl::StatusOr<std::unique_ptr<Gateway>> Gateway::start(GatewayOptions options)
 {
     std::unique_ptr<Gateway> gateway(new Gateway(std::move(options)));
-    if (const auto status = gateway->startParts(); !status.ok()) {
+    if (auto status = gateway->startParts(); !status.ok()) {
         return status;
     }
     return gateway;
@@ -88,7 +88,7 @@
         .metrics = m_parts.metrics.get(),
         .onVmList = [this](const std::vector<Vm> &vms) { onVmList(vms); },
     });
-    if (const auto status = startMembership(); !status.ok()) {
+    if (auto status = startMembership(); !status.ok()) {
         return status;
     }
     startDocuments();
