Add request budgets, retry pauses and the outage gate

Every use of the platform has a token bucket with its share of the fleet's limit. In an outage only single reads are sent after jittered pauses.

--- /dev/null
+++ b/Libraries/LibPlatform/PlatformGate.cpp
@@ -0,0 +1,93 @@
+#include <LibPlatform/PlatformGate.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Jujube
+{
+
+PlatformGate::PlatformGate(Options options, MonotonicTime now, double random)
+    : m_options(options)
+    , m_nextProbe(now)
+    , m_random(random)
+{
+    for (const auto &info : platformUses()) {
+        const RequestBudget::Options budgetOptions {.perSecond = ratePerNode(info.use, options.nodes), .burst = info.burst};
+        m_budgets.emplace_back(budgetOptions, now, fractionFor(info.use));
+    }
+}
+
+RequestBudget &PlatformGate::budget(PlatformUse use)
+{
+    return m_budgets.at(static_cast<size_t>(use));
+}
+
+double PlatformGate::fractionFor(PlatformUse use) const
+{
+    // Multiples of the golden ratio spread the uses of one process, so that they do not send in step either.
+    constexpr double GoldenRatio = 0.6180339887;
+    return std::fmod(m_random + static_cast<double>(use) * GoldenRatio, 1.0);
+}
+
+bool PlatformGate::admit(PlatformUse use, MonotonicTime now)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_failures < m_options.failuresForOutage) {
+        return budget(use).tryTake(now);
+    }
+    if (platformUseInfo(use).isWrite || now < m_nextProbe) {
+        return false;
+    }
+    // The next probe waits for this one's end, or for the cap if its end is never reported.
+    m_nextProbe = now + m_options.probeCap;
+    return true;
+}
+
+void PlatformGate::onAnswered(MonotonicTime now)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_failures >= m_options.failuresForOutage) {
+        for (const auto &info : platformUses()) {
+            budget(info.use).empty(now, fractionFor(info.use));
+        }
+    }
+    m_failures = 0;
+}
+
+void PlatformGate::onFailed(MonotonicTime now, double random)
+{
+    const std::lock_guard lock(m_mutex);
+    // The cap of the counter only keeps it from overflowing in a long outage.
+    constexpr int MaxCounted = 1000;
+    m_failures = std::min(m_failures + 1, MaxCounted);
+    m_random = random;
+    if (m_failures >= m_options.failuresForOutage) {
+        m_nextProbe = now + jitteredPause(m_options.probeBase, m_options.probeCap, m_failures - m_options.failuresForOutage + 1, random);
+    }
+}
+
+bool PlatformGate::isOutage() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_failures >= m_options.failuresForOutage;
+}
+
+std::chrono::milliseconds PlatformGate::timeUntilAdmission(PlatformUse use, MonotonicTime now) const
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_failures < m_options.failuresForOutage) {
+        return m_budgets.at(static_cast<size_t>(use)).timeUntilToken(now);
+    }
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(m_nextProbe - now);
+    return std::max(std::chrono::milliseconds(0), wait);
+}
+
+void PlatformGate::setNodes(int nodes, MonotonicTime now)
+{
+    const std::lock_guard lock(m_mutex);
+    for (const auto &info : platformUses()) {
+        budget(info.use).setRate(ratePerNode(info.use, nodes), now);
+    }
+}
+
+} // namespace Jujube
