--- a/Libraries/LibGateway/GatewayOptions.cpp
+++ b/Libraries/LibGateway/GatewayOptions.cpp
@@ -45,6 +45,10 @@
          .help = "A stream without a byte for this time is read over a new connection",
          .defaultValue = "3000",
          .check = checkInterval()},
+        {.name = "claim-deadline-ms",
+         .help = "Time in which the holder of a one-time call's claim may send it",
+         .defaultValue = "15000",
+         .check = checkInterval()},
         {.name = "keep-alive-ms", .help = "Time between comment lines to a caller that waits", .defaultValue = "5000", .check = checkInterval()},
     };
 }
@@ -70,6 +74,7 @@
         .vmListInterval = settings.milliseconds("vm-list-interval-ms"),
         .silenceTimeout = settings.milliseconds("silence-timeout-ms"),
         .keepAliveInterval = settings.milliseconds("keep-alive-ms"),
+        .claimDeadline = settings.milliseconds("claim-deadline-ms"),
     };
     if (options.clusterKey.empty()) {
         options.clusterKey = options.cursorKey;
--- a/Libraries/LibGateway/GatewayOptions.h
+++ b/Libraries/LibGateway/GatewayOptions.h
@@ -32,6 +32,8 @@
     std::chrono::milliseconds vmListInterval {1000};
     std::chrono::milliseconds silenceTimeout {3000};
     std::chrono::milliseconds keepAliveInterval {5000};
+    // How long the claim of a one-time call may be used, and how long others wait for its outcome.
+    std::chrono::milliseconds claimDeadline {15000};
 
     // The settings that parse() reads.
     static std::vector<Setting> settings();
--- a/Libraries/LibGateway/OneTimeRunner.cpp
+++ b/Libraries/LibGateway/OneTimeRunner.cpp
@@ -39,7 +39,12 @@
 
 OneTimeRunner::OneTimeRunner(Options options)
     : m_options(std::move(options))
-    , m_call({.nonce = randomIdentifier(), .bodyDigest = m_options.bodyDigest, .gateway = m_options.parts->options.name, .wallMs = wallMsNow()}, monotonicNow())
+    , m_call({.nonce = randomIdentifier(),
+              .bodyDigest = m_options.bodyDigest,
+              .gateway = m_options.parts->options.name,
+              .wallMs = wallMsNow(),
+              .claimDeadline = m_options.parts->options.claimDeadline},
+             monotonicNow())
 {
 }
 
--- a/Utilities/StandIns/OrderDesk/OrderDesk.cpp
+++ b/Utilities/StandIns/OrderDesk/OrderDesk.cpp
@@ -151,7 +151,9 @@
     }
     std::this_thread::sleep_for(delay);
     const std::lock_guard lock(m_mutex);
-    const auto matches = [&parts](const nlohmann::json &entry) { return parts.size() == 2 && entry["call"] == parts[0] && entry["id"] == parts[1]; };
+    // The call "status" finds an id whatever call it belongs to.
+    const auto matches
+        = [&parts](const nlohmann::json &entry) { return parts.size() == 2 && (parts[0] == "status" || entry["call"] == parts[0]) && entry["id"] == parts[1]; };
     const auto found = std::find_if(m_ledger.rbegin(), m_ledger.rend(), matches);
     if (found == m_ledger.rend()) {
         responder.sendProblem({.kind = ErrorKind::NotFound, .detail = path});
