Add jujubectl

The command line checks, compares, applies and promotes environment documents and shows the version on every gateway. The head and its history row are written in one transaction on the condition that the head is unchanged. A lost answer is resolved by the history row of the version: it has the own value, another value or none, and in the last case the same transaction is sent again, which can take effect once at most. The head row was ruled out for this, because another operator may have moved it on by then.

--- /dev/null
+++ b/Tests/LibEnvironment/TestJujubectl.cpp
@@ -0,0 +1,219 @@
+#include "DemoDocument.h"
+#include "FakePlatform.h"
+
+#include <absl/strings/str_cat.h>
+#include <gmock/gmock.h>
+#include <Jujubectl/Jujubectl.h>
+#include <LibCore/Digest.h>
+#include <LibEnvironment/DocumentHead.h>
+
+namespace Jujube
+{
+
+namespace
+{
+
+using testing::HasSubstr;
+using testing::Not;
+using Fault = FakePlatform::Fault;
+
+// What a command printed, and its exit code.
+struct Outcome {
+    ExitCode code = ExitCode::Failed;
+    std::string out;
+    std::string error;
+};
+
+class JujubectlTest : public testing::Test
+{
+protected:
+    Outcome run(std::vector<std::string> words)
+    {
+        words.insert(words.begin(), {"jujubectl", "--platform=" + m_platform.address(), "--author=amina", "--wait-s=0", "--timeout-ms=2000"});
+        std::vector<const char *> argv;
+        for (const auto &word : words) {
+            argv.push_back(word.c_str());
+        }
+        auto options = Jujubectl::settingsOptions();
+        options.environment = [](const std::string &) { return std::nullopt; };
+        const auto settings = Settings::parse(options, static_cast<int>(argv.size()), argv.data());
+        EXPECT_TRUE(settings.ok()) << settings.status();
+        std::ostringstream out;
+        std::ostringstream error;
+        const auto code = Jujubectl::run(*settings, {.out = out, .error = error, .pause = [](auto) {}, .wallMsNow = [this] { return ++m_wallMs; }});
+        return {.code = code, .out = out.str(), .error = error.str()};
+    }
+
+    std::string writeFile(const std::string &name, const std::string &text)
+    {
+        const auto *info = testing::UnitTest::GetInstance()->current_test_info();
+        auto path = absl::StrCat(testing::TempDir(), "jujubectl-", info->name(), "-", name);
+        std::ofstream(path, std::ios::binary) << text;
+        return path;
+    }
+
+    DocumentHead head(const std::string &environment)
+    {
+        return DocumentHead::parse(m_platform.row(documentHeadKey(environment))).value_or(DocumentHead {});
+    }
+
+    FakePlatform m_platform;
+    const std::string m_demo = std::string(JUJUBE_SOURCE_DIRECTORY) + "/examples/demo.yaml";
+    const std::string m_outText = demoYamlWith("state: in, region: lahore", "state: out, region: lahore");
+    int64_t m_wallMs = 0;
+};
+
+std::unique_ptr<HttpServer> startGateway(uint64_t version, const std::string &digest, const std::string &environment = "demo")
+{
+    auto server = HttpServer::start(
+        {.threads = 2, .handler = [=](const HttpRequest &, HttpResponder &responder) {
+             responder.sendJson(200, {{"environment", environment}, {"version", version}, {"digest", digest}, {"age_ms", 4200}, {"confirmed_age_ms", nullptr}});
+         }});
+    EXPECT_TRUE(server.ok()) << server.status();
+    return *std::move(server);
+}
+
+} // namespace
+
+// Guards against a document with mistakes reaching the platform, and against messages without file, line and column.
+TEST_F(JujubectlTest, ChecksFilesBeforeAnythingElse)
+{
+    EXPECT_EQ(run({"check", m_demo}).code, ExitCode::Done);
+    const auto broken = writeFile("broken.yaml", demoYamlWith("state: in, region: lahore", "stat: in, region: lahore"));
+    const auto checked = run({"check", m_demo, broken});
+    EXPECT_EQ(checked.code, ExitCode::InvalidDocument);
+    EXPECT_THAT(checked.error, HasSubstr(broken + ":5:12: data_centres.lahore.stat: unknown key; the nearest known key is \"state\""));
+    EXPECT_EQ(run({"apply", broken}).code, ExitCode::InvalidDocument);
+    EXPECT_EQ(head("demo").version, 0);
+    EXPECT_EQ(run({"check", "/nonexistent.yaml"}).code, ExitCode::NotFound);
+    EXPECT_EQ(run({"aply", m_demo}).code, ExitCode::InvalidSettings);
+    EXPECT_EQ(run({"status", "../head"}).code, ExitCode::InvalidSettings);
+}
+
+// Guards against a head without its bytes or history row, and against a new version for an unchanged document.
+TEST_F(JujubectlTest, AppliesVersions)
+{
+    const auto first = run({"apply", m_demo});
+    EXPECT_EQ(first.code, ExitCode::Done) << first.error;
+    EXPECT_EQ(head("demo").version, 1);
+    EXPECT_EQ(head("demo").author, "amina");
+    EXPECT_EQ(sha256Hex(m_platform.objects[head("demo").object]), head("demo").digest);
+    EXPECT_EQ(m_platform.row("environment/demo/history/1"), m_platform.row("environment/demo/head"));
+    EXPECT_EQ(run({"apply", m_demo}).code, ExitCode::Done);
+    EXPECT_EQ(head("demo").version, 1);
+
+    const auto out = writeFile("out.yaml", m_outText);
+    EXPECT_THAT(run({"diff", out}).out, HasSubstr("~ data_centres.lahore.state: in -> out"));
+    EXPECT_THAT(run({"apply", out, "--base-version=1"}).out, HasSubstr("~ data_centres.lahore.state: in -> out"));
+    EXPECT_EQ(head("demo").version, 2);
+    EXPECT_THAT(run({"history", "demo", "--limit=1"}).out, HasSubstr("version 2 by amina at 1970-01-01T00:00:00Z"));
+    EXPECT_EQ(run({"show", "1", "--environment=demo"}).out, demoYaml());
+    EXPECT_THAT(run({"diff", "2", "1", "--environment=demo"}).out, HasSubstr("out -> in"));
+}
+
+// Guards against one operator overwriting the change of another one, seen before or only at the write.
+TEST_F(JujubectlTest, TellsTheLoserOfARaceTheDifference)
+{
+    run({"apply", m_demo});
+    const auto out = writeFile("out.yaml", m_outText);
+    const auto other = writeFile("other.yaml", demoYamlWith("retry_percent: 10", "retry_percent: 5"));
+    m_platform.beforeTransaction([this, other] { EXPECT_EQ(run({"apply", other}).code, ExitCode::Done); });
+    const auto loser = run({"apply", out});
+    EXPECT_EQ(loser.code, ExitCode::VersionConflict);
+    EXPECT_THAT(loser.error, HasSubstr("version_conflict"));
+    EXPECT_THAT(loser.error, HasSubstr("from version 1 to version 2:\n  ~ limits.retry_percent: 10 -> 5"));
+    EXPECT_THAT(loser.error, HasSubstr("from version 2 to this document:\n  ~ data_centres.lahore.state: in -> out\n  ~ limits.retry_percent: 5 -> 10"));
+    EXPECT_EQ(head("demo").version, 2);
+
+    const auto late = run({"apply", out, "--base-version=1"});
+    EXPECT_EQ(late.code, ExitCode::VersionConflict);
+    EXPECT_THAT(late.error, HasSubstr("~ limits.retry_percent: 10 -> 5"));
+    EXPECT_EQ(head("demo").digest, sha256Hex(demoYamlWith("retry_percent: 10", "retry_percent: 5")));
+}
+
+// Guards against a lost answer being reported as a failure or leading to a second version.
+TEST_F(JujubectlTest, ResolvesALostAnswer)
+{
+    m_platform.setFaults({Fault::LoseAnswer});
+    EXPECT_EQ(run({"apply", m_demo}).code, ExitCode::Done);
+    EXPECT_EQ(head("demo").version, 1);
+
+    const auto out = writeFile("out.yaml", m_outText);
+    m_platform.setFaults({Fault::LoseRequest, Fault::LoseRequest, Fault::LoseAnswer});
+    EXPECT_EQ(run({"apply", out}).code, ExitCode::Done);
+    EXPECT_EQ(head("demo").version, 2);
+
+    // Another operator has moved the head on before the read-back.
+    m_platform.setFaults({Fault::LoseRequest});
+    const auto other = writeFile("other.yaml", demoYamlWith("retry_percent: 10", "retry_percent: 5"));
+    m_platform.beforeTransaction([this, other] { m_platform.beforeTransaction([this, other] { run({"apply", other}); }); });
+    EXPECT_EQ(run({"apply", m_demo}).code, ExitCode::VersionConflict);
+    EXPECT_EQ(head("demo").version, 3);
+}
+
+// Guards against "nothing was changed" being said when the write may have taken effect.
+TEST_F(JujubectlTest, TellsUnavailableFromUnknown)
+{
+    m_platform.setDown(true);
+    EXPECT_EQ(run({"apply", m_demo}).code, ExitCode::PlatformUnavailable);
+    m_platform.setDown(false);
+    m_platform.setFaults({Fault::Die});
+    const auto unknown = run({"apply", m_demo});
+    EXPECT_EQ(unknown.code, ExitCode::OutcomeUnknown);
+    EXPECT_THAT(unknown.error, HasSubstr("jujubectl history demo"));
+    m_platform.setDown(false);
+    EXPECT_EQ(head("demo").version, 1);
+}
+
+// Guards against a promotion of other bytes than those that were on trial.
+TEST_F(JujubectlTest, PromotesTheDigestOnTrial)
+{
+    EXPECT_EQ(run({"promote", "trial", "production"}).code, ExitCode::NotFound);
+    run({"apply", m_demo, "--environment=trial"});
+    const auto tried = head("trial");
+    EXPECT_EQ(run({"promote", "trial", "production", "--digest=" + sha256Hex("another")}).code, ExitCode::VersionConflict);
+    EXPECT_EQ(run({"promote", "trial", "production", "--base-version=3"}).code, ExitCode::VersionConflict);
+    EXPECT_EQ(run({"promote", "trial", "production", "--digest=" + tried.digest}).code, ExitCode::Done);
+    EXPECT_EQ(head("production").version, 1);
+    EXPECT_EQ(head("production").digest, tried.digest);
+
+    const auto out = writeFile("out.yaml", m_outText);
+    run({"apply", out, "--environment=trial"});
+    m_platform.objects[head("trial").object] += "#";
+    EXPECT_EQ(run({"promote", "trial", "production"}).code, ExitCode::Failed);
+    EXPECT_EQ(head("production").version, 1);
+}
+
+// Guards against a gateway that is missing, outdated or on another document being counted as up to date.
+TEST_F(JujubectlTest, ShowsTheVersionOfEveryGateway)
+{
+    run({"apply", m_demo});
+    const auto current = startGateway(1, head("demo").digest);
+    const auto foreign = startGateway(9, "other", "production");
+    m_platform.vms = {{{"name", "g1"}, {"address", current->address()}, {"data_centre", "lahore"}, {"role", "gateway"}, {"state", "live"}},
+                      {{"name", "g2"}, {"address", foreign->address()}, {"data_centre", "lahore"}, {"role", "gateway"}, {"state", "live"}},
+                      {{"name", "e1"}, {"address", "127.0.0.1:1"}, {"data_centre", "lahore"}, {"role", "engine"}, {"state", "live"}}};
+    const auto good = run({"status", "demo"});
+    EXPECT_EQ(good.code, ExitCode::Done) << good.out << good.error;
+    EXPECT_THAT(good.out, testing::ContainsRegex("g1 .*lahore +1 +4\\.2s +never +in force"));
+    EXPECT_THAT(good.out, Not(HasSubstr("g2")));
+    EXPECT_THAT(run({"apply", m_demo}).out, HasSubstr("1 of 1 gateways have confirmed version 1"));
+
+    const auto old = startGateway(0, "");
+    const auto reused = startGateway(1, "other");
+    EXPECT_THAT(run({"status", "demo", "--gateways=" + old->address()}).out, HasSubstr("older version"));
+    const auto mixed = run({"status", "demo", absl::StrCat("--gateways=", current->address(), ",", reused->address())});
+    EXPECT_EQ(mixed.code, ExitCode::NotInForce);
+    EXPECT_THAT(mixed.out, HasSubstr("same version, other digest"));
+    m_platform.vms.push_back({{"name", "g3"}, {"address", "127.0.0.1:1"}, {"role", "gateway"}, {"state", "live"}});
+    EXPECT_EQ(run({"status", "demo"}).code, ExitCode::NotInForce);
+    m_platform.vms.back()["state"] = "leaving";
+    EXPECT_EQ(run({"status", "demo"}).code, ExitCode::Done);
+
+    m_platform.setDown(true);
+    const auto outage = run({"status", "demo", "--gateways=" + current->address()});
+    EXPECT_EQ(outage.code, ExitCode::PlatformUnavailable);
+    EXPECT_THAT(outage.out, HasSubstr("the newest in force is 1"));
+}
+
+} // namespace Jujube
