Show added and removed entries on one line each

The first document of an environment, and a new target, were listed field by field; 2,800 targets gave about 20,000 lines. Entries that only one document has are one line now; changed fields keep a line of their own.

--- a/Libraries/LibEnvironment/DocumentDiff.cpp
+++ b/Libraries/LibEnvironment/DocumentDiff.cpp
@@ -11,9 +11,12 @@
 namespace
 {
 
-// Field paths with their values as text.
+// The fields of one entry with their values as text.
 using Fields = std::map<std::string, std::string>;
 
+// Entries, for example "targets.engine-1", with their fields.
+using Entries = std::map<std::string, Fields>;
+
 std::string textOf(bool value)
 {
     return value ? "true" : "false";
@@ -24,107 +27,148 @@
     return absl::StrCat(std::chrono::duration<double>(value).count());
 }
 
-void addDataCentre(Fields &fields, const std::string &path, const DataCentre &dataCentre)
+Fields fieldsOf(const DataCentre &dataCentre)
 {
-    fields[path + ".state"] = nameOf(dataCentre.state);
-    fields[path + ".region"] = dataCentre.region;
+    return {{"state", std::string(nameOf(dataCentre.state))}, {"region", dataCentre.region}};
 }
 
-void addWorkspace(Fields &fields, const std::string &path, const Workspace &workspace)
+Fields fieldsOf(const Workspace &workspace)
 {
-    fields[path + ".tier"] = nameOf(workspace.tier);
-    fields[path + ".key_sha256"] = workspace.keySha256;
-    fields[path + ".limits.requests_per_s"] = absl::StrCat(workspace.limits.requestsPerSecond);
-    fields[path + ".limits.tokens_per_s"] = absl::StrCat(workspace.limits.tokensPerSecond);
-    fields[path + ".limits.open_streams"] = absl::StrCat(workspace.limits.openStreams);
+    return {
+        {"tier", std::string(nameOf(workspace.tier))},
+        {"key_sha256", workspace.keySha256},
+        {"limits.requests_per_s", absl::StrCat(workspace.limits.requestsPerSecond)},
+        {"limits.tokens_per_s", absl::StrCat(workspace.limits.tokensPerSecond)},
+        {"limits.open_streams", absl::StrCat(workspace.limits.openStreams)},
+    };
 }
 
-void addModel(Fields &fields, const std::string &path, const Model &model)
+Fields fieldsOf(const Model &model)
 {
-    fields[path + ".continuation"] = nameOf(model.continuation);
-    fields[path + ".version"] = model.version;
-    fields[path + ".max_tokens"] = absl::StrCat(model.maxTokens);
+    return {
+        {"continuation", std::string(nameOf(model.continuation))},
+        {"version", model.version},
+        {"max_tokens", absl::StrCat(model.maxTokens)},
+    };
 }
 
-void addService(Fields &fields, const std::string &path, const Service &service)
+Fields fieldsOf(const ServiceCall &call)
 {
-    for (const auto &[name, call] : service.calls) {
-        const auto callPath = absl::StrCat(path, ".calls.", name);
-        fields[callPath + ".method"] = nameOf(call.method);
-        fields[callPath + ".path"] = call.path;
-        fields[callPath + ".repeatable"] = textOf(call.repeatable);
-        fields[callPath + ".fresh_s"] = secondsOf(call.fresh);
-        fields[callPath + ".timeout_s"] = secondsOf(call.timeout);
-    }
+    return {
+        {"method", std::string(nameOf(call.method))},
+        {"path", call.path},
+        {"repeatable", textOf(call.repeatable)},
+        {"fresh_s", secondsOf(call.fresh)},
+        {"timeout_s", secondsOf(call.timeout)},
+    };
 }
 
-void addTarget(Fields &fields, const std::string &path, const TargetEntry &target)
+Fields fieldsOf(const TargetEntry &target)
 {
-    fields[path + ".address"] = target.address;
-    fields[path + ".data_centre"] = target.dataCentre;
-    fields[path + ".cold_limit"] = absl::StrCat(target.coldLimit);
+    Fields fields {
+        {"address", target.address},
+        {"data_centre", target.dataCentre},
+        {"cold_limit", absl::StrCat(target.coldLimit)},
+    };
     if (!target.isEngine()) {
-        fields[path + ".service"] = target.service;
-        return;
+        fields["service"] = target.service;
+        return fields;
     }
-    fields[path + ".models"] = absl::StrJoin(target.models, ", ");
-    fields[path + ".resume"] = textOf(target.resume);
-    fields[path + ".fencing"] = nameOf(target.fencing);
-    fields[path + ".memory_tokens"] = absl::StrCat(target.memoryTokens);
+    fields["models"] = absl::StrJoin(target.models, " ");
+    fields["resume"] = textOf(target.resume);
+    fields["fencing"] = nameOf(target.fencing);
+    fields["memory_tokens"] = absl::StrCat(target.memoryTokens);
+    return fields;
+}
+
+Fields fieldsOf(const Priorities &priorities)
+{
+    return {{"draft", absl::StrCat(priorities.draft)}, {"suggestion", absl::StrCat(priorities.suggestion)}};
 }
 
-template<typename Entries, typename Add>
-void addSection(Fields &fields, const std::string &section, const Entries &entries, Add add)
+Fields fieldsOf(const GatewayLimits &limits)
 {
-    for (const auto &[name, entry] : entries) {
-        add(fields, absl::StrCat(section, ".", name), entry);
+    return {
+        {"open_streams", absl::StrCat(limits.openStreams)},
+        {"queued_requests", absl::StrCat(limits.queuedRequests)},
+        {"queue_wait_s", secondsOf(limits.queueWait)},
+        {"retry_percent", absl::StrCat(limits.retryPercent)},
+    };
+}
+
+template<typename Section>
+void addSection(Entries &entries, const std::string &path, const Section &section)
+{
+    for (const auto &[name, entry] : section) {
+        entries[absl::StrCat(path, ".", name)] = fieldsOf(entry);
     }
 }
 
-Fields fieldsOf(const EnvironmentDocument &document)
-{
-    Fields fields;
-    fields["environment"] = document.name;
-    addSection(fields, "data_centres", document.dataCentres, addDataCentre);
-    addSection(fields, "workspaces", document.workspaces, addWorkspace);
-    addSection(fields, "models", document.models, addModel);
-    addSection(fields, "services", document.services, addService);
-    fields["priorities.draft"] = absl::StrCat(document.priorities.draft);
-    fields["priorities.suggestion"] = absl::StrCat(document.priorities.suggestion);
-    fields["limits.open_streams"] = absl::StrCat(document.limits.openStreams);
-    fields["limits.queued_requests"] = absl::StrCat(document.limits.queuedRequests);
-    fields["limits.queue_wait_s"] = secondsOf(document.limits.queueWait);
-    fields["limits.retry_percent"] = absl::StrCat(document.limits.retryPercent);
-    addSection(fields, "targets", document.targets, addTarget);
-    return fields;
+Entries entriesOf(const EnvironmentDocument &document)
+{
+    Entries entries;
+    // The empty document before the first version has no name.
+    if (!document.name.empty()) {
+        entries["environment"] = {{"name", document.name}};
+    }
+    addSection(entries, "data_centres", document.dataCentres);
+    addSection(entries, "workspaces", document.workspaces);
+    addSection(entries, "models", document.models);
+    for (const auto &[name, service] : document.services) {
+        entries[absl::StrCat("services.", name)] = {};
+        addSection(entries, absl::StrCat("services.", name, ".calls"), service.calls);
+    }
+    entries["priorities"] = fieldsOf(document.priorities);
+    entries["limits"] = fieldsOf(document.limits);
+    addSection(entries, "targets", document.targets);
+    return entries;
+}
+
+std::string lineOf(std::string_view sign, const std::string &path, const Fields &fields)
+{
+    const auto text = absl::StrJoin(fields, ", ", absl::PairFormatter(" "));
+    return absl::StrCat(toAbsl(sign), " ", path, text.empty() ? "" : ": ", text);
+}
+
+// Compares the fields of an entry that both documents have. A target can turn from an engine into a service, so fields may be missing on either side.
+void addChanges(std::vector<std::string> &lines, const std::string &path, const Fields &before, const Fields &after)
+{
+    auto fields = before;
+    fields.insert(after.begin(), after.end());
+    const auto valueIn = [](const Fields &side, const std::string &field) {
+        const auto found = side.find(field);
+        return found == side.end() ? "(none)" : found->second;
+    };
+    for (const auto &[field, ignored] : fields) {
+        const auto oldValue = valueIn(before, field);
+        const auto newValue = valueIn(after, field);
+        if (oldValue != newValue) {
+            lines.push_back(absl::StrCat("~ ", path, ".", field, ": ", oldValue, " -> ", newValue));
+        }
+    }
 }
 
 } // namespace
 
 std::vector<std::string> diffDocuments(const EnvironmentDocument &before, const EnvironmentDocument &after)
 {
-    const auto old = fieldsOf(before);
-    auto added = fieldsOf(after);
-    Fields lines;
-    for (const auto &[path, value] : old) {
-        const auto found = added.find(path);
-        if (found == added.end()) {
-            lines[path] = absl::StrCat("- ", path, ": ", value);
-            continue;
+    const auto oldEntries = entriesOf(before);
+    const auto newEntries = entriesOf(after);
+    auto all = oldEntries;
+    all.insert(newEntries.begin(), newEntries.end());
+    std::vector<std::string> lines;
+    for (const auto &[path, fields] : all) {
+        const auto oldEntry = oldEntries.find(path);
+        const auto newEntry = newEntries.find(path);
+        if (oldEntry == oldEntries.end()) {
+            lines.push_back(lineOf("+", path, fields));
+        } else if (newEntry == newEntries.end()) {
+            lines.push_back(lineOf("-", path, fields));
+        } else {
+            addChanges(lines, path, oldEntry->second, newEntry->second);
         }
-        if (found->second != value) {
-            lines[path] = absl::StrCat("~ ", path, ": ", value, " -> ", found->second);
-        }
-        added.erase(found);
-    }
-    for (const auto &[path, value] : added) {
-        lines[path] = absl::StrCat("+ ", path, ": ", value);
-    }
-    std::vector<std::string> result;
-    for (auto &[path, line] : lines) {
-        result.push_back(std::move(line));
     }
-    return result;
+    return lines;
 }
 
 } // namespace Jujube
--- a/Libraries/LibEnvironment/DocumentDiff.h
+++ b/Libraries/LibEnvironment/DocumentDiff.h
@@ -5,10 +5,10 @@
 namespace Jujube
 {
 
-// The differences between two documents as lines that people read, ordered by field:
+// The differences between two documents as lines that people read, ordered by entry:
 //   "~ data_centres.lahore.state: in -> out" for a changed value,
-//   "+ targets.engine-5.address: 10.0.0.5:8301" for an added one,
-//   "- workspaces.old.tier: trial" for a removed one.
+//   "+ data_centres.multan: region multan, state in" for an added entry,
+//   "- data_centres.multan: region multan, state in" for a removed one.
 // Fields that were left out count with their defaults, so that only differences in effect are shown. Empty if there are none.
 std::vector<std::string> diffDocuments(const EnvironmentDocument &before, const EnvironmentDocument &after);
 
--- a/Tests/LibEnvironment/TestDocumentDiff.cpp
+++ b/Tests/LibEnvironment/TestDocumentDiff.cpp
@@ -11,7 +11,6 @@
 namespace
 {
 
-using testing::Contains;
 using testing::ElementsAre;
 using testing::IsEmpty;
 
@@ -33,9 +32,10 @@
     EXPECT_THAT(diffTexts(demoYaml(), demoYamlWith("state: in, region: lahore", "state: out, region: lahore")),
                 ElementsAre("~ data_centres.lahore.state: in -> out"));
     EXPECT_THAT(diffTexts(demoYaml(), demoYamlWith("timeout_s: 5", "timeout_s: 2.5")), ElementsAre("~ services.order-desk.calls.capture.timeout_s: 5 -> 2.5"));
-    const auto renamed = diffTexts(demoYaml(), demoYamlWith("desk-1:", "desk-2:"));
-    EXPECT_THAT(renamed, Contains("- targets.desk-1.address: 127.0.0.1:8401"));
-    EXPECT_THAT(renamed, Contains("+ targets.desk-2.address: 127.0.0.1:8401"));
+    EXPECT_THAT(diffTexts(demoYaml(), demoYamlWith("desk-1:", "desk-2:")),
+                ElementsAre("- targets.desk-1: address 127.0.0.1:8401, cold_limit 1, data_centre lahore, service order-desk",
+                            "+ targets.desk-2: address 127.0.0.1:8401, cold_limit 1, data_centre lahore, service order-desk"));
+    EXPECT_THAT(diffDocuments({}, *parseEnvironmentDocument(demoYaml())), testing::Contains("+ environment: name demo"));
 }
 
 // Guards against a field that the comparison leaves out: each row changes one field, which must be shown as exactly one changed line.
--- a/Utilities/Jujubectl/Jujubectl.cpp
+++ b/Utilities/Jujubectl/Jujubectl.cpp
@@ -6,7 +6,9 @@
 
 #include <LibCore/Error.h>
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <array>
 #include <cstdlib>
 
@@ -118,7 +120,10 @@
     if (result.ok()) {
         return *result;
     }
-    hooks.error << "jujubectl: " << errorKindInfo(errorKindOf(result.status())).name << ": " << result.status().message() << '\n';
+    const std::string message(absl::StripTrailingAsciiWhitespace(result.status().message()));
+    // Messages of several lines start on a line of their own, so that editors find the "file:line:column" of each.
+    const auto *separator = message.find('\n') == std::string::npos ? ": " : ":\n";
+    hooks.error << "jujubectl: " << errorKindInfo(errorKindOf(result.status())).name << separator << message << '\n';
     return exitCodeOf(result.status());
 }
 
