--- a/Libraries/LibEnvironment/DocumentLedger.h
+++ b/Libraries/LibEnvironment/DocumentLedger.h
@@ -94,7 +94,8 @@
         return m_document;
     }
 
-    // The highest version that the table service or a peer has shown. If it is above version(), the node should read the table at once.
+    // The highest version that the table service or a peer has shown. If it is above version(), the node should read the table soon. It stays above
+    // while the newer document cannot be read or fetched, so these reads need a pause between them.
     uint64_t newestVersionSeen() const
     {
         return m_newestVersionSeen;
--- a/Utilities/Jujubectl/GatewayCommands.cpp
+++ b/Utilities/Jujubectl/GatewayCommands.cpp
@@ -162,6 +162,10 @@
         context.pause(PauseBetweenPolls);
         reports = pollEnvironment(context, *gateways, environment);
     }
+    if (reports.empty()) {
+        context.out << "no gateway of environment " << environment << " is known\n";
+        return;
+    }
     printReports(context, reports, head);
     const auto inForce = std::count_if(reports.begin(), reports.end(), [&head](const GatewayReport &report) { return isInForce(report, head); });
     context.out << inForce << " of " << reports.size() << " gateways have confirmed version " << head.version << '\n';
