--- a/Libraries/LibEnvironment/DocumentTree.h
+++ b/Libraries/LibEnvironment/DocumentTree.h
@@ -8,7 +8,8 @@
 namespace Jujube
 {
 
-// Largest document in bytes. 2,800 targets and 550 workspaces take about 0.45 MB. The worst texts of 1 MiB that were tried are rejected within 0.6 s.
+// Largest document in bytes. 2,800 targets and 550 workspaces take about 0.45 MB. Of the hostile texts of 1 MiB that were tried, the slowest took 0.6 s to
+// reject.
 constexpr size_t MaxDocumentBytes = 1 << 20;
 
 // Reads the YAML text into a tree, with limits on depth, size and number of values. Anchors, aliases, tags and a second document are rejected: no section
