--- a/Tests/Load/TestLoad.cpp
+++ b/Tests/Load/TestLoad.cpp
@@ -2,6 +2,7 @@
 #include <Load/Report.h>
 #include <Load/SseReader.h>
 
+#include <filesystem>
 #include <gtest/gtest.h>
 #include <LibHttp/HttpServer.h>
 #include <rapidcheck/gtest.h>
@@ -105,6 +106,20 @@
     EXPECT_NE(scenario.status().message().find("line 2"), absl::string_view::npos) << scenario.status();
 }
 
+// Guards against shipped scenarios that do not load, and a load factor that the base file overrides.
+TEST(Scenario, LoadsTheShippedFiles)
+{
+    size_t count = 0;
+    for (const auto &file : std::filesystem::directory_iterator(JUJUBE_SOURCE_DIRECTORY "/scenarios")) {
+        const auto scenario = Scenario::load(file.path().string());
+        ASSERT_TRUE(scenario.ok()) << scenario.status();
+        EXPECT_EQ(scenario->name + ".yaml", file.path().filename().string());
+        ++count;
+    }
+    EXPECT_GT(count, 10);
+    EXPECT_EQ(Scenario::load(JUJUBE_SOURCE_DIRECTORY "/scenarios/thaila-130.yaml")->loadFactor, 1.3);
+}
+
 // Guards against events that are read differently depending on how the stream is cut into portions.
 RC_GTEST_PROP(SseReader, ReadsTheSameEventsFromAnyPortions, ())
 {
--- a/Utilities/Load/Report.cpp
+++ b/Utilities/Load/Report.cpp
@@ -130,9 +130,11 @@
     Results measured;
     std::map<std::string, Results> byClass;
     std::map<std::string, int64_t> generationsByTier;
+    std::map<std::string, int64_t> generationsByClass;
     for (const auto *result : results) {
         const auto &tier = scenario.workspaces[result->workspace].tier;
         ++generationsByTier[tier];
+        ++generationsByClass[tier + "/" + scenario.classes[result->classIndex].kind];
         if (result->record.begin() >= m_options.begin + scenario.warmup) {
             measured.push_back(result);
             byClass[tier + "/" + scenario.classes[result->classIndex].kind].push_back(result);
@@ -143,6 +145,7 @@
         {"seed", m_options.seed},
         {"load_factor", scenario.loadFactor},
         {"total", summarize(measured)},
+        {"generations", generationsByClass},
         {"timeline", timeline(results)},
         {"engines", engineTotals(enginesBefore, enginesAfter)},
     };
--- a/Utilities/Load/Scenario.cpp
+++ b/Utilities/Load/Scenario.cpp
@@ -161,8 +161,38 @@
     return scenario;
 }
 
+YAML::Node loadWithBase(const std::string &path, int depth)
+{
+    constexpr int MaxDepth = 4;
+    auto node = YAML::LoadFile(path);
+    if (!node.IsMap() || !node["extends"]) {
+        return node;
+    }
+    if (depth == MaxDepth) {
+        fail(node["extends"], "too many files extend one another");
+    }
+    const auto directory = path.substr(0, path.rfind('/') + 1);
+    auto base = loadWithBase(directory + node["extends"].as<std::string>(), depth + 1);
+    node.remove("extends");
+    for (const auto &entry : node) {
+        base[entry.first.as<std::string>()] = entry.second;
+    }
+    return base;
+}
+
 } // namespace
 
+absl::StatusOr<Scenario> Scenario::load(const std::string &path)
+{
+    try {
+        return readScenario(loadWithBase(path, 0));
+    } catch (const YAML::BadFile &) {
+        return makeError(ErrorKind::NotFound, absl::StrCat("cannot read ", path, " or a file that it extends"));
+    } catch (const YAML::Exception &error) {
+        return makeError(ErrorKind::InvalidDocument, absl::StrCat(path, ": line ", error.mark.line + 1, ": ", error.msg));
+    }
+}
+
 absl::StatusOr<Scenario> Scenario::parse(const std::string &yaml)
 {
     try {
--- a/Utilities/Load/Scenario.h
+++ b/Utilities/Load/Scenario.h
@@ -75,6 +75,10 @@
     // Errors: ErrorKind::InvalidDocument with the line of the mistake.
     static absl::StatusOr<Scenario> parse(const std::string &yaml);
 
+    // Reads a file. Its field "extends" names another file in the same directory, whose fields it replaces one by one.
+    // Errors: those of parse(), ErrorKind::NotFound.
+    static absl::StatusOr<Scenario> load(const std::string &path);
+
     nlohmann::json toJson() const;
 };
 
--- a/Utilities/Load/main.cpp
+++ b/Utilities/Load/main.cpp
@@ -1,10 +1,8 @@
 #include <csignal>
-#include <fstream>
 #include <iostream>
 #include <LibCore/Settings.h>
 #include <Load/LoadRun.h>
 #include <Load/Report.h>
-#include <sstream>
 
 using namespace Jujube;
 
@@ -31,10 +29,7 @@
 absl::StatusOr<LoadRun::Options> readOptions(const Settings &settings)
 {
     constexpr double Percent = 100;
-    std::ifstream file(settings.text("scenario"));
-    std::stringstream text;
-    text << file.rdbuf();
-    auto scenario = Scenario::parse(text.str());
+    auto scenario = Scenario::load(settings.text("scenario"));
     if (!scenario.ok()) {
         return scenario.status();
     }
