Count throughput within the measuring window

Tokens that were delivered after the last arrival counted as throughput, so a run at 130% of the capacity seemed to produce more than the engines can. Only tokens between the end of the warm-up and the last arrival count now.

--- a/Meta/measure.py
+++ b/Meta/measure.py
@@ -86,13 +86,13 @@
     return json.loads(output)
 
 
-def run_once(binaries, path, policy, seed, out):
+def run_once(binaries, path, policy, seed, out, memory_tokens):
     scenario = read_scenario(binaries, path)
     user = scenario["name"].split("-")[0]
     if user not in SIZES:
         raise RuntimeError(f"the name of a scenario begins with one of {', '.join(SIZES)}")
     with tempfile.TemporaryDirectory(prefix="jujube-measure-") as directory:
-        with Fleet(user, scenario, policy, directory, binaries, seed) as fleet:
+        with Fleet(user, scenario, policy, directory, binaries, seed, memory_tokens) as fleet:
             report = run_load(binaries, path, scenario, seed, fleet)
     report["policy"] = policy
     with open(os.path.join(out, f"{scenario['name']}-{policy}-{seed}.json"), "w", encoding="utf-8") as file:
@@ -149,6 +149,8 @@
     parser.add_argument("--seeds", default="1,2,3,4,5")
     parser.add_argument("--binaries", default=os.path.join(REPOSITORY, "build", "bin"))
     parser.add_argument("--out", default=os.path.join(REPOSITORY, "build", "measure"))
+    # The capacity in the scenarios was measured with this memory.
+    parser.add_argument("--engine-memory-tokens", type=int, default=8000)
     arguments = parser.parse_args()
     os.makedirs(arguments.out, exist_ok=True)
     results = {}
@@ -157,14 +159,14 @@
         for seed in arguments.seeds.split(","):
             for policy in arguments.policies.split(","):
                 try:
-                    report = run_once(arguments.binaries, path, policy, int(seed), arguments.out)
+                    report = run_once(arguments.binaries, path, policy, int(seed), arguments.out, arguments.engine_memory_tokens)
                     results.setdefault((report["scenario"], policy), []).append(report)
                     print(f"{report['scenario']} {policy} seed {seed}: done", flush=True)
                 except (RuntimeError, OSError, subprocess.SubprocessError, json.JSONDecodeError) as error:
                     failures.append(f"{path} {policy} seed {seed}: {error}")
                     print(f"failed: {failures[-1]}", file=sys.stderr, flush=True)
     if results:
-        command = "Meta/measure.py --scenarios {} --policies {} --seeds {}".format(arguments.scenarios, arguments.policies, arguments.seeds)
+        command = "Meta/measure.py " + " ".join(sys.argv[1:])
         print(write_table(results, command, arguments.out))
         write_plot(results, arguments.out)
     return 1 if failures or not results else 0
--- a/Meta/measure_fleet.py
+++ b/Meta/measure_fleet.py
@@ -15,7 +15,6 @@
     "qalamkar": {"engines": 12, "desks": 3, "gateways": 8, "data_centres": {"lahore": "lahore", "karachi": "karachi", "islamabad": "islamabad"}},
     "thaila": {"engines": 18, "desks": 3, "gateways": 8, "data_centres": {"ahmedabad": "ahmedabad", "surat": "surat", "rajkot": "rajkot"}},
 }
-ENGINE_MEMORY_TOKENS = 8000
 ENGINE_STEP_MS = 20
 ENGINE_COLD_LIMIT = 2
 # Stand-ins get a thread for each open request; the load tool opens fewer streams than this to one engine.
@@ -58,13 +57,14 @@
 class Fleet:
     """The processes of one run. Use it as a context manager, so that all of them are stopped."""
 
-    def __init__(self, user, scenario, policy, directory, binaries, seed):
+    def __init__(self, user, scenario, policy, directory, binaries, seed, memory_tokens):
         self.size = SIZES[user]
         self.scenario = scenario
         self.policy = policy
         self.directory = directory
         self.binaries = binaries
         self.seed = seed
+        self.memory_tokens = memory_tokens
         self.processes = []
         self.out_of_service = set()
         self.with_gateways = policy != "direct"
@@ -101,7 +101,7 @@
     def start_stand_ins(self):
         for index, (name, (address, _)) in enumerate(self.engines.items()):
             self.spawn(name, "jujube-standin-engine", listen=address, name=name, models=",".join(self.models), step_ms=ENGINE_STEP_MS,
-                       memory_tokens=ENGINE_MEMORY_TOKENS, cold_limit=ENGINE_COLD_LIMIT, threads=ENGINE_THREADS, seed=self.seed * 100 + index)
+                       memory_tokens=self.memory_tokens, cold_limit=ENGINE_COLD_LIMIT, threads=ENGINE_THREADS, seed=self.seed * 100 + index)
         for name, (address, _) in self.desks.items():
             self.spawn(name, "jujube-standin-orderdesk", listen=address, name=name)
         self.wait_for([address for address, _ in self.engines.values()], "/load")
@@ -136,7 +136,7 @@
     def document(self):
         """The environment document. JSON is YAML as well."""
         targets = {name: {"address": address, "data_centre": centre, "models": self.models, "fencing": "honoured", "cold_limit": ENGINE_COLD_LIMIT,
-                          "memory_tokens": ENGINE_MEMORY_TOKENS} for name, (address, centre) in self.engines.items()}
+                          "memory_tokens": self.memory_tokens} for name, (address, centre) in self.engines.items()}
         targets |= {name: {"address": address, "data_centre": centre, "service": "order-desk"} for name, (address, centre) in self.desks.items()}
         return {
             "environment": self.scenario["name"],
--- a/Tests/Load/TestLoad.cpp
+++ b/Tests/Load/TestLoad.cpp
@@ -150,6 +150,18 @@
     EXPECT_EQ(record.gaps().size(), 3);
 }
 
+// Guards against throughput that counts tokens from before the warm-up or from the drain time.
+TEST(StreamRecord, CountsTokensWithinTheWindow)
+{
+    const MonotonicTime begin = MonotonicTime() + 1h;
+    StreamRecord record(begin, {.begin = begin + 1s, .end = begin + 3s});
+    for (int i = 0; i < 5; ++i) {
+        record.addToken(i, " a", begin + i * 1s);
+    }
+    EXPECT_EQ(record.tokens(), 5);
+    EXPECT_EQ(record.tokensInWindow(), 2);
+}
+
 // Guards against lost, repeated or joined tokens that the load tool does not see.
 TEST(StreamRecord, FindsLostDuplicatedAndWrongTokens)
 {
--- a/Utilities/Load/Caller.cpp
+++ b/Utilities/Load/Caller.cpp
@@ -40,9 +40,9 @@
     m_result.classIndex = arrival.classIndex;
 }
 
-void Caller::begin(MonotonicTime now)
+void Caller::begin(MonotonicTime now, const MeasuringWindow &window)
 {
-    m_result.record = StreamRecord(now);
+    m_result.record = StreamRecord(now, window);
     m_lastProgress = now;
     send();
 }
--- a/Utilities/Load/Caller.h
+++ b/Utilities/Load/Caller.h
@@ -56,7 +56,7 @@
     Caller &operator=(const Caller &) = delete;
 
     // Sends the request at the time at which the caller wanted it.
-    void begin(MonotonicTime now);
+    void begin(MonotonicTime now, const MeasuringWindow &window);
 
     const CallerResult &result() const
     {
--- a/Utilities/Load/LoadRun.cpp
+++ b/Utilities/Load/LoadRun.cpp
@@ -75,12 +75,13 @@
     }
     const auto before = readStatistics(options.engines, control);
     const auto begin = monotonicNow() + LeadTime;
+    const MeasuringWindow window {.begin = begin + scenario.warmup, .end = begin + scenario.duration};
     std::vector<std::unique_ptr<Caller>> callers;
     callers.reserve(arrivals.size());
     for (const auto &arrival : arrivals) {
         callers.push_back(std::make_unique<Caller>(environments[arrival.number % environments.size()], scenario, arrival));
         const auto due = begin + arrival.at;
-        timers.add(due, [caller = callers.back().get(), due] { caller->begin(due); });
+        timers.add(due, [caller = callers.back().get(), due, window] { caller->begin(due, window); });
     }
     std::vector<std::future<void>> injections;
     scheduleFaults(options, begin, timers, control, injections);
--- a/Utilities/Load/Report.cpp
+++ b/Utilities/Load/Report.cpp
@@ -99,11 +99,15 @@
     return json;
 }
 
-nlohmann::json Report::summarize(const Results &results) const
+nlohmann::json Report::summarize(const Results &all) const
 {
     const auto measured = std::chrono::duration<double>(m_options.scenario.duration - m_options.scenario.warmup).count();
     const auto useful
-        = sumOf(results, [](const auto &result) { return result.end == CallerEnd::Complete && result.record.isIntact() ? result.record.tokens() : 0; });
+        = sumOf(all, [](const auto &result) { return result.end == CallerEnd::Complete && result.record.isIntact() ? result.record.tokensInWindow() : 0; });
+    Results results;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(results), [this](const auto *result) {
+        return result->record.begin() >= m_options.begin + m_options.scenario.warmup;
+    });
     return {
         {"generations", results.size()},
         {"completed", countEnds(results, CallerEnd::Complete)},
@@ -127,30 +131,25 @@
 nlohmann::json Report::make(const Results &results, const std::vector<nlohmann::json> &enginesBefore, const std::vector<nlohmann::json> &enginesAfter) const
 {
     const auto &scenario = m_options.scenario;
-    Results measured;
     std::map<std::string, Results> byClass;
     std::map<std::string, int64_t> generationsByTier;
-    std::map<std::string, int64_t> generationsByClass;
     for (const auto *result : results) {
         const auto &tier = scenario.workspaces[result->workspace].tier;
         ++generationsByTier[tier];
-        ++generationsByClass[tier + "/" + scenario.classes[result->classIndex].kind];
-        if (result->record.begin() >= m_options.begin + scenario.warmup) {
-            measured.push_back(result);
-            byClass[tier + "/" + scenario.classes[result->classIndex].kind].push_back(result);
-        }
+        byClass[tier + "/" + scenario.classes[result->classIndex].kind].push_back(result);
     }
     nlohmann::json report {
         {"scenario", scenario.name},
         {"seed", m_options.seed},
         {"load_factor", scenario.loadFactor},
-        {"total", summarize(measured)},
-        {"generations", generationsByClass},
+        {"total", summarize(results)},
+        {"generations", nlohmann::json::object()},
         {"timeline", timeline(results)},
         {"engines", engineTotals(enginesBefore, enginesAfter)},
     };
     for (const auto &[name, list] : byClass) {
         report["classes"][name] = summarize(list);
+        report["generations"][name] = list.size();
     }
     // Preemptions are counted over the whole run, and so are the generations that they are divided by.
     for (const auto &[tier, count] : generationsByTier) {
--- a/Utilities/Load/Report.h
+++ b/Utilities/Load/Report.h
@@ -36,7 +36,8 @@
     static std::string toText(const nlohmann::json &report);
 
 private:
-    nlohmann::json summarize(const std::vector<const CallerResult *> &results) const;
+    // Latencies and counts are those of the generations that arrived within the measuring window, throughput is that of all generations in the window.
+    nlohmann::json summarize(const std::vector<const CallerResult *> &all) const;
     nlohmann::json timeline(const std::vector<const CallerResult *> &results) const;
     nlohmann::json engineTotals(std::vector<nlohmann::json> before, const std::vector<nlohmann::json> &after) const;
     void addPreemptions(nlohmann::json &totals, const nlohmann::json &statistics, int64_t sign) const;
--- a/Utilities/Load/StreamRecord.cpp
+++ b/Utilities/Load/StreamRecord.cpp
@@ -24,6 +24,7 @@
     }
     m_lost += index - m_next;
     m_next = index + 1;
+    m_inWindow += now >= m_window.begin && now < m_window.end ? 1 : 0;
     m_checksum.add(text);
     checkOrigin(text);
     if (!m_first) {
--- a/Utilities/Load/StreamRecord.h
+++ b/Utilities/Load/StreamRecord.h
@@ -10,6 +10,12 @@
 namespace Jujube
 {
 
+// The period in which a run counts throughput.
+struct MeasuringWindow {
+    MonotonicTime begin = MonotonicTime::min();
+    MonotonicTime end = MonotonicTime::max();
+};
+
 // What one caller received of its generation, over all its connections, with the checks of what must hold for the tokens.
 class StreamRecord
 {
@@ -17,8 +23,9 @@
     StreamRecord() = default;
 
     // Begins at the time at which the caller wanted its generation.
-    explicit StreamRecord(MonotonicTime begin)
+    explicit StreamRecord(MonotonicTime begin, const MeasuringWindow &window = {})
         : m_begin(begin)
+        , m_window(window)
     {
     }
 
@@ -51,6 +58,12 @@
         return m_next;
     }
 
+    // Tokens that arrived within the measuring window.
+    int64_t tokensInWindow() const
+    {
+        return m_inWindow;
+    }
+
     // Tokens that were skipped, that came again, and failed comparisons.
     int64_t lost() const
     {
@@ -76,6 +89,8 @@
     void checkOrigin(std::string_view text);
 
     MonotonicTime m_begin;
+    MeasuringWindow m_window;
+    int64_t m_inWindow = 0;
     std::optional<MonotonicTime> m_first;
     MonotonicTime m_last;
     int64_t m_next = 0;
