--- a/Tests/Load/TestLoad.cpp
+++ b/Tests/Load/TestLoad.cpp
@@ -2,6 +2,7 @@
 #include <Load/Report.h>
 #include <Load/SseReader.h>
 
+#include <filesystem>
 #include <gtest/gtest.h>
 #include <LibHttp/HttpServer.h>
 #include <rapidcheck/gtest.h>
@@ -105,6 +106,20 @@
     EXPECT_NE(scenario.status().message().find("line 2"), absl::string_view::npos) << scenario.status();
 }
 
+// Guards against shipped scenarios that do not load, and a load factor that the base file overrides.
+TEST(Scenario, LoadsTheShippedFiles)
+{
+    size_t count = 0;
+    for (const auto &file : std::filesystem::directory_iterator(JUJUBE_SOURCE_DIRECTORY "/scenarios")) {
+        const auto scenario = Scenario::load(file.path().string());
+        ASSERT_TRUE(scenario.ok()) << scenario.status();
+        EXPECT_EQ(scenario->name + ".yaml", file.path().filename().string());
+        ++count;
+    }
+    EXPECT_GT(count, 10);
+    EXPECT_EQ(Scenario::load(JUJUBE_SOURCE_DIRECTORY "/scenarios/thaila-130.yaml")->loadFactor, 1.3);
+}
+
 // Guards against events that are read differently depending on how the stream is cut into portions.
 RC_GTEST_PROP(SseReader, ReadsTheSameEventsFromAnyPortions, ())
 {
@@ -135,6 +150,18 @@
     EXPECT_EQ(record.gaps().size(), 3);
 }
 
+// Guards against throughput that counts tokens from before the warm-up or from the drain time.
+TEST(StreamRecord, CountsTokensWithinTheWindow)
+{
+    const MonotonicTime begin = MonotonicTime() + 1h;
+    StreamRecord record(begin, {.begin = begin + 1s, .end = begin + 3s});
+    for (int i = 0; i < 5; ++i) {
+        record.addToken(i, " a", begin + i * 1s);
+    }
+    EXPECT_EQ(record.tokens(), 5);
+    EXPECT_EQ(record.tokensInWindow(), 2);
+}
+
 // Guards against lost, repeated or joined tokens that the load tool does not see.
 TEST(StreamRecord, FindsLostDuplicatedAndWrongTokens)
 {
