--- a/Libraries/LibMembership/Generated/Membership_types.cpp
+++ b/Libraries/LibMembership/Generated/Membership_types.cpp
@@ -749,6 +749,11 @@
   this->crashes = val;
 __isset.crashes = true;
 }
+
+void Heartbeat::__set_joining(const bool val) {
+  this->joining = val;
+__isset.joining = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -950,6 +955,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->joining);
+          this->__isset.joining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1079,6 +1092,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.joining) {
+    xfer += oprot->writeFieldBegin("joining", ::apache::thrift::protocol::T_BOOL, 16);
+    xfer += oprot->writeBool(this->joining);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1101,6 +1119,7 @@
   swap(a.records, b.records);
   swap(a.wanted, b.wanted);
   swap(a.crashes, b.crashes);
+  swap(a.joining, b.joining);
   swap(a.__isset, b.__isset);
 }
 
@@ -1120,6 +1139,7 @@
   records = other37.records;
   wanted = other37.wanted;
   crashes = other37.crashes;
+  joining = other37.joining;
   __isset = other37.__isset;
 }
 Heartbeat::Heartbeat(Heartbeat&& other38) noexcept {
@@ -1138,6 +1158,7 @@
   records = std::move(other38.records);
   wanted = std::move(other38.wanted);
   crashes = std::move(other38.crashes);
+  joining = other38.joining;
   __isset = other38.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other39) {
@@ -1156,6 +1177,7 @@
   records = other39.records;
   wanted = other39.wanted;
   crashes = other39.crashes;
+  joining = other39.joining;
   __isset = other39.__isset;
   return *this;
 }
@@ -1175,6 +1197,7 @@
   records = std::move(other40.records);
   wanted = std::move(other40.wanted);
   crashes = std::move(other40.crashes);
+  joining = other40.joining;
   __isset = other40.__isset;
   return *this;
 }
@@ -1196,6 +1219,7 @@
   out << ", " << "records="; (__isset.records ? (out << to_string(records)) : (out << "<null>"));
   out << ", " << "wanted="; (__isset.wanted ? (out << to_string(wanted)) : (out << "<null>"));
   out << ", " << "crashes="; (__isset.crashes ? (out << to_string(crashes)) : (out << "<null>"));
+  out << ", " << "joining="; (__isset.joining ? (out << to_string(joining)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibMembership/Generated/Membership_types.h
+++ b/Libraries/LibMembership/Generated/Membership_types.h
@@ -269,7 +269,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashRecord& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : confirmationAgeMs(false), platformAgeMs(false), openStreams(false), leaving(false), departed(false), watch(false), digests(false), records(false), wanted(false), crashes(false) {}
+  _Heartbeat__isset() : confirmationAgeMs(false), platformAgeMs(false), openStreams(false), leaving(false), departed(false), watch(false), digests(false), records(false), wanted(false), crashes(false), joining(false) {}
   bool confirmationAgeMs :1;
   bool platformAgeMs :1;
   bool openStreams :1;
@@ -280,6 +280,7 @@
   bool records :1;
   bool wanted :1;
   bool crashes :1;
+  bool joining :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -299,7 +300,8 @@
               departed(0),
               hybridWallMs(0),
               hybridCounter(0),
-              watch(0) {
+              watch(0),
+              joining(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -318,6 +320,7 @@
   std::vector<MemberRecord>  records;
   std::vector<int32_t>  wanted;
   std::vector<CrashRecord>  crashes;
+  bool joining;
 
   _Heartbeat__isset __isset;
 
@@ -351,6 +354,8 @@
 
   void __set_crashes(const std::vector<CrashRecord> & val);
 
+  void __set_joining(const bool val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -403,6 +408,10 @@
       return false;
     else if (__isset.crashes && !(crashes == rhs.crashes))
       return false;
+    if (__isset.joining != rhs.__isset.joining)
+      return false;
+    else if (__isset.joining && !(joining == rhs.joining))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -27,6 +27,12 @@
     return found == m_byHash.end() ? nullptr : find(found->second);
 }
 
+const MemberEntry *MemberTable::findHash(uint32_t hash) const
+{
+    const auto found = m_byHash.find(hash);
+    return found == m_byHash.end() ? nullptr : &m_entries.at(found->second);
+}
+
 MemberEntry *MemberTable::admit(const MemberIdentity &identity, MonotonicTime now, const std::function<void(const MemberEntry &)> &replaced)
 {
     auto *existing = find(identity.name);
--- a/Libraries/LibMembership/MemberTable.h
+++ b/Libraries/LibMembership/MemberTable.h
@@ -63,6 +63,7 @@
 
     MemberEntry *find(const std::string &name);
     MemberEntry *findHash(uint32_t hash);
+    const MemberEntry *findHash(uint32_t hash) const;
 
     // Adds a member or puts a higher incarnation in its place. An entry that was never heard of yields to any incarnation, because the VM list may be wrong.
     // Returns nothing for a lower incarnation, for an empty name, or if the table is full.
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -65,8 +65,14 @@
 void Membership::updateOwnState(const std::function<void(OwnState &)> &change)
 {
     const std::lock_guard lock(m_mutex);
+    const auto before = m_own;
     change(m_own);
     m_view.setOwnState(m_own);
+    // A new document and a drain have to be known everywhere within seconds, so that they are not kept until the next round.
+    if (m_own.documentVersion > before.documentVersion || m_own.leaving != before.leaving) {
+        m_urgent = true;
+        m_socket->received().tryPush({});
+    }
 }
 
 void Membership::applyVmList(std::vector<VmListEntry> list, MonotonicTime now)
@@ -122,7 +128,7 @@
     auto nextRound = monotonicNow();
     while (!m_stopping) {
         const auto now = monotonicNow();
-        if (now >= nextRound) {
+        if (now >= nextRound || m_urgent.exchange(false)) {
             sendRound();
             const auto jitter = static_cast<int64_t>(m_random() % (2 * JitterMs)) - JitterMs;
             nextRound = now + m_options.tuning.round + std::chrono::milliseconds(jitter);
@@ -137,6 +143,10 @@
 
 void Membership::handle(const Datagram &datagram)
 {
+    if (datagram.source.empty()) {
+        // Only wakes the thread.
+        return;
+    }
     const auto heartbeat = m_codec.decode(datagram.payload);
     if (!heartbeat) {
         m_refused += 1;
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -102,6 +102,8 @@
     std::mt19937_64 m_random;
     std::atomic<uint64_t> m_refused {0};
     std::atomic<bool> m_stopping {false};
+    // A round is due at once.
+    std::atomic<bool> m_urgent {false};
     std::thread m_thread;
 };
 
--- a/Libraries/LibMembership/Membership.thrift
+++ b/Libraries/LibMembership/Membership.thrift
@@ -69,4 +69,6 @@
     // Identities whose records the sender lacks.
     14: optional list<i32> wanted,
     15: optional list<CrashRecord> crashes,
+    // The sender has just started and asks for digests of many members.
+    16: optional bool joining,
 }
--- a/Libraries/LibMembership/MembershipRound.cpp
+++ b/Libraries/LibMembership/MembershipRound.cpp
@@ -12,9 +12,11 @@
 
 // A change is sent in this many datagrams for each doubling of the membership. Two are enough without losses; three leave room for them.
 constexpr int SendingsPerDoubling = 3;
-constexpr int RequestsPerRound = 4;
+constexpr int RequestsPerRound = 8;
 constexpr size_t RecordsPerDatagram = 2;
 constexpr size_t SeedsPerRound = 3;
+// The release of a watcher is repeated, because a datagram may be lost.
+constexpr int ReleaseSendings = 2;
 // A process that exits tells this many reachable members directly.
 constexpr size_t DepartureReceivers = 8;
 
@@ -61,6 +63,13 @@
         heartbeat.__set_watch(true);
         out.push_back({address, std::move(heartbeat)});
     }
+    // A former watcher has to hear that no further heartbeats follow, or it would report a silence.
+    releaseFormerWatchers(peers.watchers);
+    for (auto &[address, left] : m_released) {
+        left -= 1;
+        out.push_back({address, basicHeartbeat(now, stamp)});
+    }
+    std::erase_if(m_released, [](const auto &released) { return released.second <= 0; });
     for (const auto &address : peers.others) {
         out.push_back({address, fullHeartbeat(now, stamp, random)});
     }
@@ -70,6 +79,17 @@
     return out;
 }
 
+void MembershipView::releaseFormerWatchers(const std::vector<std::string> &watchers)
+{
+    for (const auto &former : m_watchers) {
+        m_released[former] = ReleaseSendings;
+    }
+    for (const auto &watcher : watchers) {
+        m_released.erase(watcher);
+    }
+    m_watchers = watchers;
+}
+
 std::vector<OutgoingHeartbeat> MembershipView::depart(MonotonicTime now, const HybridTime &stamp, std::mt19937_64 &random)
 {
     m_departed = true;
@@ -165,7 +185,8 @@
                               .dataCentre = identity.dataCentre,
                               .region = identity.region,
                               .gossipAddress = identity.gossipAddress,
-                              .reachable = m_table.isReachable(entry, now)});
+                              .reachable = m_table.isReachable(entry, now),
+                              .mayWatch = entry.joined && !entry.goneSince});
     });
     const auto &self = m_options.self;
     const PeerCandidate own {.hash = m_ownHash, .dataCentre = self.dataCentre, .region = self.region, .gossipAddress = self.gossipAddress};
@@ -203,6 +224,9 @@
     if (m_departed) {
         heartbeat.__set_departed(true);
     }
+    if (m_sequence <= m_options.tuning.joinRounds) {
+        heartbeat.__set_joining(true);
+    }
     heartbeat.hybridWallMs = stamp.wallMs;
     heartbeat.hybridCounter = static_cast<int32_t>(stamp.counter);
     return heartbeat;
@@ -224,6 +248,24 @@
     return heartbeat;
 }
 
+Wire::Heartbeat MembershipView::joinAnswer(MonotonicTime now, const HybridTime &stamp)
+{
+    auto answer = basicHeartbeat(now, stamp);
+    std::vector<const MemberEntry *> usable;
+    m_table.forEach([&usable](const MemberEntry &entry) {
+        if (entry.member.evidenceAt && !entry.goneSince) {
+            usable.push_back(&entry);
+        }
+    });
+    // Successive answers go through all members in turn.
+    const size_t count = std::min(usable.size(), m_options.tuning.digestsPerJoinAnswer);
+    for (size_t i = 0; i < count; ++i) {
+        answer.digests.push_back(digestOf(*usable[m_joinCursor++ % usable.size()], now));
+    }
+    answer.__isset.digests = true;
+    return answer;
+}
+
 void MembershipView::addDigests(Wire::Heartbeat &heartbeat, MonotonicTime now, std::mt19937_64 &random)
 {
     const size_t limit = m_options.tuning.digestsPerDatagram;
--- a/Libraries/LibMembership/MembershipTuning.h
+++ b/Libraries/LibMembership/MembershipTuning.h
@@ -16,7 +16,7 @@
     std::chrono::milliseconds refuteTime {4000};
     // A data centre of which nothing was heard for contactBase, plus contactStep for each doubling of the membership, is out of contact.
     std::chrono::milliseconds contactBase {4000};
-    std::chrono::milliseconds contactStep {1000};
+    std::chrono::milliseconds contactStep {400};
     // A member of which nothing was heard for staleBase, plus stalePerMember for each member, is suspect even if no watcher reported it.
     std::chrono::milliseconds staleBase {10000};
     std::chrono::milliseconds stalePerMember {300};
@@ -29,6 +29,10 @@
     size_t watchers = 2;
     // Digests of other members in one datagram; about 15 bytes each.
     size_t digestsPerDatagram = 20;
+    // Digests in the answer to a member that has just started; they fill a datagram.
+    size_t digestsPerJoinAnswer = 80;
+    // A member asks for such answers in its first rounds.
+    int64_t joinRounds = 6;
     // Heartbeats that all members of a region together send to other regions in each round. Traffic between regions is paid by volume.
     double crossRegionPerRound = 6;
     size_t maxMembers = 2048;
--- a/Libraries/LibMembership/MembershipView.cpp
+++ b/Libraries/LibMembership/MembershipView.cpp
@@ -12,6 +12,7 @@
 
 // 16 records of about 70 bytes fit into one datagram.
 constexpr size_t MaxRecordsPerAnswer = 16;
+constexpr size_t MaxWanted = MaxRecordsPerAnswer;
 
 std::optional<MonotonicTime> latest(std::optional<MonotonicTime> a, std::optional<MonotonicTime> b)
 {
@@ -78,6 +79,7 @@
     if (!sender || heartbeat.sequence < sender->directSequence) {
         return {};
     }
+    const bool isNewer = heartbeat.sequence > sender->directSequence;
     takeSender(*sender, heartbeat, now);
     std::vector<int32_t> wanted;
     for (const auto &record : heartbeat.records) {
@@ -94,26 +96,35 @@
     }
     std::vector<OutgoingHeartbeat> answers;
     if (!heartbeat.wanted.empty()) {
-        auto answer = basicHeartbeat(now, stamp);
-        for (const auto hash : heartbeat.wanted) {
-            const auto *entry = m_table.findHash(static_cast<uint32_t>(hash));
-            if (entry && answer.records.size() < MaxRecordsPerAnswer) {
-                answer.records.push_back(toWire(entry->member.identity));
-            }
-        }
-        answer.__isset.records = true;
-        answers.push_back({identity.gossipAddress, std::move(answer)});
+        answers.push_back({identity.gossipAddress, recordsFor(heartbeat.wanted, now, stamp)});
+    }
+    // Answers to a joining member carry the same mark while this one joins too; only heartbeats of a round are answered.
+    if (heartbeat.joining && heartbeat.wanted.empty() && isNewer) {
+        answers.push_back({identity.gossipAddress, joinAnswer(now, stamp)});
     }
     if (!wanted.empty() && m_requestsLeft > 0) {
         m_requestsLeft -= 1;
         auto request = basicHeartbeat(now, stamp);
-        wanted.resize(std::min(wanted.size(), MaxRecordsPerAnswer));
+        wanted.resize(std::min(wanted.size(), MaxWanted));
         request.__set_wanted(wanted);
         answers.push_back({identity.gossipAddress, std::move(request)});
     }
     return answers;
 }
 
+Wire::Heartbeat MembershipView::recordsFor(const std::vector<int32_t> &wanted, MonotonicTime now, const HybridTime &stamp) const
+{
+    auto answer = basicHeartbeat(now, stamp);
+    for (const auto hash : wanted) {
+        const auto *entry = m_table.findHash(static_cast<uint32_t>(hash));
+        if (entry && answer.records.size() < MaxRecordsPerAnswer) {
+            answer.records.push_back(toWire(entry->member.identity));
+        }
+    }
+    answer.__isset.records = true;
+    return answer;
+}
+
 MemberEntry *MembershipView::admit(const MemberIdentity &identity, MonotonicTime now)
 {
     return m_table.admit(identity, now, [this, now](const MemberEntry &old) {
--- a/Libraries/LibMembership/MembershipView.h
+++ b/Libraries/LibMembership/MembershipView.h
@@ -126,10 +126,13 @@
     void forgetGone(MonotonicTime now);
     void noteFreeze(MonotonicTime now);
 
+    void releaseFormerWatchers(const std::vector<std::string> &watchers);
     PeerPlan plan(MonotonicTime now, std::mt19937_64 &random) const;
     std::vector<std::string> seedsToTry(std::mt19937_64 &random) const;
     Wire::Heartbeat basicHeartbeat(MonotonicTime now, const HybridTime &stamp) const;
     Wire::Heartbeat fullHeartbeat(MonotonicTime now, const HybridTime &stamp, std::mt19937_64 &random);
+    Wire::Heartbeat recordsFor(const std::vector<int32_t> &wanted, MonotonicTime now, const HybridTime &stamp) const;
+    Wire::Heartbeat joinAnswer(MonotonicTime now, const HybridTime &stamp);
     void addDigests(Wire::Heartbeat &heartbeat, MonotonicTime now, std::mt19937_64 &random);
     Wire::MemberDigest digestOf(const MemberEntry &entry, MonotonicTime now) const;
 
@@ -150,6 +153,9 @@
     std::map<std::string, int> m_changes;
     // Newly joined members whose full records are still sent.
     std::map<std::string, int> m_newRecords;
+    // Addresses of the present watchers, and of former ones that are still told so.
+    std::vector<std::string> m_watchers;
+    std::map<std::string, int> m_released;
     std::vector<MembershipEvent> m_events;
     std::optional<MonotonicTime> m_confirmedAt;
     std::optional<MonotonicTime> m_platformAt;
@@ -161,6 +167,7 @@
     bool m_fresh = true;
     // Limits the requests for records, so that a burst of unknown identities does not multiply traffic.
     int m_requestsLeft = 0;
+    size_t m_joinCursor = 0;
 };
 
 } // namespace Jujube
--- a/Libraries/LibMembership/PeerPlan.cpp
+++ b/Libraries/LibMembership/PeerPlan.cpp
@@ -30,27 +30,30 @@
 planPeers(const PeerCandidate &self, const std::vector<PeerCandidate> &candidates, size_t watchers, double crossRegionPerRound, std::mt19937_64 &random)
 {
     std::vector<const PeerCandidate *> ring;
-    std::vector<const PeerCandidate *> unreachable;
     for (const auto &candidate : candidates) {
-        (candidate.reachable ? ring : unreachable).push_back(&candidate);
+        if (candidate.mayWatch) {
+            ring.push_back(&candidate);
+        }
     }
     // The unsigned difference of hashes is the way round the ring.
     std::sort(ring.begin(), ring.end(), [&self](const auto *a, const auto *b) {
         return std::pair(distance(self, *a), a->hash - self.hash) < std::pair(distance(self, *b), b->hash - self.hash);
     });
     PeerPlan plan;
-    const size_t watcherCount = std::min(watchers, ring.size());
-    for (size_t i = 0; i < watcherCount; ++i) {
-        plan.watchers.push_back(ring[i]->gossipAddress);
+    ring.resize(std::min(watchers, ring.size()));
+    for (const auto *watcher : ring) {
+        plan.watchers.push_back(watcher->gossipAddress);
     }
     std::vector<const PeerCandidate *> near;
     std::vector<const PeerCandidate *> far;
+    std::vector<const PeerCandidate *> unreachable;
     size_t regionSize = 1;
-    for (size_t i = 0; i < ring.size(); ++i) {
-        const bool isFar = distance(self, *ring[i]) == 2;
+    for (const auto &candidate : candidates) {
+        const bool isFar = distance(self, candidate) == 2;
         regionSize += isFar ? 0 : 1;
-        if (i >= watcherCount) {
-            (isFar ? far : near).push_back(ring[i]);
+        if (std::find(ring.begin(), ring.end(), &candidate) == ring.end()) {
+            auto &reachable = isFar ? far : near;
+            (candidate.reachable ? reachable : unreachable).push_back(&candidate);
         }
     }
     addOneOf(near, plan.others, random);
--- a/Libraries/LibMembership/PeerPlan.h
+++ b/Libraries/LibMembership/PeerPlan.h
@@ -14,6 +14,8 @@
     std::string region;
     std::string gossipAddress;
     bool reachable = false;
+    // Was heard of and is not gone. A suspect stays a watcher, because each change of watchers carries the risk of a wrong report.
+    bool mayWatch = false;
 };
 
 // The receivers of one round. Their number does not grow with the membership.
