Test the membership on virtual time and probe its cost

Probes of unreachable members are answered, a displaced incarnation is told so, and joins are spread with 4 datagrams instead of 27.

--- a/Libraries/LibMembership/Generated/Membership_types.cpp
+++ b/Libraries/LibMembership/Generated/Membership_types.cpp
@@ -754,6 +754,11 @@
   this->joining = val;
 __isset.joining = true;
 }
+
+void Heartbeat::__set_probe(const bool val) {
+  this->probe = val;
+__isset.probe = true;
+}
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj)
 {
   obj.printTo(out);
@@ -963,6 +968,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->probe);
+          this->__isset.probe = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1097,6 +1110,11 @@
     xfer += oprot->writeBool(this->joining);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.probe) {
+    xfer += oprot->writeFieldBegin("probe", ::apache::thrift::protocol::T_BOOL, 17);
+    xfer += oprot->writeBool(this->probe);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1120,6 +1138,7 @@
   swap(a.wanted, b.wanted);
   swap(a.crashes, b.crashes);
   swap(a.joining, b.joining);
+  swap(a.probe, b.probe);
   swap(a.__isset, b.__isset);
 }
 
@@ -1140,6 +1159,7 @@
   wanted = other37.wanted;
   crashes = other37.crashes;
   joining = other37.joining;
+  probe = other37.probe;
   __isset = other37.__isset;
 }
 Heartbeat::Heartbeat(Heartbeat&& other38) noexcept {
@@ -1159,6 +1179,7 @@
   wanted = std::move(other38.wanted);
   crashes = std::move(other38.crashes);
   joining = other38.joining;
+  probe = other38.probe;
   __isset = other38.__isset;
 }
 Heartbeat& Heartbeat::operator=(const Heartbeat& other39) {
@@ -1178,6 +1199,7 @@
   wanted = other39.wanted;
   crashes = other39.crashes;
   joining = other39.joining;
+  probe = other39.probe;
   __isset = other39.__isset;
   return *this;
 }
@@ -1198,6 +1220,7 @@
   wanted = std::move(other40.wanted);
   crashes = std::move(other40.crashes);
   joining = other40.joining;
+  probe = other40.probe;
   __isset = other40.__isset;
   return *this;
 }
@@ -1220,6 +1243,7 @@
   out << ", " << "wanted="; (__isset.wanted ? (out << to_string(wanted)) : (out << "<null>"));
   out << ", " << "crashes="; (__isset.crashes ? (out << to_string(crashes)) : (out << "<null>"));
   out << ", " << "joining="; (__isset.joining ? (out << to_string(joining)) : (out << "<null>"));
+  out << ", " << "probe="; (__isset.probe ? (out << to_string(probe)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibMembership/Generated/Membership_types.h
+++ b/Libraries/LibMembership/Generated/Membership_types.h
@@ -269,7 +269,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashRecord& obj);
 
 typedef struct _Heartbeat__isset {
-  _Heartbeat__isset() : confirmationAgeMs(false), platformAgeMs(false), openStreams(false), leaving(false), departed(false), watch(false), digests(false), records(false), wanted(false), crashes(false), joining(false) {}
+  _Heartbeat__isset() : confirmationAgeMs(false), platformAgeMs(false), openStreams(false), leaving(false), departed(false), watch(false), digests(false), records(false), wanted(false), crashes(false), joining(false), probe(false) {}
   bool confirmationAgeMs :1;
   bool platformAgeMs :1;
   bool openStreams :1;
@@ -281,6 +281,7 @@
   bool wanted :1;
   bool crashes :1;
   bool joining :1;
+  bool probe :1;
 } _Heartbeat__isset;
 
 class Heartbeat : public virtual ::apache::thrift::TBase {
@@ -301,7 +302,8 @@
               hybridWallMs(0),
               hybridCounter(0),
               watch(0),
-              joining(0) {
+              joining(0),
+              probe(0) {
   }
 
   virtual ~Heartbeat() noexcept;
@@ -321,6 +323,7 @@
   std::vector<int32_t>  wanted;
   std::vector<CrashRecord>  crashes;
   bool joining;
+  bool probe;
 
   _Heartbeat__isset __isset;
 
@@ -356,6 +359,8 @@
 
   void __set_joining(const bool val);
 
+  void __set_probe(const bool val);
+
   bool operator == (const Heartbeat & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -412,6 +417,10 @@
       return false;
     else if (__isset.joining && !(joining == rhs.joining))
       return false;
+    if (__isset.probe != rhs.__isset.probe)
+      return false;
+    else if (__isset.probe && !(probe == rhs.probe))
+      return false;
     return true;
   }
   bool operator != (const Heartbeat &rhs) const {
--- a/Libraries/LibMembership/Membership.thrift
+++ b/Libraries/LibMembership/Membership.thrift
@@ -71,4 +71,6 @@
     15: optional list<CrashRecord> crashes,
     // The sender has just started and asks for digests of many members.
     16: optional bool joining,
+    // The sender has not heard of the receiver lately and asks for a heartbeat.
+    17: optional bool probe,
 }
--- a/Libraries/LibMembership/MembershipRound.cpp
+++ b/Libraries/LibMembership/MembershipRound.cpp
@@ -2,6 +2,7 @@
 #include <LibMembership/MembershipView.h>
 
 #include <algorithm>
+#include <cmath>
 #include <LibMembership/WireConversion.h>
 
 namespace Jujube
@@ -12,6 +13,8 @@
 
 // A change is sent in this many datagrams for each doubling of the membership. Two are enough without losses; three leave room for them.
 constexpr int SendingsPerDoubling = 3;
+// A join is less urgent than a loss, and a member that misses it asks for the record.
+constexpr int JoinSendings = 4;
 constexpr int RequestsPerRound = 8;
 constexpr size_t RecordsPerDatagram = 2;
 constexpr size_t SeedsPerRound = 3;
@@ -73,6 +76,11 @@
     for (const auto &address : peers.others) {
         out.push_back({address, fullHeartbeat(now, stamp, random)});
     }
+    for (const auto &address : peers.unreachable) {
+        auto heartbeat = basicHeartbeat(now, stamp);
+        heartbeat.__set_probe(true);
+        out.push_back({address, std::move(heartbeat)});
+    }
     for (const auto &address : seedsToTry(random)) {
         out.push_back({address, basicHeartbeat(now, stamp)});
     }
@@ -296,10 +304,9 @@
             add(*entry);
         }
     }
-    // The square of a uniform number prefers fresh entries and leaves none out.
     for (size_t tries = 0; tries < 2 * limit && heartbeat.digests.size() < std::min(limit, usable.size()); ++tries) {
         const double uniform = std::uniform_real_distribution<>(0, 1)(random);
-        add(*usable[static_cast<size_t>(uniform * uniform * static_cast<double>(usable.size()))]);
+        add(*usable[static_cast<size_t>(std::pow(uniform, m_options.tuning.freshnessBias) * static_cast<double>(usable.size()))]);
     }
 }
 
@@ -336,6 +343,13 @@
     m_changes[entry.member.identity.name] = sendings();
 }
 
+void MembershipView::spreadJoin(const MemberEntry &entry)
+{
+    const auto &name = entry.member.identity.name;
+    m_newRecords[name] = JoinSendings;
+    m_changes.try_emplace(name, JoinSendings);
+}
+
 void MembershipView::emit(MembershipChange change, const MemberEntry &entry, MonotonicTime now)
 {
     auto member = entry.member;
--- a/Libraries/LibMembership/MembershipTuning.h
+++ b/Libraries/LibMembership/MembershipTuning.h
@@ -19,7 +19,7 @@
     std::chrono::milliseconds contactStep {400};
     // A member of which nothing was heard for staleBase, plus stalePerMember for each member, is suspect even if no watcher reported it.
     std::chrono::milliseconds staleBase {10000};
-    std::chrono::milliseconds stalePerMember {300};
+    std::chrono::milliseconds stalePerMember {500};
     // A round that comes later than this shows that the process was frozen.
     std::chrono::milliseconds frozenAfter {3000};
     // A gone member that the VM list lacks is forgotten after this time.
@@ -29,6 +29,9 @@
     size_t watchers = 2;
     // Digests of other members in one datagram; about 15 bytes each.
     size_t digestsPerDatagram = 20;
+    // Digests beyond changes and contacts are chosen by this power of a uniform number over the members in the order of their age: 1 prefers none, higher
+    // powers prefer fresh ones.
+    double freshnessBias = 1.5;
     // Digests in the answer to a member that has just started; they fill a datagram.
     size_t digestsPerJoinAnswer = 80;
     // A member asks for such answers in its first rounds.
--- a/Libraries/LibMembership/MembershipView.cpp
+++ b/Libraries/LibMembership/MembershipView.cpp
@@ -68,15 +68,18 @@
         identity.gossipAddress = source;
     }
     if (identity.name == m_options.self.name) {
-        if (identity.incarnation > m_options.self.incarnation && !m_replaced) {
-            m_replaced = true;
-            m_events.push_back({.change = MembershipChange::Replaced, .member = {.identity = identity}});
-        }
+        takeNamesake(identity);
         return {};
     }
     auto *sender = admit(identity, now);
-    // Datagrams of a displaced incarnation and datagrams that arrive again are dropped whole.
-    if (!sender || heartbeat.sequence < sender->directSequence) {
+    if (!sender) {
+        // A displaced incarnation is told by whom it was displaced, so that it stops.
+        const auto *successor = m_table.find(identity.name);
+        return successor ? std::vector {OutgoingHeartbeat {identity.gossipAddress, recordsFor({static_cast<int32_t>(successor->hash)}, now, stamp)}}
+                         : std::vector<OutgoingHeartbeat> {};
+    }
+    // Datagrams that arrive again are dropped whole.
+    if (heartbeat.sequence < sender->directSequence) {
         return {};
     }
     const bool isNewer = heartbeat.sequence > sender->directSequence;
@@ -84,7 +87,9 @@
     std::vector<int32_t> wanted;
     for (const auto &record : heartbeat.records) {
         const auto known = identityFromWire(record);
-        if (known.name != m_options.self.name) {
+        if (known.name == m_options.self.name) {
+            takeNamesake(known);
+        } else {
             admit(known, now);
         }
     }
@@ -98,6 +103,9 @@
     if (!heartbeat.wanted.empty()) {
         answers.push_back({identity.gossipAddress, recordsFor(heartbeat.wanted, now, stamp)});
     }
+    if (heartbeat.probe && isNewer) {
+        answers.push_back({identity.gossipAddress, basicHeartbeat(now, stamp)});
+    }
     // Answers to a joining member carry the same mark while this one joins too; only heartbeats of a round are answered.
     if (heartbeat.joining && heartbeat.wanted.empty() && isNewer) {
         answers.push_back({identity.gossipAddress, joinAnswer(now, stamp)});
@@ -125,6 +133,14 @@
     return answer;
 }
 
+void MembershipView::takeNamesake(const MemberIdentity &identity)
+{
+    if (identity.incarnation > m_options.self.incarnation && !m_replaced) {
+        m_replaced = true;
+        m_events.push_back({.change = MembershipChange::Replaced, .member = {.identity = identity}});
+    }
+}
+
 MemberEntry *MembershipView::admit(const MemberIdentity &identity, MonotonicTime now)
 {
     return m_table.admit(identity, now, [this, now](const MemberEntry &old) {
@@ -167,9 +183,8 @@
     }
     if (wasGone || !entry.joined) {
         entry.joined = true;
-        m_newRecords[entry.member.identity.name] = sendings();
         retireSameAddress(entry, now);
-        spread(entry);
+        spreadJoin(entry);
         emit(MembershipChange::Joined, entry, now);
     }
 }
--- a/Libraries/LibMembership/MembershipView.h
+++ b/Libraries/LibMembership/MembershipView.h
@@ -114,6 +114,8 @@
     };
 
     MemberEntry *admit(const MemberIdentity &identity, MonotonicTime now);
+    // Notices that another process has this one's name and a higher incarnation.
+    void takeNamesake(const MemberIdentity &identity);
     void retireSameAddress(const MemberEntry &newcomer, MonotonicTime now);
     void takeEvidence(MemberEntry &entry, const Evidence &evidence, MonotonicTime now);
     void takeSender(MemberEntry &sender, const Wire::Heartbeat &heartbeat, MonotonicTime now);
@@ -138,6 +140,7 @@
 
     // Sends a change with the next datagrams until it has reached all members with high probability.
     void spread(const MemberEntry &entry);
+    void spreadJoin(const MemberEntry &entry);
     void emit(MembershipChange change, const MemberEntry &entry, MonotonicTime now);
     int sendings() const;
 
--- a/Libraries/LibMembership/PeerPlan.cpp
+++ b/Libraries/LibMembership/PeerPlan.cpp
@@ -60,7 +60,7 @@
     if (std::uniform_real_distribution<>(0, 1)(random) * static_cast<double>(regionSize) < crossRegionPerRound) {
         addOneOf(far, plan.others, random);
     }
-    addOneOf(unreachable, plan.others, random);
+    addOneOf(unreachable, plan.unreachable, random);
     return plan;
 }
 
--- a/Libraries/LibMembership/PeerPlan.h
+++ b/Libraries/LibMembership/PeerPlan.h
@@ -22,8 +22,10 @@
 struct PeerPlan {
     // The next members on the ring of hashes, in the same data centre if possible. They report a silence.
     std::vector<std::string> watchers;
-    // One random member of the region, a share of rounds one of another region, and one that is not reachable, so that a healed partition is noticed.
+    // One random member of the region, and in a share of the rounds one of another region.
     std::vector<std::string> others;
+    // One member that is not reachable, so that a healed partition is noticed.
+    std::vector<std::string> unreachable;
 };
 
 PeerPlan
--- a/Tests/LibMembership/SimulatedCluster.cpp
+++ b/Tests/LibMembership/SimulatedCluster.cpp
@@ -28,7 +28,7 @@
     if (!m_nodes.empty()) {
         seeds.push_back(m_nodes.front()->identity.gossipAddress);
     }
-    node->view = std::make_unique<MembershipView>(MembershipView::Options {.self = node->identity, .seeds = seeds, .tuning = {}});
+    node->view = std::make_unique<MembershipView>(MembershipView::Options {.self = node->identity, .seeds = seeds, .tuning = tuning});
     node->nextRound = m_now + std::chrono::milliseconds(m_random() % 1000);
     m_byAddress[node->identity.gossipAddress] = node.get();
     m_nodes.push_back(std::move(node));
--- a/Tests/LibMembership/SimulatedCluster.h
+++ b/Tests/LibMembership/SimulatedCluster.h
@@ -52,6 +52,9 @@
     std::optional<Member> seen(const Node &by, const std::string &name) const;
     size_t count(const Node &by, MemberState state) const;
 
+    // For the nodes added afterwards.
+    MembershipTuning tuning;
+
     // Whether a datagram between two nodes is lost.
     std::function<bool(const Node &from, const Node &to)> drops = [](const Node &, const Node &) { return false; };
 
