--- a/Libraries/LibMembership/MembershipTuning.h
+++ b/Libraries/LibMembership/MembershipTuning.h
@@ -16,10 +16,10 @@
     std::chrono::milliseconds refuteTime {4000};
     // A data centre of which nothing was heard for contactBase, plus contactStep for each doubling of the membership, is out of contact.
     std::chrono::milliseconds contactBase {4000};
-    std::chrono::milliseconds contactStep {1000};
+    std::chrono::milliseconds contactStep {400};
     // A member of which nothing was heard for staleBase, plus stalePerMember for each member, is suspect even if no watcher reported it.
     std::chrono::milliseconds staleBase {10000};
-    std::chrono::milliseconds stalePerMember {300};
+    std::chrono::milliseconds stalePerMember {500};
     // A round that comes later than this shows that the process was frozen.
     std::chrono::milliseconds frozenAfter {3000};
     // A gone member that the VM list lacks is forgotten after this time.
@@ -29,6 +29,13 @@
     size_t watchers = 2;
     // Digests of other members in one datagram; about 15 bytes each.
     size_t digestsPerDatagram = 20;
+    // Digests beyond changes and contacts are chosen by this power of a uniform number over the members in the order of their age: 1 prefers none, higher
+    // powers prefer fresh ones.
+    double freshnessBias = 1.5;
+    // Digests in the answer to a member that has just started; they fill a datagram.
+    size_t digestsPerJoinAnswer = 80;
+    // A member asks for such answers in its first rounds.
+    int64_t joinRounds = 6;
     // Heartbeats that all members of a region together send to other regions in each round. Traffic between regions is paid by volume.
     double crossRegionPerRound = 6;
     size_t maxMembers = 2048;
--- a/Libraries/LibMembership/MembershipView.cpp
+++ b/Libraries/LibMembership/MembershipView.cpp
@@ -12,6 +12,7 @@
 
 // 16 records of about 70 bytes fit into one datagram.
 constexpr size_t MaxRecordsPerAnswer = 16;
+constexpr size_t MaxWanted = MaxRecordsPerAnswer;
 
 std::optional<MonotonicTime> latest(std::optional<MonotonicTime> a, std::optional<MonotonicTime> b)
 {
@@ -67,22 +68,28 @@
         identity.gossipAddress = source;
     }
     if (identity.name == m_options.self.name) {
-        if (identity.incarnation > m_options.self.incarnation && !m_replaced) {
-            m_replaced = true;
-            m_events.push_back({.change = MembershipChange::Replaced, .member = {.identity = identity}});
-        }
+        takeNamesake(identity);
         return {};
     }
     auto *sender = admit(identity, now);
-    // Datagrams of a displaced incarnation and datagrams that arrive again are dropped whole.
-    if (!sender || heartbeat.sequence < sender->directSequence) {
+    if (!sender) {
+        // A displaced incarnation is told by whom it was displaced, so that it stops.
+        const auto *successor = m_table.find(identity.name);
+        return successor ? std::vector {OutgoingHeartbeat {identity.gossipAddress, recordsFor({static_cast<int32_t>(successor->hash)}, now, stamp)}}
+                         : std::vector<OutgoingHeartbeat> {};
+    }
+    // Datagrams that arrive again are dropped whole.
+    if (heartbeat.sequence < sender->directSequence) {
         return {};
     }
+    const bool isNewer = heartbeat.sequence > sender->directSequence;
     takeSender(*sender, heartbeat, now);
     std::vector<int32_t> wanted;
     for (const auto &record : heartbeat.records) {
         const auto known = identityFromWire(record);
-        if (known.name != m_options.self.name) {
+        if (known.name == m_options.self.name) {
+            takeNamesake(known);
+        } else {
             admit(known, now);
         }
     }
@@ -94,26 +101,46 @@
     }
     std::vector<OutgoingHeartbeat> answers;
     if (!heartbeat.wanted.empty()) {
-        auto answer = basicHeartbeat(now, stamp);
-        for (const auto hash : heartbeat.wanted) {
-            const auto *entry = m_table.findHash(static_cast<uint32_t>(hash));
-            if (entry && answer.records.size() < MaxRecordsPerAnswer) {
-                answer.records.push_back(toWire(entry->member.identity));
-            }
-        }
-        answer.__isset.records = true;
-        answers.push_back({identity.gossipAddress, std::move(answer)});
+        answers.push_back({identity.gossipAddress, recordsFor(heartbeat.wanted, now, stamp)});
+    }
+    if (heartbeat.probe && isNewer) {
+        answers.push_back({identity.gossipAddress, basicHeartbeat(now, stamp)});
+    }
+    // Answers to a joining member carry the same mark while this one joins too; only heartbeats of a round are answered.
+    if (heartbeat.joining && heartbeat.wanted.empty() && isNewer) {
+        answers.push_back({identity.gossipAddress, joinAnswer(now, stamp)});
     }
     if (!wanted.empty() && m_requestsLeft > 0) {
         m_requestsLeft -= 1;
         auto request = basicHeartbeat(now, stamp);
-        wanted.resize(std::min(wanted.size(), MaxRecordsPerAnswer));
+        wanted.resize(std::min(wanted.size(), MaxWanted));
         request.__set_wanted(wanted);
         answers.push_back({identity.gossipAddress, std::move(request)});
     }
     return answers;
 }
 
+Wire::Heartbeat MembershipView::recordsFor(const std::vector<int32_t> &wanted, MonotonicTime now, const HybridTime &stamp) const
+{
+    auto answer = basicHeartbeat(now, stamp);
+    for (const auto hash : wanted) {
+        const auto *entry = m_table.findHash(static_cast<uint32_t>(hash));
+        if (entry && answer.records.size() < MaxRecordsPerAnswer) {
+            answer.records.push_back(toWire(entry->member.identity));
+        }
+    }
+    answer.__isset.records = true;
+    return answer;
+}
+
+void MembershipView::takeNamesake(const MemberIdentity &identity)
+{
+    if (identity.incarnation > m_options.self.incarnation && !m_replaced) {
+        m_replaced = true;
+        m_events.push_back({.change = MembershipChange::Replaced, .member = {.identity = identity}});
+    }
+}
+
 MemberEntry *MembershipView::admit(const MemberIdentity &identity, MonotonicTime now)
 {
     return m_table.admit(identity, now, [this, now](const MemberEntry &old) {
@@ -156,9 +183,8 @@
     }
     if (wasGone || !entry.joined) {
         entry.joined = true;
-        m_newRecords[entry.member.identity.name] = sendings();
         retireSameAddress(entry, now);
-        spread(entry);
+        spreadJoin(entry);
         emit(MembershipChange::Joined, entry, now);
     }
 }
--- a/Libraries/LibMembership/PeerPlan.h
+++ b/Libraries/LibMembership/PeerPlan.h
@@ -14,14 +14,18 @@
     std::string region;
     std::string gossipAddress;
     bool reachable = false;
+    // Was heard of and is not gone. A suspect stays a watcher, because each change of watchers carries the risk of a wrong report.
+    bool mayWatch = false;
 };
 
 // The receivers of one round. Their number does not grow with the membership.
 struct PeerPlan {
     // The next members on the ring of hashes, in the same data centre if possible. They report a silence.
     std::vector<std::string> watchers;
-    // One random member of the region, a share of rounds one of another region, and one that is not reachable, so that a healed partition is noticed.
+    // One random member of the region, and in a share of the rounds one of another region.
     std::vector<std::string> others;
+    // One member that is not reachable, so that a healed partition is noticed.
+    std::vector<std::string> unreachable;
 };
 
 PeerPlan
