Refuse requests that crash targets

Cause: a request that crashes every engine was tried on up to four engines for each time its caller sent it, under whatever key.

Each gateway knows which of its generations ran on a target that died; crash reports travel with the heartbeats. Suspects are placed apart from each other, so that the next crash tells them apart; a request that two crashes have in common is refused at once with the time to come back. Only a refused connection or an unknown generation counts as a crash: a timeout may be the network, and a target that gave notice may just be gone.

Ruled out: counting by idempotency key, which the caller changes.

LibPolicy's crash record is renamed, since LibMembership has a type of the same name in the same namespace.

--- /dev/null
+++ b/Libraries/LibGateway/CrashWatch.cpp
@@ -0,0 +1,95 @@
+#include <LibGateway/CrashWatch.h>
+
+#include <absl/strings/str_cat.h>
+#include <xxhash.h>
+
+namespace Jujube
+{
+
+namespace
+{
+
+// The same at every gateway for one incarnation of a target.
+int64_t crashId(const std::string &target, uint64_t incarnation)
+{
+    return static_cast<int64_t>(XXH3_64bits_withSeed(target.data(), target.size(), incarnation));
+}
+
+} // namespace
+
+CrashWatch::CrashWatch(Options options)
+    : m_options(std::move(options))
+{
+}
+
+CrashVerdict CrashWatch::verdict(uint64_t fingerprint, MonotonicTime now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_suspects.verdict(fingerprint, now);
+}
+
+std::set<std::string> CrashWatch::targetsOfSuspects() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::set<std::string> targets;
+    for (const auto &[generation, running] : m_running) {
+        if (running.isSuspect) {
+            targets.insert(running.target);
+        }
+    }
+    return targets;
+}
+
+void CrashWatch::began(const std::string &generation, uint64_t fingerprint, const std::string &target, bool isSuspect)
+{
+    const std::lock_guard lock(m_mutex);
+    m_running[generation] = {.fingerprint = fingerprint, .target = target, .isSuspect = isSuspect};
+}
+
+void CrashWatch::ended(const std::string &generation)
+{
+    const std::lock_guard lock(m_mutex);
+    m_running.erase(generation);
+}
+
+void CrashWatch::targetDied(const std::string &target, uint64_t incarnation, MonotonicTime now)
+{
+    CrashReport report {.crash = crashId(target, incarnation), .at = now};
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto &[generation, running] : m_running) {
+            if (running.target == target) {
+                report.fingerprints.push_back(running.fingerprint);
+            }
+        }
+        merge(report, now);
+    }
+    const auto detail = absl::StrCat(report.fingerprints.size(), " requests of this gateway ran on it");
+    m_options.events->record({.kind = EventKind::CrashSuspected, .target = target, .detail = detail}, wallMsNow());
+    if (m_options.publish) {
+        m_options.publish(report);
+    }
+}
+
+void CrashWatch::takeReports(const std::vector<CrashReport> &reports, MonotonicTime now)
+{
+    const std::lock_guard lock(m_mutex);
+    for (const auto &report : reports) {
+        merge(report, now);
+    }
+    m_suspects.expire(now);
+}
+
+void CrashWatch::merge(const CrashReport &report, MonotonicTime now)
+{
+    const auto members = static_cast<int>(report.fingerprints.size());
+    m_suspects.merge({.target = absl::StrCat(report.crash),
+                      .incarnation = 0,
+                      .age = std::chrono::duration_cast<std::chrono::milliseconds>(now - report.at),
+                      .members = report.fingerprints,
+                      // One more than named where the list was cut off.
+                      .running = report.truncated ? members + 1 : members},
+                     now);
+}
+
+} // namespace Jujube
--- a/Libraries/LibGateway/FleetKeeper.cpp
+++ b/Libraries/LibGateway/FleetKeeper.cpp
@@ -207,6 +207,37 @@
     return found == m_document->document.targets.end() ? std::nullopt : std::optional(found->second.address);
 }
 
+uint64_t FleetKeeper::incarnationOf(const std::string &target) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto index = m_policy->fleet().find(target);
+    return index ? m_policy->fleet().target(*index).load.incarnation : 0;
+}
+
+bool FleetKeeper::isLeaving(const std::string &target) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto index = m_policy->fleet().find(target);
+    return index && m_policy->fleet().target(*index).isLeaving();
+}
+
+bool FleetKeeper::hasReports() const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto &fleet = m_policy->fleet();
+    bool anyLive = false;
+    for (TargetIndex index = 0; index < fleet.slotCount(); ++index) {
+        if (!fleet.isLive(index)) {
+            continue;
+        }
+        anyLive = true;
+        if (fleet.target(index).hasReport) {
+            return true;
+        }
+    }
+    return !anyLive;
+}
+
 void FleetKeeper::setLiveGateways(int count)
 {
     const std::lock_guard lock(m_mutex);
--- a/Libraries/LibGateway/FleetKeeper.h
+++ b/Libraries/LibGateway/FleetKeeper.h
@@ -57,6 +57,13 @@
     // A usable target of a plain service, the own data centre first, or nothing.
     std::optional<std::string> chooseServiceTarget(const std::string &service, const std::set<std::string> &excluded);
 
+    // The incarnation of a target by its last load report, and whether it said that it is leaving. Zero if it has not reported.
+    uint64_t incarnationOf(const std::string &target) const;
+    bool isLeaving(const std::string &target) const;
+
+    // Whether at least one target has reported its load, or there is none.
+    bool hasReports() const;
+
     // The "address:port" of a target of the document in force, or nothing.
     std::optional<std::string> addressOf(const std::string &target) const;
 
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -65,6 +65,10 @@
     m_parts.metrics = std::make_unique<Metrics>();
     m_parts.http = std::make_unique<HttpClient>();
     m_parts.cursors = std::make_unique<CursorCodec>(CursorCodec::Options {.key = options.cursorKey, .previousKey = options.previousCursorKey});
+    m_parts.crashes = std::make_unique<CrashWatch>(CrashWatch::Options {
+        .events = m_parts.events.get(),
+        .publish = [this](const CrashReport &report) { m_parts.membership->reportCrash(report, monotonicNow()); },
+    });
     m_generations = std::make_unique<GenerationHandler>(m_parts);
     m_services = std::make_unique<ServiceHandler>(m_parts);
     auto server = HttpServer::start({
@@ -129,6 +133,7 @@
                             m_parts.documents->wake();
                         }
                     },
+                .onCrashReports = [this](const std::vector<CrashReport> &reports) { m_parts.crashes->takeReports(reports, monotonicNow()); },
                 .tick = [events](int64_t wallMs) { return events->tick(wallMs); },
                 .observe = [events](const HybridTime &remote, int64_t wallMs) { events->observe(remote, wallMs); },
             },
@@ -306,7 +311,7 @@
 
 void Gateway::sendReadiness(HttpResponder &responder) const
 {
-    const bool ready = !m_parts.draining && m_parts.documents->current() != nullptr;
+    const bool ready = !m_parts.draining && m_parts.documents->current() != nullptr && m_parts.fleet->hasReports();
     responder.send(ready ? Ok : Unavailable, "text/plain", ready ? "ready\n" : "not ready\n");
 }
 
--- a/Libraries/LibGateway/GenerationStream.cpp
+++ b/Libraries/LibGateway/GenerationStream.cpp
@@ -40,6 +40,7 @@
     , m_parts(*m_options.parts)
     , m_responder(responder)
     , m_session(sessionOptions(m_options), monotonicNow())
+    , m_fingerprint(CrashSuspects::fingerprint(m_options.caller.workspace, m_options.body.model, std::to_string(m_options.bodyDigest)))
     , m_acceptedAt(monotonicNow())
     , m_lastWrite(m_acceptedAt)
 {
@@ -91,7 +92,39 @@
 void GenerationStream::perform(const Place &action)
 {
     const auto now = monotonicNow();
-    GenerationActions next;
+    auto excluded = action.excludedTargets;
+    auto next = checkSuspicion(now, excluded);
+    if (!next) {
+        next = placeNow(excluded, now);
+    }
+    m_pending.insert(m_pending.end(), next->begin(), next->end());
+}
+
+std::optional<GenerationActions> GenerationStream::checkSuspicion(MonotonicTime now, std::set<std::string> &excluded)
+{
+    const auto verdict = m_parts.crashes->verdict(m_fingerprint, now);
+    m_isSuspect = verdict.action != CrashVerdict::Action::Run;
+    switch (verdict.action) {
+    case CrashVerdict::Action::Run:
+        return std::nullopt;
+    case CrashVerdict::Action::RunIsolated: {
+        const auto others = m_parts.crashes->targetsOfSuspects();
+        excluded.insert(others.begin(), others.end());
+        return std::nullopt;
+    }
+    case CrashVerdict::Action::Wait:
+        return m_session.onHeld(verdict.until, now);
+    case CrashVerdict::Action::Refuse:
+        break;
+    }
+    record(EventKind::CrashRefused);
+    const auto retryAfter = std::chrono::ceil<std::chrono::seconds>(verdict.until - now);
+    const Problem problem {.kind = ErrorKind::RequestCrashesTargets, .detail = "targets crashed while they ran this request", .retryAfter = retryAfter};
+    return m_session.giveUp(problem);
+}
+
+GenerationActions GenerationStream::placeNow(const std::set<std::string> &excluded, MonotonicTime now)
+{
     if (!m_parts.documents->permissions(now).newWork && m_session.attempt() == 1 && m_session.producedTokens() == 0) {
         // Drafts are patient: the request waits for contact until the document's queue wait has passed.
         const bool waitedLongEnough = now - m_acceptedAt > m_options.caller.document->document.limits.queueWait;
@@ -100,23 +133,20 @@
             .detail = "this gateway reaches neither the platform nor enough gateways",
             .retryAfter = errorKindInfo(ErrorKind::Isolated).retryAfter,
         };
-        next = waitedLongEnough ? m_session.onRefused(isolated, now) : m_session.onHeld(now + 100ms, now);
-        m_pending.insert(m_pending.end(), next.begin(), next.end());
-        return;
+        return waitedLongEnough ? m_session.onRefused(isolated, now) : m_session.onHeld(now + 100ms, now);
     }
-    const auto decision = m_parts.fleet->place(placementRequest(action.excludedTargets), now);
+    const auto decision = m_parts.fleet->place(placementRequest(excluded), now);
     if (const auto *placed = std::get_if<PlaceOnTarget>(&decision)) {
         m_placed = true;
+        m_parts.crashes->began(m_options.generation, m_fingerprint, placed->target, m_isSuspect);
         record(EventKind::TargetChosen, placed->target);
-        next = m_session.onPlaced(placed->target, now);
-    } else if (const auto *held = std::get_if<WaitUntil>(&decision)) {
-        next = m_session.onHeld(held->time, now);
-    } else {
-        const auto &refused = std::get<RefuseRequest>(decision);
-        const Problem problem {.kind = refused.kind, .detail = "no target has room for this request", .retryAfter = refused.retryAfter};
-        next = m_session.onRefused(problem, now);
+        return m_session.onPlaced(placed->target, now);
+    }
+    if (const auto *held = std::get_if<WaitUntil>(&decision)) {
+        return m_session.onHeld(held->time, now);
     }
-    m_pending.insert(m_pending.end(), next.begin(), next.end());
+    const auto &refused = std::get<RefuseRequest>(decision);
+    return m_session.onRefused({.kind = refused.kind, .detail = "no target has room for this request", .retryAfter = refused.retryAfter}, now);
 }
 
 HttpCall GenerationStream::generateCall(const std::string &address, const Generate &action) const
@@ -157,6 +187,7 @@
     if (m_session.producedTokens() == 0 && !beginAnswer()) {
         return;
     }
+    m_targetIncarnation = m_parts.fleet->incarnationOf(action.target);
     openUpstream(generateCall(*address, action));
 }
 
@@ -198,6 +229,11 @@
     const auto now = monotonicNow();
     record(EventKind::TargetLost, action.target);
     m_parts.metrics->count("jujube_targets_lost_total");
+    const bool died = action.end == UpstreamEnd::Refused || action.end == UpstreamEnd::NotFound;
+    if (m_placed && died && !m_parts.fleet->isLeaving(action.target)) {
+        m_parts.crashes->targetDied(action.target, m_targetIncarnation, now);
+    }
+    m_parts.crashes->ended(m_options.generation);
     if (m_placed) {
         m_placed = false;
         m_parts.fleet->generationFailed(m_options.generation, action.end == UpstreamEnd::Busy ? FailureReason::Moved : FailureReason::TargetLost, now);
@@ -362,6 +398,7 @@
 {
     const auto now = monotonicNow();
     m_upstream.reset();
+    m_parts.crashes->ended(m_options.generation);
     if (m_callerGone) {
         // The engine goes on, so that the caller can come back at any gateway.
         record(EventKind::StreamCallerLost, m_session.target(), absl::StrCat("after ", m_session.producedTokens(), " tokens"));
--- a/Libraries/LibGateway/GenerationStream.h
+++ b/Libraries/LibGateway/GenerationStream.h
@@ -41,6 +41,9 @@
     void readUpstream();
     void takeBytes(const std::string &bytes);
     void waitForTarget();
+    // Keeps suspects of crashes apart, or refuses the request. Returns nothing if it may be placed.
+    std::optional<GenerationActions> checkSuspicion(MonotonicTime now, std::set<std::string> &excluded);
+    GenerationActions placeNow(const std::set<std::string> &excluded, MonotonicTime now);
     void openUpstream(HttpCall call);
     PlacementRequest placementRequest(const std::set<std::string> &excluded) const;
     HttpCall generateCall(const std::string &address, const SessionAction::Generate &action) const;
@@ -61,6 +64,9 @@
     // Actions that follow from an action, in order.
     GenerationActions m_pending;
     std::optional<MonotonicTime> m_waitUntil;
+    const uint64_t m_fingerprint;
+    uint64_t m_targetIncarnation = 0;
+    bool m_isSuspect = false;
     MonotonicTime m_acceptedAt;
     MonotonicTime m_lastWrite;
     std::optional<MonotonicTime> m_lastToken;
--- a/Libraries/LibGateway/RequestContext.h
+++ b/Libraries/LibGateway/RequestContext.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <LibEvents/EventLog.h>
+#include <LibGateway/CrashWatch.h>
 #include <LibGateway/DocumentKeeper.h>
 #include <LibGateway/FleetKeeper.h>
 #include <LibGateway/GatewayOptions.h>
@@ -21,6 +22,7 @@
     std::unique_ptr<Metrics> metrics;
     std::unique_ptr<HttpClient> http;
     std::unique_ptr<CursorCodec> cursors;
+    std::unique_ptr<CrashWatch> crashes;
     std::unique_ptr<Membership> membership;
     std::unique_ptr<FleetKeeper> fleet;
     std::unique_ptr<DocumentKeeper> documents;
--- a/Libraries/LibGateway/UpstreamStream.cpp
+++ b/Libraries/LibGateway/UpstreamStream.cpp
@@ -26,7 +26,7 @@
 {
     switch (answer.end) {
     case HttpEnd::NotSent:
-        return UpstreamEnd::Unreachable;
+        return answer.refused ? UpstreamEnd::Refused : UpstreamEnd::Unreachable;
     case HttpEnd::Silent:
         return UpstreamEnd::Silent;
     case HttpEnd::Broken:
--- a/Libraries/LibGeneration/GenerationSession.cpp
+++ b/Libraries/LibGeneration/GenerationSession.cpp
@@ -74,6 +74,12 @@
     return {Wait {now + m_options.placementPause}};
 }
 
+GenerationActions GenerationSession::giveUp(const Problem &problem)
+{
+    m_over = true;
+    return {Fail {problem}};
+}
+
 GenerationActions GenerationSession::onHeld(MonotonicTime until, MonotonicTime now)
 {
     if (timedOut(now)) {
@@ -175,6 +181,7 @@
         }
         return loseTarget(end, now);
     case UpstreamEnd::Unreachable:
+    case UpstreamEnd::Refused:
     case UpstreamEnd::NotFound:
     case UpstreamEnd::Busy:
         return loseTarget(end, now);
--- a/Libraries/LibGeneration/GenerationSession.h
+++ b/Libraries/LibGeneration/GenerationSession.h
@@ -17,6 +17,8 @@
     Closed,
     // No connection was made.
     Unreachable,
+    // The target's machine refused the connection: the process is gone.
+    Refused,
     Broken,
     // The silence deadline passed.
     Silent,
@@ -123,6 +125,8 @@
     GenerationActions onPlaced(const std::string &target, MonotonicTime now);
     // The policy has no target. A generation of which nothing was delivered fails at once with the problem; a started one waits.
     GenerationActions onRefused(const Problem &problem, MonotonicTime now);
+    // The request must not run again, whether it has started or not.
+    GenerationActions giveUp(const Problem &problem);
     // The policy asks to wait for a target.
     GenerationActions onHeld(MonotonicTime until, MonotonicTime now);
     GenerationActions onLine(const EngineLine &line, MonotonicTime now);
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -48,6 +48,8 @@
     HttpHeaders headers;
     // Empty for streams.
     std::string body;
+    // The other machine refused the connection: no process listens there.
+    bool refused = false;
     // The library's description of a failure.
     std::string error;
 
--- a/Libraries/LibHttp/HttpTransfer.cpp
+++ b/Libraries/LibHttp/HttpTransfer.cpp
@@ -127,6 +127,7 @@
 
 void HttpTransfer::finish(CURLcode result)
 {
+    m_answer.refused = result == CURLE_COULDNT_CONNECT;
     finish(endFor(result), result == CURLE_OK ? "" : curl_easy_strerror(result));
 }
 
--- a/Libraries/LibPolicy/CrashSuspects.cpp
+++ b/Libraries/LibPolicy/CrashSuspects.cpp
@@ -34,7 +34,7 @@
     return XXH3_64bits_withSeed(bodyDigest.data(), bodyDigest.size(), hash);
 }
 
-void CrashSuspects::merge(const CrashReport &report, MonotonicTime now)
+void CrashSuspects::merge(const TargetCrash &report, MonotonicTime now)
 {
     if (report.age >= m_options.lifetime) {
         return;
@@ -89,9 +89,9 @@
     return settled > now ? CrashVerdict {.action = CrashVerdict::Action::Wait, .until = settled} : *refusal;
 }
 
-std::vector<CrashReport> CrashSuspects::reports(size_t count, MonotonicTime now) const
+std::vector<TargetCrash> CrashSuspects::reports(size_t count, MonotonicTime now) const
 {
-    std::vector<CrashReport> reports;
+    std::vector<TargetCrash> reports;
     for (const auto &[key, crash] : m_crashes) {
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - crash.time);
         if (age < m_options.lifetime) {
@@ -102,7 +102,7 @@
                                .running = crash.running});
         }
     }
-    std::ranges::sort(reports, {}, [](const CrashReport &report) { return std::make_pair(report.age, report.target); });
+    std::ranges::sort(reports, {}, [](const TargetCrash &report) { return std::make_pair(report.age, report.target); });
     reports.resize(std::min(reports.size(), count));
     return reports;
 }
--- a/Libraries/LibPolicy/CrashSuspects.h
+++ b/Libraries/LibPolicy/CrashSuspects.h
@@ -20,7 +20,7 @@
 };
 
 // One crash of a target as one gateway saw it, as it is carried in heartbeats.
-struct CrashReport {
+struct TargetCrash {
     std::string target;
     uint64_t incarnation = 0;
     std::chrono::milliseconds age {0};
@@ -57,12 +57,12 @@
     static uint64_t fingerprint(std::string_view workspace, std::string_view model, std::string_view bodyDigest);
 
     // Takes in a crash that this gateway saw, or one from a heartbeat. Reports of the same target and incarnation are parts of the same crash.
-    void merge(const CrashReport &report, MonotonicTime now);
+    void merge(const TargetCrash &report, MonotonicTime now);
 
     CrashVerdict verdict(uint64_t fingerprint, MonotonicTime now) const;
 
     // The newest crashes, for the next heartbeat, with all members that are known.
-    std::vector<CrashReport> reports(size_t count, MonotonicTime now) const;
+    std::vector<TargetCrash> reports(size_t count, MonotonicTime now) const;
 
     // Forgets what is too old. Called now and then; an expired crash has no effect in the meantime.
     void expire(MonotonicTime now);
--- a/Tests/LibGeneration/TestGenerationSession.cpp
+++ b/Tests/LibGeneration/TestGenerationSession.cpp
@@ -216,7 +216,7 @@
                 now += 10ms;
                 switch (random() % 12) {
                 case 0:
-                    actions = session.onUpstreamEnd(static_cast<UpstreamEnd>(random() % 5), now);
+                    actions = session.onUpstreamEnd(static_cast<UpstreamEnd>(random() % 6), now);
                     break;
                 case 1:
                     actions = session.onLine(token(attempt - 1, position, " stale"), now);
--- a/Tests/System/TestFleet.cpp
+++ b/Tests/System/TestFleet.cpp
@@ -116,7 +116,9 @@
 bool TestFleet::isInForce(size_t gateway)
 {
     const auto status = getJson(m_gateways[gateway]->address(), "/environment");
-    return status.is_object() && status.value("version", uint64_t {0}) == m_version;
+    const bool current = status.is_object() && status.value("version", uint64_t {0}) == m_version;
+    constexpr int Ok = 200;
+    return current && m_client.call({.url = absl::StrCat("http://", m_gateways[gateway]->address(), "/readyz")}).status == Ok;
 }
 
 void TestFleet::changeDocument(const std::function<void(std::string &yaml)> &change)
--- a/Tests/System/TestStreams.cpp
+++ b/Tests/System/TestStreams.cpp
@@ -268,4 +268,43 @@
     EXPECT_EQ(fleet.gateway(0).wait(), 0);
 }
 
+// Guards against a request that crashes one target after the other while its caller sends it again under new keys at several gateways, and against innocent
+// requests that shared a crashed engine and are not served.
+TEST(Streams, RequestThatCrashesTargets)
+{
+    TestFleet fleet({.engines = 4, .gateways = 2});
+    for (int i = 1; i <= 4; ++i) {
+        fleet.setFaults(fleet.engine("engine-" + std::to_string(i)).address(), {{"crash_on_prompt", "poison"}});
+    }
+    std::vector<std::unique_ptr<TestCaller>> innocent;
+    std::vector<nlohmann::json> bodies;
+    for (int i = 0; i < 4; ++i) {
+        bodies.push_back(draft(200, "innocent " + std::to_string(i)));
+        innocent.push_back(std::make_unique<TestCaller>(fleet.client()));
+        innocent.back()->connect(fleet.gateway(static_cast<size_t>(i) % 2).address(), bodies.back());
+        ASSERT_TRUE(innocent.back()->waitForTokens(5));
+    }
+    const auto poison = draft(50, "poison");
+    int crashes = 0;
+    for (size_t i = 0; i < 4; ++i) {
+        TestCaller caller(fleet.client());
+        caller.connect(fleet.gateway(i % 2).address(), poison, "paying-key", {{"Idempotency-Key", "key-" + std::to_string(i)}});
+        caller.waitForEnd();
+        EXPECT_FALSE(caller.done().has_value());
+        ASSERT_TRUE(caller.problem().has_value());
+        if (i >= 1) {
+            EXPECT_EQ(caller.problem()->at("kind"), "request_crashes_targets");
+            EXPECT_GT(caller.problem()->value("retry_after_s", 0), 0);
+        }
+    }
+    for (int i = 1; i <= 4; ++i) {
+        const auto answer = fleet.client().call({.url = "http://" + fleet.engine("engine-" + std::to_string(i)).address() + "/load"});
+        crashes += answer.isSuccess() ? 0 : 1;
+    }
+    EXPECT_LE(crashes, 3);
+    for (size_t i = 0; i < innocent.size(); ++i) {
+        innocent[i]->waitForEnd();
+        expectWhole(*innocent[i], bodies[i]);
+    }
+}
 } // namespace Jujube
