--- /dev/null
+++ b/Libraries/LibControl/ControlContext.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <functional>
+#include <LibCore/Time.h>
+#include <LibEvents/EventKind.h>
+#include <LibHttp/HttpClient.h>
+#include <LibPlatform/PlatformGate.h>
+#include <memory>
+#include <string>
+
+namespace Jujube
+{
+
+// Sends a call and reports its end on another thread.
+using HttpSender = std::function<void(HttpCall, std::function<void(const HttpAnswer &)>)>;
+
+// What every duty of the controller uses of its surroundings.
+struct ControlContext {
+    // One clock for all duties of a process; see LeaseClock.h.
+    std::function<MonotonicTime()> now;
+    // Numbers from [0, 1).
+    std::function<double()> random;
+    HttpSender send;
+    std::shared_ptr<PlatformGate> gate;
+    // Records an event about a target; the detail is for people.
+    std::function<void(EventKind kind, const std::string &target, const std::string &detail)> record;
+
+    // Tells the gate how a call to the platform ended.
+    void reportToGate(bool wasAnswered) const
+    {
+        if (wasAnswered) {
+            gate->onAnswered(now());
+        } else {
+            gate->onFailed(now(), random());
+        }
+    }
+};
+
+} // namespace Jujube
--- a/Tests/LibPlatform/TestTableClient.cpp
+++ b/Tests/LibPlatform/TestTableClient.cpp
@@ -93,6 +93,7 @@
     setFaults({{"lose_requests", 1}});
     const auto other = client.putIfAbsentResolved("claim", "nonce-2", equals("nonce-2"));
     EXPECT_EQ(other.end, WriteEnd::Conflict);
+    ASSERT_TRUE(other.current);
     EXPECT_EQ(other.current->value, "nonce-1");
     const auto revision = client.get("claim").row.revision;
     setFaults({{"lose_answers", 1}});
