--- a/Libraries/LibControl/LeaseKeeper.cpp
+++ b/Libraries/LibControl/LeaseKeeper.cpp
@@ -113,6 +113,8 @@
         break;
     case WriteEnd::NotDone:
         m_sent.erase(m_lastRenewal);
+        // In an outage only reads are sent, to find out when it ends.
+        m_mustRead = true;
         m_nextCall = now + m_options.retryInterval;
         break;
     case WriteEnd::Conflict:
--- a/Tests/LibControl/TestLeaseKeeper.cpp
+++ b/Tests/LibControl/TestLeaseKeeper.cpp
@@ -16,7 +16,8 @@
 {
 
 const MonotonicTime Start {1000s};
-constexpr size_t StepsPerSchedule = 600;
+constexpr size_t StepsPerSchedule = 1200;
+constexpr int ShortPause = 20;
 
 LeaseKeeper::Options optionsFor(const std::string &identity)
 {
@@ -88,6 +89,9 @@
         auto &competitor = m_competitors.at(who % m_competitors.size());
         switch (what) {
         case 0:
+            m_now += std::chrono::milliseconds(amount / ShortPause);
+            break;
+        case 6:
             m_now += std::chrono::milliseconds(amount);
             break;
         case 1:
@@ -203,8 +207,9 @@
     Schedule schedule(3);
     const auto steps = *rc::gen::container<std::vector<std::tuple<int, size_t, int>>>(
         StepsPerSchedule,
-        rc::gen::tuple(
-            rc::gen::weightedElement<int>({{3, 0}, {5, 1}, {5, 2}, {5, 3}, {1, 4}, {1, 5}}), rc::gen::inRange<size_t>(0, 3), rc::gen::inRange(0, 4000)));
+        rc::gen::tuple(rc::gen::weightedElement<int>({{5, 0}, {8, 1}, {8, 2}, {8, 3}, {1, 4}, {1, 5}, {1, 6}}),
+                       rc::gen::inRange<size_t>(0, 3),
+                       rc::gen::inRange(0, 4000)));
     for (const auto &[what, who, amount] : steps) {
         schedule.step(what, who, amount);
     }
