Use permits for cold targets in the gateway

A gateway asks for one slot at a time in the target's permit row, uses only granted slots, and gives back what it does not need once its streams have ended. While the table service is down it goes on with what it has.

--- a/Libraries/LibGateway/FleetKeeper.cpp
+++ b/Libraries/LibGateway/FleetKeeper.cpp
@@ -238,6 +238,32 @@
     return !anyLive;
 }
 
+std::vector<ColdTarget> FleetKeeper::coldTargets(MonotonicTime now) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<ColdTarget> targets;
+    const auto &fleet = m_policy->fleet();
+    for (TargetIndex index = 0; index < fleet.slotCount(); ++index) {
+        if (!fleet.isLive(index)) {
+            continue;
+        }
+        const auto &target = fleet.target(index);
+        const bool usable = target.hasReport && !target.isLeaving() && !fleet.dataCentre(target.dataCentre).out;
+        const bool isEngine = target.description.coldLimit > 0 && target.load.memoryLimit > 0;
+        if (isEngine) {
+            targets.push_back({.name = target.description.name, .cold = usable && fleet.mayBeCold(index, now), .ownRunning = target.ownRunning});
+        }
+    }
+    return targets;
+}
+
+void FleetKeeper::setColdPermits(const std::string &target, int permits)
+{
+    const std::lock_guard lock(m_mutex);
+    m_policy->fleet().setColdPermits(target, permits);
+    wakeReady(monotonicNow());
+}
+
 void FleetKeeper::setLiveGateways(int count)
 {
     const std::lock_guard lock(m_mutex);
--- a/Libraries/LibGateway/FleetKeeper.h
+++ b/Libraries/LibGateway/FleetKeeper.h
@@ -15,6 +15,13 @@
 namespace Jujube
 {
 
+// An engine that may be cold, and how many own streams run on it.
+struct ColdTarget {
+    std::string name;
+    bool cold = false;
+    int ownRunning = 0;
+};
+
 // What a gateway knows about the targets, and its placement policy. Reads the targets' load and the VM list on a thread of its own. Safe to use from
 // several threads: the policy is called under one lock.
 class FleetKeeper
@@ -61,6 +68,10 @@
     uint64_t incarnationOf(const std::string &target) const;
     bool isLeaving(const std::string &target) const;
 
+    // All engines that may get work, for the permits of cold ones.
+    std::vector<ColdTarget> coldTargets(MonotonicTime now) const;
+    void setColdPermits(const std::string &target, int permits);
+
     // Whether at least one target has reported its load, or there is none.
     bool hasReports() const;
 
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -35,6 +35,7 @@
 } // namespace
 
 Gateway::Gateway(GatewayOptions options)
+    : m_incarnation(wallMsNow())
 {
     m_parts.options = std::move(options);
 }
@@ -45,6 +46,7 @@
         m_server->stop();
     }
     m_services.reset();
+    m_permits.reset();
     // The keeper's hooks use the other parts, so its thread ends first.
     m_parts.documents.reset();
 }
@@ -96,6 +98,7 @@
         return status;
     }
     startDocuments();
+    startPermits();
     m_parts.record({.kind = EventKind::ProcessStarted, .detail = absl::StrCat("listening on ", address())});
     return absl::OkStatus();
 }
@@ -118,7 +121,7 @@
                 .region = options.region,
                 .address = address(),
                 .gossipAddress = gossip,
-                .incarnation = wallMsNow(),
+                .incarnation = m_incarnation,
             },
         .listen = gossip,
         .seeds = options.peers,
@@ -163,6 +166,18 @@
     });
 }
 
+void Gateway::startPermits()
+{
+    m_table = std::make_unique<TableClient>(
+        TableClient::Options {.address = m_parts.options.platform, .transport = [this](HttpCall call) { return m_parts.http->call(std::move(call)); }});
+    m_permits = std::make_unique<PermitKeeper>(PermitKeeper::Options {
+        .self = {.name = m_parts.options.name, .address = address(), .incarnation = static_cast<uint64_t>(m_incarnation)},
+        .table = m_table.get(),
+        .fleet = m_parts.fleet.get(),
+        .events = m_parts.events.get(),
+    });
+}
+
 DocumentKeeper::PeerSnapshot Gateway::peerSnapshot() const
 {
     const auto now = monotonicNow();
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibGateway/GenerationHandler.h>
+#include <LibGateway/PermitKeeper.h>
 #include <LibGateway/ServiceHandler.h>
 #include <LibHttp/HttpServer.h>
 
@@ -35,6 +36,7 @@
     absl::Status startParts();
     absl::Status startMembership();
     void startDocuments();
+    void startPermits();
     DocumentKeeper::PeerSnapshot peerSnapshot() const;
     void onVmList(const std::vector<Vm> &vms) const;
     void publishOwnState(uint64_t version, std::optional<std::chrono::milliseconds> confirmedAge, std::optional<MonotonicTime> platformAt);
@@ -48,7 +50,11 @@
     void sendMetrics(HttpResponder &responder) const;
     void listGateways(HttpResponder &responder) const;
 
+    // Tells this process from an earlier one under the same name.
+    const int64_t m_incarnation;
     GatewayParts m_parts;
+    std::unique_ptr<TableClient> m_table;
+    std::unique_ptr<PermitKeeper> m_permits;
     std::unique_ptr<GenerationHandler> m_generations;
     std::unique_ptr<ServiceHandler> m_services;
     std::unique_ptr<HttpServer> m_server;
--- /dev/null
+++ b/Libraries/LibGateway/PermitKeeper.cpp
@@ -0,0 +1,93 @@
+#include <LibGateway/PermitKeeper.h>
+
+#include <LibCore/Identifier.h>
+
+namespace Jujube
+{
+
+PermitKeeper::PermitKeeper(Options options)
+    : m_options(std::move(options))
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+PermitKeeper::~PermitKeeper()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_stop.notify_all();
+    m_thread.join();
+}
+
+void PermitKeeper::run()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_stopping) {
+        lock.unlock();
+        round();
+        lock.lock();
+        m_stop.wait_for(lock, m_options.interval, [this] { return m_stopping; });
+    }
+}
+
+void PermitKeeper::round()
+{
+    for (const auto &target : m_options.fleet->coldTargets(monotonicNow())) {
+        // A warm target concerns this gateway only as long as it holds slots there.
+        if (target.cold || m_slots.contains(target.name)) {
+            revise(target);
+        }
+    }
+}
+
+void PermitKeeper::revise(const ColdTarget &target)
+{
+    const auto key = permitKey(target.name);
+    const auto read = m_options.table->get(key);
+    if (read.end == ReadEnd::Failed) {
+        return;
+    }
+    PermitRow row;
+    if (read.end == ReadEnd::Found) {
+        const auto parsed = PermitRow::fromText(read.row.value);
+        if (!parsed.ok()) {
+            m_options.events->record({.kind = EventKind::OrderRefused, .target = target.name, .detail = "the permit row is damaged"}, wallMsNow());
+            return;
+        }
+        row = *parsed;
+    }
+    // Slots are given up before the row says so: the fleet keeper must not use one that another gateway may get.
+    const OwnSlotDemand demand {.self = m_options.self, .newSlotId = randomIdentifier(), .wanted = target.cold, .ownRunning = target.ownRunning};
+    const auto revised = reviseOwnSlots(row, demand);
+    use(target.name, usableSlots(revised.value_or(row), m_options.self));
+    if (!revised) {
+        return;
+    }
+    if (read.end == ReadEnd::Found) {
+        m_options.table->putIfRevision(key, revised->toText(), read.row.revision);
+    } else {
+        m_options.table->putIfAbsent(key, revised->toText());
+    }
+    // Whether the write took effect is seen in the next round's read.
+}
+
+void PermitKeeper::use(const std::string &target, int slots)
+{
+    const int before = m_slots.contains(target) ? m_slots.at(target) : 0;
+    if (slots == before) {
+        return;
+    }
+    m_options.fleet->setColdPermits(target, slots);
+    m_options.events->record(
+        {.kind = slots > before ? EventKind::PermitGranted : EventKind::PermitReturned, .target = target, .detail = std::to_string(slots) + " usable"},
+        wallMsNow());
+    if (slots > 0) {
+        m_slots[target] = slots;
+    } else {
+        m_slots.erase(target);
+    }
+}
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibGateway/PermitKeeper.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <condition_variable>
+#include <LibEvents/EventLog.h>
+#include <LibGateway/FleetKeeper.h>
+#include <LibGateway/OwnSlots.h>
+#include <LibPlatform/TableClient.h>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace Jujube
+{
+
+// Asks for permits of cold targets, tells the fleet keeper how many it may use, and returns those that are not needed any more. Has a thread of its own, so
+// that a slow table service delays nobody else. While the table service is down, the permits that are held go on being used, and no new ones come.
+class PermitKeeper
+{
+public:
+    struct Options {
+        PermitHolder self;
+        const TableClient *table = nullptr;
+        FleetKeeper *fleet = nullptr;
+        EventLog *events = nullptr;
+        std::chrono::milliseconds interval {500};
+    };
+
+    explicit PermitKeeper(Options options);
+    ~PermitKeeper();
+    PermitKeeper(const PermitKeeper &) = delete;
+    PermitKeeper &operator=(const PermitKeeper &) = delete;
+
+private:
+    void run();
+    void round();
+    void revise(const ColdTarget &target);
+    void use(const std::string &target, int slots);
+
+    const Options m_options;
+    std::mutex m_mutex;
+    std::condition_variable m_stop;
+    bool m_stopping = false;
+    // Usable slots by target, as far as they are above zero.
+    std::map<std::string, int> m_slots;
+    std::thread m_thread;
+};
+
+} // namespace Jujube
--- a/Tests/System/TestFleet.cpp
+++ b/Tests/System/TestFleet.cpp
@@ -36,36 +36,65 @@
     }
     m_yaml = makeYaml();
     publish();
-    std::string peers;
-    for (int i = 0; i < m_options.gateways; ++i) {
-        const auto dataCentre = dataCentreOf(static_cast<size_t>(i));
-        std::vector<std::string> arguments {
+    for (int i = 0; i < m_options.controllers; ++i) {
+        const std::vector<std::string> arguments {
             "--listen",
             "127.0.0.1:0",
             "--name",
-            absl::StrCat("gateway-", i),
+            absl::StrCat("controller-", i),
             "--data-centre",
-            dataCentre,
-            "--region",
-            dataCentre,
+            dataCentreOf(static_cast<size_t>(i)),
             "--platform",
             m_platform->address(),
             "--environment",
             "test",
-            "--cursor-key",
-            "key",
-            "--peers",
-            peers,
         };
-        arguments.insert(arguments.end(), m_options.gatewayArguments.begin(), m_options.gatewayArguments.end());
-        m_gateways.push_back(std::make_unique<ChildProcess>("jujube-gateway", arguments));
-        absl::StrAppend(&peers, peers.empty() ? "" : ",", m_gateways.back()->address());
+        m_controllers.push_back(std::make_unique<ChildProcess>("jujube-controller", arguments));
+    }
+    for (size_t i = 0; i < static_cast<size_t>(m_options.gateways); ++i) {
+        m_gateways.push_back(std::make_unique<ChildProcess>("jujube-gateway", gatewayArguments(i, "127.0.0.1:0")));
     }
     for (size_t i = 0; i < m_gateways.size(); ++i) {
         EXPECT_TRUE(waitFor([this, i] { return isInForce(i); }));
     }
 }
 
+std::vector<std::string> TestFleet::gatewayArguments(size_t index, const std::string &listen) const
+{
+    std::string peers;
+    for (const auto &gateway : m_gateways) {
+        absl::StrAppend(&peers, peers.empty() ? "" : ",", gateway->address());
+    }
+    const auto dataCentre = dataCentreOf(index);
+    std::vector<std::string> arguments {
+        "--listen",
+        listen,
+        "--name",
+        absl::StrCat("gateway-", index),
+        "--data-centre",
+        dataCentre,
+        "--region",
+        dataCentre,
+        "--platform",
+        m_platform->address(),
+        "--environment",
+        "test",
+        "--cursor-key",
+        "key",
+        "--peers",
+        peers,
+    };
+    arguments.insert(arguments.end(), m_options.gatewayArguments.begin(), m_options.gatewayArguments.end());
+    return arguments;
+}
+
+void TestFleet::restartGateway(size_t index)
+{
+    const auto address = m_gateways.at(index)->address();
+    m_gateways.at(index)->kill();
+    m_gateways.at(index) = std::make_unique<ChildProcess>("jujube-gateway", gatewayArguments(index, address));
+}
+
 std::string TestFleet::makeYaml() const
 {
     std::string yaml = "environment: test\ndata_centres:\n";
--- a/Tests/System/TestFleet.h
+++ b/Tests/System/TestFleet.h
@@ -18,6 +18,7 @@
     struct Options {
         int engines = 2;
         int gateways = 2;
+        int controllers = 0;
         std::vector<std::string> engineArguments;
         std::vector<std::string> gatewayArguments;
         // "exact" or "none".
@@ -49,6 +50,15 @@
     // Starts an engine in place of another one, under the same name and address and a higher incarnation.
     void restartEngine(const std::string &name);
 
+    // Kills a gateway and starts it again with nothing but its settings.
+    void restartGateway(size_t index);
+
+    // Waits until the present document is in force on a gateway and it is ready.
+    bool waitUntilReady(size_t gateway)
+    {
+        return waitFor([this, gateway] { return isInForce(gateway); });
+    }
+
     // Publishes the document again with changes and waits until it is in force on all running gateways.
     void changeDocument(const std::function<void(std::string &yaml)> &change);
 
@@ -77,6 +87,7 @@
     std::string makeYaml() const;
     void publish();
     bool isInForce(size_t gateway);
+    std::vector<std::string> gatewayArguments(size_t index, const std::string &listen) const;
 
     const Options m_options;
     HttpClient m_client;
@@ -84,6 +95,7 @@
     std::unique_ptr<ChildProcess> m_desk;
     std::map<std::string, std::unique_ptr<ChildProcess>> m_engines;
     std::vector<std::unique_ptr<ChildProcess>> m_gateways;
+    std::vector<std::unique_ptr<ChildProcess>> m_controllers;
     std::string m_yaml;
     uint64_t m_version = 0;
     uint64_t m_headRevision = 0;
