--- a/Tests/System/TestOperations.cpp
+++ b/Tests/System/TestOperations.cpp
@@ -72,7 +72,7 @@
         {"state", "leaving"},
         {"incarnation", 1},
     };
-    fleet.post(fleet.platform(), "/vms", {{"vms", {vm}}});
+    fleet.post(fleet.platform(), "/vms", {{"vms", nlohmann::json::array({vm})}});
     ASSERT_TRUE(TestFleet::waitFor([&fleet] { return targetsOfNewDrafts(fleet, 0, 1) == std::vector<std::string> {"engine-2"}; }));
     for (const auto &target : targetsOfNewDrafts(fleet, 0, 6)) {
         EXPECT_EQ(target, "engine-2");
