--- a/Libraries/LibPolicy/MemoryForecastPolicy.cpp
+++ b/Libraries/LibPolicy/MemoryForecastPolicy.cpp
@@ -21,7 +21,7 @@
 
 // Bounds of a Retry-After, and the part of it by which it is spread so that callers do not all come back at once.
 constexpr double ShortestRetry = 1;
-constexpr double LongestRetry = 60;
+constexpr double LongestRetry = 120;
 constexpr double RetrySpread = 0.25;
 
 // When no target is in service there is nothing to estimate the end of it from.
@@ -292,6 +292,8 @@
     const bool isSure = room.needAhead(entry) > 0 || waited > maxWait * SurePart;
     const bool hopeless = settings().earlyRefusal && isSure && !room.isAged(entry, now) && waited + wait > maxWait;
     if (!request.accepted && (hopeless || waited >= maxWait)) {
+        const std::chrono::duration<double> comeBack(std::min(wait, LongestRetry));
+        state.room().promise(entry.workClass, entry.need, now + std::chrono::duration_cast<MonotonicTime::duration>(comeBack));
         return refuse(request, state, ErrorKind::Overloaded, wait, now, random);
     }
     const std::chrono::duration<double> shortest = options().pollTime;
--- a/Libraries/LibPolicy/WaitingRoom.cpp
+++ b/Libraries/LibPolicy/WaitingRoom.cpp
@@ -83,6 +83,7 @@
         }
         m_given[indexOf(entry.workClass)].add(entry.need, now);
         past.refusedSince.reset();
+        past.lastServed = now;
     } else if (outcome == WaitingOutcome::Refused) {
         past.refusedSince = entry.since;
         past.refusedLast = now;
@@ -115,12 +116,13 @@
     }
     m_serviceRate = rate;
     m_serviceRateAt = now;
+    dropPastPromises(now);
 }
 
 bool WaitingRoom::isAged(const WaitingEntry &entry, MonotonicTime now) const
 {
     const auto rank = static_cast<size_t>(m_options.rank[indexOf(entry.workClass)]);
-    if (!m_options.aging || rank == 0 || now - entry.since < m_options.agingTimes[rank]) {
+    if (!m_options.aging || rank == 0 || now - starvedSince(entry) < m_options.agingTimes[rank]) {
         return false;
     }
     // A request that is larger than what can be saved up goes when the savings are full.
@@ -134,7 +136,28 @@
     if (m_options.rank[indexOf(entry.workClass)] > 0) {
         rate = std::max(m_given[indexOf(entry.workClass)].perSecond(now), agedShare(entry.workClass) * m_serviceRate);
     }
-    return std::chrono::duration<double>((needAhead(entry) + entry.need) / rate);
+    const double promised = entry.since < entry.arrived ? 0.0 : m_promised[indexOf(entry.workClass)];
+    return std::chrono::duration<double>((needAhead(entry) + promised + entry.need) / rate);
+}
+
+void WaitingRoom::promise(WorkClass workClass, double need, MonotonicTime time)
+{
+    m_promises[indexOf(workClass)].emplace(time, need);
+    m_promised[indexOf(workClass)] += need;
+}
+
+void WaitingRoom::dropPastPromises(MonotonicTime now)
+{
+    for (size_t i = 0; i < WorkClassCount; ++i) {
+        auto &promises = m_promises[i];
+        while (!promises.empty() && promises.begin()->first <= now) {
+            m_promised[i] -= promises.begin()->second;
+            promises.erase(promises.begin());
+        }
+        if (promises.empty()) {
+            m_promised[i] = 0;
+        }
+    }
 }
 
 double WaitingRoom::needAhead(const WaitingEntry &entry) const
@@ -233,6 +256,13 @@
     }
 }
 
+// A workspace that is being served does not starve, however long the queue of its other requests is.
+MonotonicTime WaitingRoom::starvedSince(const WaitingEntry &entry) const
+{
+    const auto known = m_records.find(entry.workspace);
+    return known == m_records.end() ? entry.since : std::max(entry.since, known->second[indexOf(entry.workClass)].lastServed);
+}
+
 WaitingRoom::Record &WaitingRoom::record(std::string_view workspace, WorkClass workClass)
 {
     if (m_records.size() >= MaxRecords) {
--- a/Libraries/LibPolicy/WaitingRoom.h
+++ b/Libraries/LibPolicy/WaitingRoom.h
@@ -56,7 +56,10 @@
     // True if the entry has waited for the aging time of its class, and the share of aged work has room for it.
     bool isAged(const WaitingEntry &entry, MonotonicTime now) const;
 
-    // Time until the entry probably goes.
+    // A request of the class was refused and told to come back at a time.
+    void promise(WorkClass workClass, double need, MonotonicTime time);
+
+    // Time until the entry probably goes. A request of a workspace that was not refused lately also waits for those that were promised a time.
     std::chrono::duration<double> expectedWait(const WaitingEntry &entry, MonotonicTime now) const;
 
     // Memory in tokens that the entries before this one need. An estimate if there are many.
@@ -71,8 +74,9 @@
     size_t size() const;
 
 private:
-    // What a workspace did not get in one class.
+    // What a workspace got, and did not get, in one class.
     struct Record {
+        MonotonicTime lastServed;
         std::optional<MonotonicTime> refusedSince;
         MonotonicTime refusedLast;
     };
@@ -86,7 +90,9 @@
 
     bool goesBefore(const WaitingEntry &left, const WaitingEntry &right, MonotonicTime now) const;
     double agedShare(WorkClass workClass) const;
+    void dropPastPromises(MonotonicTime now);
     void dropLapsed(MonotonicTime now);
+    MonotonicTime starvedSince(const WaitingEntry &entry) const;
     Record &record(std::string_view workspace, WorkClass workClass);
 
     const MemoryForecastOptions &m_options;
@@ -100,6 +106,9 @@
     // Memory in tokens that aged work of each class may still take, and the memory that was given to each class lately.
     std::array<double, WorkClassCount> m_agedBudget {};
     std::array<RateMeter, WorkClassCount> m_given;
+    // Needs of refused requests by the time at which they were told to come back, and their sums.
+    std::array<std::multimap<MonotonicTime, double>, WorkClassCount> m_promises;
+    std::array<double, WorkClassCount> m_promised {};
 };
 
 } // namespace Jujube
--- a/Tests/LibPolicy/TestBudgets.cpp
+++ b/Tests/LibPolicy/TestBudgets.cpp
@@ -88,6 +88,7 @@
 {
     FairShare share;
     std::vector<std::pair<double, std::string>> queue;
+    queue.reserve(15);
     for (int i = 0; i < 10; ++i) {
         queue.emplace_back(share.enter("many", 100), "many");
     }
--- a/Utilities/PolicyBenchmark/PolicyBenchmark.cpp
+++ b/Utilities/PolicyBenchmark/PolicyBenchmark.cpp
@@ -67,7 +67,7 @@
     std::vector<std::string> placed;
     std::vector<double> times;
     int64_t number = 0;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         const auto request = makeRequest(++number, random);
         now += 100us;
         if (number % 10 == 0) {
@@ -104,7 +104,7 @@
     SplitMix random(1);
     addTargets(*policy, state.range(0), Half, random);
     MonotonicTime now = Start;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         // Every target reports once a second.
         now += std::chrono::nanoseconds(1s) / state.range(0);
         const auto name = "target-" + std::to_string(random.below(static_cast<uint32_t>(state.range(0))));
@@ -128,7 +128,7 @@
         }
     }
     size_t turn = 0;
-    for (auto _ : state) {
+    while (state.KeepRunning()) {
         now += 70us;
         policy->tokensProduced(placed[turn++ % placed.size()], 1, now);
     }
