--- a/Libraries/LibPolicy/WaitingRoom.cpp
+++ b/Libraries/LibPolicy/WaitingRoom.cpp
@@ -163,11 +163,11 @@
 double WaitingRoom::needAhead(const WaitingEntry &entry) const
 {
     double need = 0;
-    const bool isLowest = m_options.rank[indexOf(entry.workClass)] > 0;
+    const bool isLower = m_options.rank[indexOf(entry.workClass)] > 0;
     for (size_t index = 0; index < QueueCount; ++index) {
         // The measured service of a lower class already leaves out what higher classes take.
         const bool isHigher = index == AcceptedQueue || m_options.rank[index] < m_options.rank[indexOf(entry.workClass)];
-        if (index != entry.queue && isHigher && !isLowest) {
+        if (index != entry.queue && isHigher && !isLower) {
             need += m_queues[index].need;
         }
     }
--- a/Tests/LibPolicy/TestMemoryForecast.cpp
+++ b/Tests/LibPolicy/TestMemoryForecast.cpp
@@ -99,6 +99,23 @@
     }
 }
 
+// Guards against paying drafts that wait, or go far away, because of trial work that would be preempted for them anyway.
+TEST(MemoryForecast, TrialWorkDoesNotKeepPayingDraftsOut)
+{
+    for (const bool nested : {true, false}) {
+        PlacementOptions options;
+        options.forecast.nestedClasses = nested;
+        PolicyFixture fixture(1, options);
+        ASSERT_EQ(fixture.ask(fixture.request("payer")), "t0");
+        auto trial = fixture.request("trial", WorkspaceTier::Trial, "trial");
+        trial.promptTokens = 3000;
+        ASSERT_EQ(fixture.ask(trial), "t0");
+        fixture.policy->tokensProduced("trial", 6700, fixture.now);
+        fixture.report(0, {.running = 2, .memoryUsed = 9800});
+        EXPECT_EQ(fixture.ask(fixture.request("draft")), nested ? "t0" : "wait");
+    }
+}
+
 // Guards against starvation of trial work by paying work that never leaves room for it.
 TEST(MemoryForecast, TrialWorkThatHasAgedGoesFirst)
 {
@@ -125,6 +142,7 @@
     PolicyFixture fixture(1);
     fixture.report(0, busy(9700));
     int refused = 0;
+    std::chrono::seconds first {0};
     std::chrono::seconds last {0};
     for (int i = 0; i < 400; ++i) {
         auto made = fixture.request("r" + std::to_string(i));
@@ -134,11 +152,14 @@
             EXPECT_EQ(refusal->kind, ErrorKind::Overloaded);
             EXPECT_GE(refusal->retryAfter, 1s);
             last = refusal->retryAfter;
+            first = refused == 1 ? last : first;
         }
     }
     EXPECT_GT(refused, 100);
     // The queue is as long as the longest wait allows, so the time to come back is about that wait.
     EXPECT_GE(last, 10s);
+    // Those who were refused before are promised their turn first.
+    EXPECT_GE(last, 2 * first);
     auto accepted = fixture.request("accepted");
     accepted.accepted = true;
     EXPECT_EQ(fixture.ask(accepted), "wait");
