--- a/Meta/measure.py
+++ b/Meta/measure.py
@@ -43,9 +43,24 @@
     "failed or unfinished": lambda r: r["total"]["failed"] + r["total"]["unfinished"],
     "lost, duplicated, wrong": lambda r: r["total"]["lost_tokens"] + r["total"]["duplicated_tokens"] + r["total"]["wrong"],
 }
+# The same for scenarios with faults.
+FAULT_METRICS = {
+    "first token p95 ms before the faults": lambda r: phase_value(r, "before", "ttft_ms", "p95"),
+    "first token p95 ms during the faults": lambda r: phase_value(r, "during", "ttft_ms", "p95"),
+    "first token p95 ms after the faults": lambda r: phase_value(r, "after", "ttft_ms", "p95"),
+    "starts while out of service": lambda r: r["starts_while_out_of_service"],
+    "starts after leaving": lambda r: r["engines"]["started_after_leaving"],
+    "last start after leaving ms": lambda r: r["engines"]["last_start_after_leaving_ms"],
+    "starts over the cold limit": lambda r: r["engines"]["started_over_cold_limit"],
+    "last start over the cold limit ms": lambda r: r["engines"]["last_start_over_cold_limit_ms"],
+}
 PLOTTED = ["stall sum s", "gap p99 ms", "preempted /1,000 paying gens", "useful tokens/s"]
 
 
+def phase_value(report, phase, group, field):
+    return report["phases"].get(phase, {}).get(group, {}).get(field, 0)
+
+
 def paying_draft_preemptions(report):
     """Preemptions of paying work with the document's priority of drafts, per 1,000 paying drafts of the whole run."""
     drafts = report["generations"].get("paying/draft", 0)
@@ -116,7 +131,8 @@
     for scenario in sorted({key[0] for key in results}):
         policies = [key[1] for key in results if key[0] == scenario]
         lines += [f"## {scenario}", "", "| metric | " + " | ".join(policies) + " |", "| --- |" + " --- |" * len(policies)]
-        for title, read in METRICS.items():
+        metrics = METRICS | FAULT_METRICS if results[scenario, policies[0]][0]["phases"] else METRICS
+        for title, read in metrics.items():
             cells = []
             for policy in policies:
                 middle, low, high = (format_number(value) for value in summarize(results[scenario, policy], read))
--- a/Tests/Load/TestLoad.cpp
+++ b/Tests/Load/TestLoad.cpp
@@ -1,6 +1,7 @@
 #include <Load/LoadRun.h>
 #include <Load/Report.h>
 #include <Load/SseReader.h>
+#include <Load/StartProbe.h>
 
 #include <filesystem>
 #include <gtest/gtest.h>
@@ -247,6 +248,28 @@
     EXPECT_NE(Report::toText(report).find("paying/draft"), std::string::npos);
 }
 
+// Guards against work in a data centre out of service that is not seen, and against work elsewhere that counts.
+TEST(StartProbe, CountsStartsInItsDataCentreOnly)
+{
+    const auto start = [] { return *EngineServer::start({.listen = "127.0.0.1:0", .threads = 8, .host = {.models = {"m"}}}); };
+    const auto inside = start();
+    const auto outside = start();
+    HttpClient client;
+    const auto generate = [&client](const EngineServer &engine, const std::string &id) {
+        const auto body = nlohmann::json {{"generation", id}, {"model", "m"}, {"prompt", "length=1"}}.dump();
+        EXPECT_EQ(client.call({.method = "POST", .url = "http://" + engine.address() + "/generate", .body = body, .totalTimeout = 60s}).status, 200);
+    };
+    StartProbe probe(
+        {{.name = "a", .dataCentre = "lahore", .address = inside->address()}, {.name = "b", .dataCentre = "karachi", .address = outside->address()}}, client);
+    generate(*inside, "early");
+    probe.begin("lahore");
+    generate(*inside, "wrong");
+    generate(*outside, "right");
+    probe.end("lahore");
+    generate(*inside, "late");
+    EXPECT_EQ(probe.starts(), 1);
+}
+
 // Guards against preemptions that are booked on the wrong tier.
 TEST(Report, CountsPreemptionsByTier)
 {
--- a/Utilities/Load/Report.cpp
+++ b/Utilities/Load/Report.cpp
@@ -144,6 +144,7 @@
         {"load_factor", scenario.loadFactor},
         {"total", summarize(results)},
         {"generations", nlohmann::json::object()},
+        {"phases", phases(results)},
         {"timeline", timeline(results)},
         {"engines", engineTotals(enginesBefore, enginesAfter)},
     };
@@ -159,6 +160,33 @@
     return report;
 }
 
+nlohmann::json Report::phases(const Results &results) const
+{
+    const auto &faults = m_options.scenario.faults;
+    auto json = nlohmann::json::object();
+    if (faults.empty()) {
+        return json;
+    }
+    const auto earlier = [](const auto &a, const auto &b) { return a.at < b.at; };
+    const auto first = m_options.begin + std::min_element(faults.begin(), faults.end(), earlier)->at;
+    const auto last = m_options.begin + std::max_element(faults.begin(), faults.end(), earlier)->at;
+    std::map<std::string, Results> groups;
+    for (const auto *result : results) {
+        const auto begin = result->record.begin();
+        if (begin >= m_options.begin + m_options.scenario.warmup) {
+            groups[begin < first ? "before" : begin < last ? "during" : "after"].push_back(result);
+        }
+    }
+    for (const auto &[name, group] : groups) {
+        json[name] = {{"generations", group.size()},
+                      {"completed", countEnds(group, CallerEnd::Complete)},
+                      {"ttft_ms", percentiles(firstTokenTimes(group))},
+                      {"gap_ms", percentiles(allGaps(group))},
+                      {"stall_ms", stallSummary(group)}};
+    }
+    return json;
+}
+
 nlohmann::json Report::timeline(const Results &results) const
 {
     std::map<int64_t, Results> intervals;
--- a/Utilities/Load/Report.h
+++ b/Utilities/Load/Report.h
@@ -38,6 +38,8 @@
 private:
     // Latencies and counts are those of the generations that arrived within the measuring window, throughput is that of all generations in the window.
     nlohmann::json summarize(const std::vector<const CallerResult *> &all) const;
+    // Summaries of the generations that arrived before the first fault, between the first and the last one, and after it. Empty without faults.
+    nlohmann::json phases(const std::vector<const CallerResult *> &results) const;
     nlohmann::json timeline(const std::vector<const CallerResult *> &results) const;
     nlohmann::json engineTotals(std::vector<nlohmann::json> before, const std::vector<nlohmann::json> &after) const;
     void addPreemptions(nlohmann::json &totals, const nlohmann::json &statistics, int64_t sign) const;
--- a/Utilities/StandIns/Engine/EngineHost.cpp
+++ b/Utilities/StandIns/Engine/EngineHost.cpp
@@ -176,9 +176,8 @@
 
 void EngineHost::crashIfDue(MonotonicTime now) const
 {
-    const auto hasRun = [](const auto &generation) {
-        return generation->tokens.size() > generation->request.tokens.size() && generation->state != Generation::State::Cancelled;
-    };
+    const auto hasRun
+        = [](const auto &generation) { return generation->tokens.size() > generation->givenTokens && generation->state != Generation::State::Cancelled; };
     if (std::any_of(m_crashing.begin(), m_crashing.end(), hasRun)) {
         _exit(CrashExitCode);
     }
--- a/Utilities/StandIns/Engine/EngineModel.cpp
+++ b/Utilities/StandIns/Engine/EngineModel.cpp
@@ -50,6 +50,7 @@
     countStart(now);
     auto generation = std::make_shared<Generation>();
     generation->tokens = std::move(request.tokens);
+    generation->givenTokens = generation->tokens.size();
     generation->request = std::move(request);
     const auto &stored = generation->request;
     generation->length = TokenSource(stored.model, stored.prompt, stored.seed).length(stored.maxTokens);
--- a/Utilities/StandIns/Engine/EngineModel.h
+++ b/Utilities/StandIns/Engine/EngineModel.h
@@ -22,7 +22,7 @@
     int64_t maxTokens = 1024;
     int64_t priority = 0;
     std::string workspace;
-    // The token log of a continued generation.
+    // The token log of a continued generation. Moved to Generation::tokens.
     std::vector<std::string> tokens;
 };
 
@@ -42,6 +42,8 @@
     int64_t promptTokens = 0;
     // Tokens that have to be computed before the next token can be produced.
     int64_t prefillLeft = 0;
+    // Tokens of the log that the generation continues.
+    size_t givenTokens = 0;
     // Position in the order of arrival.
     uint64_t order = 0;
     MonotonicTime endedAt;
