--- a/Meta/measure.py
+++ b/Meta/measure.py
@@ -102,16 +102,17 @@
     return json.loads(output)
 
 
-def run_once(binaries, path, policy, seed, out, memory_tokens):
+def run_once(arguments, path, policy, seed):
+    binaries = arguments.binaries
     scenario = read_scenario(binaries, path)
     user = scenario["name"].split("-")[0]
     if user not in SIZES:
         raise RuntimeError(f"the name of a scenario begins with one of {', '.join(SIZES)}")
     with tempfile.TemporaryDirectory(prefix="jujube-measure-") as directory:
-        with Fleet(user, scenario, policy, directory, binaries, seed, memory_tokens) as fleet:
+        with Fleet(user, scenario, policy, directory, binaries, seed, arguments.engine_memory_tokens, arguments.engine_step_ms) as fleet:
             report = run_load(binaries, path, scenario, seed, fleet)
     report["policy"] = policy
-    with open(os.path.join(out, f"{scenario['name']}-{policy}-{seed}.json"), "w", encoding="utf-8") as file:
+    with open(os.path.join(arguments.out, f"{scenario['name']}-{policy}-{seed}.json"), "w", encoding="utf-8") as file:
         json.dump(report, file, indent=1)
     return report
 
@@ -166,8 +167,9 @@
     parser.add_argument("--seeds", default="1,2,3,4,5")
     parser.add_argument("--binaries", default=os.path.join(REPOSITORY, "build", "bin"))
     parser.add_argument("--out", default=os.path.join(REPOSITORY, "build", "measure"))
-    # The capacity in the scenarios was measured with this memory.
+    # The capacity in the scenarios was measured with these.
     parser.add_argument("--engine-memory-tokens", type=int, default=8000)
+    parser.add_argument("--engine-step-ms", type=int, default=20)
     arguments = parser.parse_args()
     os.makedirs(arguments.out, exist_ok=True)
     # Otherwise the processes of the fleet would be left running.
@@ -178,7 +180,7 @@
         for seed in arguments.seeds.split(","):
             for policy in arguments.policies.split(","):
                 try:
-                    report = run_once(arguments.binaries, path, policy, int(seed), arguments.out, arguments.engine_memory_tokens)
+                    report = run_once(arguments, path, policy, int(seed))
                     results.setdefault((report["scenario"], policy), []).append(report)
                     print(f"{report['scenario']} {policy} seed {seed}: done", flush=True)
                 except (RuntimeError, OSError, subprocess.SubprocessError, json.JSONDecodeError) as error:
--- a/Meta/measure_fleet.py
+++ b/Meta/measure_fleet.py
@@ -15,7 +15,6 @@
     "qalamkar": {"engines": 12, "desks": 3, "gateways": 8, "data_centres": {"lahore": "lahore", "karachi": "karachi", "islamabad": "islamabad"}},
     "thaila": {"engines": 18, "desks": 3, "gateways": 8, "data_centres": {"ahmedabad": "ahmedabad", "surat": "surat", "rajkot": "rajkot"}},
 }
-ENGINE_STEP_MS = 20
 ENGINE_COLD_LIMIT = 2
 # Stand-ins get a thread for each open request; the load tool opens fewer streams than this to one engine.
 ENGINE_THREADS = 400
@@ -57,7 +56,7 @@
 class Fleet:
     """The processes of one run. Use it as a context manager, so that all of them are stopped."""
 
-    def __init__(self, user, scenario, policy, directory, binaries, seed, memory_tokens):
+    def __init__(self, user, scenario, policy, directory, binaries, seed, memory_tokens, step_ms):
         self.size = SIZES[user]
         self.scenario = scenario
         self.policy = policy
@@ -65,6 +64,7 @@
         self.binaries = binaries
         self.seed = seed
         self.memory_tokens = memory_tokens
+        self.step_ms = step_ms
         self.processes = []
         self.out_of_service = set()
         self.with_gateways = policy != "direct"
@@ -100,7 +100,7 @@
 
     def start_stand_ins(self):
         for index, (name, (address, _)) in enumerate(self.engines.items()):
-            self.spawn(name, "jujube-standin-engine", listen=address, name=name, models=",".join(self.models), step_ms=ENGINE_STEP_MS,
+            self.spawn(name, "jujube-standin-engine", listen=address, name=name, models=",".join(self.models), step_ms=self.step_ms,
                        memory_tokens=self.memory_tokens, cold_limit=ENGINE_COLD_LIMIT, threads=ENGINE_THREADS, seed=self.seed * 100 + index)
         for name, (address, _) in self.desks.items():
             self.spawn(name, "jujube-standin-orderdesk", listen=address, name=name)
