--- a/Meta/measure.py
+++ b/Meta/measure.py
@@ -43,9 +43,24 @@
     "failed or unfinished": lambda r: r["total"]["failed"] + r["total"]["unfinished"],
     "lost, duplicated, wrong": lambda r: r["total"]["lost_tokens"] + r["total"]["duplicated_tokens"] + r["total"]["wrong"],
 }
+# The same for scenarios with faults.
+FAULT_METRICS = {
+    "first token p95 ms before the faults": lambda r: phase_value(r, "before", "ttft_ms", "p95"),
+    "first token p95 ms during the faults": lambda r: phase_value(r, "during", "ttft_ms", "p95"),
+    "first token p95 ms after the faults": lambda r: phase_value(r, "after", "ttft_ms", "p95"),
+    "starts while out of service": lambda r: r["starts_while_out_of_service"],
+    "starts after leaving": lambda r: r["engines"]["started_after_leaving"],
+    "last start after leaving ms": lambda r: r["engines"]["last_start_after_leaving_ms"],
+    "starts over the cold limit": lambda r: r["engines"]["started_over_cold_limit"],
+    "last start over the cold limit ms": lambda r: r["engines"]["last_start_over_cold_limit_ms"],
+}
 PLOTTED = ["stall sum s", "gap p99 ms", "preempted /1,000 paying gens", "useful tokens/s"]
 
 
+def phase_value(report, phase, group, field):
+    return report["phases"].get(phase, {}).get(group, {}).get(field, 0)
+
+
 def paying_draft_preemptions(report):
     """Preemptions of paying work with the document's priority of drafts, per 1,000 paying drafts of the whole run."""
     drafts = report["generations"].get("paying/draft", 0)
@@ -87,16 +102,17 @@
     return json.loads(output)
 
 
-def run_once(binaries, path, policy, seed, out, memory_tokens):
+def run_once(arguments, path, policy, seed):
+    binaries = arguments.binaries
     scenario = read_scenario(binaries, path)
     user = scenario["name"].split("-")[0]
     if user not in SIZES:
         raise RuntimeError(f"the name of a scenario begins with one of {', '.join(SIZES)}")
     with tempfile.TemporaryDirectory(prefix="jujube-measure-") as directory:
-        with Fleet(user, scenario, policy, directory, binaries, seed, memory_tokens) as fleet:
+        with Fleet(user, scenario, policy, directory, binaries, seed, arguments.engine_memory_tokens, arguments.engine_step_ms) as fleet:
             report = run_load(binaries, path, scenario, seed, fleet)
     report["policy"] = policy
-    with open(os.path.join(out, f"{scenario['name']}-{policy}-{seed}.json"), "w", encoding="utf-8") as file:
+    with open(os.path.join(arguments.out, f"{scenario['name']}-{policy}-{seed}.json"), "w", encoding="utf-8") as file:
         json.dump(report, file, indent=1)
     return report
 
@@ -116,7 +132,8 @@
     for scenario in sorted({key[0] for key in results}):
         policies = [key[1] for key in results if key[0] == scenario]
         lines += [f"## {scenario}", "", "| metric | " + " | ".join(policies) + " |", "| --- |" + " --- |" * len(policies)]
-        for title, read in METRICS.items():
+        metrics = METRICS | FAULT_METRICS if results[scenario, policies[0]][0]["phases"] else METRICS
+        for title, read in metrics.items():
             cells = []
             for policy in policies:
                 middle, low, high = (format_number(value) for value in summarize(results[scenario, policy], read))
@@ -150,8 +167,9 @@
     parser.add_argument("--seeds", default="1,2,3,4,5")
     parser.add_argument("--binaries", default=os.path.join(REPOSITORY, "build", "bin"))
     parser.add_argument("--out", default=os.path.join(REPOSITORY, "build", "measure"))
-    # The capacity in the scenarios was measured with this memory.
+    # The capacity in the scenarios was measured with these.
     parser.add_argument("--engine-memory-tokens", type=int, default=8000)
+    parser.add_argument("--engine-step-ms", type=int, default=20)
     arguments = parser.parse_args()
     os.makedirs(arguments.out, exist_ok=True)
     # Otherwise the processes of the fleet would be left running.
@@ -162,7 +180,7 @@
         for seed in arguments.seeds.split(","):
             for policy in arguments.policies.split(","):
                 try:
-                    report = run_once(arguments.binaries, path, policy, int(seed), arguments.out, arguments.engine_memory_tokens)
+                    report = run_once(arguments, path, policy, int(seed))
                     results.setdefault((report["scenario"], policy), []).append(report)
                     print(f"{report['scenario']} {policy} seed {seed}: done", flush=True)
                 except (RuntimeError, OSError, subprocess.SubprocessError, json.JSONDecodeError) as error:
