--- a/Libraries/LibMembership/MembershipView.cpp
+++ b/Libraries/LibMembership/MembershipView.cpp
@@ -182,8 +182,11 @@
         spread(entry);
     }
     if (wasGone || !entry.joined) {
+        // Only at the first join: two live members with one address by mistake would otherwise declare each other gone for ever.
+        if (!entry.joined) {
+            retireSameAddress(entry, now);
+        }
         entry.joined = true;
-        retireSameAddress(entry, now);
         spreadJoin(entry);
         emit(MembershipChange::Joined, entry, now);
     }
--- a/Tests/LibMembership/TestMembershipView.cpp
+++ b/Tests/LibMembership/TestMembershipView.cpp
@@ -187,6 +187,34 @@
     EXPECT_EQ(cluster.node(0).view->holderState(successor.identity), HolderState::Present);
 }
 
+// Guards against a dead process that stays live for a while beside its successor of another name, and against two live members with one address by mistake
+// that declare each other gone for ever.
+TEST(MembershipView, SuccessorAtTheSameAddressReplacesOnce)
+{
+    MembershipView view({.self = {.name = "self"}, .seeds = {}, .tuning = {}});
+    const MonotonicTime now {std::chrono::hours(1)};
+    const auto hear = [&view, now](const std::string &name, int64_t incarnation, int64_t sequence) {
+        Wire::Heartbeat heartbeat;
+        heartbeat.sender.name = name;
+        heartbeat.sender.address = "10.0.0.1:8443";
+        heartbeat.sender.incarnation = incarnation;
+        heartbeat.sequence = sequence;
+        view.receive(heartbeat, "10.0.0.1:7946", now, {});
+    };
+    const auto countGone = [&view, now] {
+        const auto members = view.members(now);
+        return std::count_if(members.begin(), members.end(), [](const Member &member) { return member.state == MemberState::Gone; });
+    };
+    hear("old", 1, 1);
+    hear("new", 2, 1);
+    EXPECT_EQ(countGone(), 1);
+    hear("newest", 3, 1);
+    EXPECT_EQ(countGone(), 2);
+    hear("old", 1, 2);
+    hear("new", 2, 2);
+    EXPECT_EQ(countGone(), 0);
+}
+
 // Guards against a VM list that is late or wrong: members that it lacks, incarnations that it gets wrong, and a leaving member that it calls live again.
 TEST(MembershipView, WrongVmListDoesNotDisplaceWhatIsHeard)
 {
--- a/Utilities/MembershipProbe/main.cpp
+++ b/Utilities/MembershipProbe/main.cpp
@@ -83,7 +83,7 @@
     const MemberIdentity self {.name = settings->text("name"),
                                .dataCentre = settings->text("data-centre"),
                                .region = settings->text("region"),
-                               .address = "127.0.0.1:1",
+                               .address = settings->text("name") + ":1",
                                .gossipAddress = "",
                                .incarnation = wallMsNow()};
     auto membership = Membership::start({.self = self,
