Test the lease with unrelated clocks

The lease row holds no point in time, so a step of one clock means nothing to another process. The test runs two competitors whose clocks differ by 100 hours in either direction.

--- a/Tests/LibControl/TestLeaseKeeper.cpp
+++ b/Tests/LibControl/TestLeaseKeeper.cpp
@@ -308,6 +308,26 @@
     EXPECT_EQ(keeper.fencing(now), 2);
 }
 
+// Guards against clocks that disagree, for example after one was stepped: no time of one process may have a meaning for another.
+TEST(LeaseKeeper, WorksWithUnrelatedClocks)
+{
+    for (const auto offset : {100h, -100h}) {
+        FakeRow row;
+        LeaseKeeper first(optionsFor("a"));
+        LeaseKeeper second(optionsFor("b"));
+        const auto begin = Start + 1000h;
+        for (auto now = begin; now < begin + 60s; now += 100ms) {
+            act(first, row, now);
+            act(second, row, now + offset);
+            ASSERT_FALSE(second.holds(now + offset));
+        }
+        EXPECT_EQ(first.fencing(begin + 60s), 1);
+        const auto later = begin + 60s + offset;
+        const auto end = actUntil(second, row, later, later + 16s);
+        EXPECT_EQ(second.fencing(end), 2);
+    }
+}
+
 // Guards against a takeover on the basis of a damaged row: its fencing number is unknown, so a higher one cannot be chosen.
 TEST(LeaseKeeper, NeverTakesOverADamagedRow)
 {
