Keep suspects of crashes apart in time and judge all crashes together

Suspects now come back after a pause that depends on the generation, wait for a target without other suspects instead of being refused, and a request that is the only member common to three or more crashes is refused.

--- a/Libraries/LibGateway/GenerationStream.cpp
+++ b/Libraries/LibGateway/GenerationStream.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/GenerationStream.h>
 
 #include <absl/strings/str_cat.h>
+#include <xxhash.h>
 
 namespace Jujube
 {
@@ -18,6 +19,16 @@
 // Bytes are collected while more tokens are at hand, and written together.
 constexpr size_t FlushBytes = 16 * 1024;
 
+constexpr auto SuspectPoll = 200ms;
+
+// Requests that shared a crashed target come back at different times, also at different gateways. If they moved on together, every further crash would have
+// the same members, and the one that causes them could not be told from the others.
+std::chrono::milliseconds isolationPause(const std::string &generation, int32_t attempt)
+{
+    constexpr uint64_t LongestMs = 3000;
+    return std::chrono::milliseconds(XXH3_64bits_withSeed(generation.data(), generation.size(), static_cast<uint64_t>(attempt)) % LongestMs);
+}
+
 GenerationSession::Options sessionOptions(const GenerationStream::Options &options)
 {
     const auto &model = options.caller.document->document.models.at(options.body.model);
@@ -108,6 +119,9 @@
     case CrashVerdict::Action::Run:
         return std::nullopt;
     case CrashVerdict::Action::RunIsolated: {
+        if (now < m_isolatedUntil) {
+            return m_session.onHeld(m_isolatedUntil, now);
+        }
         const auto others = m_parts.crashes->targetsOfSuspects();
         excluded.insert(others.begin(), others.end());
         return std::nullopt;
@@ -146,6 +160,10 @@
         return m_session.onHeld(held->time, now);
     }
     const auto &refused = std::get<RefuseRequest>(decision);
+    if (m_isSuspect && now - m_acceptedAt < m_options.caller.document->document.limits.queueWait) {
+        // All usable targets run other suspects, which end or are cleared.
+        return m_session.onHeld(now + SuspectPoll, now);
+    }
     return m_session.onRefused({.kind = refused.kind, .detail = "no target has room for this request", .retryAfter = refused.retryAfter}, now);
 }
 
@@ -232,6 +250,7 @@
     const bool died = action.end == UpstreamEnd::Refused || action.end == UpstreamEnd::NotFound;
     if (m_placed && died && !m_parts.fleet->isLeaving(action.target)) {
         m_parts.crashes->targetDied(action.target, m_targetIncarnation, now);
+        m_isolatedUntil = now + isolationPause(m_options.generation, m_session.attempt());
     }
     m_parts.crashes->ended(m_options.generation);
     if (m_placed) {
--- a/Libraries/LibGateway/GenerationStream.h
+++ b/Libraries/LibGateway/GenerationStream.h
@@ -67,6 +67,8 @@
     const uint64_t m_fingerprint;
     uint64_t m_targetIncarnation = 0;
     bool m_isSuspect = false;
+    // A suspect is not placed again before this time.
+    MonotonicTime m_isolatedUntil;
     MonotonicTime m_acceptedAt;
     MonotonicTime m_lastWrite;
     std::optional<MonotonicTime> m_lastToken;
--- a/Libraries/LibPolicy/CrashSuspects.cpp
+++ b/Libraries/LibPolicy/CrashSuspects.cpp
@@ -83,6 +83,14 @@
             }
         }
     }
+    if (!refusal && crashes.size() >= EnoughCrashes && isOnlyMemberOfAll(crashes)) {
+        // No two crashes are disjoint, and yet nobody else was part of all of them.
+        refusal = CrashVerdict {.action = CrashVerdict::Action::Refuse, .until = now};
+        for (const auto *crash : crashes) {
+            settled = std::max(settled, crash->time + m_options.settleTime);
+            refusal->until = std::max(refusal->until, crash->time + m_options.lifetime);
+        }
+    }
     if (!refusal) {
         return {.action = CrashVerdict::Action::RunIsolated, .until = {}};
     }
@@ -113,6 +121,13 @@
 }
 
 // True if no other request can have caused both crashes, as far as is known.
+bool CrashSuspects::isOnlyMemberOfAll(const std::vector<const Crash *> &crashes)
+{
+    const auto inAll
+        = [&crashes](uint64_t member) { return std::ranges::all_of(crashes, [member](const Crash *crash) { return crash->members.contains(member); }); };
+    return std::ranges::count_if(crashes.front()->members, inAll) == 1;
+}
+
 bool CrashSuspects::haveNoneInCommon(const Crash &left, const Crash &right, uint64_t fingerprint) const
 {
     return std::ranges::none_of(left.members, [&](uint64_t member) { return member != fingerprint && right.members.contains(member); });
--- a/Libraries/LibPolicy/CrashSuspects.h
+++ b/Libraries/LibPolicy/CrashSuspects.h
@@ -76,6 +76,8 @@
     };
 
     bool haveNoneInCommon(const Crash &left, const Crash &right, uint64_t fingerprint) const;
+    // Whether a single request was part of all of the crashes.
+    static bool isOnlyMemberOfAll(const std::vector<const Crash *> &crashes);
     bool hasUnnamed(const Crash &crash) const;
 
     CrashSuspectsOptions m_options;
--- /dev/null
+++ b/Tests/LibPolicy/TestCrashSuspects.cpp
@@ -0,0 +1,26 @@
+#include <LibPolicy/CrashSuspects.h>
+
+#include <gtest/gtest.h>
+
+namespace Jujube
+{
+
+using namespace std::chrono_literals;
+
+// Guards against a request that crashes target after target because its company overlaps in every pair of crashes, although nobody else was part of all.
+TEST(CrashSuspects, RefusesTheOnlyMemberOfAllCrashes)
+{
+    const MonotonicTime start {1000s};
+    CrashSuspects suspects;
+    suspects.merge({.target = "a", .incarnation = 1, .members = {1, 2, 3}, .running = 3}, start);
+    suspects.merge({.target = "b", .incarnation = 1, .members = {1, 2, 4}, .running = 3}, start + 1s);
+    EXPECT_EQ(suspects.verdict(1, start + 10s).action, CrashVerdict::Action::RunIsolated);
+    suspects.merge({.target = "c", .incarnation = 1, .members = {1, 3, 4}, .running = 3}, start + 2s);
+    EXPECT_EQ(suspects.verdict(1, start + 3s).action, CrashVerdict::Action::Wait);
+    EXPECT_EQ(suspects.verdict(1, start + 10s).action, CrashVerdict::Action::Refuse);
+    for (const uint64_t innocent : {2, 3, 4}) {
+        EXPECT_EQ(suspects.verdict(innocent, start + 10s).action, CrashVerdict::Action::RunIsolated);
+    }
+}
+
+} // namespace Jujube
