Count a crash only against requests that reached the target

Cause: a connection that an already dead target refused was reported as a crash of the request, so that innocent requests joined every crash and the cause could not be told from them; a caller's stream then went from dead target to dead target (seen in 2 of 6 runs of RequestThatCrashesTargets).

Ruled out: the pauses between suspects and the rule for three crashes alone; with them one run in four still did not end.

--- a/Libraries/LibGateway/CrashWatch.cpp
+++ b/Libraries/LibGateway/CrashWatch.cpp
@@ -46,6 +46,15 @@
     m_running[generation] = {.fingerprint = fingerprint, .target = target, .isSuspect = isSuspect};
 }
 
+void CrashWatch::reached(const std::string &generation)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_running.find(generation);
+    if (found != m_running.end()) {
+        found->second.hasReached = true;
+    }
+}
+
 void CrashWatch::ended(const std::string &generation)
 {
     const std::lock_guard lock(m_mutex);
@@ -58,7 +67,7 @@
     {
         const std::lock_guard lock(m_mutex);
         for (const auto &[generation, running] : m_running) {
-            if (running.target == target) {
+            if (running.target == target && running.hasReached) {
                 report.fingerprints.push_back(running.fingerprint);
             }
         }
--- a/Libraries/LibGateway/CrashWatch.h
+++ b/Libraries/LibGateway/CrashWatch.h
@@ -30,6 +30,8 @@
     std::set<std::string> targetsOfSuspects() const;
 
     void began(const std::string &generation, uint64_t fingerprint, const std::string &target, bool isSuspect);
+    // The target has received the request. Before that, its death has nothing to do with the request.
+    void reached(const std::string &generation);
     void ended(const std::string &generation);
 
     // A target died while it ran generations of this gateway.
@@ -43,6 +45,7 @@
         uint64_t fingerprint;
         std::string target;
         bool isSuspect;
+        bool hasReached = false;
     };
 
     void merge(const CrashReport &report, MonotonicTime now);
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -273,10 +273,21 @@
         refuse(m_parts, responder, problemOf(ErrorKind::Overloaded, "this gateway has no thread for another request"), {});
         return;
     }
+    const int liveGateways = static_cast<int>(m_parts.membership->liveMembers(monotonicNow()).size()) + 1;
+    if (const auto problem = m_admission.begin(caller->workspace, caller->settings().limits, liveGateways, monotonicNow())) {
+        refuse(m_parts, responder, *problem, {});
+        return;
+    }
+    serveCaller(request, *caller, responder);
+    m_admission.end(caller->workspace);
+}
+
+void Gateway::serveCaller(const HttpRequest &request, const Caller &caller, HttpResponder &responder)
+{
     if (request.path == GenerationsPath && request.method == "POST") {
-        m_generations->handle(request, *caller, responder);
+        m_generations->handle(request, caller, responder);
     } else if (request.path.starts_with(ServicesPrefix)) {
-        m_services->handle(request, *caller, responder);
+        m_services->handle(request, caller, responder);
     } else if (request.path == GenerationsPath || request.path == GatewaysPath) {
         refuse(m_parts, responder, {.kind = ErrorKind::MethodNotAllowed, .detail = request.method}, {});
     } else {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -3,6 +3,7 @@
 #include <LibGateway/GenerationHandler.h>
 #include <LibGateway/PermitKeeper.h>
 #include <LibGateway/ServiceHandler.h>
+#include <LibGateway/WorkspaceAdmission.h>
 #include <LibHttp/HttpServer.h>
 
 namespace Jujube
@@ -48,11 +49,13 @@
     void sendDocument(HttpResponder &responder) const;
     void sendReadiness(HttpResponder &responder) const;
     void sendMetrics(HttpResponder &responder) const;
+    void serveCaller(const HttpRequest &request, const Caller &caller, HttpResponder &responder);
     void listGateways(HttpResponder &responder) const;
 
     // Tells this process from an earlier one under the same name.
     const int64_t m_incarnation;
     GatewayParts m_parts;
+    WorkspaceAdmission m_admission;
     std::unique_ptr<TableClient> m_table;
     std::unique_ptr<PermitKeeper> m_permits;
     std::unique_ptr<GenerationHandler> m_generations;
--- a/Libraries/LibGateway/GenerationStream.cpp
+++ b/Libraries/LibGateway/GenerationStream.cpp
@@ -205,6 +205,7 @@
     if (m_session.producedTokens() == 0 && !beginAnswer()) {
         return;
     }
+    m_hasReached = false;
     m_targetIncarnation = m_parts.fleet->incarnationOf(action.target);
     openUpstream(generateCall(*address, action));
 }
@@ -248,7 +249,7 @@
     record(EventKind::TargetLost, action.target);
     m_parts.metrics->count("jujube_targets_lost_total");
     const bool died = action.end == UpstreamEnd::Refused || action.end == UpstreamEnd::NotFound;
-    if (m_placed && died && !m_parts.fleet->isLeaving(action.target)) {
+    if (m_placed && died && m_hasReached && !m_parts.fleet->isLeaving(action.target)) {
         m_parts.crashes->targetDied(action.target, m_targetIncarnation, now);
         m_isolatedUntil = now + isolationPause(m_options.generation, m_session.attempt());
     }
@@ -331,6 +332,9 @@
     }
     if (const auto *end = std::get_if<UpstreamEnd>(&*piece)) {
         m_upstream.reset();
+        if (*end == UpstreamEnd::Closed || *end == UpstreamEnd::Broken || *end == UpstreamEnd::Silent) {
+            noteReached();
+        }
         if (*end == UpstreamEnd::Silent) {
             record(EventKind::TargetSilent, m_session.target());
         }
@@ -340,8 +344,17 @@
     takeBytes(std::get<std::string>(*piece));
 }
 
+void GenerationStream::noteReached()
+{
+    if (!m_hasReached) {
+        m_hasReached = true;
+        m_parts.crashes->reached(m_options.generation);
+    }
+}
+
 void GenerationStream::takeBytes(const std::string &bytes)
 {
+    noteReached();
     // An action may replace the upstream stream; the lines left over belong to the old one, whose parser must outlive this call.
     const auto source = m_upstream;
     const auto before = m_session.producedTokens();
--- a/Libraries/LibGateway/GenerationStream.h
+++ b/Libraries/LibGateway/GenerationStream.h
@@ -38,6 +38,7 @@
     void perform(const SessionAction::Wait &action);
     void perform(const SessionAction::ReportLost &action);
 
+    void noteReached();
     void readUpstream();
     void takeBytes(const std::string &bytes);
     void waitForTarget();
@@ -66,6 +67,8 @@
     std::optional<MonotonicTime> m_waitUntil;
     const uint64_t m_fingerprint;
     uint64_t m_targetIncarnation = 0;
+    // Whether the present target has received the request.
+    bool m_hasReached = false;
     bool m_isSuspect = false;
     // A suspect is not placed again before this time.
     MonotonicTime m_isolatedUntil;
--- /dev/null
+++ b/Libraries/LibGateway/WorkspaceAdmission.cpp
@@ -0,0 +1,49 @@
+#include <LibGateway/WorkspaceAdmission.h>
+
+#include <algorithm>
+
+namespace Jujube
+{
+
+namespace
+{
+
+using std::chrono::seconds;
+
+constexpr seconds OpenStreamsRetry {1};
+
+Problem limited(const char *detail, seconds retryAfter)
+{
+    return {.kind = ErrorKind::RateLimited, .detail = detail, .retryAfter = std::max(retryAfter, seconds(1))};
+}
+
+} // namespace
+
+std::optional<Problem> WorkspaceAdmission::begin(const std::string &workspace, const WorkspaceLimits &limits, int liveGateways, MonotonicTime now)
+{
+    const std::lock_guard lock(m_mutex);
+    const int gateways = std::max(1, liveGateways);
+    if (limits.openStreams > 0) {
+        // Rounded up, so that a small limit does not become zero at every gateway.
+        const int share = (static_cast<int>(limits.openStreams) + gateways - 1) / gateways;
+        if (m_open[workspace] >= share) {
+            return limited("the workspace has too many open requests", OpenStreamsRetry);
+        }
+    }
+    // A second's worth may be used at once.
+    const WorkspaceLimit rate {.perSecond = static_cast<double>(limits.requestsPerSecond), .burst = static_cast<double>(limits.requestsPerSecond)};
+    const auto wait = m_requests.take(workspace, rate, 1, gateways, now);
+    if (wait > MonotonicTime::duration::zero()) {
+        return limited("the workspace sends too many requests", std::chrono::ceil<seconds>(wait));
+    }
+    ++m_open[workspace];
+    return std::nullopt;
+}
+
+void WorkspaceAdmission::end(const std::string &workspace)
+{
+    const std::lock_guard lock(m_mutex);
+    --m_open[workspace];
+}
+
+} // namespace Jujube
--- /dev/null
+++ b/Tests/LibGateway/TestOwnSlots.cpp
@@ -0,0 +1,54 @@
+#include <LibGateway/OwnSlots.h>
+
+#include <gtest/gtest.h>
+
+namespace Jujube
+{
+
+namespace
+{
+
+const PermitHolder Self {.name = "gateway-1", .address = "127.0.0.1:1", .incarnation = 2};
+const PermitHolder Earlier {.name = "gateway-1", .address = "127.0.0.1:1", .incarnation = 1};
+
+PermitRow rowWith(const PermitHolder &holder, SlotState state)
+{
+    return {.slots = {{.id = "s", .holder = holder, .state = state}}};
+}
+
+}
+
+// Guards against a slot that is used before it is granted, after it was recalled, or although an earlier process under the same name holds it.
+TEST(OwnSlots, OnlyOwnGrantedSlotsAreUsable)
+{
+    EXPECT_EQ(usableSlots(rowWith(Self, SlotState::Granted), Self), 1);
+    EXPECT_EQ(usableSlots(rowWith(Self, SlotState::Asked), Self), 0);
+    EXPECT_EQ(usableSlots(rowWith(Self, SlotState::Recalled), Self), 0);
+    EXPECT_EQ(usableSlots(rowWith(Earlier, SlotState::Granted), Self), 0);
+}
+
+// Guards against a slot that is returned while its stream still runs, which would let another gateway exceed the limit.
+TEST(OwnSlots, KeepsSlotsOfRunningStreams)
+{
+    for (const auto state : {SlotState::Granted, SlotState::Recalled}) {
+        EXPECT_FALSE(reviseOwnSlots(rowWith(Self, state), {.self = Self, .newSlotId = "n", .wanted = false, .ownRunning = 1}).has_value());
+        const auto revised = reviseOwnSlots(rowWith(Self, state), {.self = Self, .newSlotId = "n", .wanted = false, .ownRunning = 0});
+        ASSERT_TRUE(revised.has_value());
+        EXPECT_TRUE(revised->slots.empty());
+    }
+}
+
+// Guards against a gateway that asks for more slots than it can use, and against slots of an earlier process being taken away.
+TEST(OwnSlots, AsksForOneSlotAtATime)
+{
+    const OwnSlotDemand demand {.self = Self, .newSlotId = "n", .wanted = true, .ownRunning = 0};
+    const auto asked = reviseOwnSlots({}, demand);
+    ASSERT_TRUE(asked.has_value());
+    EXPECT_EQ(asked->slots.size(), 1);
+    EXPECT_FALSE(reviseOwnSlots(*asked, demand).has_value());
+    const auto beside = reviseOwnSlots(rowWith(Earlier, SlotState::Granted), demand);
+    ASSERT_TRUE(beside.has_value());
+    EXPECT_EQ(beside->slots.size(), 2);
+}
+
+}
--- a/Tests/System/TestFleet.cpp
+++ b/Tests/System/TestFleet.cpp
@@ -126,6 +126,8 @@
                     sha256Hex("paying-key"),
                     "}\n  other: {tier: trial, key_sha256: ",
                     sha256Hex("other-key"),
+                    "}\n  limited: {tier: trial, limits: {requests_per_s: 4, open_streams: 2}, key_sha256: ",
+                    sha256Hex("limited-key"),
                     "}\nmodels:\n  naqsh: {continuation: ",
                     m_options.continuation,
                     ", version: \"1\", max_tokens: 50000}\n",
--- a/Tests/System/TestOperations.cpp
+++ b/Tests/System/TestOperations.cpp
@@ -98,6 +98,32 @@
     }
 }
 
+// Guards against a workspace that exceeds its limits, at the cost of others, without being told when to come back.
+TEST(Operations, WorkspaceLimitsHold)
+{
+    TestFleet fleet({.engines = 1, .gateways = 1});
+    TestCaller first(fleet.client());
+    TestCaller second(fleet.client());
+    TestCaller third(fleet.client());
+    first.connect(fleet.gateway(0).address(), draft(60), "limited-key");
+    second.connect(fleet.gateway(0).address(), draft(60), "limited-key");
+    ASSERT_TRUE(first.waitForTokens(1));
+    ASSERT_TRUE(second.waitForTokens(1));
+    third.connect(fleet.gateway(0).address(), draft(2), "limited-key");
+    third.waitForEnd();
+    ASSERT_TRUE(third.problem().has_value());
+    EXPECT_EQ(third.problem()->at("kind"), "rate_limited");
+    EXPECT_GE(third.problem()->value("retry_after_s", 0), 1);
+    TestCaller other(fleet.client());
+    other.connect(fleet.gateway(0).address(), draft(2));
+    other.waitForEnd();
+    EXPECT_TRUE(other.done().has_value());
+    first.waitForEnd();
+    second.waitForEnd();
+    EXPECT_TRUE(first.done().has_value());
+    EXPECT_TRUE(second.done().has_value());
+}
+
 // Guards against cold targets that get more than they can bear from several gateways together, and against them getting nothing at all (I2).
 TEST(Operations, ColdTargetsGetNoMoreThanTheirLimit)
 {
