--- a/Meta/measure_gateway.py
+++ b/Meta/measure_gateway.py
@@ -19,6 +19,7 @@
 import fleet
 
 ENGINES = 8
+REPORT_WAIT_S = 2
 WARMUP_S = 3
 MEASURE_S = 6
 STREAM_TOKENS = 5000
@@ -79,6 +80,8 @@
                                   "--platform", platform.address, "--environment", "demo", "--cursor-key", "k", "--policy", "least-outstanding",
                                   "--threads", "1024")
         fleet.wait_for(lambda: fleet.request("GET", f"http://{gateway.address}/readyz")[0] == 200)
+        # Targets that have not reported their load yet take no work.
+        time.sleep(REPORT_WAIT_S)
         idle = resident_mib(gateway.popen.pid)
         selector = selectors.DefaultSelector()
         connections = [open_stream(gateway.address, number) for number in range(streams)]
--- a/Tests/LibGateway/TestCrashWatch.cpp
+++ b/Tests/LibGateway/TestCrashWatch.cpp
@@ -34,4 +34,4 @@
     EXPECT_TRUE(watch.targetsOfSuspects().empty());
 }
 
-}
+} // namespace Jujube
--- a/Tests/LibGateway/TestOwnSlots.cpp
+++ b/Tests/LibGateway/TestOwnSlots.cpp
@@ -16,7 +16,7 @@
     return {.slots = {{.id = "s", .holder = holder, .state = state}}};
 }
 
-}
+} // namespace
 
 // Guards against a slot that is used before it is granted, after it was recalled, or although an earlier process under the same name holds it.
 TEST(OwnSlots, OnlyOwnGrantedSlotsAreUsable)
@@ -51,4 +51,4 @@
     EXPECT_EQ(beside->slots.size(), 2);
 }
 
-}
+} // namespace Jujube
