Wait for stop signals in one place

Five main functions blocked SIGINT and SIGTERM and waited for them, each with its own copy of the same lines. StopSignals in LibCore does it for all.

--- a/Services/Controller/main.cpp
+++ b/Services/Controller/main.cpp
@@ -1,8 +1,8 @@
 #include "Controller.h"
 
-#include <csignal>
 #include <glog/logging.h>
 #include <iostream>
+#include <LibCore/StopSignals.h>
 
 using namespace Jujube;
 
@@ -15,19 +15,13 @@
     }
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
-    // Blocked before the first thread starts, so that the signals reach sigwait() only.
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGTERM);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const StopSignals stopSignals;
     const auto controller = Controller::start(*settings);
     if (!controller.ok()) {
         std::cerr << controller.status().message() << '\n';
         return 1;
     }
     std::cout << "listening on " << (*controller)->address() << std::endl;
-    int signal = 0;
-    sigwait(&signals, &signal);
+    stopSignals.wait();
     return 0;
 }
--- a/Services/Gateway/main.cpp
+++ b/Services/Gateway/main.cpp
@@ -1,7 +1,7 @@
-#include <csignal>
 #include <glog/logging.h>
 #include <iostream>
 #include <LibCore/Settings.h>
+#include <LibCore/StopSignals.h>
 #include <LibCore/Time.h>
 #include <LibGateway/Gateway.h>
 #include <thread>
@@ -14,17 +14,6 @@
 
 constexpr int ExitCannotStart = 3;
 
-// Signals are blocked before any thread starts, so that only the main thread receives them.
-sigset_t blockStopSignals()
-{
-    sigset_t signals {};
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    return signals;
-}
-
 } // namespace
 
 int main(int argc, char **argv)
@@ -42,15 +31,14 @@
     }
     google::InitGoogleLogging(argv[0]);
     FLAGS_logtostderr = true;
-    const auto signals = blockStopSignals();
+    const StopSignals stopSignals;
     auto gateway = Gateway::start(GatewayOptions::fromSettings(*settings));
     if (!gateway.ok()) {
         std::cerr << gateway.status().message() << '\n';
         return ExitCannotStart;
     }
     std::cout << "listening on " << (*gateway)->address() << std::endl;
-    int signal = 0;
-    sigwait(&signals, &signal);
+    stopSignals.wait();
     (*gateway)->drain();
     while (!(*gateway)->isDrained()) {
         std::this_thread::sleep_for(50ms);
--- a/Utilities/StandIns/Engine/main.cpp
+++ b/Utilities/StandIns/Engine/main.cpp
@@ -1,6 +1,7 @@
 #include <csignal>
 #include <iostream>
 #include <LibCore/Settings.h>
+#include <LibCore/StopSignals.h>
 #include <StandIns/Engine/EngineServer.h>
 
 using namespace Jujube;
@@ -70,12 +71,7 @@
     if (!settings) {
         return exitCode;
     }
-    // Blocked before any thread starts, so that only sigwait() receives them.
-    sigset_t stopSignals;
-    sigemptyset(&stopSignals);
-    sigaddset(&stopSignals, SIGINT);
-    sigaddset(&stopSignals, SIGTERM);
-    pthread_sigmask(SIG_BLOCK, &stopSignals, nullptr);
+    const StopSignals stopSignals;
     std::signal(SIGPIPE, SIG_IGN);
     const auto engine = EngineServer::start(engineOptions(*settings));
     if (!engine.ok()) {
@@ -83,7 +79,6 @@
         return 1;
     }
     std::cout << "listening on " << (*engine)->address() << std::endl;
-    int signalNumber = 0;
-    sigwait(&stopSignals, &signalNumber);
+    stopSignals.wait();
     return 0;
 }
--- a/Utilities/StandIns/OrderDesk/main.cpp
+++ b/Utilities/StandIns/OrderDesk/main.cpp
@@ -1,6 +1,7 @@
 #include <csignal>
 #include <iostream>
 #include <LibCore/Settings.h>
+#include <LibCore/StopSignals.h>
 #include <StandIns/OrderDesk/OrderDesk.h>
 
 using namespace Jujube;
@@ -35,12 +36,7 @@
     if (!settings) {
         return exitCode;
     }
-    // Blocked before any thread starts, so that only sigwait() receives them.
-    sigset_t stopSignals;
-    sigemptyset(&stopSignals);
-    sigaddset(&stopSignals, SIGINT);
-    sigaddset(&stopSignals, SIGTERM);
-    pthread_sigmask(SIG_BLOCK, &stopSignals, nullptr);
+    const StopSignals stopSignals;
     std::signal(SIGPIPE, SIG_IGN);
     const auto desk = OrderDesk::start({
         .name = settings->text("name"),
@@ -54,7 +50,6 @@
         return 1;
     }
     std::cout << "listening on " << (*desk)->address() << std::endl;
-    int signalNumber = 0;
-    sigwait(&stopSignals, &signalNumber);
+    stopSignals.wait();
     return 0;
 }
--- a/Utilities/StandIns/Platform/main.cpp
+++ b/Utilities/StandIns/Platform/main.cpp
@@ -1,10 +1,10 @@
 #include "PlatformStandIn.h"
 
-#include <csignal>
 #include <fstream>
 #include <iostream>
 #include <LibCore/Json.h>
 #include <LibCore/Settings.h>
+#include <LibCore/StopSignals.h>
 #include <sstream>
 
 using namespace Jujube;
@@ -29,17 +29,6 @@
     return json.ok() ? absl::StatusOr<nlohmann::json>((*json)["vms"]) : json.status();
 }
 
-// Blocks the signals that end the process in this thread and in those that it starts, and returns them for sigwait().
-sigset_t blockEndSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGTERM);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    return signals;
-}
-
 } // namespace
 
 int main(int argc, char **argv)
@@ -57,7 +46,7 @@
     if (!settings) {
         return exitCode;
     }
-    const auto signals = blockEndSignals();
+    const StopSignals stopSignals;
     auto vms = readVms(settings->text("vms-file"));
     if (!vms.ok()) {
         std::cerr << "--vms-file: " << vms.status().message() << '\n';
@@ -69,7 +58,6 @@
         return 1;
     }
     std::cout << "listening on " << (*standIn)->address() << std::endl;
-    int signal = 0;
-    sigwait(&signals, &signal);
+    stopSignals.wait();
     return 0;
 }
