Count the live gateways once a round instead of for each request

Every caller's request copied the list of members only to count it. The document round counts them already; requests now read that number.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -226,7 +226,8 @@
         state.confirmedAt = confirmedAge ? std::optional(now - *confirmedAge) : std::nullopt;
         state.platformAt = platformAt;
     });
-    m_parts.fleet->setLiveGateways(static_cast<int>(m_parts.membership->liveMembers(now).size()) + 1);
+    m_parts.liveGateways = static_cast<int>(m_parts.membership->liveMembers(now).size()) + 1;
+    m_parts.fleet->setLiveGateways(m_parts.liveGateways);
 }
 
 void Gateway::drain()
@@ -273,8 +274,7 @@
         refuse(m_parts, responder, problemOf(ErrorKind::Overloaded, "this gateway has no thread for another request"), {});
         return;
     }
-    const int liveGateways = static_cast<int>(m_parts.membership->liveMembers(monotonicNow()).size()) + 1;
-    if (const auto problem = m_admission.begin(caller->workspace, caller->settings().limits, liveGateways, monotonicNow())) {
+    if (const auto problem = m_admission.begin(caller->workspace, caller->settings().limits, m_parts.liveGateways, monotonicNow())) {
         refuse(m_parts, responder, *problem, {});
         return;
     }
--- a/Libraries/LibGateway/RequestContext.h
+++ b/Libraries/LibGateway/RequestContext.h
@@ -26,6 +26,8 @@
     std::unique_ptr<Membership> membership;
     std::unique_ptr<FleetKeeper> fleet;
     std::unique_ptr<DocumentKeeper> documents;
+    // Live gateways including this one, as of the latest document round. Copying the members for each request would cost 390 copies at full size.
+    std::atomic<int> liveGateways {1};
     // A graceful shutdown has begun.
     std::atomic<bool> draining {false};
     // Requests in progress that a shutdown has to wait for.
