--- /dev/null
+++ b/Libraries/LibLoop/CallerChannel.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include <functional>
+#include <LibCore/Time.h>
+#include <LibLoop/Asio.h>
+#include <LibLoop/MessageParser.h>
+#include <memory>
+
+namespace Jujube
+{
+
+// Limits of what a caller may send, and of how long it may take.
+struct CallerLimits {
+    size_t headBytes = 16 * 1024;
+    uint64_t bodyBytes = 4 << 20;
+    std::chrono::milliseconds headTimeout {3000};
+    std::chrono::milliseconds idleTimeout {15000};
+};
+
+// A request as it arrived, with its whole body.
+struct CallerRequest {
+    MessageHead head;
+    std::string body;
+    // When the last byte of the request was read.
+    MonotonicTime arrivedAt;
+};
+
+// One connection of a caller. Requests are handled one after the other; while one is being answered, the channel keeps reading so that a caller who leaves is
+// noticed at once. Used on the loop's thread only.
+class CallerChannel : public std::enable_shared_from_this<CallerChannel>
+{
+public:
+    struct Hooks {
+        // A whole request has arrived. The channel waits until finish(), send() or cut() ends its answer.
+        std::function<void(const std::shared_ptr<CallerChannel> &, CallerRequest)> onRequest;
+        // The limits in force for the next request.
+        std::function<CallerLimits()> limits;
+        // Whether answers announce the end of the channel, as during a graceful shutdown.
+        std::function<bool()> isClosing;
+        // A request could not be parsed and was answered with this status.
+        std::function<void(int status)> onRejected;
+        // The channel is gone; called once.
+        std::function<void(CallerChannel *)> onClosed;
+    };
+
+    // How the end of an answer's body is told to the caller.
+    struct Framing {
+        // Without a length the body is sent in chunks.
+        std::optional<uint64_t> length;
+        // Whether the answer has a body. Answers to HEAD, 204 and 304 have none.
+        bool hasBody = true;
+    };
+
+    // Called while an answer is being made.
+    struct AnswerHooks {
+        // The caller has closed the channel.
+        std::function<void()> onGone;
+        // Output that was over the limit has been written.
+        std::function<void()> onWritable;
+    };
+
+    CallerChannel(Tcp::socket socket, const Hooks &hooks);
+
+    void start();
+    void setAnswerHooks(AnswerHooks hooks);
+
+    // Sends an answer as a whole.
+    void send(MessageHead head, std::string_view body);
+    // Sends the head of an answer whose body follows in parts.
+    void begin(MessageHead head, const Framing &framing);
+    void write(std::string_view bytes);
+    void finish();
+    // Ends the channel without completing the answer.
+    void cut();
+
+    // Closes the channel if no request is being read or answered.
+    void closeIfIdle();
+
+    bool isAnswering() const
+    {
+        return m_state == State::Answering;
+    }
+
+    // Whether more than the limit waits to be written because the caller reads slowly.
+    bool isCongested() const;
+
+private:
+    enum class State {
+        Idle,
+        ReadingHead,
+        ReadingBody,
+        Answering,
+        // The last answer is being written; the rest of the input is discarded.
+        Closing,
+        Closed,
+    };
+
+    void read();
+    void onRead(const LoopError &error, size_t bytes);
+    void parseInput();
+    void beginMessage();
+    void reject(ParseError error);
+    void rejectWith(int status);
+    void addChannelFields(MessageHead &head);
+    void append(std::string_view text);
+    void flush();
+    void onWritten(const LoopError &error);
+    void endAnswer();
+    void armTimer(std::chrono::milliseconds timeout);
+    void onTimer();
+    void close();
+
+    Tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    const Hooks &m_hooks;
+    AnswerHooks m_answerHooks;
+    State m_state = State::Idle;
+    CallerLimits m_limits;
+    std::unique_ptr<MessageParser> m_parser;
+    std::string m_input;
+    std::array<char, 4096> m_readBuffer {};
+    bool m_reading = false;
+    std::string m_output;
+    std::string m_writing;
+    Framing m_framing;
+    bool m_answerBegun = false;
+    bool m_keep = true;
+    bool m_callerClosed = false;
+    // An answer that a message over the limits or a malformed one gets is followed by the end of the channel.
+    size_t m_discarded = 0;
+};
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibLoop/LoopClient.cpp
@@ -0,0 +1,92 @@
+#include <LibLoop/LoopClient.h>
+
+#include <absl/strings/str_cat.h>
+
+namespace Jujube
+{
+
+namespace
+{
+
+// One call in progress.
+struct PendingCall {
+    explicit PendingCall(boost::asio::io_context &loop)
+        : timer(loop)
+    {
+    }
+
+    std::shared_ptr<TargetChannel> channel;
+    boost::asio::steady_timer timer;
+    LoopAnswer answer;
+    LoopClient::AnswerHook onAnswer;
+    bool over = false;
+
+    void finish()
+    {
+        if (over) {
+            return;
+        }
+        over = true;
+        timer.cancel();
+        const auto hook = std::move(onAnswer);
+        hook(answer);
+    }
+};
+
+std::string textOf(const Endpoint &address, const LoopCall &call)
+{
+    MessageHead head {.method = call.method, .target = call.target};
+    head.fields.push_back({.name = "Host", .value = address.toText()});
+    head.fields.insert(head.fields.end(), call.fields.begin(), call.fields.end());
+    if (call.method != "GET") {
+        head.set("Content-Length", absl::StrCat(call.body.size()));
+    }
+    return requestText(head) + call.body;
+}
+
+} // namespace
+
+LoopClient::LoopClient(boost::asio::io_context &loop)
+    : m_loop(loop)
+    , m_pool(loop)
+{
+}
+
+void LoopClient::call(const Endpoint &address, const LoopCall &call, AnswerHook onAnswer)
+{
+    const auto pending = std::make_shared<PendingCall>(m_loop);
+    pending->channel = call.freshConnection ? m_pool.fresh(address) : m_pool.acquire(address, monotonicNow());
+    pending->onAnswer = std::move(onAnswer);
+    pending->timer.expires_after(call.timeout);
+    pending->timer.async_wait([pending](const LoopError &error) {
+        if (error || pending->over) {
+            return;
+        }
+        pending->channel->abort();
+        pending->answer.end = ChannelEnd::Broken;
+        pending->answer.status = 0;
+        pending->answer.error = "timeout";
+        pending->finish();
+    });
+    pending->channel->exchange(textOf(address, call),
+                               call.method == "HEAD",
+                               call.timeout,
+                               {.onHead =
+                                    [pending](const MessageHead &head, const std::optional<uint64_t> &) {
+                                        pending->answer.status = head.status;
+                                        return true;
+                                    },
+                                .onBody = [pending](std::string_view bytes) { pending->answer.body += bytes; },
+                                .onEnd =
+                                    [this, pending](ChannelEnd end, const std::string &error) {
+                                        pending->answer.end = end;
+                                        pending->answer.error = error;
+                                        if (end != ChannelEnd::Complete) {
+                                            pending->answer.status = 0;
+                                        }
+                                        m_pool.release(pending->channel);
+                                        pending->finish();
+                                    }});
+}
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibLoop/LoopClient.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <LibLoop/TargetChannelPool.h>
+
+namespace Jujube
+{
+
+// A short call to the store, to a peer or to an engine's control interface.
+struct LoopCall {
+    std::string method = "GET";
+    std::string target;
+    std::vector<HeaderField> fields;
+    std::string body;
+    std::chrono::milliseconds timeout {1000};
+    // Uses a connection of its own, so that a connection that has gone silent cannot affect the call.
+    bool freshConnection = false;
+};
+
+struct LoopAnswer {
+    ChannelEnd end = ChannelEnd::NotSent;
+    // Zero if no whole answer arrived.
+    int status = 0;
+    std::string body;
+    std::string error;
+
+    bool isSuccess() const
+    {
+        return end == ChannelEnd::Complete && status / 100 == 2;
+    }
+};
+
+// Makes short calls with a timeout over pooled connections and delivers whole answers. Used on the loop's thread only.
+class LoopClient
+{
+public:
+    using AnswerHook = std::function<void(const LoopAnswer &)>;
+
+    explicit LoopClient(boost::asio::io_context &loop);
+
+    void call(const Endpoint &address, const LoopCall &call, AnswerHook onAnswer);
+
+    void expire(MonotonicTime now)
+    {
+        m_pool.expire(now);
+    }
+
+    // Closes idle connections, for example after the process was frozen.
+    void closeIdle()
+    {
+        m_pool.clear();
+    }
+
+private:
+    boost::asio::io_context &m_loop;
+    TargetChannelPool m_pool;
+};
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibRelay/PeerNewsCodec.cpp
@@ -0,0 +1,160 @@
+#include <LibRelay/PeerNewsCodec.h>
+
+#include <algorithm>
+#include <Relay_types.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace Jujube
+{
+
+namespace
+{
+
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+
+// The second character is the version of the format.
+constexpr std::string_view Mark = "R1";
+// No valid datagram has longer strings or lists; the limits keep a damaged length from allocating memory.
+constexpr int MaxStringBytes = 1400;
+constexpr int MaxListItems = 1400;
+
+std::string serialize(const Wire::RelayHeartbeat &heartbeat)
+{
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+    heartbeat.write(&protocol);
+    return std::string(Mark) + buffer->getBufferAsString();
+}
+
+// Removes the last element of the least important list that is left. Returns false if nothing can be removed.
+bool shrink(Wire::RelayHeartbeat &heartbeat)
+{
+    if (!heartbeat.known.empty()) {
+        heartbeat.known.pop_back();
+        return true;
+    }
+    if (!heartbeat.crashes.empty()) {
+        heartbeat.crashes.pop_back();
+        return true;
+    }
+    if (!heartbeat.loads.empty()) {
+        heartbeat.loads.pop_back();
+        return true;
+    }
+    if (!heartbeat.leaving.empty()) {
+        heartbeat.leaving.pop_back();
+        return true;
+    }
+    return false;
+}
+
+Wire::CrashOnTarget toWire(const TargetCrash &crash)
+{
+    Wire::CrashOnTarget result;
+    result.target = crash.target;
+    result.incarnation = static_cast<int64_t>(crash.incarnation);
+    result.ageMs = static_cast<int32_t>(crash.age.count());
+    result.members.assign(crash.members.begin(), crash.members.end());
+    result.running = crash.running;
+    return result;
+}
+
+TargetCrash crashFromWire(const Wire::CrashOnTarget &crash)
+{
+    return {.target = crash.target,
+            .incarnation = static_cast<uint64_t>(crash.incarnation),
+            .age = std::chrono::milliseconds(crash.ageMs),
+            .members = std::vector<uint64_t>(crash.members.begin(), crash.members.end()),
+            .running = crash.running};
+}
+
+Wire::RelayHeartbeat toWire(const PeerNews &news)
+{
+    Wire::RelayHeartbeat result;
+    result.node = news.node;
+    result.incarnation = news.incarnation;
+    result.sequence = news.sequence;
+    result.callers = news.callers;
+    result.peers = news.peers;
+    result.dataCentre = news.dataCentre;
+    result.accepting = news.accepting;
+    result.documentVersion = news.documentVersion;
+    auto loads = news.loads;
+    std::sort(loads.begin(), loads.end(), [](const auto &left, const auto &right) { return left.running > right.running; });
+    for (const auto &load : loads) {
+        Wire::LoadOnTarget wire;
+        wire.target = load.target;
+        wire.running = load.running;
+        wire.memory = static_cast<int32_t>(load.memory);
+        wire.prefill = static_cast<int32_t>(load.prefill);
+        result.loads.push_back(wire);
+    }
+    for (const auto &[target, incarnation] : news.leaving) {
+        Wire::LeavingTarget wire;
+        wire.target = target;
+        wire.incarnation = incarnation;
+        result.leaving.push_back(wire);
+    }
+    for (const auto &crash : news.crashes) {
+        result.crashes.push_back(toWire(crash));
+    }
+    result.known = news.known;
+    return result;
+}
+
+PeerNews fromWire(const Wire::RelayHeartbeat &wire)
+{
+    PeerNews news {.node = wire.node,
+                   .incarnation = wire.incarnation,
+                   .sequence = wire.sequence,
+                   .callers = wire.callers,
+                   .peers = wire.peers,
+                   .dataCentre = wire.dataCentre,
+                   .accepting = wire.accepting,
+                   .documentVersion = wire.documentVersion};
+    for (const auto &load : wire.loads) {
+        news.loads.push_back({.target = load.target, .running = load.running, .memory = load.memory, .prefill = load.prefill});
+    }
+    for (const auto &leaving : wire.leaving) {
+        news.leaving.emplace_back(leaving.target, leaving.incarnation);
+    }
+    for (const auto &crash : wire.crashes) {
+        news.crashes.push_back(crashFromWire(crash));
+    }
+    news.known = wire.known;
+    return news;
+}
+
+} // namespace
+
+std::string encodePeerNews(const PeerNews &news)
+{
+    auto heartbeat = toWire(news);
+    auto text = serialize(heartbeat);
+    while (text.size() > MaxPeerDatagramBytes && shrink(heartbeat)) {
+        text = serialize(heartbeat);
+    }
+    return text;
+}
+
+std::optional<PeerNews> decodePeerNews(std::string_view datagram)
+{
+    if (datagram.size() <= Mark.size() || datagram.size() > MaxPeerDatagramBytes || datagram.substr(0, Mark.size()) != Mark) {
+        return std::nullopt;
+    }
+    // TMemoryBuffer only reads in OBSERVE mode, but its interface takes a mutable pointer.
+    std::string content(datagram.substr(Mark.size()));
+    const auto buffer = std::make_shared<TMemoryBuffer>(reinterpret_cast<uint8_t *>(content.data()), static_cast<uint32_t>(content.size()));
+    TCompactProtocolT<TMemoryBuffer> protocol(buffer, MaxStringBytes, MaxListItems);
+    Wire::RelayHeartbeat heartbeat;
+    try {
+        heartbeat.read(&protocol);
+    } catch (const apache::thrift::TException &) {
+        return std::nullopt;
+    }
+    return fromWire(heartbeat);
+}
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibRelay/PeerTable.cpp
@@ -0,0 +1,111 @@
+#include <LibRelay/PeerTable.h>
+
+namespace Jujube
+{
+
+PeerTable::PeerTable(Options options)
+    : m_options(std::move(options))
+{
+}
+
+void PeerTable::addAddress(const std::string &address, MonotonicTime now)
+{
+    if (address.empty() || address == m_options.ownAddress) {
+        return;
+    }
+    m_addresses.try_emplace(address, Address {.addedAt = now});
+}
+
+PeerTable::Change PeerTable::hear(const PeerNews &news, MonotonicTime now)
+{
+    if (news.peers == m_options.ownAddress) {
+        return Change::None;
+    }
+    const auto found = m_peers.find(news.node);
+    if (found != m_peers.end()) {
+        const auto &last = found->second.news;
+        const bool isOlder = news.incarnation < last.incarnation || (news.incarnation == last.incarnation && news.sequence <= last.sequence);
+        if (isOlder) {
+            return Change::Stale;
+        }
+    }
+    addAddress(news.peers, now);
+    auto &address = m_addresses[news.peers];
+    address.heard = true;
+    address.heardAt = now;
+    for (const auto &known : news.known) {
+        addAddress(known, now);
+    }
+    const bool wasAccepting = found != m_peers.end() && found->second.news.accepting;
+    m_peers[news.node] = {.news = news, .heardAt = now};
+    if (m_live.insert(news.node).second) {
+        return Change::Joined;
+    }
+    return wasAccepting == news.accepting ? Change::None : Change::Accepting;
+}
+
+std::vector<std::string> PeerTable::recipients(MonotonicTime now)
+{
+    std::vector<std::string> result;
+    for (auto &[text, address] : m_addresses) {
+        const bool answers = address.heard && now - address.heardAt < m_options.silenceTimeout;
+        if (answers || address.probedAt == MonotonicTime {} || now - address.probedAt >= m_options.probePause) {
+            address.probedAt = now;
+            result.push_back(text);
+        }
+    }
+    return result;
+}
+
+bool PeerTable::isAlive(const Peer &peer, MonotonicTime now) const
+{
+    return now - peer.heardAt < m_options.silenceTimeout;
+}
+
+std::vector<std::string> PeerTable::expire(MonotonicTime now)
+{
+    std::vector<std::string> silent;
+    for (const auto &[node, peer] : m_peers) {
+        if (!isAlive(peer, now) && m_live.erase(node) > 0) {
+            silent.push_back(node);
+        }
+    }
+    absl::erase_if(m_peers, [&](const auto &entry) { return now - entry.second.heardAt > m_options.memory; });
+    absl::erase_if(m_addresses, [&](const auto &entry) {
+        const auto &address = entry.second;
+        return now - std::max(address.addedAt, address.heardAt) > m_options.memory;
+    });
+    return silent;
+}
+
+std::vector<const Peer *> PeerTable::alive(MonotonicTime now) const
+{
+    std::vector<const Peer *> result;
+    for (const auto &[node, peer] : m_peers) {
+        if (isAlive(peer, now)) {
+            result.push_back(&peer);
+        }
+    }
+    return result;
+}
+
+int PeerTable::liveCount(MonotonicTime now) const
+{
+    return static_cast<int>(alive(now).size()) + 1;
+}
+
+std::vector<std::string> PeerTable::knownAddresses(size_t most, MonotonicTime now) const
+{
+    std::vector<std::string> result;
+    for (const auto &[node, peer] : m_peers) {
+        if (result.size() >= most) {
+            break;
+        }
+        if (isAlive(peer, now)) {
+            result.push_back(peer.news.peers);
+        }
+    }
+    return result;
+}
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibRelay/PeerTable.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <LibCore/Time.h>
+#include <LibPolicy/CrashSuspects.h>
+#include <LibRelay/TargetLoad.h>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Jujube
+{
+
+// What one relay tells the others with each heartbeat.
+struct PeerNews {
+    std::string node;
+    // Start of the relay's process, in milliseconds since 1970. Heartbeats of an earlier process are ignored.
+    int64_t incarnation = 0;
+    int64_t sequence = 0;
+    // Address for callers. Empty while the relay has not started yet.
+    std::string callers;
+    // Address for other relays.
+    std::string peers;
+    std::string dataCentre;
+    // Whether callers may be sent to the relay.
+    bool accepting = false;
+    int64_t documentVersion = 0;
+    std::vector<TargetLoad> loads;
+    // Targets that are leaving, with their incarnations.
+    std::vector<std::pair<std::string, int64_t>> leaving;
+    std::vector<TargetCrash> crashes;
+    // Addresses of further relays.
+    std::vector<std::string> known;
+};
+
+// Another relay, by its latest heartbeat.
+struct Peer {
+    PeerNews news;
+    MonotonicTime heardAt;
+};
+
+// The other relays of the environment. Addresses come from the seeds, from the store and from heartbeats; a relay is alive while its heartbeats arrive.
+class PeerTable
+{
+public:
+    struct Options {
+        std::string ownAddress;
+        // A relay that has not been heard for this time counts as dead.
+        std::chrono::milliseconds silenceTimeout {1600};
+        // Addresses that were never heard, or not for this time, are forgotten.
+        std::chrono::seconds memory {120};
+        // Pause between heartbeats to an address that does not answer.
+        std::chrono::milliseconds probePause {2000};
+    };
+
+    // What a heartbeat changed.
+    enum class Change {
+        None,
+        Joined,
+        // The relay accepts callers now, or does not any more.
+        Accepting,
+        Stale,
+    };
+
+    explicit PeerTable(Options options);
+
+    void addAddress(const std::string &address, MonotonicTime now);
+    Change hear(const PeerNews &news, MonotonicTime now);
+
+    // Addresses that get a heartbeat now.
+    std::vector<std::string> recipients(MonotonicTime now);
+
+    // Names of relays that have fallen silent since the last call.
+    std::vector<std::string> expire(MonotonicTime now);
+
+    std::vector<const Peer *> alive(MonotonicTime now) const;
+    // Number of live relays, this one included.
+    int liveCount(MonotonicTime now) const;
+    // Some addresses of live relays, for the next heartbeat.
+    std::vector<std::string> knownAddresses(size_t most, MonotonicTime now) const;
+
+private:
+    struct Address {
+        MonotonicTime addedAt;
+        MonotonicTime heardAt;
+        MonotonicTime probedAt;
+        bool heard = false;
+    };
+
+    bool isAlive(const Peer &peer, MonotonicTime now) const;
+
+    const Options m_options;
+    absl::flat_hash_map<std::string, Address> m_addresses;
+    absl::flat_hash_map<std::string, Peer> m_peers;
+    std::set<std::string> m_live;
+};
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -0,0 +1,377 @@
+#include <LibRelay/RelaySession.h>
+
+namespace Jujube
+{
+
+namespace
+{
+
+constexpr int FirstServerError = 500;
+constexpr int FirstRedirect = 300;
+constexpr int FirstSuccess = 200;
+
+// Targets that may refuse one request before the gateway gives up. Refusals are not runs, but each counts against the retry budget.
+constexpr int MostRejections = 3;
+// Tries to start a copy of a generation that its engine does not run yet or copies already.
+constexpr int MostMoveTries = 40;
+// An answer that is not a stream is held back up to this size, so that one that breaks can still be replaced.
+constexpr size_t HeldBytes = 64 * 1024;
+// A retry is not worth its send with less time left than this.
+constexpr std::chrono::milliseconds LeastTimeForRetry {60};
+
+bool isSuccess(int status)
+{
+    return status >= FirstSuccess && status < FirstRedirect;
+}
+
+} // namespace
+
+RelaySession::RelaySession(RelayFacts facts, Hooks hooks)
+    : m_facts(facts)
+    , m_hooks(std::move(hooks))
+{
+}
+
+void RelaySession::start(MonotonicTime now)
+{
+    place(now);
+}
+
+void RelaySession::place(MonotonicTime now)
+{
+    if (now >= m_facts.deadline) {
+        onDeadline(now);
+        return;
+    }
+    const auto choice = m_hooks.choose(m_excluded, now);
+    if (!choice.target) {
+        giveUp(m_mayHaveRun ? RelayOutcome::TargetFailed : choice.refusal, choice.retryAfter);
+        return;
+    }
+    m_backup = choice.backup;
+    send(*choice.target, {}, now);
+}
+
+void RelaySession::send(const RelayTarget &target, const std::string &memorySource, MonotonicTime now)
+{
+    m_target = target;
+    m_targetLeaving = false;
+    m_accepted = false;
+    m_held.clear();
+    m_answer = {};
+    m_events.restart();
+    ++m_sends;
+    m_continuing = m_begun;
+    m_hooks.send({.target = target,
+                  .attempt = m_sends,
+                  .timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(m_facts.deadline - now),
+                  .lastEventId = m_events.lastId(),
+                  .memorySource = memorySource,
+                  .backupAddress = m_backup.address});
+}
+
+bool RelaySession::onHead(const TargetAnswer &answer, MonotonicTime now)
+{
+    if (m_over) {
+        return false;
+    }
+    if (answer.notRun || answer.misdirected) {
+        onFailure(UpstreamResult::Broken, true, now);
+        return false;
+    }
+    m_mayHaveRun = true;
+    // A success without the target's mark is not the target's whole answer.
+    if (!answer.sealed && (isSuccess(answer.status) || m_continuing)) {
+        onFailure(UpstreamResult::Broken, false, now);
+        return false;
+    }
+    if (m_continuing && !isSuccess(answer.status)) {
+        onFailure(UpstreamResult::Broken, false, now);
+        return false;
+    }
+    if (answer.status >= FirstServerError && !m_begun && m_facts.isRepeatable() && m_runs + 1 < m_facts.maxAttempts) {
+        ++m_runs;
+        m_excluded.insert(m_target->id);
+        if (retry("server error", true, now)) {
+            return false;
+        }
+        --m_runs;
+        m_excluded.erase(m_target->id);
+    }
+    m_answer = answer;
+    m_accepted = true;
+    return true;
+}
+
+void RelaySession::begin(std::optional<uint64_t> length)
+{
+    if (!m_begun) {
+        m_begun = true;
+        m_hooks.beginAnswer(length);
+    }
+}
+
+void RelaySession::deliver(std::string_view bytes)
+{
+    begin(std::nullopt);
+    m_hooks.write(bytes);
+}
+
+void RelaySession::onBody(std::string_view bytes, MonotonicTime now)
+{
+    if (m_over || !m_accepted) {
+        return;
+    }
+    if (!m_answer.isStream) {
+        m_held += bytes;
+        if (m_begun || m_held.size() > HeldBytes) {
+            begin(m_answer.length);
+            m_hooks.write(std::exchange(m_held, {}));
+        }
+        return;
+    }
+    const auto events = m_events.feed(bytes);
+    if (!events.empty()) {
+        deliver(events);
+    }
+    if (m_events.isOutOfOrder()) {
+        m_hooks.abortSend();
+        m_hooks.note("cut", "events out of order");
+        m_over = true;
+        m_hooks.cut(RelayOutcome::AnswerBroken);
+        return;
+    }
+    // The copy of a generation that has just produced its first event can start now.
+    if (m_targetLeaving && m_move == Move::None && m_events.count() > 0) {
+        startCopy(now);
+    }
+}
+
+void RelaySession::complete()
+{
+    m_over = true;
+    begin(m_answer.isStream ? std::nullopt : std::optional<uint64_t>(m_held.size()));
+    if (!m_held.empty()) {
+        m_hooks.write(m_held);
+    }
+    m_hooks.finishAnswer();
+}
+
+void RelaySession::onEnd(UpstreamResult result, MonotonicTime now)
+{
+    if (m_over) {
+        return;
+    }
+    if (m_move == Move::Draining) {
+        continueAt(m_destination, m_handle, now);
+        return;
+    }
+    if (m_move == Move::Stopping) {
+        if (result == UpstreamResult::Complete && !m_events.hasPartialEvent()) {
+            complete();
+            return;
+        }
+        // The source closes its stream when it stops; the answer to the order follows.
+        m_source = *m_target;
+        m_target.reset();
+        return;
+    }
+    if (result == UpstreamResult::Complete && m_accepted && !m_events.hasPartialEvent()) {
+        complete();
+        return;
+    }
+    onFailure(result, false, now);
+}
+
+void RelaySession::onFailure(UpstreamResult result, bool notRun, MonotonicTime now)
+{
+    m_accepted = false;
+    m_move = Move::None;
+    if (m_target) {
+        m_excluded.insert(m_target->id);
+    }
+    if (result == UpstreamResult::NotSent || notRun) {
+        ++m_rejections;
+        if (m_continuing) {
+            // The copy is gone or its holder is; the source has stopped.
+            if (!continueFromBackup(now) && !(m_facts.resumable && retry("continuation refused", true, now))) {
+                giveUp(RelayOutcome::AnswerBroken, {});
+            }
+            return;
+        }
+        const bool mayRunElsewhere = !m_mayHaveRun || m_facts.isRepeatable();
+        if (mayRunElsewhere && m_rejections <= MostRejections && retry(notRun ? "not run" : "not sent", notRun, now)) {
+            return;
+        }
+        giveUp(m_mayHaveRun ? RelayOutcome::TargetFailed : RelayOutcome::RetryBudgetSpent, std::chrono::milliseconds(300));
+        return;
+    }
+    m_mayHaveRun = true;
+    ++m_runs;
+    if (continueFromBackup(now)) {
+        return;
+    }
+    const bool mayRunAgain = m_facts.isRepeatable() && m_runs < m_facts.maxAttempts && (!m_begun || m_facts.resumable);
+    if (mayRunAgain && retry("broken answer", true, now)) {
+        return;
+    }
+    giveUp(outcomeOfFailure(), {});
+}
+
+bool RelaySession::retry(std::string_view reason, bool wasReached, MonotonicTime now)
+{
+    if (m_facts.deadline - now < LeastTimeForRetry || (wasReached && !m_hooks.takeRetry(now))) {
+        return false;
+    }
+    m_hooks.note("retry", reason);
+    m_hooks.abortSend();
+    const auto choice = m_hooks.choose(m_excluded, now);
+    if (!choice.target) {
+        return false;
+    }
+    m_backup = choice.backup;
+    send(*choice.target, {}, now);
+    return true;
+}
+
+bool RelaySession::continueFromBackup(MonotonicTime now)
+{
+    if (m_backup.address.empty() || m_target == std::nullopt || m_target->id == m_backup.id || m_facts.deadline - now < LeastTimeForRetry) {
+        return false;
+    }
+    const auto holder = std::exchange(m_backup, {});
+    m_hooks.note("continue_from_backup", holder.id);
+    m_hooks.abortSend();
+    continueAt(holder, holder.address, now);
+    return true;
+}
+
+void RelaySession::continueAt(const RelayTarget &target, const std::string &memorySource, MonotonicTime now)
+{
+    m_move = Move::None;
+    send(target, memorySource, now);
+}
+
+RelayOutcome RelaySession::outcomeOfFailure() const
+{
+    return m_begun ? RelayOutcome::AnswerBroken : RelayOutcome::TargetFailed;
+}
+
+void RelaySession::giveUp(RelayOutcome outcome, std::chrono::milliseconds retryAfter)
+{
+    m_over = true;
+    m_hooks.abortSend();
+    if (m_begun) {
+        m_hooks.cut(RelayOutcome::AnswerBroken);
+        return;
+    }
+    m_hooks.answer(outcome, retryAfter);
+}
+
+void RelaySession::onTargetLeaving(MonotonicTime now)
+{
+    if (m_over || m_facts.kind != RelayKind::Stream || m_targetLeaving || !m_target) {
+        return;
+    }
+    m_targetLeaving = true;
+    if (m_move == Move::None && m_events.count() > 0) {
+        startCopy(now);
+    }
+}
+
+void RelaySession::startCopy(MonotonicTime now)
+{
+    const auto destination = m_hooks.chooseDestination({m_target->id}, now);
+    if (!destination) {
+        m_hooks.note("stay", "no destination");
+        return;
+    }
+    m_destination = *destination;
+    m_move = Move::Copying;
+    ++m_moveTries;
+    m_hooks.note("copy", m_destination.id);
+    m_hooks.copy(*m_target, m_destination, false);
+}
+
+void RelaySession::onCopied(const CopyResult &result, MonotonicTime now)
+{
+    if (m_over) {
+        return;
+    }
+    if (m_move == Move::Copying) {
+        if (result.kind == CopyResult::Kind::Copied) {
+            m_move = Move::Stopping;
+            m_source = *m_target;
+            m_hooks.note("stop_and_copy", m_destination.id);
+            m_hooks.copy(m_source, m_destination, true);
+            return;
+        }
+        m_move = Move::None;
+        if (result.kind == CopyResult::Kind::NoRoom) {
+            m_excluded.insert(m_destination.id);
+        }
+        return;
+    }
+    if (m_move != Move::Stopping) {
+        return;
+    }
+    const bool hasCopy = result.kind == CopyResult::Kind::Copied;
+    const bool keptAtSource = result.kind == CopyResult::Kind::NoRoom && !result.handle.empty();
+    if (!hasCopy && !keptAtSource) {
+        m_move = Move::None;
+        m_hooks.note("copy_failed", "no handle");
+        if (!m_target) {
+            m_target = m_source;
+            onFailure(UpstreamResult::Broken, false, now);
+        }
+        return;
+    }
+    m_handle = m_source.address + "/" + result.handle;
+    if (keptAtSource) {
+        m_destination = m_source;
+    }
+    if (m_target) {
+        m_move = Move::Draining;
+        return;
+    }
+    continueAt(m_destination, m_handle, now);
+}
+
+void RelaySession::onCopyPause(MonotonicTime now)
+{
+    if (m_over || m_move != Move::None || !m_targetLeaving || !m_target || m_moveTries >= MostMoveTries || m_events.count() == 0) {
+        return;
+    }
+    startCopy(now);
+}
+
+void RelaySession::onDeadline(MonotonicTime)
+{
+    if (m_over) {
+        return;
+    }
+    // A send whose answer has not arrived may have been run.
+    const bool mayHaveRun = m_mayHaveRun || (m_target && !m_begun);
+    giveUp(mayHaveRun ? RelayOutcome::TimedOut : RelayOutcome::TimedOutNotRun, std::chrono::milliseconds(300));
+}
+
+void RelaySession::onCallerGone()
+{
+    if (m_over) {
+        return;
+    }
+    m_over = true;
+    m_hooks.abortSend();
+}
+
+void RelaySession::onSilence(MonotonicTime now)
+{
+    if (m_over || m_move != Move::None) {
+        return;
+    }
+    m_hooks.note("silent", m_target ? m_target->id : "");
+    m_hooks.abortSend();
+    onFailure(UpstreamResult::Broken, false, now);
+}
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibRelay/RelaySession.h
@@ -0,0 +1,235 @@
+#pragma once
+
+#include <functional>
+#include <LibCore/Time.h>
+#include <LibRelay/EventSplitter.h>
+#include <LibRelay/RelayDocument.h>
+#include <LibRelay/RelayOutcome.h>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace Jujube
+{
+
+// A target that was chosen for a request.
+struct RelayTarget {
+    std::string id;
+    int64_t incarnation = 0;
+    // "address:port".
+    std::string address;
+};
+
+// What a session needs to know about its request.
+struct RelayFacts {
+    RelayKind kind = RelayKind::OneTime;
+    // Only for streams: another target may continue after the last event, reading everything anew.
+    bool resumable = false;
+    int maxAttempts = 1;
+    // When the caller must have its final answer.
+    MonotonicTime deadline;
+    // Time from the arrival within which the answer earns its full worth.
+    std::chrono::milliseconds goal {1000};
+
+    // Whether the request may run again when its outcome is unknown.
+    bool isRepeatable() const
+    {
+        return kind == RelayKind::Repeatable || (kind == RelayKind::Stream && resumable);
+    }
+};
+
+// One send of the request to a target.
+struct RelaySend {
+    RelayTarget target;
+    // First send of the request, or a further one that counts against the retry budget.
+    int attempt = 1;
+    std::chrono::milliseconds timeLeft {0};
+    // A stream goes on after this event.
+    std::optional<int64_t> lastEventId;
+    // Where the memory of the running generation comes from: the address of an engine and the name of the copy. Empty for a run from the start.
+    std::string memorySource;
+    // An engine that keeps a copy of the generation as it grows. Empty for none.
+    std::string backupAddress;
+};
+
+// The choice of a target, or why there is none.
+struct RelayChoice {
+    std::optional<RelayTarget> target;
+    RelayTarget backup;
+    RelayOutcome refusal = RelayOutcome::NoTarget;
+    std::chrono::milliseconds retryAfter {500};
+};
+
+// The answer to an order to copy a running generation to another engine.
+struct CopyResult {
+    enum class Kind {
+        // The copy is complete. If the order was to stop the run as well, it has stopped.
+        Copied,
+        // The engine does not run the generation (yet).
+        NotRunning,
+        // A copy of the generation is in progress already.
+        Busy,
+        // The destination has no room or cannot be reached. If the run was to stop, it has stopped, and its memory stays at the source.
+        NoRoom,
+        // No answer; the run may have stopped.
+        Unknown,
+    };
+    Kind kind = Kind::Unknown;
+    std::string handle;
+    int64_t eventsMade = 0;
+};
+
+// The head of a target's answer, as far as decisions depend on it.
+struct TargetAnswer {
+    int status = 0;
+    // The target says that it did not run the request.
+    bool notRun = false;
+    // Another target has the address now.
+    bool misdirected = false;
+    // The answer bears the mark of a target's own answer.
+    bool sealed = false;
+    bool isStream = false;
+    // Length of the body, if the target has declared it.
+    std::optional<uint64_t> length;
+};
+
+// How an exchange with a target ended, for the session.
+enum class UpstreamResult {
+    Complete,
+    NotSent,
+    Broken,
+};
+
+// Decides how one request of a caller gets its final answer, although targets and connections fail. A state machine without input and output of its own: the
+// driver calls its functions and carries out what the hooks are told. At most one exchange with a target is current.
+class RelaySession
+{
+public:
+    struct Hooks {
+        // Chooses a target. `excluded` are targets that must not be chosen.
+        std::function<RelayChoice(const std::set<std::string> &excluded, MonotonicTime now)> choose;
+        // Chooses the destination of a move away from a target that leaves.
+        std::function<std::optional<RelayTarget>(const std::set<std::string> &excluded, MonotonicTime now)> chooseDestination;
+        // Takes one retry out of the budget of the service.
+        std::function<bool(MonotonicTime now)> takeRetry;
+        std::function<void(const RelaySend &send)> send;
+        // Ends the current exchange with a target by closing its connection.
+        std::function<void()> abortSend;
+        // Orders the engine that runs the generation to copy it; answered with onCopied().
+        std::function<void(const RelayTarget &source, const RelayTarget &destination, bool stop)> copy;
+        // Passes the head of the target's current answer on to the caller. Without a length the body follows in chunks.
+        std::function<void(std::optional<uint64_t> length)> beginAnswer;
+        std::function<void(std::string_view bytes)> write;
+        std::function<void()> finishAnswer;
+        // Ends the request with an answer of the gateway's own.
+        std::function<void(RelayOutcome outcome, std::chrono::milliseconds retryAfter)> answer;
+        // Closes the caller's channel: the answer has begun and cannot be completed.
+        std::function<void(RelayOutcome outcome)> cut;
+        // For the log: what was decided and why.
+        std::function<void(std::string_view decision, std::string_view reason)> note;
+    };
+
+    RelaySession(RelayFacts facts, Hooks hooks);
+
+    void start(MonotonicTime now);
+
+    // The head of an answer to the current send. Returns false if the answer is not to be read any further; the driver then closes the connection.
+    bool onHead(const TargetAnswer &answer, MonotonicTime now);
+    void onBody(std::string_view bytes, MonotonicTime now);
+    void onEnd(UpstreamResult result, MonotonicTime now);
+
+    // The target that runs the request leaves.
+    void onTargetLeaving(MonotonicTime now);
+    void onCopied(const CopyResult &result, MonotonicTime now);
+    // The time for copyPause() has passed.
+    void onCopyPause(MonotonicTime now);
+
+    void onDeadline(MonotonicTime now);
+    void onCallerGone();
+    // The stream has been silent for longer than a healthy target's would be.
+    void onSilence(MonotonicTime now);
+
+    bool isOver() const
+    {
+        return m_over;
+    }
+
+    bool hasBegun() const
+    {
+        return m_begun;
+    }
+
+    const std::optional<RelayTarget> &target() const
+    {
+        return m_target;
+    }
+
+    int64_t eventCount() const
+    {
+        return m_events.count();
+    }
+
+    int sendCount() const
+    {
+        return m_sends;
+    }
+
+private:
+    enum class Move {
+        None,
+        // The run goes on while its memory is copied.
+        Copying,
+        // The run has been told to stop, and the rest of its memory is copied.
+        Stopping,
+        // The copy is complete; the source's stream is read to its end.
+        Draining,
+    };
+
+    void place(MonotonicTime now);
+    void send(const RelayTarget &target, const std::string &memorySource, MonotonicTime now);
+    // Handles an exchange that produced no usable answer.
+    void onFailure(UpstreamResult result, bool notRun, MonotonicTime now);
+    // Sends the request to another target if time and, unless the last one was never reached, the budget allow it.
+    bool retry(std::string_view reason, bool wasReached, MonotonicTime now);
+    bool continueFromBackup(MonotonicTime now);
+    void continueAt(const RelayTarget &target, const std::string &memorySource, MonotonicTime now);
+    void startCopy(MonotonicTime now);
+    void giveUp(RelayOutcome outcome, std::chrono::milliseconds retryAfter);
+    RelayOutcome outcomeOfFailure() const;
+    void begin(std::optional<uint64_t> length);
+    void deliver(std::string_view bytes);
+    void complete();
+
+    const RelayFacts m_facts;
+    const Hooks m_hooks;
+    std::optional<RelayTarget> m_target;
+    RelayTarget m_backup;
+    std::set<std::string> m_excluded;
+    EventSplitter m_events;
+    // Body bytes of an answer that is not a stream, held back until the answer is whole.
+    std::string m_held;
+    TargetAnswer m_answer;
+    // An answer to the current send has been accepted.
+    bool m_accepted = false;
+    // The caller has the head of an answer.
+    bool m_begun = false;
+    // A byte of the request may have reached a target that did not deny having run it.
+    bool m_mayHaveRun = false;
+    bool m_over = false;
+    // The exchange continues a generation whose head the caller has already.
+    bool m_continuing = false;
+    int m_sends = 0;
+    int m_runs = 0;
+    int m_rejections = 0;
+    Move m_move = Move::None;
+    int m_moveTries = 0;
+    bool m_targetLeaving = false;
+    RelayTarget m_source;
+    RelayTarget m_destination;
+    std::string m_handle;
+};
+
+// How long the driver waits before it calls onCopyPause() after a copy that cannot start yet.
+constexpr std::chrono::milliseconds CopyPause {40};
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibRelay/RouteTable.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <LibRelay/RelayDocument.h>
+#include <memory>
+#include <string_view>
+
+namespace Jujube
+{
+
+// A document in force, indexed for lookups. Immutable; requests in progress keep the table that they were accepted under.
+class RouteTable
+{
+public:
+    explicit RouteTable(RelayDocument document);
+
+    // The route of the host with the longest prefix that begins the path. Null if there is none.
+    const RelayRoute *findRoute(std::string_view host, std::string_view path) const;
+    const RelayService *findService(std::string_view name) const;
+    // The workspace that holds a key.
+    const RelayWorkspace *findWorkspaceByKey(std::string_view key) const;
+
+    // The service for one request of a route, by the weights of its shares. `draw` is uniform in [0, 1).
+    static const std::string &pickService(const RelayRoute &route, double draw);
+
+    const RelayDocument &document() const
+    {
+        return m_document;
+    }
+
+private:
+    const RelayDocument m_document;
+    // Routes of a host, the longest prefix first.
+    absl::flat_hash_map<std::string, std::vector<const RelayRoute *>> m_routes;
+    absl::flat_hash_map<std::string, const RelayService *> m_services;
+    absl::flat_hash_map<std::string, const RelayWorkspace *> m_workspaces;
+};
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibRelay/TargetBalancer.cpp
@@ -0,0 +1,263 @@
+#include <LibRelay/TargetBalancer.h>
+
+#include <algorithm>
+#include <cmath>
+#include <LibPolicy/SplitMix.h>
+
+namespace Jujube
+{
+
+namespace
+{
+
+// Weight of one result in the failure share of a target.
+constexpr double FailureWeight = 0.25;
+// Time in which a failure share without new results halves.
+constexpr double FailureHalfLifeSeconds = 3;
+// Cost of a target all of whose recent requests failed, in milliseconds.
+constexpr double FailureCost = 1500;
+// Mean time of a call to a plain service, in milliseconds; the cost of waiting for one slot.
+constexpr double ServiceCallMs = 60;
+// Cost of one running call on a plain service that has free slots.
+constexpr double BusySlotCost = 6;
+// Tokens by which a run that has outgrown its expected length is expected to grow further.
+constexpr int64_t FurtherTokens = 200;
+
+} // namespace
+
+TargetBalancer::TargetBalancer(Options options)
+    : m_options(std::move(options))
+{
+}
+
+TargetLoad TargetBalancer::loadOf(const Run &run)
+{
+    TargetLoad load {.target = run.target, .running = 1};
+    if (run.demand.promptTokens > 0) {
+        const auto output = std::max(run.demand.expectedTokens, run.produced + (run.produced >= run.demand.expectedTokens ? FurtherTokens : 0));
+        load.memory = run.demand.promptTokens + output;
+        load.prefill = run.produced == 0 ? run.demand.promptTokens : 0;
+    }
+    return load;
+}
+
+void TargetBalancer::applyOwn(const Run &run, int sign)
+{
+    auto change = loadOf(run);
+    change.running *= sign;
+    change.memory *= sign;
+    change.prefill *= sign;
+    auto &load = m_own[run.target];
+    load.target = run.target;
+    load.add(change);
+    if (load.running == 0 && load.memory == 0) {
+        m_own.erase(run.target);
+    }
+}
+
+void TargetBalancer::started(const std::string &request, const std::string &target, const RunDemand &demand, MonotonicTime now)
+{
+    const auto found = m_runs.find(request);
+    if (found != m_runs.end()) {
+        applyOwn(found->second, -1);
+        m_runs.erase(found);
+    }
+    const Run run {.target = target, .demand = demand};
+    applyOwn(run, 1);
+    m_runs.emplace(request, run);
+    m_coldRate.noteTaken(target, now);
+}
+
+void TargetBalancer::produced(const std::string &request, int64_t tokens)
+{
+    const auto found = m_runs.find(request);
+    if (found == m_runs.end()) {
+        return;
+    }
+    applyOwn(found->second, -1);
+    found->second.produced += tokens;
+    applyOwn(found->second, 1);
+}
+
+void TargetBalancer::ended(const std::string &request, RunEnd end, MonotonicTime now)
+{
+    const auto found = m_runs.find(request);
+    if (found == m_runs.end()) {
+        return;
+    }
+    applyOwn(found->second, -1);
+    if (end != RunEnd::Cancelled) {
+        noteHealth(found->second.target, end == RunEnd::Failed, now);
+    }
+    m_runs.erase(found);
+}
+
+void TargetBalancer::unreachable(const std::string &target, MonotonicTime now)
+{
+    noteHealth(target, true, now);
+    m_health[target].unreachableUntil = now + m_options.unreachableTime;
+}
+
+void TargetBalancer::noteHealth(const std::string &target, bool failed, MonotonicTime now)
+{
+    const double before = failureShare(target, now);
+    auto &health = m_health[target];
+    health.failures = before + FailureWeight * ((failed ? 1.0 : 0.0) - before);
+    health.updated = now;
+}
+
+double TargetBalancer::failureShare(const std::string &target, MonotonicTime now) const
+{
+    const auto found = m_health.find(target);
+    if (found == m_health.end()) {
+        return 0;
+    }
+    const double age = std::chrono::duration<double>(now - found->second.updated).count();
+    return found->second.failures * std::exp2(-age / FailureHalfLifeSeconds);
+}
+
+void TargetBalancer::setCopy(const std::string &request, const std::string &target, int64_t tokens)
+{
+    dropCopy(request);
+    auto &load = m_own[target];
+    load.target = target;
+    load.memory += tokens;
+    m_copies[request] = {.target = target, .tokens = tokens};
+}
+
+void TargetBalancer::dropCopy(const std::string &request)
+{
+    const auto found = m_copies.find(request);
+    if (found == m_copies.end()) {
+        return;
+    }
+    auto &load = m_own[found->second.target];
+    load.memory -= found->second.tokens;
+    if (load.running == 0 && load.memory == 0) {
+        m_own.erase(found->second.target);
+    }
+    m_copies.erase(found);
+}
+
+void TargetBalancer::setPeerLoads(const std::string &peer, const std::vector<TargetLoad> &loads)
+{
+    m_peers[peer] = loads;
+    sumPeers();
+}
+
+void TargetBalancer::dropPeer(const std::string &peer)
+{
+    if (m_peers.erase(peer) > 0) {
+        sumPeers();
+    }
+}
+
+void TargetBalancer::sumPeers()
+{
+    m_peerSums.clear();
+    for (const auto &[peer, loads] : m_peers) {
+        for (const auto &load : loads) {
+            m_peerSums[load.target].add(load);
+        }
+    }
+}
+
+std::vector<TargetLoad> TargetBalancer::ownLoads() const
+{
+    std::vector<TargetLoad> loads;
+    loads.reserve(m_own.size());
+    for (const auto &[target, load] : m_own) {
+        loads.push_back(load);
+    }
+    return loads;
+}
+
+TargetLoad TargetBalancer::loadOf(const std::string &target) const
+{
+    TargetLoad load {.target = target};
+    if (const auto own = m_own.find(target); own != m_own.end()) {
+        load.add(own->second);
+    }
+    if (const auto peers = m_peerSums.find(target); peers != m_peerSums.end()) {
+        load.add(peers->second);
+    }
+    return load;
+}
+
+double TargetBalancer::engineCost(const TargetLoad &load, const EngineProfile &engine, const RunDemand &demand) const
+{
+    double cost = static_cast<double>(load.prefill) / m_options.prefillTokensPerMs + m_options.costPerRun * load.running;
+    const double memory = static_cast<double>(load.memory + demand.promptTokens + demand.expectedTokens);
+    const double share = engine.memoryTokens > 0 ? memory / static_cast<double>(engine.memoryTokens) : 0;
+    if (share > m_options.memoryKnee) {
+        cost += m_options.memoryCost * (share - m_options.memoryKnee);
+    }
+    return cost;
+}
+
+double TargetBalancer::serviceCost(const TargetLoad &load, int slots) const
+{
+    const int waiting = std::max(0, load.running + 1 - slots);
+    return BusySlotCost * load.running + ServiceCallMs * waiting;
+}
+
+double TargetBalancer::distanceCost(const std::string &dataCentre) const
+{
+    const auto found = m_options.regions.find(dataCentre);
+    if (found == m_options.regions.end() || found->second != m_options.region) {
+        return m_options.otherRegionCost;
+    }
+    return 0;
+}
+
+bool TargetBalancer::isHome(const std::vector<std::string> &homes, const std::string &dataCentre) const
+{
+    if (homes.empty()) {
+        return true;
+    }
+    const auto found = m_options.regions.find(dataCentre);
+    return found != m_options.regions.end() && std::find(homes.begin(), homes.end(), found->second) != homes.end();
+}
+
+TargetBalancer::Choice
+TargetBalancer::choose(const Query &query, const TargetTable &targets, const RelayService &service, MonotonicTime now, uint64_t random) const
+{
+    SplitMix draws(random);
+    Choice best;
+    const int share = ColdRate::share(service.coldPerSecond, query.liveGateways);
+    for (const auto &[id, target] : targets.targets()) {
+        if (target.entry.service != service.name || !targets.isUsable(target, now) || query.excluded.contains(id)
+            || !isHome(query.homeRegions, target.entry.dataCentre)) {
+            continue;
+        }
+        ++best.candidates;
+        if (!query.isMove && service.coldPerSecond > 0 && !m_coldRate.mayTake(id, share, now)) {
+            continue;
+        }
+        const auto load = loadOf(id);
+        if (query.mostMemory && service.engine
+            && static_cast<double>(load.memory + query.demand.promptTokens + query.demand.expectedTokens)
+                > *query.mostMemory * static_cast<double>(service.engine->memoryTokens)) {
+            continue;
+        }
+        double cost = service.engine ? engineCost(load, *service.engine, query.demand) : serviceCost(load, target.entry.slots);
+        cost += distanceCost(target.entry.dataCentre) + FailureCost * failureShare(id, now) + m_options.spread * draws.unit();
+        if (const auto health = m_health.find(id); health != m_health.end() && now < health->second.unreachableUntil) {
+            cost += FailureCost;
+        }
+        if (!best.target || cost < best.cost) {
+            best.target = &target;
+            best.cost = cost;
+        }
+    }
+    return best;
+}
+
+void TargetBalancer::expire(MonotonicTime now)
+{
+    m_coldRate.expire(now);
+    constexpr std::chrono::seconds HealthLifetime {30};
+    absl::erase_if(m_health, [&](const auto &entry) { return now - entry.second.updated > HealthLifetime; });
+}
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibRelay/TargetBalancer.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <LibCore/Time.h>
+#include <LibRelay/ColdRate.h>
+#include <LibRelay/RelayDocument.h>
+#include <LibRelay/TargetLoad.h>
+#include <LibRelay/TargetTable.h>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Jujube
+{
+
+// What a request will need of its target.
+struct RunDemand {
+    std::string service;
+    // Zero for requests that are not generations.
+    int64_t promptTokens = 0;
+    // Output length as far as it is known, in tokens.
+    int64_t expectedTokens = 0;
+    int priority = 0;
+    bool isStream = false;
+};
+
+enum class RunEnd {
+    Finished,
+    // The target refused or lost the request, or answered with an error of its own.
+    Failed,
+    // Nothing is known against the target.
+    Cancelled,
+};
+
+// Chooses targets by what this gateway and, by their latest heartbeats, the others have placed on them. Pure decisions: the caller passes the time and random
+// numbers.
+class TargetBalancer
+{
+public:
+    struct Options {
+        std::string region;
+        // Region of each data centre.
+        std::map<std::string, std::string> regions;
+        // Extra cost of another region, in milliseconds.
+        double otherRegionCost = 16;
+        double otherDataCentreCost = 3;
+        // Prompt tokens that an engine reads in a millisecond.
+        double prefillTokensPerMs = 14;
+        // Cost of one more run on an engine, in milliseconds.
+        double costPerRun = 6;
+        // Part of an engine's memory above which a further run costs more, as memory may run out.
+        double memoryKnee = 0.85;
+        double memoryCost = 6000;
+        // Random spread that keeps gateways with the same view from choosing the same target, in milliseconds.
+        double spread = 12;
+        // A target that failed to connect is avoided for this time.
+        std::chrono::milliseconds unreachableTime {1500};
+    };
+
+    struct Query {
+        RunDemand demand;
+        std::set<std::string> excluded;
+        std::vector<std::string> homeRegions;
+        int liveGateways = 1;
+        // For a copy of a running generation: no run is started, so the cold rate does not apply.
+        bool isMove = false;
+        // Only targets in which the run fits below this part of the memory.
+        std::optional<double> mostMemory;
+    };
+
+    struct Choice {
+        const KnownTarget *target = nullptr;
+        double cost = 0;
+        // Targets that were looked at.
+        int candidates = 0;
+    };
+
+    explicit TargetBalancer(Options options);
+
+    Choice choose(const Query &query, const TargetTable &targets, const RelayService &service, MonotonicTime now, uint64_t random) const;
+
+    // Bookkeeping of this gateway's own runs.
+    void started(const std::string &request, const std::string &target, const RunDemand &demand, MonotonicTime now);
+    void produced(const std::string &request, int64_t tokens);
+    void ended(const std::string &request, RunEnd end, MonotonicTime now);
+    void unreachable(const std::string &target, MonotonicTime now);
+    // A copy of a run's memory that is kept on a target.
+    void setCopy(const std::string &request, const std::string &target, int64_t tokens);
+    void dropCopy(const std::string &request);
+
+    void setPeerLoads(const std::string &peer, const std::vector<TargetLoad> &loads);
+    void dropPeer(const std::string &peer);
+
+    std::vector<TargetLoad> ownLoads() const;
+    TargetLoad loadOf(const std::string &target) const;
+    double failureShare(const std::string &target, MonotonicTime now) const;
+    void expire(MonotonicTime now);
+
+private:
+    struct Run {
+        std::string target;
+        RunDemand demand;
+        int64_t produced = 0;
+    };
+    struct Copy {
+        std::string target;
+        int64_t tokens = 0;
+    };
+    struct Health {
+        // Exponentially weighted share of failures.
+        double failures = 0;
+        MonotonicTime updated;
+        MonotonicTime unreachableUntil;
+    };
+
+    static TargetLoad loadOf(const Run &run);
+    double engineCost(const TargetLoad &load, const EngineProfile &engine, const RunDemand &demand) const;
+    double serviceCost(const TargetLoad &load, int slots) const;
+    double distanceCost(const std::string &dataCentre) const;
+    bool isHome(const std::vector<std::string> &homes, const std::string &dataCentre) const;
+    void applyOwn(const Run &run, int sign);
+    void noteHealth(const std::string &target, bool failed, MonotonicTime now);
+
+    const Options m_options;
+    absl::flat_hash_map<std::string, Run> m_runs;
+    absl::flat_hash_map<std::string, Copy> m_copies;
+    absl::flat_hash_map<std::string, TargetLoad> m_own;
+    absl::flat_hash_map<std::string, std::vector<TargetLoad>> m_peers;
+    absl::flat_hash_map<std::string, TargetLoad> m_peerSums;
+    absl::flat_hash_map<std::string, Health> m_health;
+    ColdRate m_coldRate;
+
+    void sumPeers();
+};
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibRelay/TargetLoad.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace Jujube
+{
+
+// What one gateway has placed on one target.
+struct TargetLoad {
+    std::string target;
+    int running = 0;
+    // Cache memory that the runs will need at their end, in tokens.
+    int64_t memory = 0;
+    // Prompt tokens of runs that have not produced anything yet.
+    int64_t prefill = 0;
+
+    void add(const TargetLoad &other)
+    {
+        running += other.running;
+        memory += other.memory;
+        prefill += other.prefill;
+    }
+};
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibRelay/TargetTable.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <cstdint>
+#include <LibCore/Time.h>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Jujube
+{
+
+// What the list of targets says about one target.
+struct TargetEntry {
+    std::string id;
+    // Start of the target's present lifetime, in milliseconds since 1970 by its own clock. A target that starts again under its id has a higher one.
+    int64_t incarnation = 0;
+    std::string service;
+    // "address:port".
+    std::string address;
+    std::string dataCentre;
+    int slots = 1;
+    bool leaving = false;
+    // How long the target stays cold, from when the entry was written.
+    std::chrono::milliseconds coldLeft {0};
+};
+
+// One target as this gateway knows it.
+struct KnownTarget {
+    TargetEntry entry;
+    MonotonicTime coldUntil;
+    // When the target's entry disappeared from the list or began to say that it leaves.
+    std::optional<MonotonicTime> leavingSince;
+    // The entry lapsed while the list was out of reach, and the target may register again until this time.
+    std::optional<MonotonicTime> lapsedUntil;
+};
+
+// The targets by their list in the store. Entries that disappear mean that a target leaves; it serves what it runs for some time still.
+class TargetTable
+{
+public:
+    struct Options {
+        // A target whose entry lapsed while the store was away registers again within this time of the store's return.
+        std::chrono::milliseconds lapseGrace {2000};
+        // Targets that left are forgotten after this time.
+        std::chrono::seconds memory {20};
+    };
+
+    explicit TargetTable(Options options);
+
+    // Takes in an entry. Returns whether a target became leaving by it.
+    bool set(const TargetEntry &entry, MonotonicTime now);
+
+    // The entry has disappeared. `afterOutage` tells that the list was out of reach until now, so that the entry may only have lapsed. Returns whether a
+    // target became leaving by it.
+    bool remove(const std::string &id, bool afterOutage, MonotonicTime now);
+
+    // Takes in the whole list.
+    void replaceAll(const std::vector<TargetEntry> &entries, bool afterOutage, MonotonicTime now);
+
+    // The target told this gateway directly that it leaves, or another gateway knows it.
+    bool noteLeaving(const std::string &id, int64_t incarnation, MonotonicTime now);
+
+    // Lets grace periods run out. Returns the targets that became leaving.
+    std::vector<std::string> tick(MonotonicTime now);
+
+    void setDataCentresOut(absl::flat_hash_set<std::string> names);
+    bool isOut(const std::string &dataCentre) const;
+
+    const KnownTarget *find(std::string_view id) const;
+
+    // Whether the target may get new requests.
+    bool isUsable(const KnownTarget &target, MonotonicTime now) const;
+
+    const absl::flat_hash_map<std::string, KnownTarget> &targets() const
+    {
+        return m_targets;
+    }
+
+    size_t size() const
+    {
+        return m_targets.size();
+    }
+
+private:
+    bool markLeaving(KnownTarget &target, MonotonicTime now);
+
+    const Options m_options;
+    absl::flat_hash_map<std::string, KnownTarget> m_targets;
+    absl::flat_hash_set<std::string> m_out;
+};
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibRelayServer/PeerLink.cpp
@@ -0,0 +1,181 @@
+#include <LibRelayServer/PeerLink.h>
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <LibCore/Error.h>
+#include <LibRelay/PeerNewsCodec.h>
+
+namespace Jujube
+{
+
+namespace
+{
+
+// Pause between heartbeats. They carry loads, on which placement depends.
+constexpr std::chrono::milliseconds BeatPause {200};
+// Shortest pause before a heartbeat that is sent early.
+constexpr std::chrono::milliseconds SoonPause {20};
+constexpr size_t MostKnownAddresses = 4;
+constexpr size_t MostCrashes = 8;
+
+} // namespace
+
+PeerLink::PeerLink(RelayCore &core, Hooks hooks)
+    : m_core(core)
+    , m_hooks(std::move(hooks))
+    , m_socket(core.loop)
+    , m_timer(core.loop)
+    , m_incarnation(wallMsNow())
+{
+}
+
+absl::Status PeerLink::start()
+{
+    const auto endpoint = m_core.options.peers.udp();
+    LoopError error;
+    m_socket.open(endpoint.protocol(), error);
+    if (!error) {
+        m_socket.bind(endpoint, error);
+    }
+    if (!error) {
+        m_socket.non_blocking(true, error);
+    }
+    if (error) {
+        return makeError(ErrorKind::InvalidValue, absl::StrCat("cannot bind UDP ", m_core.options.peers.toText(), ": ", error.message()));
+    }
+    const auto now = monotonicNow();
+    for (const auto &seed : m_core.options.seeds) {
+        m_core.peers.addAddress(seed, now);
+    }
+    receive();
+    beat();
+    return absl::OkStatus();
+}
+
+void PeerLink::stop()
+{
+    m_timer.cancel();
+    LoopError ignored;
+    m_socket.close(ignored);
+}
+
+void PeerLink::receive()
+{
+    m_socket.async_receive_from(boost::asio::buffer(m_buffer), m_sender, [this](const LoopError &error, size_t bytes) {
+        if (error == boost::asio::error::operation_aborted || !m_socket.is_open()) {
+            return;
+        }
+        if (!error) {
+            onDatagram({m_buffer.data(), bytes}, monotonicNow());
+        }
+        receive();
+    });
+}
+
+void PeerLink::onDatagram(std::string_view datagram, MonotonicTime now)
+{
+    const auto news = decodePeerNews(datagram);
+    if (!news) {
+        m_core.metrics.count("relay_peer_datagrams_malformed_total");
+        return;
+    }
+    const auto change = m_core.peers.hear(*news, now);
+    if (change == PeerTable::Change::Stale) {
+        return;
+    }
+    m_core.balancer.setPeerLoads(news->node, news->loads);
+    for (const auto &[target, incarnation] : news->leaving) {
+        if (m_core.targets.noteLeaving(target, incarnation, now)) {
+            m_core.announceLeaving(target, "peer", now);
+        }
+    }
+    for (const auto &crash : news->crashes) {
+        m_core.crashes.merge(crash, now);
+    }
+    const auto version = m_core.routes ? m_core.routes->document().version : 0;
+    if (news->documentVersion > version) {
+        m_hooks.onNewerDocument();
+    }
+    if (change == PeerTable::Change::Joined) {
+        auto line = m_core.line(EventKind::PeerJoined);
+        line.add("peer", news->node).add("address", news->callers);
+        m_core.log(line);
+        sendSoon();
+    }
+    if (change != PeerTable::Change::None) {
+        m_hooks.onPeersChanged();
+    }
+}
+
+void PeerLink::sendSoon()
+{
+    if (!m_soon) {
+        m_soon = true;
+        armTimer(SoonPause);
+    }
+}
+
+void PeerLink::armTimer(std::chrono::milliseconds pause)
+{
+    m_timer.expires_after(pause);
+    m_timer.async_wait([this](const LoopError &error) {
+        if (!error) {
+            beat();
+        }
+    });
+}
+
+void PeerLink::beat()
+{
+    m_soon = false;
+    const auto now = monotonicNow();
+    const auto silent = m_core.peers.expire(now);
+    for (const auto &node : silent) {
+        m_core.balancer.dropPeer(node);
+        auto line = m_core.line(EventKind::PeerLost);
+        line.add("peer", node);
+        m_core.log(line);
+    }
+    if (!silent.empty()) {
+        m_hooks.onPeersChanged();
+    }
+    sendNews(now);
+    armTimer(BeatPause);
+}
+
+void PeerLink::sendNews(MonotonicTime now)
+{
+    const auto datagram = encodePeerNews(news(now));
+    for (const auto &address : m_core.peers.recipients(now)) {
+        if (const auto endpoint = Endpoint::parse(address)) {
+            // A datagram that cannot be sent is as good as lost; the next heartbeat follows.
+            LoopError ignored;
+            m_socket.send_to(boost::asio::buffer(datagram), endpoint->udp(), 0, ignored);
+        }
+    }
+}
+
+PeerNews PeerLink::news(MonotonicTime now)
+{
+    PeerNews result {.node = m_core.options.node,
+                     .incarnation = m_incarnation,
+                     .sequence = ++m_sequence,
+                     .callers = m_core.options.callers.toText(),
+                     .peers = m_core.options.peers.toText(),
+                     .dataCentre = m_core.options.dataCentre,
+                     .accepting = m_core.routes != nullptr && !m_core.isDraining(),
+                     .documentVersion = m_core.routes ? m_core.routes->document().version : 0,
+                     .loads = m_core.balancer.ownLoads(),
+                     .crashes = m_core.crashes.reports(MostCrashes, now),
+                     .known = m_core.peers.knownAddresses(MostKnownAddresses, now)};
+    // A target's leaving is news for a short time only; by then every relay has read it or heard it.
+    constexpr std::chrono::seconds NewsTime {3};
+    for (const auto &[id, target] : m_core.targets.targets()) {
+        if (target.leavingSince && now - *target.leavingSince < NewsTime) {
+            result.leaving.emplace_back(id, target.entry.incarnation);
+        }
+    }
+    return result;
+}
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibRelayServer/PeerLink.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <LibLoop/Asio.h>
+#include <LibRelayServer/RelayCore.h>
+
+namespace Jujube
+{
+
+// Exchanges heartbeats with the other relays as UDP datagrams.
+class PeerLink
+{
+public:
+    struct Hooks {
+        // A relay has joined, fallen silent, or changed whether it accepts callers.
+        std::function<void()> onPeersChanged;
+        // A peer has a newer document than this relay.
+        std::function<void()> onNewerDocument;
+    };
+
+    PeerLink(RelayCore &core, Hooks hooks);
+
+    // Errors: ErrorKind::InvalidValue if the address cannot be bound.
+    absl::Status start();
+    void stop();
+
+    // Sends a heartbeat before the next one is due, because something changed that others should know.
+    void sendSoon();
+
+private:
+    void receive();
+    void onDatagram(std::string_view datagram, MonotonicTime now);
+    void beat();
+    void sendNews(MonotonicTime now);
+    PeerNews news(MonotonicTime now);
+    void armTimer(std::chrono::milliseconds pause);
+
+    RelayCore &m_core;
+    const Hooks m_hooks;
+    Udp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    std::array<char, 2048> m_buffer {};
+    Udp::endpoint m_sender;
+    const int64_t m_incarnation;
+    int64_t m_sequence = 0;
+    bool m_soon = false;
+};
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -0,0 +1,526 @@
+#include <LibRelayServer/Relay.h>
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <algorithm>
+#include <ctime>
+#include <LibCore/AbslView.h>
+#include <LibCore/Json.h>
+#include <LibRelayServer/RelayExchange.h>
+#include <sys/stat.h>
+
+namespace Jujube
+{
+
+namespace
+{
+
+constexpr std::string_view SnapshotPath = "/snapshot/";
+constexpr std::string_view MetricsPath = "/metrics";
+
+constexpr std::chrono::milliseconds TickPause {100};
+// The process exits this long before it would be killed.
+constexpr std::chrono::milliseconds GraceMargin {600};
+// Callers keep addresses and channels for a while after the directory has left this node out.
+constexpr std::chrono::milliseconds LeastDrainTime {2600};
+// Fewer addresses than these in the caller's region are filled up with others.
+constexpr size_t LeastAddresses = 2;
+constexpr size_t MostAddresses = 64;
+// The process did not run for at least this time.
+constexpr std::chrono::milliseconds FreezeTime {400};
+// A table that is not known to be current for this time is asked of a peer.
+constexpr std::chrono::milliseconds PeerReadAge {900};
+constexpr uint64_t TicksPerPeerRead = 5;
+constexpr std::chrono::milliseconds PeerReadTimeout {500};
+constexpr uint64_t TicksPerExpiry = 10;
+
+// How much longer the machine has run than the process could (CLOCK_BOOTTIME counts a suspended machine's time).
+std::chrono::nanoseconds suspendedTime()
+{
+    timespec boot {};
+    timespec monotonic {};
+    clock_gettime(CLOCK_BOOTTIME, &boot);
+    clock_gettime(CLOCK_MONOTONIC, &monotonic);
+    return std::chrono::seconds(boot.tv_sec - monotonic.tv_sec) + std::chrono::nanoseconds(boot.tv_nsec - monotonic.tv_nsec);
+}
+
+// Rows as peers exchange them.
+std::string encodeSnapshot(const StoreRows &rows)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto &row : rows.rows) {
+        list.push_back({{"key", absl::Base64Escape(row.key)}, {"value", absl::Base64Escape(row.value)}, {"version", row.version}});
+    }
+    return nlohmann::json {{"version", rows.version}, {"rows", std::move(list)}}.dump();
+}
+
+std::optional<StoreRows> decodeSnapshot(std::string_view text)
+{
+    const auto json = parseJson(text);
+    if (!json.ok() || !json->is_object() || !json->contains("rows")) {
+        return std::nullopt;
+    }
+    StoreRows rows {.version = json->value("version", int64_t {0})};
+    for (const auto &item : (*json)["rows"]) {
+        StoreRow row {.version = item.value("version", int64_t {0})};
+        if (!absl::Base64Unescape(item.value("key", std::string()), &row.key) || !absl::Base64Unescape(item.value("value", std::string()), &row.value)) {
+            return std::nullopt;
+        }
+        rows.rows.push_back(std::move(row));
+    }
+    return rows;
+}
+
+} // namespace
+
+Relay::Relay(boost::asio::io_context &loop, RelayOptions options, RelayDialect dialect, LineWriter &lines, ReadOptions readOptions)
+    : m_core(loop, std::move(options), std::move(dialect), lines)
+    , m_readOptions(std::move(readOptions))
+    , m_peers(m_core,
+              {.onPeersChanged = [] {},
+               .onNewerDocument =
+                   [this] {
+                       // The store is read again at once; if it does not answer, a peer is asked.
+                       m_documents->hurry();
+                   }})
+    , m_timer(loop)
+    , m_sleptBefore(suspendedTime())
+{
+}
+
+absl::StatusOr<std::unique_ptr<Relay>>
+Relay::start(boost::asio::io_context &loop, RelayOptions options, RelayDialect dialect, LineWriter &lines, ReadOptions readOptions)
+{
+    auto relay = std::unique_ptr<Relay>(new Relay(loop, std::move(options), std::move(dialect), lines, std::move(readOptions)));
+    relay->followStore();
+    if (auto status = relay->listen(); !status.ok()) {
+        return status;
+    }
+    if (auto status = relay->m_peers.start(); !status.ok()) {
+        return status;
+    }
+    relay->m_documents->start();
+    relay->m_targets->start();
+    auto line = relay->m_core.line(EventKind::ProcessStarted);
+    line.add("listen", relay->m_core.options.callers.toText()).add("data_centre", relay->m_core.options.dataCentre);
+    relay->m_core.log(line);
+    relay->tick();
+    return relay;
+}
+
+CallerLimits Relay::callerLimits() const
+{
+    if (!m_core.routes) {
+        return {};
+    }
+    const auto &limits = m_core.routes->document().limits;
+    return {.headBytes = limits.headBytes, .bodyBytes = limits.bodyBytes, .headTimeout = limits.headTimeout, .idleTimeout = limits.idleTimeout};
+}
+
+CallerChannel::Hooks Relay::hooksFor(std::function<void(const std::shared_ptr<CallerChannel> &, CallerRequest)> onRequest)
+{
+    return {.onRequest = std::move(onRequest),
+            .limits = [this] { return callerLimits(); },
+            .isClosing = [this] { return m_core.isDraining(); },
+            .onRejected =
+                [this](int status) {
+                    m_core.metrics.count("relay_unreadable_requests_total", absl::StrCat("status=\"", status, "\""));
+                    auto line = m_core.line(EventKind::RelayRejected);
+                    line.add("outcome", "unreadable").add("status", status);
+                    m_core.log(line);
+                }};
+}
+
+absl::Status Relay::listen()
+{
+    const auto open = [this](std::unique_ptr<CallerListener> &listener, const Endpoint &address, auto onRequest) -> absl::Status {
+        auto started
+            = CallerListener::start(m_core.loop, {.address = address, .maxChannels = m_core.options.maxChannels, .hooks = hooksFor(std::move(onRequest))});
+        if (!started.ok()) {
+            return started.status();
+        }
+        listener = *std::move(started);
+        return absl::OkStatus();
+    };
+    auto status = open(m_callers, m_core.options.callers, [this](const std::shared_ptr<CallerChannel> &channel, CallerRequest request) {
+        std::make_shared<RelayExchange>(m_core, channel, std::move(request))->start();
+    });
+    if (status.ok()) {
+        status
+            = open(m_ready, m_core.options.ready, [this](const std::shared_ptr<CallerChannel> &channel, const CallerRequest &) { onReadyRequest(*channel); });
+    }
+    if (status.ok()) {
+        status = open(m_directory, m_core.options.directory, [this](const std::shared_ptr<CallerChannel> &channel, const CallerRequest &request) {
+            onDirectoryRequest(*channel, request);
+        });
+    }
+    if (status.ok()) {
+        status = open(m_peerCalls, m_core.options.peers, [this](const std::shared_ptr<CallerChannel> &channel, const CallerRequest &request) {
+            onPeerRequest(*channel, request);
+        });
+    }
+    return status;
+}
+
+void Relay::followStore()
+{
+    const auto &dialect = m_core.dialect;
+    const auto lost = [this](const std::string &table) { return [this, table](const std::string &error) { logStore(EventKind::PlatformLost, table, error); }; };
+    const auto regained = [this](const std::string &table) {
+        return [this, table](std::chrono::milliseconds outage) { logStore(EventKind::PlatformRegained, table, absl::StrCat("after ", outage.count(), " ms")); };
+    };
+    // Changes of the document are rare and urgent, so the store holds the read until there is one.
+    m_documents = std::make_unique<TableFollower>(
+        m_core.loop,
+        m_core.client,
+        dialect,
+        m_core.options.store,
+        TableFollower::Options {.table = dialect.documentTable, .pause = std::chrono::milliseconds(40), .wait = std::chrono::milliseconds(3000)},
+        TableFollower::Hooks {.onTable = [this](const std::vector<StoreRow> &rows, bool) { onDocumentTable(rows, monotonicNow()); },
+                              .onChange = [this](const StoreRow &row, bool) { onDocumentRow(row, monotonicNow()); },
+                              .onLost = lost(dialect.documentTable),
+                              .onRegained = regained(dialect.documentTable)});
+    m_targets = std::make_unique<TableFollower>(
+        m_core.loop,
+        m_core.client,
+        dialect,
+        m_core.options.store,
+        TableFollower::Options {.table = dialect.targetTable},
+        TableFollower::Hooks {.onTable = [this](const std::vector<StoreRow> &rows, bool afterOutage) { onTargetTable(rows, afterOutage, monotonicNow()); },
+                              .onChange = [this](const StoreRow &row, bool afterOutage) { onTargetRow(row, afterOutage, monotonicNow()); },
+                              .onLost = lost(dialect.targetTable),
+                              .onRegained = regained(dialect.targetTable)});
+}
+
+void Relay::logStore(EventKind kind, const std::string &table, std::string_view detail)
+{
+    auto line = m_core.line(kind);
+    line.add("table", table).add("detail", detail);
+    m_core.log(line);
+    m_core.metrics.count("relay_store_changes_total", absl::StrCat("event=\"", toAbsl(nameOf(kind)), "\""));
+}
+
+void Relay::onReadyRequest(CallerChannel &channel) const
+{
+    constexpr int StatusOk = 200;
+    constexpr int StatusUnavailable = 503;
+    const bool ready = m_core.routes && !m_core.isDraining();
+    channel.send({.status = ready ? StatusOk : StatusUnavailable}, {});
+}
+
+std::vector<std::string> Relay::addressesFor(const std::string &dataCentre, const std::string &region, MonotonicTime now) const
+{
+    std::vector<std::string> nearest;
+    std::vector<std::string> others;
+    const auto add = [&](const std::string &address, const std::string &where) {
+        const auto found = m_core.options.regions.find(where);
+        const bool isNear = where == dataCentre || (found != m_core.options.regions.end() && found->second == region);
+        (isNear ? nearest : others).push_back(address);
+    };
+    if (!m_core.isDraining()) {
+        add(m_core.options.callers.toText(), m_core.options.dataCentre);
+    }
+    for (const auto *peer : m_core.peers.alive(now)) {
+        if (peer->news.accepting) {
+            add(peer->news.callers, peer->news.dataCentre);
+        }
+    }
+    if (nearest.size() < LeastAddresses) {
+        nearest.insert(nearest.end(), others.begin(), others.end());
+    }
+    if (nearest.empty()) {
+        nearest.push_back(m_core.options.callers.toText());
+    }
+    if (nearest.size() > MostAddresses) {
+        nearest.resize(MostAddresses);
+    }
+    return nearest;
+}
+
+void Relay::onDirectoryRequest(CallerChannel &channel, const CallerRequest &request)
+{
+    constexpr int StatusOk = 200;
+    constexpr int StatusNotFound = 404;
+    const std::string_view target = request.head.target;
+    const auto question = target.find('?');
+    if (target.substr(0, question) == MetricsPath) {
+        channel.send({.status = StatusOk, .fields = {{.name = "Content-Type", .value = "text/plain; version=0.0.4"}}}, m_core.metrics.toText());
+        return;
+    }
+    if (target.substr(0, question) != m_core.dialect.directoryPath) {
+        channel.send({.status = StatusNotFound}, {});
+        return;
+    }
+    const auto query = question == std::string_view::npos ? std::string_view() : target.substr(question + 1);
+    const auto [dataCentre, region] = m_core.dialect.decodeDirectoryQuery(query);
+    const auto addresses = addressesFor(dataCentre, region, monotonicNow());
+    m_core.metrics.count("relay_directory_answers_total");
+    channel.send({.status = StatusOk, .fields = {{.name = "Content-Type", .value = "application/json"}}},
+                 m_core.dialect.encodeDirectory(addresses, m_core.options.directoryLifetime));
+}
+
+void Relay::onPeerRequest(CallerChannel &channel, const CallerRequest &request)
+{
+    constexpr int StatusOk = 200;
+    constexpr int StatusNotFound = 404;
+    const auto &target = request.head.target;
+    const auto matches = [&](const std::string &table) { return target == absl::StrCat(toAbsl(SnapshotPath), table); };
+    if (matches(m_core.dialect.documentTable) && m_documents->hasRows()) {
+        channel.send({.status = StatusOk}, encodeSnapshot(m_documents->snapshot()));
+    } else if (matches(m_core.dialect.targetTable) && m_targets->hasRows()) {
+        channel.send({.status = StatusOk}, encodeSnapshot(m_targets->snapshot()));
+    } else if (target == MetricsPath) {
+        channel.send({.status = StatusOk, .fields = {{.name = "Content-Type", .value = "text/plain; version=0.0.4"}}}, m_core.metrics.toText());
+    } else {
+        channel.send({.status = StatusNotFound}, {});
+    }
+}
+
+void Relay::askPeer(TableFollower &follower, const std::string &table)
+{
+    const auto alive = m_core.peers.alive(monotonicNow());
+    if (alive.empty()) {
+        return;
+    }
+    const auto *peer = alive[m_core.random() % alive.size()];
+    const auto endpoint = Endpoint::parse(peer->news.peers);
+    if (!endpoint) {
+        return;
+    }
+    const LoopCall call {.target = absl::StrCat(toAbsl(SnapshotPath), table), .timeout = PeerReadTimeout, .freshConnection = true};
+    m_core.client.call(*endpoint, call, [this, &follower, table, node = peer->news.node](const LoopAnswer &answer) {
+        const auto rows = answer.isSuccess() ? decodeSnapshot(answer.body) : std::nullopt;
+        if (rows && follower.offer(*rows, monotonicNow())) {
+            logStore(EventKind::TableReplaced, table, absl::StrCat("from peer ", node, " as of ", rows->version));
+        }
+    });
+}
+
+void Relay::onDocumentTable(const std::vector<StoreRow> &rows, MonotonicTime now)
+{
+    m_out.clear();
+    for (const auto &row : rows) {
+        onDocumentRow(row, now);
+    }
+    applyOutDataCentres();
+}
+
+void Relay::onDocumentRow(const StoreRow &row, MonotonicTime)
+{
+    if (row.key == m_core.dialect.documentKey) {
+        applyDocument(row);
+        return;
+    }
+    const auto dataCentre = m_core.dialect.decodeOutDataCentre(row.key);
+    if (!dataCentre) {
+        return;
+    }
+    if (row.removed) {
+        m_out.erase(*dataCentre);
+    } else {
+        m_out.insert(*dataCentre);
+    }
+    auto line = m_core.line(row.removed ? EventKind::DataCentreIn : EventKind::DataCentreOut);
+    line.add("data_centre", *dataCentre).add("row_version", row.version);
+    m_core.log(line);
+    applyOutDataCentres();
+}
+
+void Relay::applyDocument(const StoreRow &row)
+{
+    if (row.removed) {
+        return;
+    }
+    auto document = m_core.dialect.decodeDocument(row.value);
+    if (!document.ok()) {
+        auto line = m_core.line(EventKind::DocumentRefused);
+        line.add("row_version", row.version).add("reason", std::string(document.status().message()));
+        m_core.log(line);
+        m_core.metrics.count("relay_documents_refused_total");
+        return;
+    }
+    if (m_core.routes && document->version <= m_core.routes->document().version) {
+        return;
+    }
+    auto line = m_core.line(EventKind::DocumentInForce);
+    line.add("version", document->version)
+        .add("row_version", row.version)
+        .add("routes", static_cast<int64_t>(document->routes.size()))
+        .add("workspaces", static_cast<int64_t>(document->workspaces.size()));
+    m_core.log(line);
+    m_core.routes = std::make_shared<const RouteTable>(*std::move(document));
+    m_peers.sendSoon();
+}
+
+void Relay::applyOutDataCentres()
+{
+    m_core.targets.setDataCentresOut(m_out);
+}
+
+std::optional<TargetEntry> Relay::decodeTarget(const StoreRow &row)
+{
+    auto entry = m_core.dialect.decodeTarget(row.key, row.value);
+    if (entry.ok() && Endpoint::parse(entry->address)) {
+        return *std::move(entry);
+    }
+    auto line = m_core.line(EventKind::RowUnreadable);
+    line.add("table", m_core.dialect.targetTable).add("key", row.key).add("reason", entry.ok() ? "bad address" : std::string(entry.status().message()));
+    m_core.log(line);
+    m_core.metrics.count("relay_rows_unreadable_total");
+    return std::nullopt;
+}
+
+void Relay::takeTarget(const TargetEntry &entry, MonotonicTime now)
+{
+    const auto *known = m_core.targets.find(entry.id);
+    const bool isNew = !known || known->entry.incarnation < entry.incarnation;
+    if (isNew) {
+        auto line = m_core.line(EventKind::TargetListed);
+        line.add("target", entry.id).add("service", entry.service).add("address", entry.address).add("data_centre", entry.dataCentre);
+        m_core.log(line);
+        if (const auto endpoint = Endpoint::parse(entry.address)) {
+            m_core.channels.forget(*endpoint);
+        }
+    }
+    if (m_core.targets.set(entry, now)) {
+        m_core.announceLeaving(entry.id, "list", now);
+        m_peers.sendSoon();
+    }
+}
+
+void Relay::onTargetTable(const std::vector<StoreRow> &rows, bool afterOutage, MonotonicTime now)
+{
+    absl::flat_hash_set<std::string> listed;
+    for (const auto &row : rows) {
+        listed.insert(row.key);
+        if (const auto entry = decodeTarget(row)) {
+            takeTarget(*entry, now);
+        }
+    }
+    std::vector<std::string> missing;
+    for (const auto &[id, target] : m_core.targets.targets()) {
+        if (!listed.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const auto &id : missing) {
+        if (m_core.targets.remove(id, afterOutage, now)) {
+            m_core.announceLeaving(id, "not listed", now);
+        }
+    }
+    logStore(EventKind::TableReplaced, m_core.dialect.targetTable, absl::StrCat(rows.size(), " rows, ", missing.size(), " missing"));
+}
+
+void Relay::onTargetRow(const StoreRow &row, bool afterOutage, MonotonicTime now)
+{
+    if (row.removed) {
+        if (m_core.targets.remove(row.key, afterOutage, now)) {
+            m_core.announceLeaving(row.key, "entry removed", now);
+            m_peers.sendSoon();
+        }
+        return;
+    }
+    if (const auto entry = decodeTarget(row)) {
+        takeTarget(*entry, now);
+    }
+}
+
+void Relay::tick()
+{
+    const auto now = monotonicNow();
+    ++m_ticks;
+    noticeFreeze();
+    for (const auto &target : m_core.targets.tick(now)) {
+        m_core.announceLeaving(target, "entry lapsed", now);
+    }
+    if (m_ticks % TicksPerPeerRead == 0) {
+        if (m_documents->age(now) > PeerReadAge && (m_documents->isLost() || !m_documents->hasRows())) {
+            askPeer(*m_documents, m_core.dialect.documentTable);
+        }
+        if (m_targets->age(now) > PeerReadAge && (m_targets->isLost() || !m_targets->hasRows())) {
+            askPeer(*m_targets, m_core.dialect.targetTable);
+        }
+    }
+    if (m_ticks % TicksPerExpiry == 0) {
+        m_core.channels.expire(now);
+        m_core.client.expire(now);
+        m_core.balancer.expire(now);
+        m_core.crashes.expire(now);
+        m_core.metrics.set("relay_open_channels", static_cast<double>(m_callers->channelCount()));
+        m_core.metrics.set("relay_requests_running", static_cast<double>(m_core.running.size()));
+    }
+    checkDrain(now);
+    m_timer.expires_after(TickPause);
+    m_timer.async_wait([this](const LoopError &error) {
+        if (!error) {
+            tick();
+        }
+    });
+}
+
+void Relay::noticeFreeze()
+{
+    const auto suspended = suspendedTime();
+    const auto frozen = suspended - m_sleptBefore;
+    m_sleptBefore = suspended;
+    if (frozen < FreezeTime) {
+        return;
+    }
+    auto line = m_core.line(EventKind::ProcessWasFrozen);
+    line.add("for_ms", std::chrono::duration_cast<std::chrono::milliseconds>(frozen).count());
+    m_core.log(line);
+    m_core.channels.clear();
+    m_core.client.closeIdle();
+    m_documents->hurry();
+    m_targets->hurry();
+}
+
+void Relay::drain()
+{
+    if (m_core.isDraining()) {
+        return;
+    }
+    m_core.drainingSince = monotonicNow();
+    auto line = m_core.line(EventKind::ProcessDraining);
+    line.add("requests", static_cast<int64_t>(m_core.running.size()));
+    m_core.log(line);
+    m_peers.sendSoon();
+}
+
+void Relay::checkDrain(MonotonicTime now)
+{
+    if (!m_core.isDraining()) {
+        return;
+    }
+    const auto since = now - *m_core.drainingSince;
+    const bool idle = m_callers->answeringCount() == 0;
+    if ((idle && since >= LeastDrainTime) || since >= m_core.options.grace - GraceMargin) {
+        auto line = m_core.line(EventKind::ProcessStopped);
+        line.add("requests", static_cast<int64_t>(m_callers->answeringCount()));
+        m_core.log(line);
+        m_core.loop.stop();
+    }
+}
+
+void Relay::reloadSettings()
+{
+    auto options = m_readOptions();
+    auto line = m_core.line(EventKind::SettingsReloaded);
+    if (!options.ok()) {
+        line.add("refused", std::string(options.status().message()));
+        m_core.log(line);
+        return;
+    }
+    const auto now = monotonicNow();
+    for (const auto &seed : options->seeds) {
+        m_core.peers.addAddress(seed, now);
+    }
+    m_core.options.seeds = options->seeds;
+    m_core.options.grace = options->grace;
+    m_core.options.directoryLifetime = options->directoryLifetime;
+    line.add("seeds", absl::StrJoin(options->seeds, ","));
+    m_core.log(line);
+}
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibRelayServer/Relay.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <LibLoop/CallerListener.h>
+#include <LibRelayServer/PeerLink.h>
+#include <LibRelayServer/RelayCore.h>
+#include <LibRelayServer/TableFollower.h>
+#include <memory>
+
+namespace Jujube
+{
+
+// A relay: accepts the requests of callers on relayed routes and has them served by targets, answers which gateways callers should use, and follows the store.
+// Everything runs on one loop.
+class Relay
+{
+public:
+    // Reads the settings again, for SIGHUP and for a file that has changed.
+    using ReadOptions = std::function<absl::StatusOr<RelayOptions>()>;
+
+    // Errors: ErrorKind::InvalidValue if an address cannot be bound.
+    static absl::StatusOr<std::unique_ptr<Relay>>
+    start(boost::asio::io_context &loop, RelayOptions options, RelayDialect dialect, LineWriter &lines, ReadOptions readOptions);
+
+    // SIGTERM: no new callers are sent here, running requests go on, and the loop is stopped when they have ended or the grace period is nearly over.
+    void drain();
+    void reloadSettings();
+
+private:
+    Relay(boost::asio::io_context &loop, RelayOptions options, RelayDialect dialect, LineWriter &lines, ReadOptions readOptions);
+
+    absl::Status listen();
+    CallerChannel::Hooks hooksFor(std::function<void(const std::shared_ptr<CallerChannel> &, CallerRequest)> onRequest);
+    CallerLimits callerLimits() const;
+    void followStore();
+
+    void onReadyRequest(CallerChannel &channel) const;
+    void onDirectoryRequest(CallerChannel &channel, const CallerRequest &request);
+    void onPeerRequest(CallerChannel &channel, const CallerRequest &request);
+
+    void onDocumentTable(const std::vector<StoreRow> &rows, MonotonicTime now);
+    void onDocumentRow(const StoreRow &row, MonotonicTime now);
+    void applyDocument(const StoreRow &row);
+    void applyOutDataCentres();
+    void onTargetTable(const std::vector<StoreRow> &rows, bool afterOutage, MonotonicTime now);
+    void onTargetRow(const StoreRow &row, bool afterOutage, MonotonicTime now);
+    std::optional<TargetEntry> decodeTarget(const StoreRow &row);
+    void takeTarget(const TargetEntry &entry, MonotonicTime now);
+    void logStore(EventKind kind, const std::string &table, std::string_view detail);
+
+    std::vector<std::string> addressesFor(const std::string &dataCentre, const std::string &region, MonotonicTime now) const;
+    void askPeer(TableFollower &follower, const std::string &table);
+    void tick();
+    void checkDrain(MonotonicTime now);
+    void noticeFreeze();
+
+    RelayCore m_core;
+    const ReadOptions m_readOptions;
+    PeerLink m_peers;
+    std::unique_ptr<CallerListener> m_callers;
+    std::unique_ptr<CallerListener> m_ready;
+    std::unique_ptr<CallerListener> m_directory;
+    std::unique_ptr<CallerListener> m_peerCalls;
+    std::unique_ptr<TableFollower> m_documents;
+    std::unique_ptr<TableFollower> m_targets;
+    absl::flat_hash_set<std::string> m_out;
+    boost::asio::steady_timer m_timer;
+    std::chrono::nanoseconds m_sleptBefore {0};
+    uint64_t m_ticks = 0;
+};
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <LibEvents/LineWriter.h>
+#include <LibEvents/LogLine.h>
+#include <LibLoop/LoopClient.h>
+#include <LibMetrics/Metrics.h>
+#include <LibPolicy/CrashSuspects.h>
+#include <LibRelay/PeerTable.h>
+#include <LibRelay/RouteTable.h>
+#include <LibRelay/ServiceRetryBudget.h>
+#include <LibRelay/TargetBalancer.h>
+#include <LibRelayServer/RelayDialect.h>
+#include <LibRelayServer/RelayOptions.h>
+#include <random>
+
+namespace Jujube
+{
+
+class RelayExchange;
+
+// What all requests of a relay share: the document and the targets in force, the decisions' state, connections, log and metrics. Used on the loop's thread
+// only.
+class RelayCore
+{
+public:
+    RelayCore(boost::asio::io_context &loop, RelayOptions options, RelayDialect dialect, LineWriter &lines);
+
+    boost::asio::io_context &loop;
+    RelayOptions options;
+    const RelayDialect dialect;
+    Metrics metrics;
+    TargetChannelPool channels;
+    LoopClient client;
+    std::shared_ptr<const RouteTable> routes;
+    TargetTable targets;
+    TargetBalancer balancer;
+    PeerTable peers;
+    CrashSuspects crashes;
+    // Time of the SIGTERM.
+    std::optional<MonotonicTime> drainingSince;
+    // Requests in progress by the target that runs them.
+    absl::flat_hash_map<RelayExchange *, std::string> running;
+
+    ServiceRetryBudget &retryBudget(const std::string &service);
+    uint64_t random();
+    double randomUnit();
+    int liveGateways(MonotonicTime now) const;
+
+    bool isDraining() const
+    {
+        return drainingSince.has_value();
+    }
+
+    LogLine line(EventKind kind) const;
+    void log(LogLine &line);
+
+    // Tells the requests on a target that it leaves.
+    void announceLeaving(const std::string &target, std::string_view reason, MonotonicTime now);
+
+private:
+    LineWriter &m_lines;
+    std::mt19937_64 m_random;
+    absl::flat_hash_map<std::string, std::unique_ptr<ServiceRetryBudget>> m_retryBudgets;
+};
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <LibLoop/CallerChannel.h>
+#include <LibRelay/RelaySession.h>
+#include <LibRelayServer/RelayCore.h>
+#include <memory>
+
+namespace Jujube
+{
+
+// Carries one request of a caller: admits it, and does what its session decides on the connections to the caller and to the targets.
+class RelayExchange : public std::enable_shared_from_this<RelayExchange>
+{
+public:
+    RelayExchange(RelayCore &core, std::shared_ptr<CallerChannel> caller, CallerRequest request);
+    ~RelayExchange();
+    RelayExchange(const RelayExchange &) = delete;
+    RelayExchange &operator=(const RelayExchange &) = delete;
+
+    // Admits the request and sends it, or answers at once.
+    void start();
+
+    void onTargetLeaving(MonotonicTime now);
+
+private:
+    // Returns how the request must be answered at once, or nothing if it is admitted.
+    std::optional<RelayOutcome> admit(MonotonicTime now);
+    void readUsage();
+    void createSession();
+    RelayChoice choose(const std::set<std::string> &excluded, MonotonicTime now);
+    std::optional<RelayTarget> chooseDestination(const std::set<std::string> &excluded, MonotonicTime now);
+    void send(const RelaySend &send);
+    std::string requestTextFor(const RelaySend &send) const;
+    bool onHead(const MessageHead &head, std::optional<uint64_t> length);
+    void onBody(std::string_view bytes);
+    void onEnd(ChannelEnd end, const std::string &error);
+    void abortSend();
+    void copy(const RelayTarget &source, const RelayTarget &destination, bool stop);
+    void beginAnswer(std::optional<uint64_t> length);
+    void answer(RelayOutcome outcome, std::chrono::milliseconds retryAfter);
+    void finishAnswer();
+    void cut(RelayOutcome outcome);
+    void note(std::string_view decision, std::string_view reason);
+    void armDeadline();
+    void armCopyPause();
+    void armSilence();
+    void leaveTarget(RunEnd end, MonotonicTime now);
+    void over();
+    std::string_view requestId() const;
+
+    RelayCore &m_core;
+    const std::shared_ptr<CallerChannel> m_caller;
+    CallerRequest m_request;
+    std::shared_ptr<const RouteTable> m_routes;
+    const RelayRoute *m_route = nullptr;
+    const RelayService *m_service = nullptr;
+    const RelayWorkspace *m_workspace = nullptr;
+    std::string m_id;
+    std::string m_key;
+    RunDemand m_demand;
+    MonotonicTime m_deadline;
+    std::unique_ptr<RelaySession> m_session;
+    std::shared_ptr<TargetChannel> m_upstream;
+    // Numbers the sends, so that what arrives from an earlier one is ignored.
+    uint64_t m_sendNumber = 0;
+    MessageHead m_answerHead;
+    MonotonicTime m_sentAt;
+    MonotonicTime m_lastByteAt;
+    int64_t m_eventsCounted = 0;
+    bool m_isOver = false;
+    boost::asio::steady_timer m_deadlineTimer;
+    boost::asio::steady_timer m_copyTimer;
+    boost::asio::steady_timer m_silenceTimer;
+};
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibRelayServer/RelayOptions.cpp
@@ -0,0 +1,137 @@
+#include <LibRelayServer/RelayOptions.h>
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <absl/strings/str_split.h>
+#include <fstream>
+#include <LibCore/Error.h>
+
+namespace Jujube
+{
+
+namespace
+{
+
+constexpr int64_t MostMilliseconds = 600000;
+constexpr int64_t MostChannels = 60000;
+
+SettingCheck checkDecimal()
+{
+    return [](const std::string &value) -> std::optional<std::string> {
+        double number = 0;
+        if (!absl::SimpleAtod(value, &number) || number < 0) {
+            return "must be a number that is not negative";
+        }
+        return std::nullopt;
+    };
+}
+
+SettingCheck checkRegions()
+{
+    return [](const std::string &value) -> std::optional<std::string> {
+        for (const auto part : absl::StrSplit(value, ',', absl::SkipEmpty())) {
+            const std::vector<std::string> words = absl::StrSplit(part, ':');
+            if (words.size() != 2 || words[0].empty() || words[1].empty()) {
+                return "must be a list of DATA-CENTRE:REGION, separated by commas";
+            }
+        }
+        return std::nullopt;
+    };
+}
+
+double decimal(const Settings &settings, const std::string &name)
+{
+    double value = 0;
+    // The value was checked when the settings were parsed.
+    static_cast<void>(absl::SimpleAtod(settings.text(name), &value));
+    return value;
+}
+
+Endpoint endpoint(const Settings &settings, const std::string &name)
+{
+    return Endpoint::parse(settings.text(name)).value_or(Endpoint {});
+}
+
+} // namespace
+
+std::vector<Setting> RelayOptions::settings()
+{
+    return {
+        {.name = "settings-file", .help = "File with NAME=value lines, read before the environment", .defaultValue = ""},
+        {.name = "node", .help = "Name of this node", .defaultValue = "", .required = true},
+        {.name = "data-centre", .help = "Data centre of this node", .defaultValue = "", .required = true},
+        {.name = "region", .help = "Region of this node", .defaultValue = "", .required = true},
+        {.name = "regions", .help = "Region of each data centre, as DATA-CENTRE:REGION, separated by commas", .defaultValue = "", .check = checkRegions()},
+        {.name = "listen", .help = "Address for callers", .defaultValue = "", .check = checkAddress(), .required = true},
+        {.name = "ready-listen", .help = "Address for readiness probes", .defaultValue = "", .check = checkAddress(), .required = true},
+        {.name = "directory-listen", .help = "Address where callers ask which gateways to use", .defaultValue = "", .check = checkAddress(), .required = true},
+        {.name = "peer-listen", .help = "Address for other nodes, TCP and UDP", .defaultValue = "", .check = checkAddress(), .required = true},
+        {.name = "store", .help = "Address of the platform's table service", .defaultValue = "", .check = checkAddress(), .required = true},
+        {.name = "seeds", .help = "Addresses of some other nodes", .defaultValue = "", .check = checkAddressList()},
+        {.name = "grace-ms", .help = "Time from SIGTERM until the process is killed", .defaultValue = "8000", .check = checkNumber(0, MostMilliseconds)},
+        {.name = "directory-lifetime-ms",
+         .help = "How long callers may keep an answer of the directory",
+         .defaultValue = "2000",
+         .check = checkNumber(1, MostMilliseconds)},
+        {.name = "retry-ratio", .help = "Retries for each request of a service", .defaultValue = "0.2", .check = checkDecimal()},
+        {.name = "retry-slack", .help = "Retries of all nodes in a window beside the ratio", .defaultValue = "50", .check = checkDecimal()},
+        {.name = "retry-window-ms", .help = "Window of the retry budget", .defaultValue = "10000", .check = checkNumber(1, MostMilliseconds)},
+        {.name = "max-channels", .help = "Most open connections of callers", .defaultValue = "3000", .check = checkNumber(1, MostChannels)},
+    };
+}
+
+RelayOptions RelayOptions::fromSettings(const Settings &settings)
+{
+    RelayOptions options {
+        .node = settings.text("node"),
+        .dataCentre = settings.text("data-centre"),
+        .region = settings.text("region"),
+        .callers = endpoint(settings, "listen"),
+        .ready = endpoint(settings, "ready-listen"),
+        .directory = endpoint(settings, "directory-listen"),
+        .peers = endpoint(settings, "peer-listen"),
+        .store = endpoint(settings, "store"),
+        .seeds = settings.list("seeds"),
+        .grace = settings.milliseconds("grace-ms"),
+        .directoryLifetime = settings.milliseconds("directory-lifetime-ms"),
+        .retries = {.ratio = decimal(settings, "retry-ratio"), .slack = decimal(settings, "retry-slack"), .window = settings.milliseconds("retry-window-ms")},
+        .maxChannels = static_cast<size_t>(settings.number("max-channels"))};
+    for (const auto &part : settings.list("regions")) {
+        const std::vector<std::string> words = absl::StrSplit(part, ':');
+        options.regions[words[0]] = words[1];
+    }
+    options.regions[options.dataCentre] = options.region;
+    return options;
+}
+
+absl::StatusOr<std::map<std::string, std::string>> readSettingsFile(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        return makeError(ErrorKind::InvalidValue, absl::StrCat("cannot read the settings file ", path));
+    }
+    std::map<std::string, std::string> values;
+    std::vector<std::string> mistakes;
+    std::string line;
+    for (int number = 1; std::getline(file, line); ++number) {
+        const std::string text(absl::StripAsciiWhitespace(line));
+        if (text.empty() || text.front() == '#') {
+            continue;
+        }
+        const auto equals = text.find('=');
+        if (equals == std::string::npos || equals == 0) {
+            mistakes.push_back(absl::StrCat(path, ":", number, ": not of the form NAME=value"));
+            continue;
+        }
+        values[text.substr(0, equals)] = text.substr(equals + 1);
+    }
+    if (!mistakes.empty()) {
+        return makeError(ErrorKind::InvalidValue, absl::StrJoin(mistakes, "\n"));
+    }
+    return values;
+}
+
+} // namespace Jujube
--- /dev/null
+++ b/Services/Relay/main.cpp
@@ -0,0 +1,6 @@
+#include "RelayService.h"
+
+int main(int argc, char **argv)
+{
+    return Jujube::runRelay(argc, argv);
+}
