Order copies of leaving engines one at a time and in their data centre

A copy to another region takes about 1.5 s against 0.15 to 0.25 s, and occupies the source's link meanwhile; the second, short copy that stops a run queued behind the first copies of other runs, for 0.3 to 1.2 s. Ruled out: lack of memory or slots at the destinations, by their reports when they refused (kv_used 5,000 to 24,000 of 34,386). Change: MoveSchedule takes an engine's generations one at a time, the most valuable first; gateways take turns by name, with the peers' movable memory from the heartbeats. Destinations are in the source's data centre while there is one.

--- a/Libraries/LibRelay/Generated/Relay_types.cpp
+++ b/Libraries/LibRelay/Generated/Relay_types.cpp
@@ -33,6 +33,10 @@
 void LoadOnTarget::__set_prefill(const int32_t val) {
   this->prefill = val;
 }
+
+void LoadOnTarget::__set_movable(const int32_t val) {
+  this->movable = val;
+}
 std::ostream& operator<<(std::ostream& out, const LoadOnTarget& obj)
 {
   obj.printTo(out);
@@ -93,6 +97,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->movable);
+          this->__isset.movable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -126,6 +138,10 @@
   xfer += oprot->writeI32(this->prefill);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("movable", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->movable);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -137,6 +153,7 @@
   swap(a.running, b.running);
   swap(a.memory, b.memory);
   swap(a.prefill, b.prefill);
+  swap(a.movable, b.movable);
   swap(a.__isset, b.__isset);
 }
 
@@ -145,6 +162,7 @@
   running = other0.running;
   memory = other0.memory;
   prefill = other0.prefill;
+  movable = other0.movable;
   __isset = other0.__isset;
 }
 LoadOnTarget::LoadOnTarget(LoadOnTarget&& other1) noexcept {
@@ -152,6 +170,7 @@
   running = other1.running;
   memory = other1.memory;
   prefill = other1.prefill;
+  movable = other1.movable;
   __isset = other1.__isset;
 }
 LoadOnTarget& LoadOnTarget::operator=(const LoadOnTarget& other2) {
@@ -159,6 +178,7 @@
   running = other2.running;
   memory = other2.memory;
   prefill = other2.prefill;
+  movable = other2.movable;
   __isset = other2.__isset;
   return *this;
 }
@@ -167,6 +187,7 @@
   running = other3.running;
   memory = other3.memory;
   prefill = other3.prefill;
+  movable = other3.movable;
   __isset = other3.__isset;
   return *this;
 }
@@ -177,6 +198,7 @@
   out << ", " << "running=" << to_string(running);
   out << ", " << "memory=" << to_string(memory);
   out << ", " << "prefill=" << to_string(prefill);
+  out << ", " << "movable=" << to_string(movable);
   out << ")";
 }
 
--- a/Libraries/LibRelay/Generated/Relay_types.h
+++ b/Libraries/LibRelay/Generated/Relay_types.h
@@ -30,11 +30,12 @@
 class RelayHeartbeat;
 
 typedef struct _LoadOnTarget__isset {
-  _LoadOnTarget__isset() : target(false), running(false), memory(false), prefill(false) {}
+  _LoadOnTarget__isset() : target(false), running(false), memory(false), prefill(false), movable(false) {}
   bool target :1;
   bool running :1;
   bool memory :1;
   bool prefill :1;
+  bool movable :1;
 } _LoadOnTarget__isset;
 
 class LoadOnTarget : public virtual ::apache::thrift::TBase {
@@ -48,7 +49,8 @@
                : target(),
                  running(0),
                  memory(0),
-                 prefill(0) {
+                 prefill(0),
+                 movable(0) {
   }
 
   virtual ~LoadOnTarget() noexcept;
@@ -56,6 +58,7 @@
   int32_t running;
   int32_t memory;
   int32_t prefill;
+  int32_t movable;
 
   _LoadOnTarget__isset __isset;
 
@@ -67,6 +70,8 @@
 
   void __set_prefill(const int32_t val);
 
+  void __set_movable(const int32_t val);
+
   bool operator == (const LoadOnTarget & rhs) const
   {
     if (!(target == rhs.target))
@@ -77,6 +82,8 @@
       return false;
     if (!(prefill == rhs.prefill))
       return false;
+    if (!(movable == rhs.movable))
+      return false;
     return true;
   }
   bool operator != (const LoadOnTarget &rhs) const {
--- a/Libraries/LibRelay/PeerNewsCodec.cpp
+++ b/Libraries/LibRelay/PeerNewsCodec.cpp
@@ -89,6 +89,7 @@
         wire.running = load.running;
         wire.memory = static_cast<int32_t>(load.memory);
         wire.prefill = static_cast<int32_t>(load.prefill);
+        wire.movable = static_cast<int32_t>(load.movable);
         result.loads.push_back(wire);
     }
     for (const auto &[target, incarnation] : news.leaving) {
@@ -115,7 +116,7 @@
                    .accepting = wire.accepting,
                    .documentVersion = wire.documentVersion};
     for (const auto &load : wire.loads) {
-        news.loads.push_back({.target = load.target, .running = load.running, .memory = load.memory, .prefill = load.prefill});
+        news.loads.push_back({.target = load.target, .running = load.running, .memory = load.memory, .prefill = load.prefill, .movable = load.movable});
     }
     for (const auto &leaving : wire.leaving) {
         news.leaving.emplace_back(leaving.target, leaving.incarnation);
--- a/Libraries/LibRelay/Relay.thrift
+++ b/Libraries/LibRelay/Relay.thrift
@@ -7,6 +7,7 @@
   2: i32 running
   3: i32 memory
   4: i32 prefill
+  5: i32 movable
 }
 
 // A target that a relay knows to be leaving.
--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -12,8 +12,6 @@
 
 // Targets that may refuse one request before the gateway gives up. Refusals are not runs, but each counts against the retry budget.
 constexpr int MostRejections = 3;
-// Tries to start a copy of a generation that its engine does not run yet or copies already.
-constexpr int MostMoveTries = 40;
 // An answer that is not a stream is held back up to this size, so that one that breaks can still be replaced.
 constexpr size_t HeldBytes = 64 * 1024;
 // A retry is not worth its send with less time left than this.
@@ -220,15 +218,16 @@
 
 bool RelaySession::retry(std::string_view reason, bool wasReached, MonotonicTime now)
 {
-    if (m_facts.deadline - now < LeastTimeForRetry || (wasReached && !m_hooks.takeRetry(now))) {
+    if (m_facts.deadline - now < LeastTimeForRetry) {
         return false;
     }
-    m_hooks.note("retry", reason);
-    m_hooks.abortSend();
+    // The answer at hand is given up only for a target that can take the request.
     const auto choice = m_hooks.choose(m_excluded, now);
-    if (!choice.target) {
+    if (!choice.target || (wasReached && !m_hooks.takeRetry(now))) {
         return false;
     }
+    m_hooks.note("retry", reason);
+    m_hooks.abortSend();
     m_backup = choice.backup;
     send(*choice.target, {}, now);
     return true;
@@ -270,7 +269,7 @@
 
 void RelaySession::onTargetLeaving(MonotonicTime now)
 {
-    if (m_over || m_facts.kind != RelayKind::Stream || m_targetLeaving || !m_target) {
+    if (m_over || m_facts.kind != RelayKind::Stream || !m_target) {
         return;
     }
     m_targetLeaving = true;
@@ -288,7 +287,6 @@
     }
     m_destination = *destination;
     m_move = Move::Copying;
-    ++m_moveTries;
     m_hooks.note("copy", m_destination.id);
     m_hooks.copy(*m_target, m_destination, false);
 }
@@ -337,14 +335,6 @@
     continueAt(m_destination, m_handle, now);
 }
 
-void RelaySession::onCopyPause(MonotonicTime now)
-{
-    if (m_over || m_move != Move::None || !m_targetLeaving || !m_target || m_moveTries >= MostMoveTries || m_events.count() == 0) {
-        return;
-    }
-    startCopy(now);
-}
-
 void RelaySession::onDeadline(MonotonicTime)
 {
     if (m_over) {
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -138,11 +138,9 @@
     void onBody(std::string_view bytes, MonotonicTime now);
     void onEnd(UpstreamResult result, MonotonicTime now);
 
-    // The target that runs the request leaves.
+    // The target that runs the request leaves, and the request may be copied to another one now. May be called again after a copy that failed.
     void onTargetLeaving(MonotonicTime now);
     void onCopied(const CopyResult &result, MonotonicTime now);
-    // The time for copyPause() has passed.
-    void onCopyPause(MonotonicTime now);
 
     void onDeadline(MonotonicTime now);
     void onCallerGone();
@@ -169,6 +167,12 @@
         return m_events.count();
     }
 
+    // Whether a copy of the generation is being made.
+    bool isMoving() const
+    {
+        return m_move != Move::None;
+    }
+
     int sendCount() const
     {
         return m_sends;
@@ -222,14 +226,10 @@
     int m_runs = 0;
     int m_rejections = 0;
     Move m_move = Move::None;
-    int m_moveTries = 0;
     bool m_targetLeaving = false;
     RelayTarget m_source;
     RelayTarget m_destination;
     std::string m_handle;
 };
 
-// How long the driver waits before it calls onCopyPause() after a copy that cannot start yet.
-constexpr std::chrono::milliseconds CopyPause {40};
-
 } // namespace Jujube
--- a/Libraries/LibRelay/TargetBalancer.cpp
+++ b/Libraries/LibRelay/TargetBalancer.cpp
@@ -37,6 +37,7 @@
         const auto output = std::max(run.demand.expectedTokens, run.produced + (run.produced >= run.demand.expectedTokens ? FurtherTokens : 0));
         load.memory = run.demand.promptTokens + output;
         load.prefill = run.produced == 0 ? run.demand.promptTokens : 0;
+        load.movable = run.demand.isMovable ? run.demand.promptTokens + run.produced : 0;
     }
     return load;
 }
@@ -47,6 +48,7 @@
     change.running *= sign;
     change.memory *= sign;
     change.prefill *= sign;
+    change.movable *= sign;
     auto &load = m_own[run.target];
     load.target = run.target;
     load.add(change);
@@ -172,6 +174,22 @@
     return loads;
 }
 
+TargetLoad TargetBalancer::peerLoad(const std::string &peer, const std::string &target) const
+{
+    const auto found = m_peers.find(peer);
+    if (found == m_peers.end()) {
+        return {.target = target};
+    }
+    const auto load = std::find_if(found->second.begin(), found->second.end(), [&](const TargetLoad &entry) { return entry.target == target; });
+    return load == found->second.end() ? TargetLoad {.target = target} : *load;
+}
+
+int64_t TargetBalancer::producedBy(const std::string &request) const
+{
+    const auto found = m_runs.find(request);
+    return found == m_runs.end() ? 0 : found->second.produced;
+}
+
 TargetLoad TargetBalancer::loadOf(const std::string &target) const
 {
     TargetLoad load {.target = target};
@@ -227,7 +245,7 @@
     const int share = ColdRate::share(service.coldPerSecond, query.liveGateways);
     for (const auto &[id, target] : targets.targets()) {
         if (target.entry.service != service.name || !targets.isUsable(target, now) || query.excluded.contains(id)
-            || !isHome(query.homeRegions, target.entry.dataCentre)) {
+            || !isHome(query.homeRegions, target.entry.dataCentre) || (!query.dataCentre.empty() && target.entry.dataCentre != query.dataCentre)) {
             continue;
         }
         ++best.candidates;
--- a/Libraries/LibRelay/TargetBalancer.h
+++ b/Libraries/LibRelay/TargetBalancer.h
@@ -23,7 +23,8 @@
     // Output length as far as it is known, in tokens.
     int64_t expectedTokens = 0;
     int priority = 0;
-    bool isStream = false;
+    // Is copied to another engine when its engine leaves.
+    bool isMovable = false;
 };
 
 enum class RunEnd {
@@ -66,6 +67,8 @@
         int liveGateways = 1;
         // For a copy of a running generation: no run is started, so the cold rate does not apply.
         bool isMove = false;
+        // Only targets of this data centre. Empty for any.
+        std::string dataCentre;
         // Only targets in which the run fits below this part of the memory.
         std::optional<double> mostMemory;
     };
@@ -94,6 +97,10 @@
     void dropPeer(const std::string &peer);
 
     std::vector<TargetLoad> ownLoads() const;
+    // What one other gateway has placed on a target.
+    TargetLoad peerLoad(const std::string &peer, const std::string &target) const;
+    // Length that a run has produced so far, in tokens.
+    int64_t producedBy(const std::string &request) const;
     TargetLoad loadOf(const std::string &target) const;
     double failureShare(const std::string &target, MonotonicTime now) const;
     void expire(MonotonicTime now);
--- a/Libraries/LibRelay/TargetLoad.h
+++ b/Libraries/LibRelay/TargetLoad.h
@@ -14,12 +14,15 @@
     int64_t memory = 0;
     // Prompt tokens of runs that have not produced anything yet.
     int64_t prefill = 0;
+    // Memory that generations hold that would have to be copied if the target left, in tokens.
+    int64_t movable = 0;
 
     void add(const TargetLoad &other)
     {
         running += other.running;
         memory += other.memory;
         prefill += other.prefill;
+        movable += other.movable;
     }
 };
 
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -6,6 +6,17 @@
 namespace Jujube
 {
 
+namespace
+{
+
+constexpr int64_t BitsPerByte = 8;
+constexpr double BitsPerMegabit = 1e6;
+constexpr double MillisecondsPerSecond = 1000;
+// Time of a copy beside the transfer: two orders and the way to the engine and back.
+constexpr std::chrono::milliseconds CopyOverhead {40};
+
+} // namespace
+
 RelayCore::RelayCore(boost::asio::io_context &loopInUse, RelayOptions relayOptions, RelayDialect relayDialect, LineWriter &lines)
     : loop(loopInUse)
     , options(std::move(relayOptions))
@@ -17,6 +28,7 @@
     , peers({.ownAddress = options.peers.toText()})
     , m_lines(lines)
     , m_random(std::random_device {}())
+    , m_moveTimer(loopInUse)
 {
 }
 
@@ -60,15 +72,65 @@
     entry.add("target", target).add("reason", reason);
     log(entry);
     metrics.count("relay_targets_left_total");
-    std::vector<std::shared_ptr<RelayExchange>> affected;
+    moves.targetLeaves(target, waitForPeers(target, now), now);
     for (const auto &[exchange, runsOn] : running) {
         if (runsOn == target) {
-            affected.push_back(exchange->shared_from_this());
+            exchange->queueMove();
+        }
+    }
+    runMoves();
+}
+
+std::chrono::milliseconds RelayCore::waitForPeers(const std::string &target, MonotonicTime now) const
+{
+    const auto *known = targets.find(target);
+    const auto *service = known && routes ? routes->findService(known->entry.service) : nullptr;
+    if (!service || !service->engine || service->engine->linkMbps <= 0) {
+        return {};
+    }
+    const auto &engine = *service->engine;
+    std::chrono::milliseconds wait {0};
+    for (const auto *peer : peers.alive(now)) {
+        const auto movable = balancer.peerLoad(peer->news.node, target).movable;
+        if (peer->news.node < options.node && movable > 0) {
+            const double seconds = static_cast<double>(movable * engine.bytesPerToken * BitsPerByte) / (engine.linkMbps * BitsPerMegabit);
+            wait += std::chrono::milliseconds(static_cast<int64_t>(seconds * MillisecondsPerSecond)) + CopyOverhead;
+        }
+    }
+    return wait;
+}
+
+std::shared_ptr<RelayExchange> RelayCore::findRunning(const std::string &request) const
+{
+    for (const auto &[exchange, runsOn] : running) {
+        if (exchange->requestId() == request) {
+            return exchange->shared_from_this();
         }
     }
-    for (const auto &exchange : affected) {
-        exchange->onTargetLeaving(now);
+    return nullptr;
+}
+
+void RelayCore::runMoves()
+{
+    const auto now = monotonicNow();
+    for (auto due = moves.takeDue(now); !due.empty(); due = moves.takeDue(now)) {
+        for (const auto &request : due) {
+            const auto exchange = findRunning(request);
+            if (!exchange || !exchange->startMove(now)) {
+                moves.remove(request);
+            }
+        }
     }
+    const auto next = moves.nextTime();
+    if (!next) {
+        return;
+    }
+    m_moveTimer.expires_at(*next);
+    m_moveTimer.async_wait([this](const LoopError &error) {
+        if (!error) {
+            runMoves();
+        }
+    });
 }
 
 } // namespace Jujube
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -6,6 +6,7 @@
 #include <LibLoop/LoopClient.h>
 #include <LibMetrics/Metrics.h>
 #include <LibPolicy/CrashSuspects.h>
+#include <LibRelay/MoveSchedule.h>
 #include <LibRelay/PeerTable.h>
 #include <LibRelay/RouteTable.h>
 #include <LibRelay/ServiceRetryBudget.h>
@@ -37,9 +38,10 @@
     TargetBalancer balancer;
     PeerTable peers;
     CrashSuspects crashes;
+    MoveSchedule moves;
     // Time of the SIGTERM.
     std::optional<MonotonicTime> drainingSince;
-    // Requests in progress by the target that runs them.
+    // Requests in progress, and the target that runs each of them.
     absl::flat_hash_map<RelayExchange *, std::string> running;
 
     ServiceRetryBudget &retryBudget(const std::string &service);
@@ -55,12 +57,19 @@
     LogLine line(EventKind kind) const;
     void log(LogLine &line);
 
-    // Tells the requests on a target that it leaves.
+    // A target leaves: its generations are queued for a copy to another one.
     void announceLeaving(const std::string &target, std::string_view reason, MonotonicTime now);
 
+    // Starts the copies that are due, and those that become due later.
+    void runMoves();
+
 private:
+    std::chrono::milliseconds waitForPeers(const std::string &target, MonotonicTime now) const;
+    std::shared_ptr<RelayExchange> findRunning(const std::string &request) const;
+
     LineWriter &m_lines;
     std::mt19937_64 m_random;
+    boost::asio::steady_timer m_moveTimer;
     absl::flat_hash_map<std::string, std::unique_ptr<ServiceRetryBudget>> m_retryBudgets;
 };
 
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -28,6 +28,10 @@
 // A resumable stream whose target is silent for this time goes on at another target.
 constexpr std::chrono::milliseconds StreamSilence {1500};
 constexpr int MostPriority = 9;
+// Tries to move one generation away from targets that leave.
+constexpr int MostMoveTries = 12;
+// Weight of an output token against a prompt token in the worth of a generation.
+constexpr int64_t OutputWeight = 10;
 
 std::string_view hostOf(std::string_view host)
 {
@@ -59,7 +63,6 @@
     , m_routes(core.routes)
     , m_id(m_request.head.value(core.dialect.fields.requestId))
     , m_deadlineTimer(core.loop)
-    , m_copyTimer(core.loop)
     , m_silenceTimer(core.loop)
 {
 }
@@ -69,11 +72,6 @@
     m_core.running.erase(this);
 }
 
-std::string_view RelayExchange::requestId() const
-{
-    return m_id;
-}
-
 void RelayExchange::start()
 {
     const auto now = m_request.arrivedAt;
@@ -153,13 +151,15 @@
 void RelayExchange::readUsage()
 {
     const auto &fields = m_core.dialect.fields;
-    m_demand = {.service = m_service->name, .priority = m_route->priority, .isStream = m_route->kind == RelayKind::Stream};
+    m_demand = {.service = m_service->name, .priority = m_route->priority};
     if (m_workspace && m_workspace->priority) {
         m_demand.priority = *m_workspace->priority;
     }
     if (!m_service->engine) {
         return;
     }
+    // A resumable stream is short, and is repeated where its target is lost.
+    m_demand.isMovable = m_route->kind == RelayKind::Stream && !m_route->resumable && m_service->engine->canMove;
     const auto usage = m_request.head.value(fields.usage);
     const auto comma = usage.find(',');
     m_demand.promptTokens = numberIn(usage.substr(0, comma));
@@ -230,12 +230,19 @@
     }
     auto demand = m_demand;
     demand.expectedTokens = std::max(demand.expectedTokens, m_session->eventCount() * m_service->engine->tokensPerEvent);
-    const auto choice = m_core.balancer.choose(
-        {.demand = demand, .excluded = excluded, .homeRegions = m_route->homeRegions, .liveGateways = m_core.liveGateways(now), .isMove = true},
-        m_core.targets,
-        *m_service,
-        now,
-        m_core.random());
+    const auto *source = m_core.targets.find(m_core.running[this]);
+    TargetBalancer::Query query {.demand = demand,
+                                 .excluded = excluded,
+                                 .homeRegions = m_route->homeRegions,
+                                 .liveGateways = m_core.liveGateways(now),
+                                 .isMove = true,
+                                 .dataCentre = source ? source->entry.dataCentre : ""};
+    auto choice = m_core.balancer.choose(query, m_core.targets, *m_service, now, m_core.random());
+    if (!choice.target) {
+        // A copy to another data centre takes many times as long.
+        query.dataCentre.clear();
+        choice = m_core.balancer.choose(query, m_core.targets, *m_service, now, m_core.random());
+    }
     if (!choice.target) {
         return std::nullopt;
     }
@@ -296,6 +303,7 @@
     m_core.balancer.dropCopy(m_id);
     m_core.balancer.started(m_id, order.target.id, m_demand, now);
     m_core.running[this] = order.target.id;
+    m_core.moves.remove(m_id);
     auto line = m_core.line(EventKind::RelaySent);
     line.add("request", m_id)
         .add("target", order.target.id)
@@ -435,9 +443,13 @@
             return;
         }
         self->m_session->onCopied(result, now);
-        if (result.kind != CopyResult::Kind::Copied && !self->m_isOver) {
-            self->m_core.balancer.dropCopy(self->m_id);
-            self->armCopyPause();
+        if (!self->m_isOver && !self->m_session->isMoving()) {
+            self->m_core.moves.remove(self->m_id);
+            if (result.kind != CopyResult::Kind::Copied) {
+                self->m_core.balancer.dropCopy(self->m_id);
+                self->queueMove();
+            }
+            self->m_core.runMoves();
         }
     });
 }
@@ -523,11 +535,24 @@
     m_core.metrics.count("relay_decisions_total", absl::StrCat("decision=\"", toAbsl(decision), "\""));
 }
 
-void RelayExchange::onTargetLeaving(MonotonicTime now)
+void RelayExchange::queueMove()
+{
+    if (m_isOver || !m_demand.isMovable || m_moveTries >= MostMoveTries) {
+        return;
+    }
+    ++m_moveTries;
+    // The worth of a generation grows with its size, and most with its output.
+    const double value = static_cast<double>(m_demand.promptTokens + OutputWeight * m_demand.expectedTokens);
+    m_core.moves.add(m_core.running[this], m_id, value);
+}
+
+bool RelayExchange::startMove(MonotonicTime now)
 {
-    if (m_session && !m_isOver) {
-        m_session->onTargetLeaving(now);
+    if (m_isOver) {
+        return false;
     }
+    m_session->onTargetLeaving(now);
+    return !m_isOver && m_session->isMoving();
 }
 
 void RelayExchange::armDeadline()
@@ -540,16 +565,6 @@
     });
 }
 
-void RelayExchange::armCopyPause()
-{
-    m_copyTimer.expires_after(CopyPause);
-    m_copyTimer.async_wait([weak = weak_from_this()](const LoopError &error) {
-        if (const auto self = weak.lock(); self && !error && !self->m_isOver) {
-            self->m_session->onCopyPause(monotonicNow());
-        }
-    });
-}
-
 void RelayExchange::armSilence()
 {
     if (m_route->kind != RelayKind::Stream || !m_route->resumable) {
@@ -586,7 +601,7 @@
     leaveTarget(RunEnd::Cancelled, monotonicNow());
     m_core.running.erase(this);
     m_deadlineTimer.cancel();
-    m_copyTimer.cancel();
+    m_core.moves.remove(m_id);
     m_silenceTimer.cancel();
 }
 
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -20,7 +20,15 @@
     // Admits the request and sends it, or answers at once.
     void start();
 
-    void onTargetLeaving(MonotonicTime now);
+    // The request's target leaves: puts the generation into the queue of moves, if it is one that is worth a move.
+    void queueMove();
+    // The generation's turn has come. Returns false if no copy was ordered.
+    bool startMove(MonotonicTime now);
+
+    const std::string &requestId() const
+    {
+        return m_id;
+    }
 
 private:
     // Returns how the request must be answered at once, or nothing if it is admitted.
@@ -42,11 +50,9 @@
     void cut(RelayOutcome outcome);
     void note(std::string_view decision, std::string_view reason);
     void armDeadline();
-    void armCopyPause();
     void armSilence();
     void leaveTarget(RunEnd end, MonotonicTime now);
     void over();
-    std::string_view requestId() const;
 
     RelayCore &m_core;
     const std::shared_ptr<CallerChannel> m_caller;
@@ -67,9 +73,9 @@
     MonotonicTime m_sentAt;
     MonotonicTime m_lastByteAt;
     int64_t m_eventsCounted = 0;
+    int m_moveTries = 0;
     bool m_isOver = false;
     boost::asio::steady_timer m_deadlineTimer;
-    boost::asio::steady_timer m_copyTimer;
     boost::asio::steady_timer m_silenceTimer;
 };
 
