--- a/Libraries/LibRelay/Generated/Relay_types.cpp
+++ b/Libraries/LibRelay/Generated/Relay_types.cpp
@@ -203,25 +203,53 @@
 }
 
 
-LeavingTarget::~LeavingTarget() noexcept {
+ChangedTarget::~ChangedTarget() noexcept {
 }
 
 
-void LeavingTarget::__set_target(const std::string& val) {
+void ChangedTarget::__set_target(const std::string& val) {
   this->target = val;
 }
 
-void LeavingTarget::__set_incarnation(const int64_t val) {
+void ChangedTarget::__set_incarnation(const int64_t val) {
   this->incarnation = val;
 }
-std::ostream& operator<<(std::ostream& out, const LeavingTarget& obj)
+
+void ChangedTarget::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void ChangedTarget::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void ChangedTarget::__set_dataCentre(const std::string& val) {
+  this->dataCentre = val;
+}
+
+void ChangedTarget::__set_slots(const int32_t val) {
+  this->slots = val;
+}
+
+void ChangedTarget::__set_leaving(const bool val) {
+  this->leaving = val;
+}
+
+void ChangedTarget::__set_coldLeftMs(const int32_t val) {
+  this->coldLeftMs = val;
+}
+
+void ChangedTarget::__set_version(const int64_t val) {
+  this->version = val;
+}
+std::ostream& operator<<(std::ostream& out, const ChangedTarget& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LeavingTarget::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ChangedTarget::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -258,6 +286,62 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->dataCentre);
+          this->__isset.dataCentre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->coldLeftMs);
+          this->__isset.coldLeftMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -270,10 +354,10 @@
   return xfer;
 }
 
-uint32_t LeavingTarget::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ChangedTarget::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LeavingTarget");
+  xfer += oprot->writeStructBegin("ChangedTarget");
 
   xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->target);
@@ -283,45 +367,115 @@
   xfer += oprot->writeI64(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("dataCentre", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->dataCentre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("coldLeftMs", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->coldLeftMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(LeavingTarget &a, LeavingTarget &b) {
+void swap(ChangedTarget &a, ChangedTarget &b) {
   using ::std::swap;
   swap(a.target, b.target);
   swap(a.incarnation, b.incarnation);
+  swap(a.serviceName, b.serviceName);
+  swap(a.address, b.address);
+  swap(a.dataCentre, b.dataCentre);
+  swap(a.slots, b.slots);
+  swap(a.leaving, b.leaving);
+  swap(a.coldLeftMs, b.coldLeftMs);
+  swap(a.version, b.version);
   swap(a.__isset, b.__isset);
 }
 
-LeavingTarget::LeavingTarget(const LeavingTarget& other4) {
+ChangedTarget::ChangedTarget(const ChangedTarget& other4) {
   target = other4.target;
   incarnation = other4.incarnation;
+  serviceName = other4.serviceName;
+  address = other4.address;
+  dataCentre = other4.dataCentre;
+  slots = other4.slots;
+  leaving = other4.leaving;
+  coldLeftMs = other4.coldLeftMs;
+  version = other4.version;
   __isset = other4.__isset;
 }
-LeavingTarget::LeavingTarget(LeavingTarget&& other5) noexcept {
+ChangedTarget::ChangedTarget(ChangedTarget&& other5) noexcept {
   target = std::move(other5.target);
   incarnation = other5.incarnation;
+  serviceName = std::move(other5.serviceName);
+  address = std::move(other5.address);
+  dataCentre = std::move(other5.dataCentre);
+  slots = other5.slots;
+  leaving = other5.leaving;
+  coldLeftMs = other5.coldLeftMs;
+  version = other5.version;
   __isset = other5.__isset;
 }
-LeavingTarget& LeavingTarget::operator=(const LeavingTarget& other6) {
+ChangedTarget& ChangedTarget::operator=(const ChangedTarget& other6) {
   target = other6.target;
   incarnation = other6.incarnation;
+  serviceName = other6.serviceName;
+  address = other6.address;
+  dataCentre = other6.dataCentre;
+  slots = other6.slots;
+  leaving = other6.leaving;
+  coldLeftMs = other6.coldLeftMs;
+  version = other6.version;
   __isset = other6.__isset;
   return *this;
 }
-LeavingTarget& LeavingTarget::operator=(LeavingTarget&& other7) noexcept {
+ChangedTarget& ChangedTarget::operator=(ChangedTarget&& other7) noexcept {
   target = std::move(other7.target);
   incarnation = other7.incarnation;
+  serviceName = std::move(other7.serviceName);
+  address = std::move(other7.address);
+  dataCentre = std::move(other7.dataCentre);
+  slots = other7.slots;
+  leaving = other7.leaving;
+  coldLeftMs = other7.coldLeftMs;
+  version = other7.version;
   __isset = other7.__isset;
   return *this;
 }
-void LeavingTarget::printTo(std::ostream& out) const {
+void ChangedTarget::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LeavingTarget(";
+  out << "ChangedTarget(";
   out << "target=" << to_string(target);
   out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "dataCentre=" << to_string(dataCentre);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "coldLeftMs=" << to_string(coldLeftMs);
+  out << ", " << "version=" << to_string(version);
   out << ")";
 }
 
@@ -571,16 +725,16 @@
   this->documentVersion = val;
 }
 
-void RelayHeartbeat::__set_targetsVersion(const int64_t val) {
-  this->targetsVersion = val;
+void RelayHeartbeat::__set_documentTableVersion(const int64_t val) {
+  this->documentTableVersion = val;
 }
 
 void RelayHeartbeat::__set_loads(const std::vector<LoadOnTarget> & val) {
   this->loads = val;
 }
 
-void RelayHeartbeat::__set_leaving(const std::vector<LeavingTarget> & val) {
-  this->leaving = val;
+void RelayHeartbeat::__set_targets(const std::vector<ChangedTarget> & val) {
+  this->targets = val;
 }
 
 void RelayHeartbeat::__set_crashes(const std::vector<CrashOnTarget> & val) {
@@ -590,6 +744,22 @@
 void RelayHeartbeat::__set_known(const std::vector<std::string> & val) {
   this->known = val;
 }
+
+void RelayHeartbeat::__set_targetsDigest(const int64_t val) {
+  this->targetsDigest = val;
+}
+
+void RelayHeartbeat::__set_targetsVersion(const int64_t val) {
+  this->targetsVersion = val;
+}
+
+void RelayHeartbeat::__set_targetsAgeMs(const int32_t val) {
+  this->targetsAgeMs = val;
+}
+
+void RelayHeartbeat::__set_reading(const bool val) {
+  this->reading = val;
+}
 std::ostream& operator<<(std::ostream& out, const RelayHeartbeat& obj)
 {
   obj.printTo(out);
@@ -684,8 +854,8 @@
         break;
       case 9:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->targetsVersion);
-          this->__isset.targetsVersion = true;
+          xfer += iprot->readI64(this->documentTableVersion);
+          this->__isset.documentTableVersion = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -713,19 +883,19 @@
       case 11:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->leaving.clear();
+            this->targets.clear();
             uint32_t _size23;
             ::apache::thrift::protocol::TType _etype26;
             xfer += iprot->readListBegin(_etype26, _size23);
-            this->leaving.resize(_size23);
+            this->targets.resize(_size23);
             uint32_t _i27;
             for (_i27 = 0; _i27 < _size23; ++_i27)
             {
-              xfer += this->leaving[_i27].read(iprot);
+              xfer += this->targets[_i27].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.leaving = true;
+          this->__isset.targets = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -770,6 +940,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->targetsDigest);
+          this->__isset.targetsDigest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->targetsVersion);
+          this->__isset.targetsVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->targetsAgeMs);
+          this->__isset.targetsAgeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reading);
+          this->__isset.reading = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -819,8 +1021,8 @@
   xfer += oprot->writeI64(this->documentVersion);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("targetsVersion", ::apache::thrift::protocol::T_I64, 9);
-  xfer += oprot->writeI64(this->targetsVersion);
+  xfer += oprot->writeFieldBegin("documentTableVersion", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->documentTableVersion);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 10);
@@ -835,11 +1037,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 11);
+  xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 11);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<LeavingTarget> ::const_iterator _iter39;
-    for (_iter39 = this->leaving.begin(); _iter39 != this->leaving.end(); ++_iter39)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
+    std::vector<ChangedTarget> ::const_iterator _iter39;
+    for (_iter39 = this->targets.begin(); _iter39 != this->targets.end(); ++_iter39)
     {
       xfer += (*_iter39).write(oprot);
     }
@@ -871,6 +1073,22 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("targetsDigest", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->targetsDigest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targetsVersion", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->targetsVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targetsAgeMs", ::apache::thrift::protocol::T_I32, 16);
+  xfer += oprot->writeI32(this->targetsAgeMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reading", ::apache::thrift::protocol::T_BOOL, 17);
+  xfer += oprot->writeBool(this->reading);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -886,11 +1104,15 @@
   swap(a.dataCentre, b.dataCentre);
   swap(a.accepting, b.accepting);
   swap(a.documentVersion, b.documentVersion);
-  swap(a.targetsVersion, b.targetsVersion);
+  swap(a.documentTableVersion, b.documentTableVersion);
   swap(a.loads, b.loads);
-  swap(a.leaving, b.leaving);
+  swap(a.targets, b.targets);
   swap(a.crashes, b.crashes);
   swap(a.known, b.known);
+  swap(a.targetsDigest, b.targetsDigest);
+  swap(a.targetsVersion, b.targetsVersion);
+  swap(a.targetsAgeMs, b.targetsAgeMs);
+  swap(a.reading, b.reading);
   swap(a.__isset, b.__isset);
 }
 
@@ -903,11 +1125,15 @@
   dataCentre = other42.dataCentre;
   accepting = other42.accepting;
   documentVersion = other42.documentVersion;
-  targetsVersion = other42.targetsVersion;
+  documentTableVersion = other42.documentTableVersion;
   loads = other42.loads;
-  leaving = other42.leaving;
+  targets = other42.targets;
   crashes = other42.crashes;
   known = other42.known;
+  targetsDigest = other42.targetsDigest;
+  targetsVersion = other42.targetsVersion;
+  targetsAgeMs = other42.targetsAgeMs;
+  reading = other42.reading;
   __isset = other42.__isset;
 }
 RelayHeartbeat::RelayHeartbeat(RelayHeartbeat&& other43) noexcept {
@@ -919,11 +1145,15 @@
   dataCentre = std::move(other43.dataCentre);
   accepting = other43.accepting;
   documentVersion = other43.documentVersion;
-  targetsVersion = other43.targetsVersion;
+  documentTableVersion = other43.documentTableVersion;
   loads = std::move(other43.loads);
-  leaving = std::move(other43.leaving);
+  targets = std::move(other43.targets);
   crashes = std::move(other43.crashes);
   known = std::move(other43.known);
+  targetsDigest = other43.targetsDigest;
+  targetsVersion = other43.targetsVersion;
+  targetsAgeMs = other43.targetsAgeMs;
+  reading = other43.reading;
   __isset = other43.__isset;
 }
 RelayHeartbeat& RelayHeartbeat::operator=(const RelayHeartbeat& other44) {
@@ -935,11 +1165,15 @@
   dataCentre = other44.dataCentre;
   accepting = other44.accepting;
   documentVersion = other44.documentVersion;
-  targetsVersion = other44.targetsVersion;
+  documentTableVersion = other44.documentTableVersion;
   loads = other44.loads;
-  leaving = other44.leaving;
+  targets = other44.targets;
   crashes = other44.crashes;
   known = other44.known;
+  targetsDigest = other44.targetsDigest;
+  targetsVersion = other44.targetsVersion;
+  targetsAgeMs = other44.targetsAgeMs;
+  reading = other44.reading;
   __isset = other44.__isset;
   return *this;
 }
@@ -952,11 +1186,15 @@
   dataCentre = std::move(other45.dataCentre);
   accepting = other45.accepting;
   documentVersion = other45.documentVersion;
-  targetsVersion = other45.targetsVersion;
+  documentTableVersion = other45.documentTableVersion;
   loads = std::move(other45.loads);
-  leaving = std::move(other45.leaving);
+  targets = std::move(other45.targets);
   crashes = std::move(other45.crashes);
   known = std::move(other45.known);
+  targetsDigest = other45.targetsDigest;
+  targetsVersion = other45.targetsVersion;
+  targetsAgeMs = other45.targetsAgeMs;
+  reading = other45.reading;
   __isset = other45.__isset;
   return *this;
 }
@@ -971,11 +1209,15 @@
   out << ", " << "dataCentre=" << to_string(dataCentre);
   out << ", " << "accepting=" << to_string(accepting);
   out << ", " << "documentVersion=" << to_string(documentVersion);
-  out << ", " << "targetsVersion=" << to_string(targetsVersion);
+  out << ", " << "documentTableVersion=" << to_string(documentTableVersion);
   out << ", " << "loads=" << to_string(loads);
-  out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "targets=" << to_string(targets);
   out << ", " << "crashes=" << to_string(crashes);
   out << ", " << "known=" << to_string(known);
+  out << ", " << "targetsDigest=" << to_string(targetsDigest);
+  out << ", " << "targetsVersion=" << to_string(targetsVersion);
+  out << ", " << "targetsAgeMs=" << to_string(targetsAgeMs);
+  out << ", " << "reading=" << to_string(reading);
   out << ")";
 }
 
--- a/Libraries/LibRelay/Generated/Relay_types.h
+++ b/Libraries/LibRelay/Generated/Relay_types.h
@@ -23,7 +23,7 @@
 
 class LoadOnTarget;
 
-class LeavingTarget;
+class ChangedTarget;
 
 class CrashOnTarget;
 
@@ -102,47 +102,96 @@
 
 std::ostream& operator<<(std::ostream& out, const LoadOnTarget& obj);
 
-typedef struct _LeavingTarget__isset {
-  _LeavingTarget__isset() : target(false), incarnation(false) {}
+typedef struct _ChangedTarget__isset {
+  _ChangedTarget__isset() : target(false), incarnation(false), serviceName(false), address(false), dataCentre(false), slots(false), leaving(false), coldLeftMs(false), version(false) {}
   bool target :1;
   bool incarnation :1;
-} _LeavingTarget__isset;
+  bool serviceName :1;
+  bool address :1;
+  bool dataCentre :1;
+  bool slots :1;
+  bool leaving :1;
+  bool coldLeftMs :1;
+  bool version :1;
+} _ChangedTarget__isset;
 
-class LeavingTarget : public virtual ::apache::thrift::TBase {
+class ChangedTarget : public virtual ::apache::thrift::TBase {
  public:
 
-  LeavingTarget(const LeavingTarget&);
-  LeavingTarget(LeavingTarget&&) noexcept;
-  LeavingTarget& operator=(const LeavingTarget&);
-  LeavingTarget& operator=(LeavingTarget&&) noexcept;
-  LeavingTarget() noexcept
+  ChangedTarget(const ChangedTarget&);
+  ChangedTarget(ChangedTarget&&) noexcept;
+  ChangedTarget& operator=(const ChangedTarget&);
+  ChangedTarget& operator=(ChangedTarget&&) noexcept;
+  ChangedTarget() noexcept
                 : target(),
-                  incarnation(0) {
+                  incarnation(0),
+                  serviceName(),
+                  address(),
+                  dataCentre(),
+                  slots(0),
+                  leaving(0),
+                  coldLeftMs(0),
+                  version(0) {
   }
 
-  virtual ~LeavingTarget() noexcept;
+  virtual ~ChangedTarget() noexcept;
   std::string target;
   int64_t incarnation;
+  std::string serviceName;
+  std::string address;
+  std::string dataCentre;
+  int32_t slots;
+  bool leaving;
+  int32_t coldLeftMs;
+  int64_t version;
 
-  _LeavingTarget__isset __isset;
+  _ChangedTarget__isset __isset;
 
   void __set_target(const std::string& val);
 
   void __set_incarnation(const int64_t val);
 
-  bool operator == (const LeavingTarget & rhs) const
+  void __set_serviceName(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_dataCentre(const std::string& val);
+
+  void __set_slots(const int32_t val);
+
+  void __set_leaving(const bool val);
+
+  void __set_coldLeftMs(const int32_t val);
+
+  void __set_version(const int64_t val);
+
+  bool operator == (const ChangedTarget & rhs) const
   {
     if (!(target == rhs.target))
       return false;
     if (!(incarnation == rhs.incarnation))
       return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(dataCentre == rhs.dataCentre))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    if (!(leaving == rhs.leaving))
+      return false;
+    if (!(coldLeftMs == rhs.coldLeftMs))
+      return false;
+    if (!(version == rhs.version))
+      return false;
     return true;
   }
-  bool operator != (const LeavingTarget &rhs) const {
+  bool operator != (const ChangedTarget &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const LeavingTarget & ) const;
+  bool operator < (const ChangedTarget & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -150,9 +199,9 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(LeavingTarget &a, LeavingTarget &b);
+void swap(ChangedTarget &a, ChangedTarget &b);
 
-std::ostream& operator<<(std::ostream& out, const LeavingTarget& obj);
+std::ostream& operator<<(std::ostream& out, const ChangedTarget& obj);
 
 typedef struct _CrashOnTarget__isset {
   _CrashOnTarget__isset() : target(false), incarnation(false), ageMs(false), members(false), running(false) {}
@@ -227,7 +276,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashOnTarget& obj);
 
 typedef struct _RelayHeartbeat__isset {
-  _RelayHeartbeat__isset() : node(false), incarnation(false), sequence(false), callers(false), peers(false), dataCentre(false), accepting(false), documentVersion(false), targetsVersion(false), loads(false), leaving(false), crashes(false), known(false) {}
+  _RelayHeartbeat__isset() : node(false), incarnation(false), sequence(false), callers(false), peers(false), dataCentre(false), accepting(false), documentVersion(false), documentTableVersion(false), loads(false), targets(false), crashes(false), known(false), targetsDigest(false), targetsVersion(false), targetsAgeMs(false), reading(false) {}
   bool node :1;
   bool incarnation :1;
   bool sequence :1;
@@ -236,11 +285,15 @@
   bool dataCentre :1;
   bool accepting :1;
   bool documentVersion :1;
-  bool targetsVersion :1;
+  bool documentTableVersion :1;
   bool loads :1;
-  bool leaving :1;
+  bool targets :1;
   bool crashes :1;
   bool known :1;
+  bool targetsDigest :1;
+  bool targetsVersion :1;
+  bool targetsAgeMs :1;
+  bool reading :1;
 } _RelayHeartbeat__isset;
 
 class RelayHeartbeat : public virtual ::apache::thrift::TBase {
@@ -259,7 +312,11 @@
                    dataCentre(),
                    accepting(0),
                    documentVersion(0),
-                   targetsVersion(0) {
+                   documentTableVersion(0),
+                   targetsDigest(0),
+                   targetsVersion(0),
+                   targetsAgeMs(0),
+                   reading(0) {
   }
 
   virtual ~RelayHeartbeat() noexcept;
@@ -271,11 +328,15 @@
   std::string dataCentre;
   bool accepting;
   int64_t documentVersion;
-  int64_t targetsVersion;
+  int64_t documentTableVersion;
   std::vector<LoadOnTarget>  loads;
-  std::vector<LeavingTarget>  leaving;
+  std::vector<ChangedTarget>  targets;
   std::vector<CrashOnTarget>  crashes;
   std::vector<std::string>  known;
+  int64_t targetsDigest;
+  int64_t targetsVersion;
+  int32_t targetsAgeMs;
+  bool reading;
 
   _RelayHeartbeat__isset __isset;
 
@@ -295,16 +356,24 @@
 
   void __set_documentVersion(const int64_t val);
 
-  void __set_targetsVersion(const int64_t val);
+  void __set_documentTableVersion(const int64_t val);
 
   void __set_loads(const std::vector<LoadOnTarget> & val);
 
-  void __set_leaving(const std::vector<LeavingTarget> & val);
+  void __set_targets(const std::vector<ChangedTarget> & val);
 
   void __set_crashes(const std::vector<CrashOnTarget> & val);
 
   void __set_known(const std::vector<std::string> & val);
 
+  void __set_targetsDigest(const int64_t val);
+
+  void __set_targetsVersion(const int64_t val);
+
+  void __set_targetsAgeMs(const int32_t val);
+
+  void __set_reading(const bool val);
+
   bool operator == (const RelayHeartbeat & rhs) const
   {
     if (!(node == rhs.node))
@@ -323,16 +392,24 @@
       return false;
     if (!(documentVersion == rhs.documentVersion))
       return false;
-    if (!(targetsVersion == rhs.targetsVersion))
+    if (!(documentTableVersion == rhs.documentTableVersion))
       return false;
     if (!(loads == rhs.loads))
       return false;
-    if (!(leaving == rhs.leaving))
+    if (!(targets == rhs.targets))
       return false;
     if (!(crashes == rhs.crashes))
       return false;
     if (!(known == rhs.known))
       return false;
+    if (!(targetsDigest == rhs.targetsDigest))
+      return false;
+    if (!(targetsVersion == rhs.targetsVersion))
+      return false;
+    if (!(targetsAgeMs == rhs.targetsAgeMs))
+      return false;
+    if (!(reading == rhs.reading))
+      return false;
     return true;
   }
   bool operator != (const RelayHeartbeat &rhs) const {
--- a/Libraries/LibRelay/PeerNewsCodec.cpp
+++ b/Libraries/LibRelay/PeerNewsCodec.cpp
@@ -1,6 +1,7 @@
 #include <LibRelay/PeerNewsCodec.h>
 
 #include <algorithm>
+#include <limits>
 #include <Relay_types.h>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -18,7 +19,7 @@
 constexpr std::string_view Mark = "R1";
 // No valid datagram has longer strings or lists; the limits keep a damaged length from allocating memory.
 constexpr int MaxStringBytes = 1400;
-constexpr int MaxListItems = 1400;
+constexpr int MaxListItems = 20000;
 
 std::string serialize(const Wire::RelayHeartbeat &heartbeat)
 {
@@ -43,13 +44,41 @@
         heartbeat.loads.pop_back();
         return true;
     }
-    if (!heartbeat.leaving.empty()) {
-        heartbeat.leaving.pop_back();
+    if (!heartbeat.targets.empty()) {
+        heartbeat.targets.pop_back();
         return true;
     }
     return false;
 }
 
+Wire::ChangedTarget toWire(const TargetEntry &entry)
+{
+    Wire::ChangedTarget result;
+    result.target = entry.id;
+    result.incarnation = entry.incarnation;
+    result.serviceName = entry.service;
+    result.address = entry.address;
+    result.dataCentre = entry.dataCentre;
+    result.slots = entry.slots;
+    result.leaving = entry.leaving;
+    result.coldLeftMs = static_cast<int32_t>(entry.coldLeft.count());
+    result.version = entry.version;
+    return result;
+}
+
+TargetEntry targetFromWire(const Wire::ChangedTarget &target)
+{
+    return {.id = target.target,
+            .incarnation = target.incarnation,
+            .service = target.serviceName,
+            .address = target.address,
+            .dataCentre = target.dataCentre,
+            .slots = target.slots,
+            .leaving = target.leaving,
+            .coldLeft = std::chrono::milliseconds(target.coldLeftMs),
+            .version = target.version};
+}
+
 Wire::CrashOnTarget toWire(const TargetCrash &crash)
 {
     Wire::CrashOnTarget result;
@@ -81,6 +110,11 @@
     result.dataCentre = news.dataCentre;
     result.accepting = news.accepting;
     result.documentVersion = news.documentVersion;
+    result.documentTableVersion = news.documentTableVersion;
+    result.targetsDigest = static_cast<int64_t>(news.targetsDigest);
+    result.targetsVersion = news.targetsVersion;
+    result.reading = news.reading;
+    result.targetsAgeMs = static_cast<int32_t>(std::min<int64_t>(news.targetsAge.count(), std::numeric_limits<int32_t>::max()));
     auto loads = news.loads;
     std::sort(loads.begin(), loads.end(), [](const auto &left, const auto &right) { return left.running > right.running; });
     for (const auto &load : loads) {
@@ -92,11 +126,8 @@
         wire.movable = static_cast<int32_t>(load.movable);
         result.loads.push_back(wire);
     }
-    for (const auto &[target, incarnation] : news.leaving) {
-        Wire::LeavingTarget wire;
-        wire.target = target;
-        wire.incarnation = incarnation;
-        result.leaving.push_back(wire);
+    for (const auto &entry : news.targets) {
+        result.targets.push_back(toWire(entry));
     }
     for (const auto &crash : news.crashes) {
         result.crashes.push_back(toWire(crash));
@@ -114,12 +145,17 @@
                    .peers = wire.peers,
                    .dataCentre = wire.dataCentre,
                    .accepting = wire.accepting,
-                   .documentVersion = wire.documentVersion};
+                   .documentVersion = wire.documentVersion,
+                   .documentTableVersion = wire.documentTableVersion,
+                   .targetsDigest = static_cast<uint64_t>(wire.targetsDigest),
+                   .targetsVersion = wire.targetsVersion,
+                   .targetsAge = std::chrono::milliseconds(wire.targetsAgeMs),
+                   .reading = wire.reading};
     for (const auto &load : wire.loads) {
         news.loads.push_back({.target = load.target, .running = load.running, .memory = load.memory, .prefill = load.prefill, .movable = load.movable});
     }
-    for (const auto &leaving : wire.leaving) {
-        news.leaving.emplace_back(leaving.target, leaving.incarnation);
+    for (const auto &target : wire.targets) {
+        news.targets.push_back(targetFromWire(target));
     }
     for (const auto &crash : wire.crashes) {
         news.crashes.push_back(crashFromWire(crash));
@@ -130,11 +166,11 @@
 
 } // namespace
 
-std::string encodePeerNews(const PeerNews &news)
+std::string encodePeerNews(const PeerNews &news, size_t mostBytes)
 {
     auto heartbeat = toWire(news);
     auto text = serialize(heartbeat);
-    while (text.size() > MaxPeerDatagramBytes && shrink(heartbeat)) {
+    while (text.size() > mostBytes && shrink(heartbeat)) {
         text = serialize(heartbeat);
     }
     return text;
@@ -142,7 +178,7 @@
 
 std::optional<PeerNews> decodePeerNews(std::string_view datagram)
 {
-    if (datagram.size() <= Mark.size() || datagram.size() > MaxPeerDatagramBytes || datagram.substr(0, Mark.size()) != Mark) {
+    if (datagram.size() <= Mark.size() || datagram.size() > MaxPeerAnswerBytes || datagram.substr(0, Mark.size()) != Mark) {
         return std::nullopt;
     }
     // TMemoryBuffer only reads in OBSERVE mode, but its interface takes a mutable pointer.
--- a/Libraries/LibRelay/PeerNewsCodec.h
+++ b/Libraries/LibRelay/PeerNewsCodec.h
@@ -10,9 +10,11 @@
 
 // Largest datagram between relays. It fits one packet on common networks.
 constexpr size_t MaxPeerDatagramBytes = 1400;
+// Largest answer with all targets.
+constexpr size_t MaxPeerAnswerBytes = 4 << 20;
 
-// Encodes a heartbeat as one datagram (Relay.thrift). The loads of the least busy targets are left out if they do not fit.
-std::string encodePeerNews(const PeerNews &news);
+// Encodes a heartbeat (Relay.thrift). The loads of the least busy targets are left out if it does not fit.
+std::string encodePeerNews(const PeerNews &news, size_t mostBytes = MaxPeerDatagramBytes);
 
 // Nothing if the bytes are not a heartbeat.
 std::optional<PeerNews> decodePeerNews(std::string_view datagram);
--- a/Libraries/LibRelay/PeerTable.h
+++ b/Libraries/LibRelay/PeerTable.h
@@ -4,6 +4,7 @@
 #include <LibCore/Time.h>
 #include <LibPolicy/CrashSuspects.h>
 #include <LibRelay/TargetLoad.h>
+#include <LibRelay/TargetTable.h>
 #include <optional>
 #include <set>
 #include <string>
@@ -26,9 +27,17 @@
     // Whether callers may be sent to the relay.
     bool accepting = false;
     int64_t documentVersion = 0;
+    // Version of the newest change in the document's table.
+    int64_t documentTableVersion = 0;
+    // Digest of the targets that the relay knows, the store's version as of which it holds, and how long ago that was read.
+    uint64_t targetsDigest = 0;
+    int64_t targetsVersion = 0;
+    std::chrono::milliseconds targetsAge {0};
+    // Whether the relay reads the store's tables.
+    bool reading = false;
     std::vector<TargetLoad> loads;
-    // Targets that are leaving, with their incarnations.
-    std::vector<std::pair<std::string, int64_t>> leaving;
+    // Targets that changed lately.
+    std::vector<TargetEntry> targets;
     std::vector<TargetCrash> crashes;
     // Addresses of further relays.
     std::vector<std::string> known;
--- a/Libraries/LibRelay/Relay.thrift
+++ b/Libraries/LibRelay/Relay.thrift
@@ -10,10 +10,18 @@
   5: i32 movable
 }
 
-// A target that a relay knows to be leaving.
-struct LeavingTarget {
+// A target that has changed lately: a new one, one at another address, or one that leaves.
+struct ChangedTarget {
   1: string target
   2: i64 incarnation
+  3: string serviceName
+  4: string address
+  5: string dataCentre
+  6: i32 slots
+  7: bool leaving
+  8: i32 coldLeftMs
+  // The store's version of the entry.
+  9: i64 version
 }
 
 // One crash of a target as one relay saw it.
@@ -34,12 +42,18 @@
   5: string peers
   6: string dataCentre
   7: bool accepting
-  // Newest version of each table of the store that the relay has read.
   8: i64 documentVersion
-  9: i64 targetsVersion
+  // Version of the newest change in the table of the document.
+  9: i64 documentTableVersion
   10: list<LoadOnTarget> loads
-  11: list<LeavingTarget> leaving
+  11: list<ChangedTarget> targets
   12: list<CrashOnTarget> crashes
   // Addresses for relays of further relays that the sender has heard of.
   13: list<string> known
+  // Digest of the targets that the sender knows, the store's version as of which it holds, and how long ago that was read.
+  14: i64 targetsDigest
+  15: i64 targetsVersion
+  16: i32 targetsAgeMs
+  // Whether the sender reads the store's tables.
+  17: bool reading
 }
--- a/Libraries/LibRelay/TargetTable.cpp
+++ b/Libraries/LibRelay/TargetTable.cpp
@@ -1,5 +1,7 @@
 #include <LibRelay/TargetTable.h>
 
+#include <xxhash.h>
+
 namespace Jujube
 {
 
@@ -11,10 +13,12 @@
 bool TargetTable::markLeaving(KnownTarget &target, MonotonicTime now)
 {
     target.lapsedUntil.reset();
+    target.entry.leaving = true;
     if (target.leavingSince) {
         return false;
     }
     target.leavingSince = now;
+    target.changedAt = now;
     return true;
 }
 
@@ -22,34 +26,39 @@
 {
     auto &target = m_targets[entry.id];
     const bool isNew = target.entry.id.empty() || entry.incarnation > target.entry.incarnation;
-    if (!isNew && entry.incarnation < target.entry.incarnation) {
+    if (!isNew && (entry.incarnation < target.entry.incarnation || entry.version < target.entry.version)) {
         return false;
     }
-    if (isNew) {
-        target = {};
+    if (isNew || entry.address != target.entry.address) {
+        target = {.changedAt = now};
     }
-    // A target that left does not come back in the same lifetime, but one whose entry only lapsed does.
-    const bool staysLeaving = target.leavingSince && target.entry.leaving;
     target.entry = entry;
-    target.entry.leaving = entry.leaving || staysLeaving;
     target.lapsedUntil.reset();
     if (entry.coldLeft.count() > 0) {
         target.coldUntil = now + entry.coldLeft;
     }
-    if (target.entry.leaving) {
+    if (entry.leaving) {
         return markLeaving(target, now);
     }
-    target.leavingSince.reset();
+    if (target.leavingSince) {
+        // The entry had lapsed and is back.
+        target.leavingSince.reset();
+        target.changedAt = now;
+    }
     return false;
 }
 
-bool TargetTable::remove(const std::string &id, bool afterOutage, MonotonicTime now)
+bool TargetTable::remove(const std::string &id, bool afterOutage, int64_t version, MonotonicTime now)
 {
     const auto found = m_targets.find(id);
     if (found == m_targets.end()) {
         return false;
     }
     auto &target = found->second;
+    if (version < target.entry.version) {
+        return false;
+    }
+    target.entry.version = version;
     if (!afterOutage || target.leavingSince) {
         return markLeaving(target, now);
     }
@@ -59,28 +68,36 @@
     return false;
 }
 
-void TargetTable::replaceAll(const std::vector<TargetEntry> &entries, bool afterOutage, MonotonicTime now)
+std::vector<TargetEntry> TargetTable::recentChanges(std::chrono::milliseconds within, MonotonicTime now) const
 {
-    absl::flat_hash_set<std::string> listed;
-    for (const auto &entry : entries) {
-        listed.insert(entry.id);
-        set(entry, now);
-    }
+    std::vector<TargetEntry> changes;
     for (const auto &[id, target] : m_targets) {
-        if (!listed.contains(id)) {
-            remove(id, afterOutage, now);
+        if (now - target.changedAt < within) {
+            changes.push_back(target.entry);
         }
     }
+    return changes;
 }
 
-bool TargetTable::noteLeaving(const std::string &id, int64_t incarnation, MonotonicTime now)
+std::vector<TargetEntry> TargetTable::allEntries() const
 {
-    const auto found = m_targets.find(id);
-    if (found == m_targets.end() || found->second.entry.incarnation != incarnation) {
-        return false;
+    std::vector<TargetEntry> entries;
+    for (const auto &[id, target] : m_targets) {
+        entries.push_back(target.entry);
+    }
+    return entries;
+}
+
+uint64_t TargetTable::digest() const
+{
+    uint64_t digest = 0;
+    for (const auto &[id, target] : m_targets) {
+        if (!target.leavingSince) {
+            const auto text = id + ' ' + std::to_string(target.entry.incarnation) + ' ' + target.entry.address;
+            digest ^= XXH3_64bits(text.data(), text.size());
+        }
     }
-    found->second.entry.leaving = true;
-    return markLeaving(found->second, now);
+    return digest;
 }
 
 std::vector<std::string> TargetTable::tick(MonotonicTime now)
--- a/Libraries/LibRelay/TargetTable.h
+++ b/Libraries/LibRelay/TargetTable.h
@@ -24,6 +24,8 @@
     bool leaving = false;
     // How long the target stays cold, from when the entry was written.
     std::chrono::milliseconds coldLeft {0};
+    // The store's version of the entry.
+    int64_t version = 0;
 };
 
 // One target as this gateway knows it.
@@ -34,6 +36,8 @@
     std::optional<MonotonicTime> leavingSince;
     // The entry lapsed while the list was out of reach, and the target may register again until this time.
     std::optional<MonotonicTime> lapsedUntil;
+    // When this gateway learnt what others may not know yet: a new target, a new address, or that the target leaves.
+    MonotonicTime changedAt;
 };
 
 // The targets by their list in the store. Entries that disappear mean that a target leaves; it serves what it runs for some time still.
@@ -49,18 +53,20 @@
 
     explicit TargetTable(Options options);
 
-    // Takes in an entry. Returns whether a target became leaving by it.
+    // Takes in an entry, from the store or from another gateway. An older one than the known one has no effect. Returns whether a target became leaving by it.
     bool set(const TargetEntry &entry, MonotonicTime now);
 
-    // The entry has disappeared. `afterOutage` tells that the list was out of reach until now, so that the entry may only have lapsed. Returns whether a
-    // target became leaving by it.
-    bool remove(const std::string &id, bool afterOutage, MonotonicTime now);
+    // The entry has disappeared as of a version of the store. `afterOutage` tells that the list was out of reach until now, so that the entry may only have
+    // lapsed. Returns whether a target became leaving by it.
+    bool remove(const std::string &id, bool afterOutage, int64_t version, MonotonicTime now);
 
-    // Takes in the whole list.
-    void replaceAll(const std::vector<TargetEntry> &entries, bool afterOutage, MonotonicTime now);
+    // Targets that changed within the given time, for other gateways.
+    std::vector<TargetEntry> recentChanges(std::chrono::milliseconds within, MonotonicTime now) const;
 
-    // The target told this gateway directly that it leaves, or another gateway knows it.
-    bool noteLeaving(const std::string &id, int64_t incarnation, MonotonicTime now);
+    std::vector<TargetEntry> allEntries() const;
+
+    // Digest of the targets that do not leave. Two gateways with the same digest know the same targets.
+    uint64_t digest() const;
 
     // Lets grace periods run out. Returns the targets that became leaving.
     std::vector<std::string> tick(MonotonicTime now);
--- a/Libraries/LibRelayServer/PeerLink.cpp
+++ b/Libraries/LibRelayServer/PeerLink.cpp
@@ -11,8 +11,13 @@
 namespace
 {
 
-// Pause between heartbeats. They carry loads, on which placement depends.
-constexpr std::chrono::milliseconds BeatPause {200};
+// Pause between heartbeats. They carry loads, on which placement depends. With many relays it grows, so that a relay's share of processor time and traffic
+// stays bounded.
+constexpr std::chrono::milliseconds ShortestBeatPause {200};
+constexpr std::chrono::milliseconds LongestBeatPause {500};
+constexpr std::chrono::milliseconds BeatPausePerRelay {5};
+// A change is told in several heartbeats, because a datagram may be lost.
+constexpr std::chrono::milliseconds NewsTime {1500};
 // Shortest pause before a heartbeat that is sent early.
 constexpr std::chrono::milliseconds SoonPause {20};
 constexpr size_t MostKnownAddresses = 4;
@@ -84,18 +89,11 @@
         return;
     }
     m_core.balancer.setPeerLoads(news->node, news->loads);
-    for (const auto &[target, incarnation] : news->leaving) {
-        if (m_core.targets.noteLeaving(target, incarnation, now)) {
-            m_core.announceLeaving(target, "peer", now);
-        }
-    }
+    m_hooks.onTargetNews(*news, now);
     for (const auto &crash : news->crashes) {
         m_core.crashes.merge(crash, now);
     }
-    const auto version = m_core.routes ? m_core.routes->document().version : 0;
-    if (news->documentVersion > version) {
-        m_hooks.onNewerDocument();
-    }
+    m_hooks.onNewerDocument(*news);
     if (change == PeerTable::Change::Joined) {
         auto line = m_core.line(EventKind::PeerJoined);
         line.add("peer", news->node).add("address", news->callers);
@@ -140,7 +138,7 @@
         m_hooks.onPeersChanged();
     }
     sendNews(now);
-    armTimer(BeatPause);
+    armTimer(std::clamp(BeatPausePerRelay * m_core.peers.liveCount(now), ShortestBeatPause, LongestBeatPause));
 }
 
 void PeerLink::sendNews(MonotonicTime now)
@@ -168,13 +166,8 @@
                      .loads = m_core.balancer.ownLoads(),
                      .crashes = m_core.crashes.reports(MostCrashes, now),
                      .known = m_core.peers.knownAddresses(MostKnownAddresses, now)};
-    // A target's leaving is news for a short time only; by then every relay has read it or heard it.
-    constexpr std::chrono::seconds NewsTime {3};
-    for (const auto &[id, target] : m_core.targets.targets()) {
-        if (target.leavingSince && now - *target.leavingSince < NewsTime) {
-            result.leaving.emplace_back(id, target.entry.incarnation);
-        }
-    }
+    result.targets = m_core.targets.recentChanges(NewsTime, now);
+    m_hooks.describeTables(result, now);
     return result;
 }
 
--- a/Libraries/LibRelayServer/PeerLink.h
+++ b/Libraries/LibRelayServer/PeerLink.h
@@ -13,8 +13,12 @@
     struct Hooks {
         // A relay has joined, fallen silent, or changed whether it accepts callers.
         std::function<void()> onPeersChanged;
-        // A peer has a newer document than this relay.
-        std::function<void()> onNewerDocument;
+        // A peer's document table has a newer change than this relay's.
+        std::function<void(const PeerNews &news)> onNewerDocument;
+        // A peer tells what it knows about targets.
+        std::function<void(const PeerNews &news, MonotonicTime now)> onTargetNews;
+        // Completes the own heartbeat by what is known about the store's tables.
+        std::function<void(PeerNews &news, MonotonicTime now)> describeTables;
     };
 
     PeerLink(RelayCore &core, Hooks hooks);
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -7,6 +7,7 @@
 #include <ctime>
 #include <LibCore/AbslView.h>
 #include <LibCore/Json.h>
+#include <LibRelay/PeerNewsCodec.h>
 #include <LibRelayServer/RelayExchange.h>
 #include <sys/stat.h>
 
@@ -17,9 +18,14 @@
 {
 
 constexpr std::string_view SnapshotPath = "/snapshot/";
+constexpr std::string_view TargetsPath = "/targets";
 constexpr std::string_view MetricsPath = "/metrics";
 
 constexpr std::chrono::milliseconds TickPause {100};
+// How long the store may hold a read of the document.
+constexpr std::chrono::milliseconds DocumentWait {3000};
+// A reading peer that knows other targets for this time is asked for all of them.
+constexpr std::chrono::milliseconds DifferenceTime {700};
 // The process exits this long before it would be killed.
 constexpr std::chrono::milliseconds GraceMargin {600};
 // Callers keep addresses and channels for a while after the directory has left this node out.
@@ -52,7 +58,7 @@
     for (const auto &row : rows.rows) {
         list.push_back({{"key", absl::Base64Escape(row.key)}, {"value", absl::Base64Escape(row.value)}, {"version", row.version}});
     }
-    return nlohmann::json {{"version", rows.version}, {"rows", std::move(list)}}.dump();
+    return nlohmann::json {{"version", rows.version}, {"change", rows.changeVersion}, {"rows", std::move(list)}}.dump();
 }
 
 std::optional<StoreRows> decodeSnapshot(std::string_view text)
@@ -61,7 +67,7 @@
     if (!json.ok() || !json->is_object() || !json->contains("rows")) {
         return std::nullopt;
     }
-    StoreRows rows {.version = json->value("version", int64_t {0})};
+    StoreRows rows {.version = json->value("version", int64_t {0}), .changeVersion = json->value("change", int64_t {0})};
     for (const auto &item : (*json)["rows"]) {
         StoreRow row {.version = item.value("version", int64_t {0})};
         if (!absl::Base64Unescape(item.value("key", std::string()), &row.key) || !absl::Base64Unescape(item.value("value", std::string()), &row.value)) {
@@ -79,13 +85,19 @@
     , m_readOptions(std::move(readOptions))
     , m_peers(m_core,
               {.onPeersChanged = [] {},
-               .onNewerDocument =
-                   [this] {
-                       // The store is read again at once; if it does not answer, a peer is asked.
-                       m_documents->hurry();
+               .onNewerDocument = [this](const PeerNews &news) { onPeerDocument(news); },
+               .onTargetNews = [this](const PeerNews &news, MonotonicTime now) { onPeerTargets(news, now); },
+               .describeTables =
+                   [this](PeerNews &news, MonotonicTime now) {
+                       news.documentTableVersion = m_documents->changeVersion();
+                       news.targetsDigest = m_core.targets.digest();
+                       news.targetsVersion = m_targets->version();
+                       news.targetsAge = m_targets->age(now);
+                       news.reading = m_readers.isReading() && !m_targets->isFailing() && !m_documents->isFailing();
                    }})
     , m_timer(loop)
     , m_sleptBefore(suspendedTime())
+    , m_readers({.node = m_core.options.node})
 {
 }
 
@@ -176,7 +188,10 @@
         m_core.client,
         dialect,
         m_core.options.store,
-        TableFollower::Options {.table = dialect.documentTable, .pause = std::chrono::milliseconds(40), .wait = std::chrono::milliseconds(3000)},
+        TableFollower::Options {.table = dialect.documentTable,
+                                .wait = DocumentWait,
+                                .mayRead = [this](MonotonicTime now) { return mayRead(now); },
+                                .liveRelays = [this] { return m_core.liveGateways(monotonicNow()); }},
         TableFollower::Hooks {.onTable = [this](const std::vector<StoreRow> &rows, bool) { onDocumentTable(rows, monotonicNow()); },
                               .onChange = [this](const StoreRow &row, bool) { onDocumentRow(row, monotonicNow()); },
                               .onLost = lost(dialect.documentTable),
@@ -186,7 +201,9 @@
         m_core.client,
         dialect,
         m_core.options.store,
-        TableFollower::Options {.table = dialect.targetTable},
+        TableFollower::Options {.table = dialect.targetTable,
+                                .mayRead = [this](MonotonicTime now) { return mayRead(now); },
+                                .liveRelays = [this] { return m_core.liveGateways(monotonicNow()); }},
         TableFollower::Hooks {.onTable = [this](const std::vector<StoreRow> &rows, bool afterOutage) { onTargetTable(rows, afterOutage, monotonicNow()); },
                               .onChange = [this](const StoreRow &row, bool afterOutage) { onTargetRow(row, afterOutage, monotonicNow()); },
                               .onLost = lost(dialect.targetTable),
@@ -268,8 +285,9 @@
     const auto matches = [&](const std::string &table) { return target == absl::StrCat(toAbsl(SnapshotPath), table); };
     if (matches(m_core.dialect.documentTable) && m_documents->hasRows()) {
         channel.send({.status = StatusOk}, encodeSnapshot(m_documents->snapshot()));
-    } else if (matches(m_core.dialect.targetTable) && m_targets->hasRows()) {
-        channel.send({.status = StatusOk}, encodeSnapshot(m_targets->snapshot()));
+    } else if (target == TargetsPath && m_core.targets.size() > 0) {
+        const PeerNews news {.node = m_core.options.node, .targetsVersion = m_targets->version(), .targets = m_core.targets.allEntries()};
+        channel.send({.status = StatusOk}, encodePeerNews(news, MaxPeerAnswerBytes));
     } else if (target == MetricsPath) {
         channel.send({.status = StatusOk, .fields = {{.name = "Content-Type", .value = "text/plain; version=0.0.4"}}}, m_core.metrics.toText());
     } else {
@@ -277,26 +295,116 @@
     }
 }
 
-void Relay::askPeer(TableFollower &follower, const std::string &table)
+void Relay::askSomePeer(TableFollower &follower, const std::string &table, MonotonicTime now)
 {
-    const auto alive = m_core.peers.alive(monotonicNow());
-    if (alive.empty()) {
-        return;
+    const auto alive = m_core.peers.alive(now);
+    if (!alive.empty()) {
+        askPeer(follower, table, alive[m_core.random() % alive.size()]->news.peers);
     }
-    const auto *peer = alive[m_core.random() % alive.size()];
-    const auto endpoint = Endpoint::parse(peer->news.peers);
-    if (!endpoint) {
+}
+
+void Relay::askPeer(TableFollower &follower, const std::string &table, const std::string &address)
+{
+    const auto endpoint = Endpoint::parse(address);
+    if (!endpoint || m_askingPeer) {
         return;
     }
+    m_askingPeer = true;
     const LoopCall call {.target = absl::StrCat(toAbsl(SnapshotPath), table), .timeout = PeerReadTimeout, .freshConnection = true};
-    m_core.client.call(*endpoint, call, [this, &follower, table, node = peer->news.node](const LoopAnswer &answer) {
+    m_core.client.call(*endpoint, call, [this, &follower, table, address](const LoopAnswer &answer) {
+        m_askingPeer = false;
         const auto rows = answer.isSuccess() ? decodeSnapshot(answer.body) : std::nullopt;
         if (rows && follower.offer(*rows, monotonicNow())) {
-            logStore(EventKind::TableReplaced, table, absl::StrCat("from peer ", node, " as of ", rows->version));
+            logStore(EventKind::TableReplaced, table, absl::StrCat("from peer ", address, " as of ", rows->version));
+        }
+    });
+}
+
+void Relay::onPeerDocument(const PeerNews &news)
+{
+    if (news.documentTableVersion > m_documents->changeVersion()) {
+        askPeer(*m_documents, m_core.dialect.documentTable, news.peers);
+    }
+}
+
+void Relay::onPeerTargets(const PeerNews &news, MonotonicTime now)
+{
+    for (const auto &entry : news.targets) {
+        takeTarget(entry, "peer", now);
+    }
+    if (news.targetsDigest == m_core.targets.digest()) {
+        m_differsSince.reset();
+        if (m_targets->hasRows()) {
+            m_targets->noteCurrent(news.targetsVersion, news.targetsAge, now);
+        }
+        return;
+    }
+    if (!news.reading || news.targetsVersion <= m_targets->version()) {
+        return;
+    }
+    // Heartbeats repeat every change for a while; a difference that stays means that some were missed.
+    if (!m_differsSince) {
+        m_differsSince = now;
+    } else if (now - *m_differsSince >= DifferenceTime) {
+        m_differsSince = now;
+        askPeerForTargets(news);
+    }
+}
+
+void Relay::askPeerForTargets(const PeerNews &news)
+{
+    const auto endpoint = Endpoint::parse(news.peers);
+    if (!endpoint || m_askingPeer) {
+        return;
+    }
+    m_askingPeer = true;
+    const LoopCall call {.target = std::string(TargetsPath), .timeout = PeerReadTimeout, .freshConnection = true};
+    m_core.client.call(*endpoint, call, [this, node = news.node](const LoopAnswer &answer) {
+        m_askingPeer = false;
+        const auto peer = answer.isSuccess() ? decodePeerNews(answer.body) : std::nullopt;
+        if (peer) {
+            logStore(EventKind::TableReplaced, m_core.dialect.targetTable, absl::StrCat("from peer ", node, " as of ", peer->targetsVersion));
+            takePeerTargets(peer->targets, peer->targetsVersion, monotonicNow());
         }
     });
 }
 
+void Relay::takePeerTargets(const std::vector<TargetEntry> &entries, int64_t version, MonotonicTime now)
+{
+    absl::flat_hash_set<std::string> listed;
+    for (const auto &entry : entries) {
+        listed.insert(entry.id);
+        takeTarget(entry, "peer", now);
+    }
+    std::vector<std::string> missing;
+    for (const auto &[id, target] : m_core.targets.targets()) {
+        if (!listed.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const auto &id : missing) {
+        if (m_core.targets.remove(id, false, version, now)) {
+            m_core.announceLeaving(id, "not known to peer", now);
+        }
+    }
+}
+
+bool Relay::mayRead(MonotonicTime now)
+{
+    std::vector<std::string> readers;
+    for (const auto *peer : m_core.peers.alive(now)) {
+        if (peer->news.reading) {
+            readers.push_back(peer->news.node);
+        }
+    }
+    const bool wasReading = m_readers.isReading();
+    const bool reads = m_readers.decide(readers, m_core.liveGateways(now), now, m_core.random());
+    if (reads != wasReading) {
+        m_peers.sendSoon();
+    }
+    return reads;
+}
+
 void Relay::onDocumentTable(const std::vector<StoreRow> &rows, MonotonicTime now)
 {
     m_out.clear();
@@ -362,6 +470,7 @@
 {
     auto entry = m_core.dialect.decodeTarget(row.key, row.value);
     if (entry.ok() && Endpoint::parse(entry->address)) {
+        entry->version = row.version;
         return *std::move(entry);
     }
     auto line = m_core.line(EventKind::RowUnreadable);
@@ -371,20 +480,26 @@
     return std::nullopt;
 }
 
-void Relay::takeTarget(const TargetEntry &entry, MonotonicTime now)
+void Relay::takeTarget(const TargetEntry &entry, std::string_view source, MonotonicTime now)
 {
     const auto *known = m_core.targets.find(entry.id);
     const bool isNew = !known || known->entry.incarnation < entry.incarnation;
     if (isNew) {
         auto line = m_core.line(EventKind::TargetListed);
-        line.add("target", entry.id).add("service", entry.service).add("address", entry.address).add("data_centre", entry.dataCentre);
+        line.add("target", entry.id)
+            .add("service", entry.service)
+            .add("address", entry.address)
+            .add("data_centre", entry.dataCentre)
+            .add("source", source)
+            .add("row_version", entry.version);
         m_core.log(line);
         if (const auto endpoint = Endpoint::parse(entry.address)) {
             m_core.channels.forget(*endpoint);
         }
+        m_peers.sendSoon();
     }
     if (m_core.targets.set(entry, now)) {
-        m_core.announceLeaving(entry.id, "list", now);
+        m_core.announceLeaving(entry.id, source, now);
         m_peers.sendSoon();
     }
 }
@@ -392,10 +507,11 @@
 void Relay::onTargetTable(const std::vector<StoreRow> &rows, bool afterOutage, MonotonicTime now)
 {
     absl::flat_hash_set<std::string> listed;
+    const auto asOf = m_targets->version();
     for (const auto &row : rows) {
         listed.insert(row.key);
         if (const auto entry = decodeTarget(row)) {
-            takeTarget(*entry, now);
+            takeTarget(*entry, "list", now);
         }
     }
     std::vector<std::string> missing;
@@ -405,7 +521,7 @@
         }
     }
     for (const auto &id : missing) {
-        if (m_core.targets.remove(id, afterOutage, now)) {
+        if (m_core.targets.remove(id, afterOutage, asOf, now)) {
             m_core.announceLeaving(id, "not listed", now);
         }
     }
@@ -415,14 +531,14 @@
 void Relay::onTargetRow(const StoreRow &row, bool afterOutage, MonotonicTime now)
 {
     if (row.removed) {
-        if (m_core.targets.remove(row.key, afterOutage, now)) {
+        if (m_core.targets.remove(row.key, afterOutage, row.version, now)) {
             m_core.announceLeaving(row.key, "entry removed", now);
             m_peers.sendSoon();
         }
         return;
     }
     if (const auto entry = decodeTarget(row)) {
-        takeTarget(*entry, now);
+        takeTarget(*entry, "list", now);
     }
 }
 
@@ -436,10 +552,13 @@
     }
     if (m_ticks % TicksPerPeerRead == 0) {
         if (m_documents->age(now) > PeerReadAge && (m_documents->isLost() || !m_documents->hasRows())) {
-            askPeer(*m_documents, m_core.dialect.documentTable);
+            askSomePeer(*m_documents, m_core.dialect.documentTable, now);
         }
         if (m_targets->age(now) > PeerReadAge && (m_targets->isLost() || !m_targets->hasRows())) {
-            askPeer(*m_targets, m_core.dialect.targetTable);
+            const auto alive = m_core.peers.alive(now);
+            if (!alive.empty()) {
+                askPeerForTargets(alive[m_core.random() % alive.size()]->news);
+            }
         }
     }
     if (m_ticks % TicksPerExpiry == 0) {
@@ -447,6 +566,7 @@
         m_core.client.expire(now);
         m_core.balancer.expire(now);
         m_core.crashes.expire(now);
+        m_core.moves.expire(now);
         m_core.metrics.set("relay_open_channels", static_cast<double>(m_callers->channelCount()));
         m_core.metrics.set("relay_requests_running", static_cast<double>(m_core.running.size()));
     }
--- a/Libraries/LibRelayServer/Relay.h
+++ b/Libraries/LibRelayServer/Relay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibLoop/CallerListener.h>
+#include <LibRelay/ReaderElection.h>
 #include <LibRelayServer/PeerLink.h>
 #include <LibRelayServer/RelayCore.h>
 #include <LibRelayServer/TableFollower.h>
@@ -44,11 +45,17 @@
     void onTargetTable(const std::vector<StoreRow> &rows, bool afterOutage, MonotonicTime now);
     void onTargetRow(const StoreRow &row, bool afterOutage, MonotonicTime now);
     std::optional<TargetEntry> decodeTarget(const StoreRow &row);
-    void takeTarget(const TargetEntry &entry, MonotonicTime now);
+    void takeTarget(const TargetEntry &entry, std::string_view source, MonotonicTime now);
     void logStore(EventKind kind, const std::string &table, std::string_view detail);
 
     std::vector<std::string> addressesFor(const std::string &dataCentre, const std::string &region, MonotonicTime now) const;
-    void askPeer(TableFollower &follower, const std::string &table);
+    void askPeer(TableFollower &follower, const std::string &table, const std::string &address);
+    void askSomePeer(TableFollower &follower, const std::string &table, MonotonicTime now);
+    void onPeerDocument(const PeerNews &news);
+    void onPeerTargets(const PeerNews &news, MonotonicTime now);
+    bool mayRead(MonotonicTime now);
+    void askPeerForTargets(const PeerNews &news);
+    void takePeerTargets(const std::vector<TargetEntry> &entries, int64_t version, MonotonicTime now);
     void tick();
     void checkDrain(MonotonicTime now);
     void noticeFreeze();
@@ -66,6 +73,10 @@
     boost::asio::steady_timer m_timer;
     std::chrono::nanoseconds m_sleptBefore {0};
     uint64_t m_ticks = 0;
+    bool m_askingPeer = false;
+    ReaderElection m_readers;
+    // Since when a reading peer has known other targets than this relay.
+    std::optional<MonotonicTime> m_differsSince;
 };
 
 } // namespace Jujube
--- a/Libraries/LibRelayServer/RelayDialect.h
+++ b/Libraries/LibRelayServer/RelayDialect.h
@@ -26,6 +26,8 @@
     std::vector<StoreRow> rows;
     // The store's version as of which the rows hold.
     int64_t version = 0;
+    // Version of the newest change among them, as far as it is known; removed rows count.
+    int64_t changeVersion = 0;
     bool hasMore = false;
 };
 
--- a/Libraries/LibRelayServer/TableFollower.cpp
+++ b/Libraries/LibRelayServer/TableFollower.cpp
@@ -5,6 +5,14 @@
 namespace Jujube
 {
 
+namespace
+{
+
+// Number of relays up to which the longest pause after failed reads holds.
+constexpr int RelaysForLongestPause = 10;
+
+} // namespace
+
 TableFollower::TableFollower(boost::asio::io_context &loop, LoopClient &client, const RelayDialect &dialect, Endpoint store, Options options, Hooks hooks)
     : m_client(client)
     , m_dialect(dialect)
@@ -31,9 +39,10 @@
 
 void TableFollower::hurry()
 {
-    if (m_stopped) {
+    if (m_stopped || m_hurrying) {
         return;
     }
+    m_hurrying = true;
     m_freshConnection = true;
     next();
 }
@@ -57,12 +66,23 @@
     }
     m_timer.expires_after(pause);
     m_timer.async_wait([this](const LoopError &error) {
-        if (!error) {
-            next();
+        if (error) {
+            return;
+        }
+        if (!m_needsWhole && !m_failing && !m_options.mayRead(monotonicNow())) {
+            schedule(m_options.idlePause);
+            return;
         }
+        next();
     });
 }
 
+void TableFollower::noteCurrent(int64_t version, std::chrono::milliseconds age, MonotonicTime now)
+{
+    m_version = std::max(m_version, version);
+    m_currentAt = std::max(m_currentAt, now - age);
+}
+
 void TableFollower::readWhole(const std::string &fromKey)
 {
     auto call = m_dialect.rowsCall(m_options.table, fromKey);
@@ -128,6 +148,9 @@
         m_rows[row.key] = row;
     }
     m_version = rows.version;
+    for (const auto &row : rows.rows) {
+        m_changeVersion = std::max(m_changeVersion, row.version);
+    }
     m_hasRows = true;
     m_needsWhole = false;
     m_currentAt = now;
@@ -143,6 +166,7 @@
         } else {
             m_rows[row.key] = row;
         }
+        m_changeVersion = std::max(m_changeVersion, row.version);
         m_hooks.onChange(row, m_afterOutage);
     }
     m_version = std::max(m_version, rows.version);
@@ -160,14 +184,17 @@
         m_lost = true;
         m_hooks.onLost(error);
     }
+    m_hurrying = false;
     m_freshConnection = true;
     m_pages.clear();
     schedule(m_retryPause);
-    m_retryPause = std::min(2 * m_retryPause, m_options.longestRetryPause);
+    const auto longest = m_options.longestRetryPause * std::max(1, m_options.liveRelays() / RelaysForLongestPause);
+    m_retryPause = std::min(2 * m_retryPause, longest);
 }
 
 void TableFollower::onSuccess(MonotonicTime now)
 {
+    m_hurrying = false;
     m_retryPause = m_options.retryPause;
     if (m_failing) {
         m_failing = false;
@@ -186,6 +213,7 @@
     }
     const bool wasFailing = m_failing;
     takeWhole(rows, now);
+    m_changeVersion = std::max(m_changeVersion, rows.changeVersion);
     // The next read of the store asks for what has changed since.
     m_afterOutage = wasFailing;
     return true;
@@ -193,7 +221,7 @@
 
 StoreRows TableFollower::snapshot() const
 {
-    StoreRows result {.version = m_version};
+    StoreRows result {.version = m_version, .changeVersion = m_changeVersion};
     result.rows.reserve(m_rows.size());
     for (const auto &[key, row] : m_rows) {
         result.rows.push_back(row);
--- a/Libraries/LibRelayServer/TableFollower.h
+++ b/Libraries/LibRelayServer/TableFollower.h
@@ -17,9 +17,15 @@
     struct Options {
         std::string table;
         // Pause between two reads of changes.
-        std::chrono::milliseconds pause {350};
+        std::chrono::milliseconds pause {30};
         // How long the store may hold a read until something changes.
         std::chrono::milliseconds wait {1000};
+        // Whether this relay reads changes at present; if not, others tell it of them.
+        std::function<bool(MonotonicTime now)> mayRead;
+        // Pause until that is asked again.
+        std::chrono::milliseconds idlePause {250};
+        // The longest pause after failed reads grows with the number of relays, which all try.
+        std::function<int()> liveRelays;
         // Limit for an answer beside the wait.
         std::chrono::milliseconds answerTimeout {900};
         // Pause after a failed read, doubled with each further one up to the largest.
@@ -42,15 +48,29 @@
     void start();
     void stop();
 
-    // Reads at once, over a new connection: a peer has newer rows, or the process was frozen.
+    // Reads at once, over a new connection, unless such a read is in progress: a peer has newer rows, or the process was frozen.
     void hurry();
 
+    // A peer that knows the same rows has read them as of this version, that long ago.
+    void noteCurrent(int64_t version, std::chrono::milliseconds age, MonotonicTime now);
+
     // Takes rows from a peer if they are newer than the own ones. Returns whether they were taken.
     bool offer(const StoreRows &rows, MonotonicTime now);
 
     // The present rows, for peers.
     StoreRows snapshot() const;
 
+    int64_t version() const
+    {
+        return m_version;
+    }
+
+    // Version of the newest change that was read.
+    int64_t changeVersion() const
+    {
+        return m_changeVersion;
+    }
+
     // Whether rows have been read, from the store or from a peer.
     bool hasRows() const
     {
@@ -59,6 +79,10 @@
 
     // Time since the rows were last known to be current.
     std::chrono::milliseconds age(MonotonicTime now) const;
+    bool isFailing() const
+    {
+        return m_failing;
+    }
     bool isLost() const
     {
         return m_lost;
@@ -85,6 +109,8 @@
     // Pages of a whole read in progress.
     std::vector<StoreRow> m_pages;
     int64_t m_version = 0;
+    int64_t m_changeVersion = 0;
+    bool m_hurrying = false;
     bool m_hasRows = false;
     bool m_needsWhole = true;
     bool m_lost = false;
