Refuse requests that cannot end before a graceful shutdown

Ruled out: closing idle channels at once, since requests cross the close. Change: DrainAdmission compares the expected end, with the wait at the engine, with the time of the stop; the caller is told to come back in 50 ms, and goes to another node.

--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -26,8 +26,6 @@
 constexpr std::chrono::milliseconds DocumentWait {3000};
 // A reading peer that knows other targets for this time is asked for all of them.
 constexpr std::chrono::milliseconds DifferenceTime {700};
-// The process exits this long before it would be killed.
-constexpr std::chrono::milliseconds GraceMargin {600};
 // Callers keep addresses and channels for a while after the directory has left this node out.
 constexpr std::chrono::milliseconds LeastDrainTime {2600};
 // Fewer addresses than these in the caller's region are filled up with others.
@@ -615,7 +613,7 @@
     }
     const auto since = now - *m_core.drainingSince;
     const bool idle = m_callers->answeringCount() == 0;
-    if ((idle && since >= LeastDrainTime) || since >= m_core.options.grace - GraceMargin) {
+    if ((idle && since >= LeastDrainTime) || now >= m_core.stopAt()) {
         auto line = m_core.line(EventKind::ProcessStopped);
         line.add("requests", static_cast<int64_t>(m_callers->answeringCount()));
         m_core.log(line);
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -9,6 +9,8 @@
 namespace
 {
 
+// The process exits this long before it would be killed.
+constexpr std::chrono::milliseconds GraceMargin {600};
 constexpr int64_t BitsPerByte = 8;
 constexpr double BitsPerMegabit = 1e6;
 constexpr double MillisecondsPerSecond = 1000;
@@ -56,6 +58,11 @@
     return peers.liveCount(now);
 }
 
+MonotonicTime RelayCore::stopAt() const
+{
+    return *drainingSince + options.grace - GraceMargin;
+}
+
 LogLine RelayCore::line(EventKind kind) const
 {
     return {kind, wallMsNow(), options.node};
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -49,6 +49,9 @@
     double randomUnit();
     int liveGateways(MonotonicTime now) const;
 
+    // When the process exits at the latest after a SIGTERM.
+    MonotonicTime stopAt() const;
+
     bool isDraining() const
     {
         return drainingSince.has_value();
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_split.h>
 #include <algorithm>
 #include <LibCore/AbslView.h>
+#include <LibRelay/DrainAdmission.h>
 
 namespace Jujube
 {
@@ -28,6 +29,9 @@
 // A resumable stream whose target is silent for this time goes on at another target.
 constexpr std::chrono::milliseconds StreamSilence {1500};
 constexpr int MostPriority = 9;
+constexpr std::chrono::milliseconds DefaultRetryAfter {500};
+// Another gateway can take the request at once.
+constexpr std::chrono::milliseconds ElsewhereRetryAfter {50};
 // Tries to move one generation away from targets that leave.
 constexpr int MostMoveTries = 12;
 // Weight of an output token against a prompt token in the worth of a generation.
@@ -93,8 +97,7 @@
                                       }
                                   }});
     if (const auto outcome = admit(now)) {
-        constexpr std::chrono::milliseconds DefaultRetryAfter {500};
-        answer(*outcome, DefaultRetryAfter);
+        answer(*outcome, *outcome == RelayOutcome::Draining ? ElsewhereRetryAfter : DefaultRetryAfter);
         return;
     }
     auto line = m_core.line(EventKind::RelayAccepted);
@@ -145,6 +148,9 @@
     }
     m_deadline = now + timeLeft;
     readUsage();
+    if (m_core.isDraining() && !DrainAdmission().admits(m_demand, m_core.stopAt(), now)) {
+        return RelayOutcome::Draining;
+    }
     return std::nullopt;
 }
 
