Tell loads at once within a region, and others less often

Change: a placement is told within 20 ms to the relays of the region, or to all in fleets of up to 12; relays of other regions get every third heartbeat.

--- a/Libraries/LibRelay/PeerTable.cpp
+++ b/Libraries/LibRelay/PeerTable.cpp
@@ -33,6 +33,8 @@
     auto &address = m_addresses[news.peers];
     address.heard = true;
     address.heardAt = now;
+    const auto region = m_options.regions.find(news.dataCentre);
+    address.isNear = region != m_options.regions.end() && region->second == m_options.region;
     for (const auto &known : news.known) {
         addAddress(known, now);
     }
@@ -44,11 +46,17 @@
     return wasAccepting == news.accepting ? Change::None : Change::Accepting;
 }
 
-std::vector<std::string> PeerTable::recipients(MonotonicTime now)
+std::vector<std::string> PeerTable::recipients(Reach reach, MonotonicTime now)
 {
     std::vector<std::string> result;
     for (auto &[text, address] : m_addresses) {
         const bool answers = address.heard && now - address.heardAt < m_options.silenceTimeout;
+        if (reach == Reach::Region) {
+            if (answers && address.isNear) {
+                result.push_back(text);
+            }
+            continue;
+        }
         if (answers || address.probedAt == MonotonicTime {} || now - address.probedAt >= m_options.probePause) {
             address.probedAt = now;
             result.push_back(text);
--- a/Libraries/LibRelay/PeerTable.h
+++ b/Libraries/LibRelay/PeerTable.h
@@ -5,6 +5,7 @@
 #include <LibPolicy/CrashSuspects.h>
 #include <LibRelay/TargetLoad.h>
 #include <LibRelay/TargetTable.h>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -55,8 +56,11 @@
 public:
     struct Options {
         std::string ownAddress;
+        std::string region;
+        // Region of each data centre.
+        std::map<std::string, std::string> regions;
         // A relay that has not been heard for this time counts as dead.
-        std::chrono::milliseconds silenceTimeout {1600};
+        std::chrono::milliseconds silenceTimeout {2500};
         // Addresses that were never heard, or not for this time, are forgotten.
         std::chrono::seconds memory {120};
         // Pause between heartbeats to an address that does not answer.
@@ -77,8 +81,14 @@
     void addAddress(const std::string &address, MonotonicTime now);
     Change hear(const PeerNews &news, MonotonicTime now);
 
-    // Addresses that get a heartbeat now.
-    std::vector<std::string> recipients(MonotonicTime now);
+    // Which relays get a heartbeat.
+    enum class Reach {
+        // Live relays in this relay's region.
+        Region,
+        // All live relays, and now and then addresses that do not answer.
+        All,
+    };
+    std::vector<std::string> recipients(Reach reach, MonotonicTime now);
 
     // Names of relays that have fallen silent since the last call.
     std::vector<std::string> expire(MonotonicTime now);
@@ -95,6 +105,8 @@
         MonotonicTime heardAt;
         MonotonicTime probedAt;
         bool heard = false;
+        // Whether a relay of this region has the address.
+        bool isNear = false;
     };
 
     bool isAlive(const Peer &peer, MonotonicTime now) const;
--- a/Libraries/LibRelayServer/PeerLink.cpp
+++ b/Libraries/LibRelayServer/PeerLink.cpp
@@ -14,13 +14,17 @@
 // Pause between heartbeats. They carry loads, on which placement depends. With many relays it grows, so that a relay's share of processor time and traffic
 // stays bounded.
 constexpr std::chrono::milliseconds ShortestBeatPause {200};
-constexpr std::chrono::milliseconds LongestBeatPause {500};
+constexpr std::chrono::milliseconds LongestBeatPause {400};
 constexpr std::chrono::milliseconds BeatPausePerRelay {5};
 // A change is told in several heartbeats, because a datagram may be lost.
 constexpr std::chrono::milliseconds NewsTime {1500};
 // Shortest pause before a heartbeat that is sent early.
 constexpr std::chrono::milliseconds SoonPause {20};
-constexpr size_t MostKnownAddresses = 4;
+// Up to this number of relays, all are told of each change of load, and of each heartbeat.
+constexpr int SmallFleet = 12;
+// In larger fleets, relays of other regions get one heartbeat of this number.
+constexpr int BeatsPerFarBeat = 3;
+constexpr size_t MostKnownAddresses = 2;
 constexpr size_t MostCrashes = 8;
 
 } // namespace
@@ -30,6 +34,7 @@
     , m_hooks(std::move(hooks))
     , m_socket(core.loop)
     , m_timer(core.loop)
+    , m_loadTimer(core.loop)
     , m_incarnation(wallMsNow())
 {
 }
@@ -60,6 +65,7 @@
 void PeerLink::stop()
 {
     m_timer.cancel();
+    m_loadTimer.cancel();
     LoopError ignored;
     m_socket.close(ignored);
 }
@@ -113,6 +119,23 @@
     }
 }
 
+void PeerLink::tellLoadSoon()
+{
+    if (m_loadSoon) {
+        return;
+    }
+    m_loadSoon = true;
+    m_loadTimer.expires_after(SoonPause);
+    m_loadTimer.async_wait([this](const LoopError &error) {
+        if (error) {
+            return;
+        }
+        m_loadSoon = false;
+        const auto now = monotonicNow();
+        sendNews(m_core.peers.liveCount(now) <= SmallFleet ? PeerTable::Reach::All : PeerTable::Reach::Region, now);
+    });
+}
+
 void PeerLink::armTimer(std::chrono::milliseconds pause)
 {
     m_timer.expires_after(pause);
@@ -125,7 +148,7 @@
 
 void PeerLink::beat()
 {
-    m_soon = false;
+    const bool wasSoon = std::exchange(m_soon, false);
     const auto now = monotonicNow();
     const auto silent = m_core.peers.expire(now);
     for (const auto &node : silent) {
@@ -137,14 +160,16 @@
     if (!silent.empty()) {
         m_hooks.onPeersChanged();
     }
-    sendNews(now);
+    // Relays of other regions use the targets here seldom, and bytes between regions have a price.
+    const bool toAll = wasSoon || m_core.peers.liveCount(now) <= SmallFleet || ++m_beats % BeatsPerFarBeat == 0;
+    sendNews(toAll ? PeerTable::Reach::All : PeerTable::Reach::Region, now);
     armTimer(std::clamp(BeatPausePerRelay * m_core.peers.liveCount(now), ShortestBeatPause, LongestBeatPause));
 }
 
-void PeerLink::sendNews(MonotonicTime now)
+void PeerLink::sendNews(PeerTable::Reach reach, MonotonicTime now)
 {
     const auto datagram = encodePeerNews(news(now));
-    for (const auto &address : m_core.peers.recipients(now)) {
+    for (const auto &address : m_core.peers.recipients(reach, now)) {
         if (const auto endpoint = Endpoint::parse(address)) {
             // A datagram that cannot be sent is as good as lost; the next heartbeat follows.
             LoopError ignored;
--- a/Libraries/LibRelayServer/PeerLink.h
+++ b/Libraries/LibRelayServer/PeerLink.h
@@ -27,14 +27,17 @@
     absl::Status start();
     void stop();
 
-    // Sends a heartbeat before the next one is due, because something changed that others should know.
+    // Sends a heartbeat to all before the next one is due, because something changed that others should know.
     void sendSoon();
 
+    // Tells the relays that use the same targets most that this relay's load has changed.
+    void tellLoadSoon();
+
 private:
     void receive();
     void onDatagram(std::string_view datagram, MonotonicTime now);
     void beat();
-    void sendNews(MonotonicTime now);
+    void sendNews(PeerTable::Reach reach, MonotonicTime now);
     PeerNews news(MonotonicTime now);
     void armTimer(std::chrono::milliseconds pause);
 
@@ -42,6 +45,9 @@
     const Hooks m_hooks;
     Udp::socket m_socket;
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_loadTimer;
+    bool m_loadSoon = false;
+    int m_beats = 0;
     std::array<char, 2048> m_buffer {};
     Udp::endpoint m_sender;
     const int64_t m_incarnation;
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -33,9 +33,8 @@
 constexpr size_t MostAddresses = 64;
 // The process did not run for at least this time.
 constexpr std::chrono::milliseconds FreezeTime {400};
-// A table that is not known to be current for this time is asked of a peer.
-constexpr std::chrono::milliseconds PeerReadAge {900};
-constexpr uint64_t TicksPerPeerRead = 5;
+// While the store is lost, a peer that knows other targets is asked this often.
+constexpr uint64_t TicksPerPeerRead = 3;
 constexpr std::chrono::milliseconds PeerReadTimeout {500};
 constexpr uint64_t TicksPerExpiry = 10;
 
@@ -104,6 +103,7 @@
 {
     auto relay = std::unique_ptr<Relay>(new Relay(loop, std::move(options), std::move(dialect), lines, std::move(readOptions)));
     relay->followStore();
+    relay->m_core.onLoadChanged = [raw = relay.get()] { raw->m_peers.tellLoadSoon(); };
     if (auto status = relay->listen(); !status.ok()) {
         return status;
     }
@@ -293,24 +293,33 @@
     }
 }
 
-void Relay::askSomePeer(TableFollower &follower, const std::string &table, MonotonicTime now)
+void Relay::askPeersIfLost(MonotonicTime now)
 {
-    const auto alive = m_core.peers.alive(now);
-    if (!alive.empty()) {
-        askPeer(follower, table, alive[m_core.random() % alive.size()]->news.peers);
+    // Documents come from whichever peer tells of a newer one. Targets are asked for where the store has not been read and a peer knows more.
+    if (m_targets->hasRows() && !m_targets->isLost()) {
+        return;
+    }
+    const Peer *best = nullptr;
+    for (const auto *peer : m_core.peers.alive(now)) {
+        if (!best || peer->news.targetsVersion > best->news.targetsVersion) {
+            best = peer;
+        }
+    }
+    if (best && best->news.targetsDigest != m_core.targets.digest()) {
+        askPeerForTargets(best->news);
     }
 }
 
 void Relay::askPeer(TableFollower &follower, const std::string &table, const std::string &address)
 {
     const auto endpoint = Endpoint::parse(address);
-    if (!endpoint || m_askingPeer) {
+    if (!endpoint || m_askingPeerForDocument) {
         return;
     }
-    m_askingPeer = true;
+    m_askingPeerForDocument = true;
     const LoopCall call {.target = absl::StrCat(toAbsl(SnapshotPath), table), .timeout = PeerReadTimeout, .freshConnection = true};
     m_core.client.call(*endpoint, call, [this, &follower, table, address](const LoopAnswer &answer) {
-        m_askingPeer = false;
+        m_askingPeerForDocument = false;
         const auto rows = answer.isSuccess() ? decodeSnapshot(answer.body) : std::nullopt;
         if (rows && follower.offer(*rows, monotonicNow())) {
             logStore(EventKind::TableReplaced, table, absl::StrCat("from peer ", address, " as of ", rows->version));
@@ -352,13 +361,13 @@
 void Relay::askPeerForTargets(const PeerNews &news)
 {
     const auto endpoint = Endpoint::parse(news.peers);
-    if (!endpoint || m_askingPeer) {
+    if (!endpoint || m_askingPeerForTargets || news.targetsVersion == 0) {
         return;
     }
-    m_askingPeer = true;
+    m_askingPeerForTargets = true;
     const LoopCall call {.target = std::string(TargetsPath), .timeout = PeerReadTimeout, .freshConnection = true};
     m_core.client.call(*endpoint, call, [this, node = news.node](const LoopAnswer &answer) {
-        m_askingPeer = false;
+        m_askingPeerForTargets = false;
         const auto peer = answer.isSuccess() ? decodePeerNews(answer.body) : std::nullopt;
         if (peer) {
             logStore(EventKind::TableReplaced, m_core.dialect.targetTable, absl::StrCat("from peer ", node, " as of ", peer->targetsVersion));
@@ -549,15 +558,7 @@
         m_core.announceLeaving(target, "entry lapsed", now);
     }
     if (m_ticks % TicksPerPeerRead == 0) {
-        if (m_documents->age(now) > PeerReadAge && (m_documents->isLost() || !m_documents->hasRows())) {
-            askSomePeer(*m_documents, m_core.dialect.documentTable, now);
-        }
-        if (m_targets->age(now) > PeerReadAge && (m_targets->isLost() || !m_targets->hasRows())) {
-            const auto alive = m_core.peers.alive(now);
-            if (!alive.empty()) {
-                askPeerForTargets(alive[m_core.random() % alive.size()]->news);
-            }
-        }
+        askPeersIfLost(now);
     }
     if (m_ticks % TicksPerExpiry == 0) {
         m_core.channels.expire(now);
--- a/Libraries/LibRelayServer/Relay.h
+++ b/Libraries/LibRelayServer/Relay.h
@@ -50,7 +50,7 @@
 
     std::vector<std::string> addressesFor(const std::string &dataCentre, const std::string &region, MonotonicTime now) const;
     void askPeer(TableFollower &follower, const std::string &table, const std::string &address);
-    void askSomePeer(TableFollower &follower, const std::string &table, MonotonicTime now);
+    void askPeersIfLost(MonotonicTime now);
     void onPeerDocument(const PeerNews &news);
     void onPeerTargets(const PeerNews &news, MonotonicTime now);
     bool mayRead(MonotonicTime now);
@@ -73,7 +73,8 @@
     boost::asio::steady_timer m_timer;
     std::chrono::nanoseconds m_sleptBefore {0};
     uint64_t m_ticks = 0;
-    bool m_askingPeer = false;
+    bool m_askingPeerForDocument = false;
+    bool m_askingPeerForTargets = false;
     ReaderElection m_readers;
     // Since when a reading peer has known other targets than this relay.
     std::optional<MonotonicTime> m_differsSince;
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -27,7 +27,7 @@
     , client(loopInUse)
     , targets({})
     , balancer({.region = options.region, .regions = options.regions})
-    , peers({.ownAddress = options.peers.toText()})
+    , peers({.ownAddress = options.peers.toText(), .region = options.region, .regions = options.regions})
     , m_lines(lines)
     , m_random(std::random_device {}())
     , m_moveTimer(loopInUse)
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -63,6 +63,9 @@
     // A target leaves: its generations are queued for a copy to another one.
     void announceLeaving(const std::string &target, std::string_view reason, MonotonicTime now);
 
+    // Called when this relay has placed or ended a request, so that others learn of it.
+    std::function<void()> onLoadChanged = [] {};
+
     // Starts the copies that are due, and those that become due later.
     void runMoves();
 
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -308,6 +308,7 @@
     const auto load = m_core.balancer.loadOf(order.target.id);
     m_core.balancer.dropCopy(m_id);
     m_core.balancer.started(m_id, order.target.id, m_demand, now);
+    m_core.onLoadChanged();
     m_core.running[this] = order.target.id;
     m_core.moves.remove(m_id);
     auto line = m_core.line(EventKind::RelaySent);
@@ -387,6 +388,13 @@
     }
     const auto events = m_session->eventCount();
     if (events > m_eventsCounted) {
+        const auto gap = std::chrono::duration_cast<std::chrono::milliseconds>(m_lastByteAt - (m_eventsCounted == 0 ? m_request.arrivedAt : m_lastEventAt));
+        if (m_eventsCounted == 0) {
+            m_firstEventAfter = gap;
+        } else {
+            m_longestGap = std::max(m_longestGap, gap);
+        }
+        m_lastEventAt = m_lastByteAt;
         if (m_eventsCounted == 0) {
             m_core.metrics.observe("relay_first_event_seconds", std::chrono::duration<double>(m_lastByteAt - m_request.arrivedAt).count());
         }
@@ -485,6 +493,8 @@
         .add("status", m_answerHead.status)
         .add("events", m_session->eventCount())
         .add("sends", m_session->sendCount())
+        .add("first_event_ms", m_firstEventAfter.count())
+        .add("longest_gap_ms", m_longestGap.count())
         .add("took_ms", took.count());
     m_core.log(line);
     m_core.metrics.count("relay_answers_total", absl::StrCat("status=\"", m_answerHead.status, "\""));
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -73,6 +73,9 @@
     MonotonicTime m_sentAt;
     MonotonicTime m_lastByteAt;
     int64_t m_eventsCounted = 0;
+    MonotonicTime m_lastEventAt;
+    std::chrono::milliseconds m_firstEventAfter {0};
+    std::chrono::milliseconds m_longestGap {0};
     int m_moveTries = 0;
     bool m_isOver = false;
     boost::asio::steady_timer m_deadlineTimer;
--- a/Libraries/LibRelayServer/TableFollower.h
+++ b/Libraries/LibRelayServer/TableFollower.h
@@ -17,7 +17,7 @@
     struct Options {
         std::string table;
         // Pause between two reads of changes.
-        std::chrono::milliseconds pause {30};
+        std::chrono::milliseconds pause {120};
         // How long the store may hold a read until something changes.
         std::chrono::milliseconds wait {1000};
         // Whether this relay reads changes at present; if not, others tell it of them.
--- a/Tests/LibRelay/TestPeers.cpp
+++ b/Tests/LibRelay/TestPeers.cpp
@@ -48,10 +48,10 @@
     auto first = news("a", 1);
     first.known = {"b:81", "me:81"};
     peers.hear(first, Start);
-    auto recipients = peers.recipients(Start);
+    auto recipients = peers.recipients(PeerTable::Reach::All, Start);
     std::sort(recipients.begin(), recipients.end());
     EXPECT_EQ(recipients, (std::vector<std::string> {"a:81", "b:81", "seed:81"}));
-    EXPECT_EQ(peers.recipients(Start + 200ms), std::vector<std::string> {"a:81"});
+    EXPECT_EQ(peers.recipients(PeerTable::Reach::All, Start + 200ms), std::vector<std::string> {"a:81"});
 }
 
 // Guards against news that differ after their way over the network.
