Introduce relays to each other when they first meet

Cause: heartbeats named the first two live relays of a table, always the same ones. Change: a relay that is heard for the first time is told up to 40 addresses, and heartbeats name different ones each time. A change of reader is logged.

--- a/Libraries/LibEvents/EventKind.h
+++ b/Libraries/LibEvents/EventKind.h
@@ -69,6 +69,7 @@
     TargetLeft = 4102,
     RowUnreadable = 4103,
     TableReplaced = 4104,
+    StoreReaderChanged = 4105,
     DirectoryAnswered = 4201,
 };
 
--- a/Libraries/LibRelay/PeerTable.cpp
+++ b/Libraries/LibRelay/PeerTable.cpp
@@ -102,16 +102,12 @@
     return static_cast<int>(alive(now).size()) + 1;
 }
 
-std::vector<std::string> PeerTable::knownAddresses(size_t most, MonotonicTime now) const
+std::vector<std::string> PeerTable::knownAddresses(size_t most, MonotonicTime now, uint64_t random) const
 {
+    const auto live = alive(now);
     std::vector<std::string> result;
-    for (const auto &[node, peer] : m_peers) {
-        if (result.size() >= most) {
-            break;
-        }
-        if (isAlive(peer, now)) {
-            result.push_back(peer.news.peers);
-        }
+    for (size_t index = 0; index < std::min(most, live.size()); ++index) {
+        result.push_back(live[(random + index) % live.size()]->news.peers);
     }
     return result;
 }
--- a/Libraries/LibRelay/PeerTable.h
+++ b/Libraries/LibRelay/PeerTable.h
@@ -96,8 +96,8 @@
     std::vector<const Peer *> alive(MonotonicTime now) const;
     // Number of live relays, this one included.
     int liveCount(MonotonicTime now) const;
-    // Some addresses of live relays, for the next heartbeat.
-    std::vector<std::string> knownAddresses(size_t most, MonotonicTime now) const;
+    // Some addresses of live relays, for the next heartbeat. Different random numbers give different ones, so that all get known in time.
+    std::vector<std::string> knownAddresses(size_t most, MonotonicTime now, uint64_t random) const;
 
 private:
     struct Address {
--- a/Libraries/LibRelayServer/PeerLink.cpp
+++ b/Libraries/LibRelayServer/PeerLink.cpp
@@ -25,6 +25,8 @@
 // In larger fleets, relays of other regions get one heartbeat of this number.
 constexpr int BeatsPerFarBeat = 3;
 constexpr size_t MostKnownAddresses = 2;
+// Addresses that a relay is told when it is heard for the first time.
+constexpr size_t MostIntroducedAddresses = 40;
 constexpr size_t MostCrashes = 8;
 
 } // namespace
@@ -104,13 +106,25 @@
         auto line = m_core.line(EventKind::PeerJoined);
         line.add("peer", news->node).add("address", news->callers);
         m_core.log(line);
-        sendSoon();
+        introduce(news->peers, now);
     }
     if (change != PeerTable::Change::None) {
         m_hooks.onPeersChanged();
     }
 }
 
+void PeerLink::introduce(const std::string &address, MonotonicTime now)
+{
+    const auto endpoint = Endpoint::parse(address);
+    if (!endpoint) {
+        return;
+    }
+    auto introduction = news(now);
+    introduction.known = m_core.peers.knownAddresses(MostIntroducedAddresses, now, m_core.random());
+    LoopError ignored;
+    m_socket.send_to(boost::asio::buffer(encodePeerNews(introduction)), endpoint->udp(), 0, ignored);
+}
+
 void PeerLink::sendSoon()
 {
     if (!m_soon) {
@@ -190,7 +204,7 @@
                      .documentVersion = m_core.routes ? m_core.routes->document().version : 0,
                      .loads = m_core.balancer.ownLoads(),
                      .crashes = m_core.crashes.reports(MostCrashes, now),
-                     .known = m_core.peers.knownAddresses(MostKnownAddresses, now)};
+                     .known = m_core.peers.knownAddresses(MostKnownAddresses, now, m_core.random())};
     result.targets = m_core.targets.recentChanges(NewsTime, now);
     m_hooks.describeTables(result, now);
     return result;
--- a/Libraries/LibRelayServer/PeerLink.h
+++ b/Libraries/LibRelayServer/PeerLink.h
@@ -37,6 +37,8 @@
     void receive();
     void onDatagram(std::string_view datagram, MonotonicTime now);
     void beat();
+    // Tells a relay that was heard for the first time which others there are.
+    void introduce(const std::string &address, MonotonicTime now);
     void sendNews(PeerTable::Reach reach, MonotonicTime now);
     PeerNews news(MonotonicTime now);
     void armTimer(std::chrono::milliseconds pause);
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -407,6 +407,9 @@
     const bool wasReading = m_readers.isReading();
     const bool reads = m_readers.decide(readers, m_core.liveGateways(now), now, m_core.random());
     if (reads != wasReading) {
+        auto line = m_core.line(EventKind::StoreReaderChanged);
+        line.add("reads", reads ? 1 : 0).add("other_readers", static_cast<int64_t>(readers.size()));
+        m_core.log(line);
         m_peers.sendSoon();
     }
     return reads;
--- a/Tests/LibRelay/TestPeers.cpp
+++ b/Tests/LibRelay/TestPeers.cpp
@@ -54,6 +54,38 @@
     EXPECT_EQ(peers.recipients(PeerTable::Reach::All, Start + 200ms), std::vector<std::string> {"a:81"});
 }
 
+// Guards against large fleets in which most relays never hear of each other, because heartbeats name the same few addresses again and again.
+TEST(PeerTable, AllRelaysMeetThroughAFewSeeds)
+{
+    constexpr int Relays = 77;
+    std::vector<PeerTable> tables;
+    const auto address = [](int index) { return "n" + std::to_string(index) + ":81"; };
+    for (int index = 0; index < Relays; ++index) {
+        tables.emplace_back(PeerTable::Options {.ownAddress = address(index)});
+        for (int seed = 0; seed < 3; ++seed) {
+            tables.back().addAddress(address(seed), Start);
+        }
+    }
+    std::mt19937 random(1);
+    int64_t sequence = 0;
+    auto now = Start;
+    for (int round = 0; round < 20; ++round, now += 400ms) {
+        ++sequence;
+        for (int sender = 0; sender < Relays; ++sender) {
+            auto heartbeat = news("n" + std::to_string(sender), sequence);
+            heartbeat.peers = address(sender);
+            heartbeat.known = tables[static_cast<size_t>(sender)].knownAddresses(2, now, random());
+            for (const auto &recipient : tables[static_cast<size_t>(sender)].recipients(PeerTable::Reach::All, now)) {
+                const auto index = static_cast<size_t>(std::stoi(recipient.substr(1)));
+                tables[index].hear(heartbeat, now);
+            }
+        }
+    }
+    for (const auto &table : tables) {
+        EXPECT_EQ(table.liveCount(now - 400ms), Relays);
+    }
+}
+
 // Guards against news that differ after their way over the network.
 TEST(PeerNewsCodec, RoundTrip)
 {
