End turns of moves by news, and weigh prompts by the pace beside other runs

Suggestions were late by prompts that are read in chunks of 112 tokens between steps, about 7.5 tokens/ms beside running generations, not 14. Ruled out: pauses without a move (14 of 550 drafts). Change: a gateway's turn begins when the news says that no earlier gateway has a generation there; time is only the fallback. Sources prefer destinations in an order of their own (rendezvous hashing). Large fleets prefer engines whose load is told at once. A resumable stream may wait 2.6 s for its first event before it is sent elsewhere (29 of 845 were sent twice while they queued).

--- a/Libraries/LibRelay/MoveSchedule.cpp
+++ b/Libraries/LibRelay/MoveSchedule.cpp
@@ -36,6 +36,25 @@
     }
 }
 
+void MoveSchedule::release(const std::string &target, MonotonicTime now)
+{
+    const auto found = m_targets.find(target);
+    if (found != m_targets.end()) {
+        found->second.turnAt = std::min(found->second.turnAt, now);
+    }
+}
+
+std::vector<std::string> MoveSchedule::waitingTargets(MonotonicTime now) const
+{
+    std::vector<std::string> targets;
+    for (const auto &[target, leaving] : m_targets) {
+        if (leaving.turnAt > now && !leaving.waiting.empty()) {
+            targets.push_back(target);
+        }
+    }
+    return targets;
+}
+
 std::vector<std::string> MoveSchedule::takeDue(MonotonicTime now)
 {
     std::vector<std::string> due;
--- a/Libraries/LibRelay/MoveSchedule.h
+++ b/Libraries/LibRelay/MoveSchedule.h
@@ -24,6 +24,12 @@
     // The generation has been moved, has ended, or cannot be moved now: the turn passes on.
     void remove(const std::string &request);
 
+    // No gateway before this one has a generation on the engine any more.
+    void release(const std::string &target, MonotonicTime now);
+
+    // Engines whose generations wait for gateways before this one.
+    std::vector<std::string> waitingTargets(MonotonicTime now) const;
+
     // Generations whose copies are to be ordered now. Each keeps its engine's turn until remove().
     std::vector<std::string> takeDue(MonotonicTime now);
 
--- a/Libraries/LibRelay/TargetBalancer.cpp
+++ b/Libraries/LibRelay/TargetBalancer.cpp
@@ -1,5 +1,7 @@
 #include <LibRelay/TargetBalancer.h>
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 #include <LibPolicy/SplitMix.h>
@@ -20,9 +22,18 @@
 constexpr double ServiceCallMs = 60;
 // Cost of one running call on a plain service that has free slots.
 constexpr double BusySlotCost = 6;
+// Weight of the fixed order in which a leaving target's generations choose their destinations, in milliseconds.
+constexpr double MoveSpreadCost = 120;
 // Tokens by which a run that has outgrown its expected length is expected to grow further.
 constexpr int64_t FurtherTokens = 200;
 
+// A number between 0 and 1 that all gateways agree on for a pair of targets (rendezvous hashing, Thaler and Ravishankar, 1998).
+double spreadOf(const std::string &source, const std::string &destination)
+{
+    const auto text = source + ' ' + destination;
+    return static_cast<double>(XXH3_64bits(text.data(), text.size()) >> 11) * 0x1.0p-53;
+}
+
 } // namespace
 
 TargetBalancer::TargetBalancer(Options options)
@@ -219,11 +230,11 @@
     return BusySlotCost * load.running + ServiceCallMs * waiting;
 }
 
-double TargetBalancer::distanceCost(const std::string &dataCentre) const
+double TargetBalancer::distanceCost(const std::string &dataCentre, int liveGateways) const
 {
     const auto found = m_options.regions.find(dataCentre);
     if (found == m_options.regions.end() || found->second != m_options.region) {
-        return m_options.otherRegionCost;
+        return m_options.otherRegionCost + (liveGateways > m_options.relaysWithPromptLoads ? m_options.delayedLoadCost : 0);
     }
     return 0;
 }
@@ -259,7 +270,10 @@
             continue;
         }
         double cost = service.engine ? engineCost(load, *service.engine, query.demand) : serviceCost(load, target.entry.slots);
-        cost += distanceCost(target.entry.dataCentre) + FailureCost * failureShare(id, now) + m_options.spread * draws.unit();
+        if (query.isMove) {
+            cost += MoveSpreadCost * spreadOf(query.source, id);
+        }
+        cost += distanceCost(target.entry.dataCentre, query.liveGateways) + FailureCost * failureShare(id, now) + m_options.spread * draws.unit();
         if (const auto health = m_health.find(id); health != m_health.end() && now < health->second.unreachableUntil) {
             cost += FailureCost;
         }
--- a/Libraries/LibRelay/TargetBalancer.h
+++ b/Libraries/LibRelay/TargetBalancer.h
@@ -46,9 +46,12 @@
         std::map<std::string, std::string> regions;
         // Extra cost of another region, in milliseconds.
         double otherRegionCost = 16;
+        // Further cost of another region in fleets whose relays tell loads across regions with a delay: many may choose the same target there.
+        double delayedLoadCost = 90;
+        int relaysWithPromptLoads = 12;
         double otherDataCentreCost = 3;
-        // Prompt tokens that an engine reads in a millisecond.
-        double prefillTokensPerMs = 14;
+        // Prompt tokens that an engine reads in a millisecond beside the running generations, with which the prompt's chunks take turns.
+        double prefillTokensPerMs = 7.5;
         // Cost of one more run on an engine, in milliseconds.
         double costPerRun = 6;
         // Part of an engine's memory above which a further run costs more, as memory may run out.
@@ -67,6 +70,9 @@
         int liveGateways = 1;
         // For a copy of a running generation: no run is started, so the cold rate does not apply.
         bool isMove = false;
+        // The target that the generation leaves. Copies from different targets go to different ones where there is room, because copies to one target queue
+        // behind each other on its link.
+        std::string source;
         // Only targets of this data centre. Empty for any.
         std::string dataCentre;
         // Only targets in which the run fits below this part of the memory.
@@ -125,7 +131,7 @@
     static TargetLoad loadOf(const Run &run);
     double engineCost(const TargetLoad &load, const EngineProfile &engine, const RunDemand &demand) const;
     double serviceCost(const TargetLoad &load, int slots) const;
-    double distanceCost(const std::string &dataCentre) const;
+    double distanceCost(const std::string &dataCentre, int liveGateways) const;
     bool isHome(const std::vector<std::string> &homes, const std::string &dataCentre) const;
     void applyOwn(const Run &run, int sign);
     void noteHealth(const std::string &target, bool failed, MonotonicTime now);
--- a/Libraries/LibRelayServer/PeerLink.cpp
+++ b/Libraries/LibRelayServer/PeerLink.cpp
@@ -97,6 +97,7 @@
         return;
     }
     m_core.balancer.setPeerLoads(news->node, news->loads);
+    m_core.checkTurns(now);
     m_hooks.onTargetNews(*news, now);
     for (const auto &crash : news->crashes) {
         m_core.crashes.merge(crash, now);
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -103,6 +103,7 @@
 {
     auto relay = std::unique_ptr<Relay>(new Relay(loop, std::move(options), std::move(dialect), lines, std::move(readOptions)));
     relay->followStore();
+    relay->m_core.onTurnEnded = [raw = relay.get()] { raw->m_peers.sendSoon(); };
     relay->m_core.onLoadChanged = [raw = relay.get()] { raw->m_peers.tellLoadSoon(); };
     if (auto status = relay->listen(); !status.ok()) {
         return status;
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -15,7 +15,7 @@
 constexpr double BitsPerMegabit = 1e6;
 constexpr double MillisecondsPerSecond = 1000;
 // Time of a copy beside the transfer: two orders and the way to the engine and back.
-constexpr std::chrono::milliseconds CopyOverhead {40};
+constexpr std::chrono::milliseconds CopyOverhead {100};
 
 } // namespace
 
@@ -107,6 +107,20 @@
     return wait;
 }
 
+void RelayCore::checkTurns(MonotonicTime now)
+{
+    bool released = false;
+    for (const auto &target : moves.waitingTargets(now)) {
+        if (waitForPeers(target, now).count() == 0) {
+            moves.release(target, now);
+            released = true;
+        }
+    }
+    if (released) {
+        runMoves();
+    }
+}
+
 std::shared_ptr<RelayExchange> RelayCore::findRunning(const std::string &request) const
 {
     for (const auto &[exchange, runsOn] : running) {
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -63,8 +63,13 @@
     // A target leaves: its generations are queued for a copy to another one.
     void announceLeaving(const std::string &target, std::string_view reason, MonotonicTime now);
 
-    // Called when this relay has placed or ended a request, so that others learn of it.
+    // Called when this relay has placed a request, so that others learn of it.
     std::function<void()> onLoadChanged = [] {};
+    // Called when a generation has left a target that leaves, because another relay may wait for that.
+    std::function<void()> onTurnEnded = [] {};
+
+    // The other relays' loads have changed: generations may have their turn earlier.
+    void checkTurns(MonotonicTime now);
 
     // Starts the copies that are due, and those that become due later.
     void runMoves();
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -26,8 +26,9 @@
 constexpr std::chrono::milliseconds DeadlineMargin {15};
 // Longest time for a copy of a running generation.
 constexpr std::chrono::milliseconds CopyTimeout {2500};
-// A resumable stream whose target is silent for this time goes on at another target.
+// A resumable stream whose target is silent for this time goes on at another target. Before its first event it may wait in the target's queue.
 constexpr std::chrono::milliseconds StreamSilence {1500};
+constexpr std::chrono::milliseconds FirstEventSilence {2600};
 constexpr int MostPriority = 9;
 constexpr std::chrono::milliseconds DefaultRetryAfter {500};
 // Another gateway can take the request at once.
@@ -242,6 +243,7 @@
                                  .homeRegions = m_route->homeRegions,
                                  .liveGateways = m_core.liveGateways(now),
                                  .isMove = true,
+                                 .source = m_core.running[this],
                                  .dataCentre = source ? source->entry.dataCentre : ""};
     auto choice = m_core.balancer.choose(query, m_core.targets, *m_service, now, m_core.random());
     if (!choice.target) {
@@ -308,7 +310,11 @@
     const auto load = m_core.balancer.loadOf(order.target.id);
     m_core.balancer.dropCopy(m_id);
     m_core.balancer.started(m_id, order.target.id, m_demand, now);
-    m_core.onLoadChanged();
+    if (order.memorySource.empty()) {
+        m_core.onLoadChanged();
+    } else {
+        m_core.onTurnEnded();
+    }
     m_core.running[this] = order.target.id;
     m_core.moves.remove(m_id);
     auto line = m_core.line(EventKind::RelaySent);
@@ -586,14 +592,15 @@
     if (m_route->kind != RelayKind::Stream || !m_route->resumable) {
         return;
     }
-    m_silenceTimer.expires_at(m_lastByteAt + StreamSilence);
-    m_silenceTimer.async_wait([weak = weak_from_this()](const LoopError &error) {
+    const auto limit = m_eventsCounted == 0 ? FirstEventSilence : StreamSilence;
+    m_silenceTimer.expires_at(m_lastByteAt + limit);
+    m_silenceTimer.async_wait([weak = weak_from_this(), limit](const LoopError &error) {
         const auto self = weak.lock();
         if (!self || error || self->m_isOver) {
             return;
         }
         const auto now = monotonicNow();
-        if (now - self->m_lastByteAt >= StreamSilence) {
+        if (now - self->m_lastByteAt >= limit) {
             self->m_session->onSilence(now);
         }
         if (!self->m_isOver) {
