Ask engines whether they leave while the list of targets is lost

The store was silent from 18 s to 26.8 s; engines that were taken away at 20.2, 23.7 and 26.8 s were not known to leave, and 19 drafts were cut. Copies went to engines that had crashed and stayed in the list, up to 12 times in 20 ms to the same one. Relays at the end of the order by name hardly ever had a turn. Ruled out: a lack of time alone; reports told of the leaving 1.1 s before. Change: while nobody reads the list (1.5 s), each relay asks the engines that run its movable generations for their state, every 0.3 s. A broken answer has the engine asked as well; one that cannot be reached is avoided for 1.5 to 12 s and counts as a crash for CrashSuspects, which are wired in now: a request that crashes engines is refused before it is sent. Refused destinations are left out.

--- a/Libraries/LibRelay/MoveSchedule.h
+++ b/Libraries/LibRelay/MoveSchedule.h
@@ -11,7 +11,7 @@
 
 // Decides when the copies of generations whose engine leaves are ordered. Load pattern: an engine with several long generations is taken away within some two
 // seconds, and its link carries one copy after the other. A generation is stopped by a second, short copy, which must not wait behind the first copies of
-// others; so the copies of one engine are ordered one generation at a time, the most valuable first, and gateways take turns in the order of their names.
+// others; so the copies of one engine are ordered one generation at a time, the most valuable first, and gateways take turns in an order that they agree on.
 class MoveSchedule
 {
 public:
--- a/Libraries/LibRelay/RelayOutcome.cpp
+++ b/Libraries/LibRelay/RelayOutcome.cpp
@@ -17,7 +17,7 @@
     RelayOutcomeInfo {RelayOutcome::NoTarget, "no_target", 503, RanState::No, true},
     RelayOutcomeInfo {RelayOutcome::Overloaded, "overloaded", 503, RanState::No, true},
     RelayOutcomeInfo {RelayOutcome::Draining, "draining", 503, RanState::No, true},
-    RelayOutcomeInfo {RelayOutcome::CrashesTargets, "crashes_targets", 502, RanState::Unknown, false},
+    RelayOutcomeInfo {RelayOutcome::CrashesTargets, "crashes_targets", 503, RanState::No, true},
     RelayOutcomeInfo {RelayOutcome::RetryBudgetSpent, "retry_budget_spent", 503, RanState::No, true},
     RelayOutcomeInfo {RelayOutcome::TimedOutNotRun, "timed_out_not_run", 503, RanState::No, true},
     RelayOutcomeInfo {RelayOutcome::TimedOut, "timed_out", 504, RanState::Unknown, false},
--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -280,7 +280,9 @@
 
 void RelaySession::startCopy(MonotonicTime now)
 {
-    const auto destination = m_hooks.chooseDestination({m_target->id}, now);
+    auto excluded = m_excluded;
+    excluded.insert(m_target->id);
+    const auto destination = m_hooks.chooseDestination(excluded, now);
     if (!destination) {
         m_hooks.note("stay", "no destination");
         return;
--- a/Libraries/LibRelay/TargetBalancer.cpp
+++ b/Libraries/LibRelay/TargetBalancer.cpp
@@ -18,6 +18,10 @@
 constexpr double FailureHalfLifeSeconds = 3;
 // Cost of a target all of whose recent requests failed, in milliseconds.
 constexpr double FailureCost = 1500;
+// Cost of a target that could not be connected to; it is chosen if there is no other one.
+constexpr double UnreachableCost = 5000;
+// Doublings of the time for which such a target is avoided.
+constexpr int MostDoublings = 4;
 // Mean time of a call to a plain service, in milliseconds; the cost of waiting for one slot.
 constexpr double ServiceCallMs = 60;
 // Cost of one running call on a plain service that has free slots.
@@ -108,7 +112,28 @@
 void TargetBalancer::unreachable(const std::string &target, MonotonicTime now)
 {
     noteHealth(target, true, now);
-    m_health[target].unreachableUntil = now + m_options.unreachableTime;
+    if (isUnreachable(target, now)) {
+        return;
+    }
+    auto &health = m_health[target];
+    const auto time = m_options.unreachableTime * (1 << std::min(health.unreachableStreak, MostDoublings));
+    health.unreachableUntil = now + std::min(time, m_options.longestUnreachableTime);
+    ++health.unreachableStreak;
+}
+
+void TargetBalancer::reachable(const std::string &target)
+{
+    const auto found = m_health.find(target);
+    if (found != m_health.end()) {
+        found->second.unreachableStreak = 0;
+        found->second.unreachableUntil = {};
+    }
+}
+
+bool TargetBalancer::isUnreachable(const std::string &target, MonotonicTime now) const
+{
+    const auto found = m_health.find(target);
+    return found != m_health.end() && now < found->second.unreachableUntil;
 }
 
 void TargetBalancer::noteHealth(const std::string &target, bool failed, MonotonicTime now)
@@ -274,8 +299,11 @@
             cost += MoveSpreadCost * spreadOf(query.source, id);
         }
         cost += distanceCost(target.entry.dataCentre, query.liveGateways) + FailureCost * failureShare(id, now) + m_options.spread * draws.unit();
-        if (const auto health = m_health.find(id); health != m_health.end() && now < health->second.unreachableUntil) {
-            cost += FailureCost;
+        if (isUnreachable(id, now)) {
+            if (query.isMove) {
+                continue;
+            }
+            cost += UnreachableCost;
         }
         if (!best.target || cost < best.cost) {
             best.target = &target;
--- a/Libraries/LibRelay/TargetBalancer.h
+++ b/Libraries/LibRelay/TargetBalancer.h
@@ -59,8 +59,9 @@
         double memoryCost = 6000;
         // Random spread that keeps gateways with the same view from choosing the same target, in milliseconds.
         double spread = 12;
-        // A target that failed to connect is avoided for this time.
+        // A target that failed to connect is avoided for this time, and for twice as long after each further failure, up to the longest.
         std::chrono::milliseconds unreachableTime {1500};
+        std::chrono::milliseconds longestUnreachableTime {12000};
     };
 
     struct Query {
@@ -95,6 +96,8 @@
     void produced(const std::string &request, int64_t tokens);
     void ended(const std::string &request, RunEnd end, MonotonicTime now);
     void unreachable(const std::string &target, MonotonicTime now);
+    // The target answers, or another one has its name now.
+    void reachable(const std::string &target);
     // A copy of a run's memory that is kept on a target.
     void setCopy(const std::string &request, const std::string &target, int64_t tokens);
     void dropCopy(const std::string &request);
@@ -126,12 +129,15 @@
         double failures = 0;
         MonotonicTime updated;
         MonotonicTime unreachableUntil;
+        // Connections that failed in a row, not counting those that failed while the target was avoided.
+        int unreachableStreak = 0;
     };
 
     static TargetLoad loadOf(const Run &run);
     double engineCost(const TargetLoad &load, const EngineProfile &engine, const RunDemand &demand) const;
     double serviceCost(const TargetLoad &load, int slots) const;
     double distanceCost(const std::string &dataCentre, int liveGateways) const;
+    bool isUnreachable(const std::string &target, MonotonicTime now) const;
     bool isHome(const std::vector<std::string> &homes, const std::string &dataCentre) const;
     void applyOwn(const Run &run, int sign);
     void noteHealth(const std::string &target, bool failed, MonotonicTime now);
--- a/Libraries/LibRelay/TargetTable.cpp
+++ b/Libraries/LibRelay/TargetTable.cpp
@@ -68,6 +68,12 @@
     return false;
 }
 
+bool TargetTable::noteLeaving(const std::string &id, int64_t incarnation, MonotonicTime now)
+{
+    const auto found = m_targets.find(id);
+    return found != m_targets.end() && found->second.entry.incarnation == incarnation && markLeaving(found->second, now);
+}
+
 std::vector<TargetEntry> TargetTable::recentChanges(std::chrono::milliseconds within, MonotonicTime now) const
 {
     std::vector<TargetEntry> changes;
--- a/Libraries/LibRelay/TargetTable.h
+++ b/Libraries/LibRelay/TargetTable.h
@@ -68,6 +68,9 @@
     // Digest of the targets that do not leave. Two gateways with the same digest know the same targets.
     uint64_t digest() const;
 
+    // The target itself says that it leaves.
+    bool noteLeaving(const std::string &id, int64_t incarnation, MonotonicTime now);
+
     // Lets grace periods run out. Returns the targets that became leaving.
     std::vector<std::string> tick(MonotonicTime now);
 
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -37,6 +37,9 @@
 constexpr uint64_t TicksPerPeerRead = 3;
 constexpr std::chrono::milliseconds PeerReadTimeout {500};
 constexpr uint64_t TicksPerExpiry = 10;
+// A held read of the list lasts up to 1 s; beyond this age nobody reads it.
+constexpr std::chrono::milliseconds ListLostAge {1500};
+constexpr uint64_t TicksPerEngineWatch = 3;
 
 // How much longer the machine has run than the process could (CLOCK_BOOTTIME counts a suspended machine's time).
 std::chrono::nanoseconds suspendedTime()
@@ -507,6 +510,7 @@
         if (const auto endpoint = Endpoint::parse(entry.address)) {
             m_core.channels.forget(*endpoint);
         }
+        m_core.balancer.reachable(entry.id);
         m_peers.sendSoon();
     }
     if (m_core.targets.set(entry, now)) {
@@ -573,6 +577,9 @@
         m_core.metrics.set("relay_open_channels", static_cast<double>(m_callers->channelCount()));
         m_core.metrics.set("relay_requests_running", static_cast<double>(m_core.running.size()));
     }
+    if (m_ticks % TicksPerEngineWatch == 0) {
+        watchEngines(now);
+    }
     checkDrain(now);
     m_timer.expires_after(TickPause);
     m_timer.async_wait([this](const LoopError &error) {
@@ -582,6 +589,24 @@
     });
 }
 
+void Relay::watchEngines(MonotonicTime now)
+{
+    if (m_targets->age(now) < ListLostAge) {
+        return;
+    }
+    absl::flat_hash_set<std::string> engines;
+    for (const auto &[exchange, target] : m_core.running) {
+        const auto *known = m_core.targets.find(target);
+        if (exchange->isMovable() && known && !known->leavingSince) {
+            engines.insert(target);
+        }
+    }
+    for (const auto &engine : engines) {
+        m_core.metrics.count("relay_engine_state_reads_total");
+        m_core.checkTarget(engine, {});
+    }
+}
+
 void Relay::noticeFreeze()
 {
     const auto suspended = suspendedTime();
--- a/Libraries/LibRelayServer/Relay.h
+++ b/Libraries/LibRelayServer/Relay.h
@@ -57,6 +57,8 @@
     void askPeerForTargets(const PeerNews &news);
     void takePeerTargets(const std::vector<TargetEntry> &entries, int64_t version, MonotonicTime now);
     void tick();
+    // While nobody reads the list of targets, asks the engines that run movable generations whether they leave.
+    void watchEngines(MonotonicTime now);
     void checkDrain(MonotonicTime now);
     void noticeFreeze();
 
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -1,7 +1,9 @@
 #include <LibRelayServer/RelayCore.h>
 
 #include <LibRelayServer/RelayExchange.h>
+#include <tuple>
 #include <vector>
+#include <xxhash.h>
 
 namespace Jujube
 {
@@ -11,6 +13,9 @@
 
 // The process exits this long before it would be killed.
 constexpr std::chrono::milliseconds GraceMargin {600};
+// Answers of one target that break off within this time belong to one crash.
+constexpr std::chrono::milliseconds BrokenPause {100};
+constexpr std::chrono::milliseconds StateTimeout {400};
 constexpr int64_t BitsPerByte = 8;
 constexpr double BitsPerMegabit = 1e6;
 constexpr double MillisecondsPerSecond = 1000;
@@ -30,6 +35,7 @@
     , peers({.ownAddress = options.peers.toText(), .region = options.region, .regions = options.regions})
     , m_lines(lines)
     , m_random(std::random_device {}())
+    , m_brokenTimer(loopInUse)
     , m_moveTimer(loopInUse)
 {
 }
@@ -97,9 +103,12 @@
     }
     const auto &engine = *service->engine;
     std::chrono::milliseconds wait {0};
+    // Relays beside the target go first: their copies are ordered and stopped in the shortest time.
+    const bool ownIsFar = options.dataCentre != known->entry.dataCentre;
     for (const auto *peer : peers.alive(now)) {
         const auto movable = balancer.peerLoad(peer->news.node, target).movable;
-        if (peer->news.node < options.node && movable > 0) {
+        const bool isFar = peer->news.dataCentre != known->entry.dataCentre;
+        if (movable > 0 && std::tie(isFar, peer->news.node) < std::tie(ownIsFar, options.node)) {
             const double seconds = static_cast<double>(movable * engine.bytesPerToken * BitsPerByte) / (engine.linkMbps * BitsPerMegabit);
             wait += std::chrono::milliseconds(static_cast<int64_t>(seconds * MillisecondsPerSecond)) + CopyOverhead;
         }
@@ -107,6 +116,61 @@
     return wait;
 }
 
+void RelayCore::noteBroken(const std::string &target, uint64_t digest)
+{
+    const auto *known = targets.find(target);
+    if (!known || known->leavingSince) {
+        return;
+    }
+    const bool isFirst = m_broken.empty();
+    m_broken[target].push_back(digest);
+    if (!isFirst) {
+        return;
+    }
+    // Others that shared the target break off at the same time.
+    m_brokenTimer.expires_after(BrokenPause);
+    m_brokenTimer.async_wait([this](const LoopError &error) {
+        if (error) {
+            return;
+        }
+        for (const auto &[broken, digests] : std::exchange(m_broken, {})) {
+            checkTarget(broken, digests);
+        }
+    });
+}
+
+void RelayCore::checkTarget(const std::string &target, const std::vector<uint64_t> &broken)
+{
+    const auto *known = targets.find(target);
+    const auto endpoint = known ? Endpoint::parse(known->entry.address) : std::nullopt;
+    if (!endpoint) {
+        return;
+    }
+    auto call = dialect.stateCall();
+    call.timeout = StateTimeout;
+    call.freshConnection = true;
+    client.call(*endpoint, call, [this, target, incarnation = known->entry.incarnation, broken](const LoopAnswer &answer) {
+        const auto now = monotonicNow();
+        if (answer.end == ChannelEnd::NotSent) {
+            balancer.unreachable(target, now);
+            if (broken.empty()) {
+                return;
+            }
+            crashes.merge({.target = target, .incarnation = static_cast<uint64_t>(incarnation), .members = broken, .running = static_cast<int>(broken.size())},
+                          now);
+            auto entry = line(EventKind::CrashSuspected);
+            entry.add("target", target).add("requests", static_cast<int64_t>(broken.size())).add("reason", answer.error);
+            log(entry);
+            return;
+        }
+        const auto state = answer.isSuccess() ? dialect.decodeState(answer.body) : absl::StatusOr<EngineState>(EngineState {});
+        if (state.ok() && state->leaving && targets.noteLeaving(target, state->incarnation, now)) {
+            announceLeaving(target, "own report", now);
+            onTurnEnded();
+        }
+    });
+}
+
 void RelayCore::checkTurns(MonotonicTime now)
 {
     bool released = false;
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -63,6 +63,11 @@
     // A target leaves: its generations are queued for a copy to another one.
     void announceLeaving(const std::string &target, std::string_view reason, MonotonicTime now);
 
+    // Asks an engine for its state, and draws the conclusions: it leaves, or it has crashed. `broken` are digests of requests whose answers broke off there.
+    void checkTarget(const std::string &target, const std::vector<uint64_t> &broken);
+    // The answer to a request broke off although its target was not known to leave.
+    void noteBroken(const std::string &target, uint64_t digest);
+
     // Called when this relay has placed a request, so that others learn of it.
     std::function<void()> onLoadChanged = [] {};
     // Called when a generation has left a target that leaves, because another relay may wait for that.
@@ -80,6 +85,9 @@
 
     LineWriter &m_lines;
     std::mt19937_64 m_random;
+    // Requests that broke off lately, by target, until the target has been checked.
+    absl::flat_hash_map<std::string, std::vector<uint64_t>> m_broken;
+    boost::asio::steady_timer m_brokenTimer;
     boost::asio::steady_timer m_moveTimer;
     absl::flat_hash_map<std::string, std::unique_ptr<ServiceRetryBudget>> m_retryBudgets;
 };
--- a/Libraries/LibRelayServer/RelayDialect.h
+++ b/Libraries/LibRelayServer/RelayDialect.h
@@ -31,6 +31,12 @@
     bool hasMore = false;
 };
 
+// What an engine says of itself. It is some hundred milliseconds old.
+struct EngineState {
+    int64_t incarnation = 0;
+    bool leaving = false;
+};
+
 // Names of the header fields that callers and targets use.
 struct RelayFieldNames {
     std::string requestId;
@@ -75,6 +81,10 @@
     // The status that tells that the changes asked for are not available any more.
     int historyGoneStatus = 410;
 
+    // Asks an engine for its state.
+    std::function<LoopCall()> stateCall;
+    std::function<absl::StatusOr<EngineState>(std::string_view body)> decodeState;
+
     // Orders an engine to copy the memory of a running generation to another engine, and to stop the run if `stop` is set.
     std::function<LoopCall(const std::string &requestId, const std::string &destination, bool stop)> copyCall;
     std::function<CopyResult(const LoopAnswer &answer)> decodeCopy;
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -149,6 +149,10 @@
     }
     m_deadline = now + timeLeft;
     readUsage();
+    m_digest = CrashSuspects::fingerprint(m_workspace ? m_workspace->name : "", head.target, m_request.body);
+    if (m_core.crashes.verdict(m_digest, now).action == CrashVerdict::Action::Refuse) {
+        return RelayOutcome::CrashesTargets;
+    }
     if (m_core.isDraining() && !DrainAdmission().admits(m_demand, m_core.stopAt(), now)) {
         return RelayOutcome::Draining;
     }
@@ -367,6 +371,7 @@
         return false;
     }
     m_answerHead = head;
+    m_core.balancer.reachable(m_core.running[this]);
     const TargetAnswer answer {.status = head.status,
                                .notRun = head.has(fields.notRun),
                                .misdirected = head.status == StatusMisdirected,
@@ -425,6 +430,8 @@
         m_core.metrics.count("relay_target_failures_total");
         if (end == ChannelEnd::NotSent) {
             m_core.balancer.unreachable(m_core.running[this], now);
+        } else if (!m_session->isMoving()) {
+            m_core.noteBroken(m_core.running[this], m_digest);
         }
     }
     const auto result = end == ChannelEnd::Complete ? UpstreamResult::Complete : end == ChannelEnd::NotSent ? UpstreamResult::NotSent : UpstreamResult::Broken;
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -25,6 +25,11 @@
     // The generation's turn has come. Returns false if no copy was ordered.
     bool startMove(MonotonicTime now);
 
+    bool isMovable() const
+    {
+        return m_demand.isMovable && !m_isOver;
+    }
+
     const std::string &requestId() const
     {
         return m_id;
@@ -62,7 +67,8 @@
     const RelayService *m_service = nullptr;
     const RelayWorkspace *m_workspace = nullptr;
     std::string m_id;
-    std::string m_key;
+    // Tells requests apart that would crash each target that runs them.
+    uint64_t m_digest = 0;
     RunDemand m_demand;
     MonotonicTime m_deadline;
     std::unique_ptr<RelaySession> m_session;
--- a/Tests/LibRelay/SessionWorld.cpp
+++ b/Tests/LibRelay/SessionWorld.cpp
@@ -22,7 +22,8 @@
                                      return choice;
                                  },
                              .chooseDestination =
-                                 [this](const std::set<std::string> &, MonotonicTime) {
+                                 [this](const std::set<std::string> &excluded, MonotonicTime) {
+                                     lastExcluded = excluded;
                                      return hasDestination ? std::optional(RelayTarget {.id = "d", .incarnation = 1, .address = "d:1"}) : std::nullopt;
                                  },
                              .takeRetry = [this](MonotonicTime) { return retriesLeft-- > 0; },
--- a/Tests/LibRelay/SessionWorld.h
+++ b/Tests/LibRelay/SessionWorld.h
@@ -51,6 +51,8 @@
     int retriesLeft = 100;
     int targetsLeft = 100;
     bool hasDestination = true;
+    // What the last choice of a destination had to leave out.
+    std::set<std::string> lastExcluded;
     std::string backup;
 
 private:
--- a/Tests/LibRelay/TestRelaySession.cpp
+++ b/Tests/LibRelay/TestRelaySession.cpp
@@ -237,6 +237,20 @@
     EXPECT_EQ(world.finished, 1);
 }
 
+// Guards against a copy that is ordered again and again to the same full or dead engine until its source is gone.
+TEST(RelaySession, RefusedDestinationIsNotAskedAgain)
+{
+    SessionWorld world(Draft);
+    world.session().start(world.now());
+    world.session().onHead(SessionWorld::streamHead(), world.now());
+    world.session().onBody(SessionWorld::events(1, 1), world.now());
+    world.session().onTargetLeaving(world.now());
+    world.session().onCopied({.kind = CopyResult::Kind::NoRoom}, world.now());
+    world.session().onTargetLeaving(world.now());
+    EXPECT_TRUE(world.lastExcluded.contains("d"));
+    EXPECT_TRUE(world.lastExcluded.contains(world.sends[0].target.id));
+}
+
 // Guards against a draft that is lost with an engine that crashes while another one holds its memory.
 TEST(RelaySession, DraftGoesOnFromItsBackup)
 {
--- a/Tests/LibRelay/TestTargets.cpp
+++ b/Tests/LibRelay/TestTargets.cpp
@@ -165,6 +165,29 @@
     EXPECT_LT(policy.failureShare("a", Start + 20s), 0.01);
 }
 
+// Load pattern: the list of targets is out of reach and a target has crashed. Guards against requests that try it again and again, and against a target that
+// is never tried again.
+TEST(TargetBalancer, UnreachableTargetIsAvoidedLongerEachTime)
+{
+    TargetTable targets({});
+    targets.set(entry("a"), Start);
+    targets.set(entry("b"), Start);
+    auto policy = balancer();
+    policy.setPeerLoads("peer", {{.target = "b", .running = 20, .memory = 29000}});
+    const TargetBalancer::Query move {.demand = {.service = "s"}, .isMove = true};
+    const auto isChosen = [&](MonotonicTime now) {
+        const auto choice = policy.choose(move, targets, engineService(), now, 1);
+        return choice.target && choice.target->entry.id == "a";
+    };
+    policy.unreachable("a", Start);
+    EXPECT_FALSE(isChosen(Start + 1400ms));
+    EXPECT_TRUE(isChosen(Start + 60s));
+    policy.unreachable("a", Start + 1600ms);
+    EXPECT_FALSE(isChosen(Start + 4500ms));
+    policy.reachable("a");
+    EXPECT_TRUE(isChosen(Start + 60s));
+}
+
 // Guards against bookkeeping that drifts: after all runs have ended, no load is left.
 TEST(TargetBalancer, LoadsReturnToZero)
 {
--- a/Tests/Platform/TestRelay.cpp
+++ b/Tests/Platform/TestRelay.cpp
@@ -177,6 +177,56 @@
     EXPECT_EQ(second.continuations(), 1);
 }
 
+// Guards against drafts that are lost because their engine's leaving cannot be learnt from the store while it is away.
+TEST(Relay, EngineTellsThatItLeavesWhileTheStoreIsAway)
+{
+    constexpr int Events = 400;
+    RelayWorld world;
+    world.writeDocument(1);
+    auto &first = world.addServer("i-1", "engine", Events);
+    world.addRelay("n1");
+    ASSERT_TRUE(world.waitReady("n1"));
+    const auto answer = std::make_shared<RelayWorld::Answer>();
+    const auto channel = world.begin("n1", {.path = "/draft/x"}, answer);
+    ASSERT_TRUE(world.runUntil([&] { return answer->body.size() > 100; }));
+    auto &second = world.addServer("i-2", "engine", Events);
+    world.runFor(300ms);
+    world.store->setFault(StandInStore::Fault::Silent);
+    first.setLeaving();
+    EXPECT_TRUE(world.runUntil([&] { return second.continuations() == 1; }));
+    EXPECT_EQ(second.runCount(), 0);
+}
+
+// Guards against a request that crashes one engine after the other.
+TEST(Relay, RequestThatCrashesTargetsIsRefused)
+{
+    RelayWorld world;
+    world.writeDocument(1);
+    std::vector<StandInServer *> engines;
+    for (int index = 0; index < 5; ++index) {
+        engines.push_back(&world.addServer("i-" + std::to_string(index), "engine", 1000));
+    }
+    world.addRelay("n1");
+    ASSERT_TRUE(world.waitReady("n1"));
+    int status = 0;
+    int crashes = 0;
+    for (int attempt = 0; attempt < 5; ++attempt) {
+        const auto answer = std::make_shared<RelayWorld::Answer>();
+        const auto channel = world.begin("n1", {.path = "/draft/poison", .id = "r" + std::to_string(attempt)}, answer);
+        world.runUntil([&] { return !answer->body.empty() || answer->status >= 400; });
+        status = answer->status;
+        for (auto *engine : engines) {
+            if (engine->activeCount() > 0) {
+                engine->crash();
+                ++crashes;
+            }
+        }
+        world.runFor(700ms);
+    }
+    EXPECT_EQ(status, 503);
+    EXPECT_LE(crashes, 3);
+}
+
 // Guards against a short stream that is lost with its engine although it may be resumed.
 TEST(Relay, ResumableStreamGoesOnAfterACrash)
 {
