Refuse requests whose crashes are still being judged

Tests wait for the bound of 2.5 s within which a change is in force, not for shorter times that depended on the pace of reads.

--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -98,7 +98,7 @@
                                       }
                                   }});
     if (const auto outcome = admit(now)) {
-        answer(*outcome, *outcome == RelayOutcome::Draining ? ElsewhereRetryAfter : DefaultRetryAfter);
+        answer(*outcome, retryAfterFor(*outcome, now));
         return;
     }
     auto line = m_core.line(EventKind::RelayAccepted);
@@ -150,7 +150,8 @@
     m_deadline = now + timeLeft;
     readUsage();
     m_digest = CrashSuspects::fingerprint(m_workspace ? m_workspace->name : "", head.target, m_request.body);
-    if (m_core.crashes.verdict(m_digest, now).action == CrashVerdict::Action::Refuse) {
+    const auto verdict = m_core.crashes.verdict(m_digest, now).action;
+    if (verdict == CrashVerdict::Action::Refuse || verdict == CrashVerdict::Action::Wait) {
         return RelayOutcome::CrashesTargets;
     }
     if (m_core.isDraining() && !DrainAdmission().admits(m_demand, m_core.stopAt(), now)) {
@@ -159,6 +160,18 @@
     return std::nullopt;
 }
 
+std::chrono::milliseconds RelayExchange::retryAfterFor(RelayOutcome outcome, MonotonicTime now) const
+{
+    if (outcome == RelayOutcome::Draining) {
+        return ElsewhereRetryAfter;
+    }
+    if (outcome == RelayOutcome::CrashesTargets) {
+        const auto until = m_core.crashes.verdict(m_digest, now).until;
+        return std::max(DefaultRetryAfter, std::chrono::duration_cast<std::chrono::milliseconds>(until - now));
+    }
+    return DefaultRetryAfter;
+}
+
 void RelayExchange::readUsage()
 {
     const auto &fields = m_core.dialect.fields;
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -38,6 +38,7 @@
 private:
     // Returns how the request must be answered at once, or nothing if it is admitted.
     std::optional<RelayOutcome> admit(MonotonicTime now);
+    std::chrono::milliseconds retryAfterFor(RelayOutcome outcome, MonotonicTime now) const;
     void readUsage();
     void createSession();
     RelayChoice choose(const std::set<std::string> &excluded, MonotonicTime now);
--- a/Tests/Platform/TestRelay.cpp
+++ b/Tests/Platform/TestRelay.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+// Bound within which a change in the store is in force.
+constexpr auto InForce = 2500ms;
+
 std::string eventsText(int last)
 {
     std::string text;
@@ -156,7 +159,8 @@
 // Guards against a draft that is lost, joined with another run or run twice when its engine is taken away.
 TEST(Relay, DraftMovesWithItsMemoryWhenItsEngineLeaves)
 {
-    constexpr int Events = 80;
+    // Some 2 s; the route allows 3 s.
+    constexpr int Events = 180;
     RelayWorld world;
     world.writeDocument(1);
     auto &first = world.addServer("i-1", "engine", Events);
@@ -166,11 +170,11 @@
     const auto channel = world.begin("n1", {.path = "/draft/x"}, answer);
     ASSERT_TRUE(world.runUntil([&] { return answer->body.size() > 100; }));
     auto &second = world.addServer("i-2", "engine", Events);
-    world.runFor(200ms);
+    world.runFor(700ms);
     world.registerServer("i-1", "draining");
     ASSERT_TRUE(world.runUntil([&] { return answer->end != ChannelEnd::NotSent; }));
     EXPECT_EQ(answer->end, ChannelEnd::Complete);
-    EXPECT_EQ(answer->body, eventsText(Events));
+    EXPECT_TRUE(answer->body == eventsText(Events)) << answer->body.size() << " bytes";
     EXPECT_EQ(answer->head.value("X-Server-Seal"), "i-1.seal");
     EXPECT_EQ(first.runCount(), 1);
     EXPECT_EQ(second.runCount(), 0);
@@ -230,7 +234,8 @@
 // Guards against a short stream that is lost with its engine although it may be resumed.
 TEST(Relay, ResumableStreamGoesOnAfterACrash)
 {
-    constexpr int Events = 60;
+    // Some 2 s; the route allows 3 s.
+    constexpr int Events = 180;
     RelayWorld world;
     world.writeDocument(1);
     auto &first = world.addServer("i-1", "engine", Events);
@@ -240,11 +245,11 @@
     const auto channel = world.begin("n1", {.path = "/hint/x"}, answer);
     ASSERT_TRUE(world.runUntil([&] { return answer->body.size() > 100; }));
     world.addServer("i-2", "engine", Events);
-    world.runFor(200ms);
+    world.runFor(700ms);
     first.crash();
     ASSERT_TRUE(world.runUntil([&] { return answer->end != ChannelEnd::NotSent; }));
     EXPECT_EQ(answer->end, ChannelEnd::Complete);
-    EXPECT_EQ(answer->body, eventsText(Events));
+    EXPECT_TRUE(answer->body == eventsText(Events)) << answer->body.size() << " bytes";
 }
 
 // Guards against a stream that cannot be resumed and looks complete after its engine has crashed.
@@ -275,7 +280,7 @@
     ASSERT_TRUE(world.waitReady("n1"));
     world.registerServer("i-1", "draining");
     world.unregisterServer("i-2");
-    world.runFor(300ms);
+    world.runFor(InForce);
     const int before = leaving.runCount() + removed.runCount();
     for (int count = 0; count < 10; ++count) {
         EXPECT_EQ(world.call("n1", {.path = "/commit/x", .id = "r" + std::to_string(count)}).status, 200);
@@ -293,13 +298,13 @@
     world.addRelay("n1");
     ASSERT_TRUE(world.waitReady("n1"));
     world.store->put("op", "evacuate/lahore", "{}");
-    world.runFor(200ms);
+    world.runFor(InForce);
     for (int count = 0; count < 5; ++count) {
         EXPECT_EQ(world.call("n1", {.path = "/commit/x", .id = "a" + std::to_string(count)}).status, 200);
     }
     EXPECT_EQ(near.runCount(), 0);
     world.store->remove("op", "evacuate/lahore");
-    world.runFor(200ms);
+    world.runFor(InForce);
     for (int count = 0; count < 5; ++count) {
         world.call("n1", {.path = "/commit/x", .id = "b" + std::to_string(count)});
     }
@@ -315,14 +320,14 @@
     world.addRelay("n1");
     ASSERT_TRUE(world.waitReady("n1"));
     world.writeDocument(6, "key-2");
-    world.runFor(300ms);
+    world.runFor(InForce);
     EXPECT_EQ(world.call("n1", {.path = "/commit/x", .key = "key-1"}).status, 401);
     EXPECT_EQ(world.call("n1", {.path = "/commit/x", .key = "key-2"}).status, 200);
     world.store->put("op", "config", "{damaged");
-    world.runFor(300ms);
+    world.runFor(InForce);
     EXPECT_EQ(world.call("n1", {.path = "/commit/x", .id = "r2", .key = "key-2"}).status, 200);
     world.writeDocument(4, "key-1");
-    world.runFor(300ms);
+    world.runFor(InForce);
     EXPECT_EQ(world.call("n1", {.path = "/commit/x", .id = "r3", .key = "key-1"}).status, 401);
 }
 
@@ -377,7 +382,7 @@
     auto &added = world.addServer("i-2", "desk");
     world.registerServer("i-1", "draining");
     world.writeDocument(2, "key-2");
-    world.runFor(700ms);
+    world.runFor(InForce);
     for (const auto *node : {"n1", "n2", "n3", "n4", "n5"}) {
         EXPECT_EQ(world.call(node, {.path = "/commit/x", .id = node, .key = "key-2"}).status, 200) << node;
     }
@@ -411,7 +416,7 @@
     EXPECT_LT(world.directory("n2").size(), both.size());
     ASSERT_TRUE(world.runUntil([&] { return answer->end != ChannelEnd::NotSent; }));
     EXPECT_EQ(answer->end, ChannelEnd::Complete);
-    EXPECT_EQ(answer->body, eventsText(Events));
+    EXPECT_TRUE(answer->body == eventsText(Events)) << answer->body.size() << " bytes";
 }
 
 // Guards against a server of another service that gets a request at a reused address.
