Serve metrics at an address of their own, and take settings in seconds

A settings file that changes without a signal is noticed within 2 s. Bounds may be fractions, which the template's added zeros would have made unreadable; the process would not have started.

--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -9,7 +9,6 @@
 #include <LibCore/Json.h>
 #include <LibRelay/PeerNewsCodec.h>
 #include <LibRelayServer/RelayExchange.h>
-#include <sys/stat.h>
 
 namespace Jujube
 {
@@ -37,6 +36,7 @@
 constexpr uint64_t TicksPerPeerRead = 3;
 constexpr std::chrono::milliseconds PeerReadTimeout {500};
 constexpr uint64_t TicksPerExpiry = 10;
+constexpr uint64_t TicksPerSettingsCheck = 20;
 // A held read of the list lasts up to 1 s; beyond this age nobody reads it.
 constexpr std::chrono::milliseconds ListLostAge {1500};
 constexpr uint64_t TicksPerEngineWatch = 3;
@@ -80,9 +80,9 @@
 
 } // namespace
 
-Relay::Relay(boost::asio::io_context &loop, RelayOptions options, RelayDialect dialect, LineWriter &lines, ReadOptions readOptions)
+Relay::Relay(boost::asio::io_context &loop, RelayOptions options, RelayDialect dialect, LineWriter &lines, SettingsHooks settings)
     : m_core(loop, std::move(options), std::move(dialect), lines)
-    , m_readOptions(std::move(readOptions))
+    , m_settings(std::move(settings))
     , m_peers(m_core,
               {.onPeersChanged = [] {},
                .onNewerDocument = [this](const PeerNews &news) { onPeerDocument(news); },
@@ -102,9 +102,9 @@
 }
 
 absl::StatusOr<std::unique_ptr<Relay>>
-Relay::start(boost::asio::io_context &loop, RelayOptions options, RelayDialect dialect, LineWriter &lines, ReadOptions readOptions)
+Relay::start(boost::asio::io_context &loop, RelayOptions options, RelayDialect dialect, LineWriter &lines, SettingsHooks settings)
 {
-    auto relay = std::unique_ptr<Relay>(new Relay(loop, std::move(options), std::move(dialect), lines, std::move(readOptions)));
+    auto relay = std::unique_ptr<Relay>(new Relay(loop, std::move(options), std::move(dialect), lines, std::move(settings)));
     relay->followStore();
     relay->m_core.onTurnEnded = [raw = relay.get()] { raw->m_peers.sendSoon(); };
     relay->m_core.onLoadChanged = [raw = relay.get()] { raw->m_peers.tellLoadSoon(); };
@@ -117,7 +117,9 @@
     relay->m_documents->start();
     relay->m_targets->start();
     auto line = relay->m_core.line(EventKind::ProcessStarted);
-    line.add("listen", relay->m_core.options.callers.toText()).add("data_centre", relay->m_core.options.dataCentre);
+    line.add("listen", relay->m_core.options.callers.toText())
+        .add("metrics", relay->m_core.options.metrics.toText())
+        .add("data_centre", relay->m_core.options.dataCentre);
     relay->m_core.log(line);
     relay->tick();
     return relay;
@@ -174,6 +176,11 @@
             onPeerRequest(*channel, request);
         });
     }
+    if (status.ok()) {
+        status = open(m_metrics, m_core.options.metrics, [this](const std::shared_ptr<CallerChannel> &channel, const CallerRequest &request) {
+            onMetricsRequest(*channel, request);
+        });
+    }
     return status;
 }
 
@@ -220,6 +227,17 @@
     m_core.metrics.count("relay_store_changes_total", absl::StrCat("event=\"", toAbsl(nameOf(kind)), "\""));
 }
 
+void Relay::onMetricsRequest(CallerChannel &channel, const CallerRequest &request) const
+{
+    constexpr int StatusOk = 200;
+    constexpr int StatusNotFound = 404;
+    if (request.head.target != MetricsPath) {
+        channel.send({.status = StatusNotFound}, {});
+        return;
+    }
+    channel.send({.status = StatusOk, .fields = {{.name = "Content-Type", .value = "text/plain; version=0.0.4"}}}, m_core.metrics.toText());
+}
+
 void Relay::onReadyRequest(CallerChannel &channel) const
 {
     constexpr int StatusOk = 200;
@@ -263,10 +281,6 @@
     constexpr int StatusNotFound = 404;
     const std::string_view target = request.head.target;
     const auto question = target.find('?');
-    if (target.substr(0, question) == MetricsPath) {
-        channel.send({.status = StatusOk, .fields = {{.name = "Content-Type", .value = "text/plain; version=0.0.4"}}}, m_core.metrics.toText());
-        return;
-    }
     if (target.substr(0, question) != m_core.dialect.directoryPath) {
         channel.send({.status = StatusNotFound}, {});
         return;
@@ -290,8 +304,6 @@
     } else if (target == TargetsPath && m_core.targets.size() > 0) {
         const PeerNews news {.node = m_core.options.node, .targetsVersion = m_targets->version(), .targets = m_core.targets.allEntries()};
         channel.send({.status = StatusOk}, encodePeerNews(news, MaxPeerAnswerBytes));
-    } else if (target == MetricsPath) {
-        channel.send({.status = StatusOk, .fields = {{.name = "Content-Type", .value = "text/plain; version=0.0.4"}}}, m_core.metrics.toText());
     } else {
         channel.send({.status = StatusNotFound}, {});
     }
@@ -568,6 +580,9 @@
     if (m_ticks % TicksPerPeerRead == 0) {
         askPeersIfLost(now);
     }
+    if (m_ticks % TicksPerSettingsCheck == 0 && m_settings.haveChanged()) {
+        reloadSettings();
+    }
     if (m_ticks % TicksPerExpiry == 0) {
         m_core.channels.expire(now);
         m_core.client.expire(now);
@@ -653,7 +668,7 @@
 
 void Relay::reloadSettings()
 {
-    auto options = m_readOptions();
+    auto options = m_settings.read();
     auto line = m_core.line(EventKind::SettingsReloaded);
     if (!options.ok()) {
         line.add("refused", std::string(options.status().message()));
--- a/Libraries/LibRelayServer/Relay.h
+++ b/Libraries/LibRelayServer/Relay.h
@@ -15,25 +15,30 @@
 class Relay
 {
 public:
-    // Reads the settings again, for SIGHUP and for a file that has changed.
-    using ReadOptions = std::function<absl::StatusOr<RelayOptions>()>;
+    struct SettingsHooks {
+        // Reads the settings again.
+        std::function<absl::StatusOr<RelayOptions>()> read;
+        // Whether the settings file has changed since the last call.
+        std::function<bool()> haveChanged;
+    };
 
     // Errors: ErrorKind::InvalidValue if an address cannot be bound.
     static absl::StatusOr<std::unique_ptr<Relay>>
-    start(boost::asio::io_context &loop, RelayOptions options, RelayDialect dialect, LineWriter &lines, ReadOptions readOptions);
+    start(boost::asio::io_context &loop, RelayOptions options, RelayDialect dialect, LineWriter &lines, SettingsHooks settings);
 
     // SIGTERM: no new callers are sent here, running requests go on, and the loop is stopped when they have ended or the grace period is nearly over.
     void drain();
     void reloadSettings();
 
 private:
-    Relay(boost::asio::io_context &loop, RelayOptions options, RelayDialect dialect, LineWriter &lines, ReadOptions readOptions);
+    Relay(boost::asio::io_context &loop, RelayOptions options, RelayDialect dialect, LineWriter &lines, SettingsHooks settings);
 
     absl::Status listen();
     CallerChannel::Hooks hooksFor(std::function<void(const std::shared_ptr<CallerChannel> &, CallerRequest)> onRequest);
     CallerLimits callerLimits() const;
     void followStore();
 
+    void onMetricsRequest(CallerChannel &channel, const CallerRequest &request) const;
     void onReadyRequest(CallerChannel &channel) const;
     void onDirectoryRequest(CallerChannel &channel, const CallerRequest &request);
     void onPeerRequest(CallerChannel &channel, const CallerRequest &request);
@@ -63,12 +68,13 @@
     void noticeFreeze();
 
     RelayCore m_core;
-    const ReadOptions m_readOptions;
+    const SettingsHooks m_settings;
     PeerLink m_peers;
     std::unique_ptr<CallerListener> m_callers;
     std::unique_ptr<CallerListener> m_ready;
     std::unique_ptr<CallerListener> m_directory;
     std::unique_ptr<CallerListener> m_peerCalls;
+    std::unique_ptr<CallerListener> m_metrics;
     std::unique_ptr<TableFollower> m_documents;
     std::unique_ptr<TableFollower> m_targets;
     absl::flat_hash_set<std::string> m_out;
--- a/Libraries/LibRelayServer/RelayOptions.cpp
+++ b/Libraries/LibRelayServer/RelayOptions.cpp
@@ -50,6 +50,12 @@
     return value;
 }
 
+std::chrono::milliseconds seconds(const Settings &settings, const std::string &name)
+{
+    constexpr double MillisecondsPerSecond = 1000;
+    return std::chrono::milliseconds(static_cast<int64_t>(decimal(settings, name) * MillisecondsPerSecond));
+}
+
 Endpoint endpoint(const Settings &settings, const std::string &name)
 {
     return Endpoint::parse(settings.text(name)).value_or(Endpoint {});
@@ -69,16 +75,17 @@
         {.name = "ready-listen", .help = "Address for readiness probes", .defaultValue = "", .check = checkAddress(), .required = true},
         {.name = "directory-listen", .help = "Address where callers ask which gateways to use", .defaultValue = "", .check = checkAddress(), .required = true},
         {.name = "peer-listen", .help = "Address for other nodes, TCP and UDP", .defaultValue = "", .check = checkAddress(), .required = true},
+        {.name = "metrics-listen", .help = "Address of GET /metrics", .defaultValue = "", .check = checkAddress(), .required = true},
         {.name = "store", .help = "Address of the platform's table service", .defaultValue = "", .check = checkAddress(), .required = true},
         {.name = "seeds", .help = "Addresses of some other nodes", .defaultValue = "", .check = checkAddressList()},
-        {.name = "grace-ms", .help = "Time from SIGTERM until the process is killed", .defaultValue = "8000", .check = checkNumber(0, MostMilliseconds)},
+        {.name = "grace-s", .help = "Time from SIGTERM until the process is killed, in seconds", .defaultValue = "8", .check = checkDecimal()},
         {.name = "directory-lifetime-ms",
          .help = "How long callers may keep an answer of the directory",
          .defaultValue = "2000",
          .check = checkNumber(1, MostMilliseconds)},
         {.name = "retry-ratio", .help = "Retries for each request of a service", .defaultValue = "0.2", .check = checkDecimal()},
         {.name = "retry-slack", .help = "Retries of all nodes in a window beside the ratio", .defaultValue = "50", .check = checkDecimal()},
-        {.name = "retry-window-ms", .help = "Window of the retry budget", .defaultValue = "10000", .check = checkNumber(1, MostMilliseconds)},
+        {.name = "retry-window-s", .help = "Window of the retry budget, in seconds", .defaultValue = "10", .check = checkDecimal()},
         {.name = "max-channels", .help = "Most open connections of callers", .defaultValue = "3000", .check = checkNumber(1, MostChannels)},
     };
 }
@@ -93,11 +100,12 @@
         .ready = endpoint(settings, "ready-listen"),
         .directory = endpoint(settings, "directory-listen"),
         .peers = endpoint(settings, "peer-listen"),
+        .metrics = endpoint(settings, "metrics-listen"),
         .store = endpoint(settings, "store"),
         .seeds = settings.list("seeds"),
-        .grace = settings.milliseconds("grace-ms"),
+        .grace = seconds(settings, "grace-s"),
         .directoryLifetime = settings.milliseconds("directory-lifetime-ms"),
-        .retries = {.ratio = decimal(settings, "retry-ratio"), .slack = decimal(settings, "retry-slack"), .window = settings.milliseconds("retry-window-ms")},
+        .retries = {.ratio = decimal(settings, "retry-ratio"), .slack = decimal(settings, "retry-slack"), .window = seconds(settings, "retry-window-s")},
         .maxChannels = static_cast<size_t>(settings.number("max-channels"))};
     for (const auto &part : settings.list("regions")) {
         const std::vector<std::string> words = absl::StrSplit(part, ':');
--- a/Libraries/LibRelayServer/RelayOptions.h
+++ b/Libraries/LibRelayServer/RelayOptions.h
@@ -22,6 +22,7 @@
     Endpoint ready;
     Endpoint directory;
     Endpoint peers;
+    Endpoint metrics;
     Endpoint store;
     std::vector<std::string> seeds;
     // Time from SIGTERM until the process is killed.
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <iostream>
 #include <LibRelayServer/Relay.h>
 #include <platform/PlatformDialect.h>
@@ -83,10 +84,17 @@
         }
         return RelayOptions::fromSettings(*parsed);
     };
+    std::error_code unknown;
+    auto written = std::filesystem::last_write_time(path, unknown);
+    const auto haveChanged = [path, written]() mutable {
+        std::error_code error;
+        const auto now = std::filesystem::last_write_time(path, error);
+        return !error && std::exchange(written, now) != now;
+    };
     std::signal(SIGPIPE, SIG_IGN);
     LineWriter lines({});
     boost::asio::io_context loop(1);
-    auto relay = Relay::start(loop, RelayOptions::fromSettings(*settings), platformDialect(), lines, readOptions);
+    auto relay = Relay::start(loop, RelayOptions::fromSettings(*settings), platformDialect(), lines, {.read = readOptions, .haveChanged = haveChanged});
     if (!relay.ok()) {
         std::cerr << relay.status().message() << '\n';
         return ExitCannotStart;
--- a/Tests/Platform/RelayWorld.cpp
+++ b/Tests/Platform/RelayWorld.cpp
@@ -42,9 +42,14 @@
                      .ready = freeEndpoint(),
                      .directory = freeEndpoint(),
                      .peers = freeEndpoint(),
+                     .metrics = freeEndpoint(),
                      .store = m_storeAddress,
                      .seeds = seeds};
-    auto relay = Relay::start(loop, entry.options, platformDialect(), m_lines, [options = entry.options]() -> absl::StatusOr<RelayOptions> { return options; });
+    auto relay = Relay::start(loop,
+                              entry.options,
+                              platformDialect(),
+                              m_lines,
+                              {.read = [options = entry.options]() -> absl::StatusOr<RelayOptions> { return options; }, .haveChanged = [] { return false; }});
     entry.relay = *std::move(relay);
     return *entry.relay;
 }
