Tell others of targets that return after a lapse

Entries that had lapsed with the store counted as known in the digest, so that a relay took a reader's version as its own and never read that the desks had registered again; it dropped them after the grace time and told the others so. Ruled out: desks that did not come back (they ran all the while). Change: lapsed targets are left out of the digest, and their return is news.

--- a/Libraries/LibRelay/TargetTable.cpp
+++ b/Libraries/LibRelay/TargetTable.cpp
@@ -33,7 +33,10 @@
         target = {.changedAt = now};
     }
     target.entry = entry;
-    target.lapsedUntil.reset();
+    if (target.lapsedUntil) {
+        target.lapsedUntil.reset();
+        target.changedAt = now;
+    }
     if (entry.coldLeft.count() > 0) {
         target.coldUntil = now + entry.coldLeft;
     }
@@ -98,7 +101,7 @@
 {
     uint64_t digest = 0;
     for (const auto &[id, target] : m_targets) {
-        if (!target.leavingSince) {
+        if (!target.leavingSince && !target.lapsedUntil) {
             const auto text = id + ' ' + std::to_string(target.entry.incarnation) + ' ' + target.entry.address;
             digest ^= XXH3_64bits(text.data(), text.size());
         }
--- a/Libraries/LibRelay/TargetTable.h
+++ b/Libraries/LibRelay/TargetTable.h
@@ -65,7 +65,7 @@
 
     std::vector<TargetEntry> allEntries() const;
 
-    // Digest of the targets that do not leave. Two gateways with the same digest know the same targets.
+    // Digest of the targets that neither leave nor have lapsed. Two gateways with the same digest know the same targets.
     uint64_t digest() const;
 
     // The target itself says that it leaves.
--- a/Tests/LibRelay/TestTargets.cpp
+++ b/Tests/LibRelay/TestTargets.cpp
@@ -113,6 +113,27 @@
     EXPECT_NE(left.digest(), right.digest());
 }
 
+// Guards against targets that are dropped after an outage of the store although they have registered again: the gateway that has read their new entries must
+// tell the others, and must not pass for one that knows the same as they do.
+TEST(TargetTable, ReturnOfALapsedEntryIsNews)
+{
+    TargetTable reader({});
+    TargetTable other({});
+    for (auto *table : {&reader, &other}) {
+        table->set(entry("a", 1), Start);
+        table->remove("a", true, 2, Start + 10s);
+    }
+    EXPECT_EQ(reader.digest(), other.digest());
+    reader.set(entry("a", 3), Start + 11s);
+    EXPECT_NE(reader.digest(), other.digest());
+    const auto changes = reader.recentChanges(1500ms, Start + 11s);
+    ASSERT_EQ(changes.size(), 1U);
+    other.set(changes[0], Start + 11s);
+    EXPECT_EQ(reader.digest(), other.digest());
+    EXPECT_TRUE(other.tick(Start + 13s).empty());
+    EXPECT_TRUE(other.isUsable(*other.find("a"), Start + 13s));
+}
+
 // Load pattern: long prompts arrive at several gateways at once. Guards against an engine that reads several of them while others read none.
 TEST(TargetBalancer, PromptsBeingReadElsewhereCount)
 {
