--- a/Libraries/LibEvents/EventKind.cpp
+++ b/Libraries/LibEvents/EventKind.cpp
@@ -71,7 +71,6 @@
     EventKindInfo {EventKind::RowUnreadable, "row_unreadable", "A row of the store could not be read; what was known before stays in force."},
     EventKindInfo {EventKind::TableReplaced, "table_replaced", "A table was read as a whole, because its history was not available or the store was away."},
     EventKindInfo {EventKind::StoreReaderChanged, "store_reader_changed", "This relay reads the store for others from now on, or leaves that to others."},
-    EventKindInfo {EventKind::DirectoryAnswered, "directory_answered", "The addresses that callers are told have changed."},
 };
 
 }
--- a/Libraries/LibEvents/EventKind.h
+++ b/Libraries/LibEvents/EventKind.h
@@ -70,7 +70,6 @@
     RowUnreadable = 4103,
     TableReplaced = 4104,
     StoreReaderChanged = 4105,
-    DirectoryAnswered = 4201,
 };
 
 // One line of the catalogue.
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -28,8 +28,6 @@
     int maxAttempts = 1;
     // When the caller must have its final answer.
     MonotonicTime deadline;
-    // Time from the arrival within which the answer earns its full worth.
-    std::chrono::milliseconds goal {1000};
 
     // Whether the request may run again when its outcome is unknown.
     bool isRepeatable() const
--- a/Libraries/LibRelayServer/PeerLink.cpp
+++ b/Libraries/LibRelayServer/PeerLink.cpp
@@ -109,9 +109,6 @@
         m_core.log(line);
         introduce(news->peers, now);
     }
-    if (change != PeerTable::Change::None) {
-        m_hooks.onPeersChanged();
-    }
 }
 
 void PeerLink::introduce(const std::string &address, MonotonicTime now)
@@ -172,9 +169,6 @@
         line.add("peer", node);
         m_core.log(line);
     }
-    if (!silent.empty()) {
-        m_hooks.onPeersChanged();
-    }
     // Relays of other regions use the targets here seldom, and bytes between regions have a price.
     const bool toAll = wasSoon || m_core.peers.liveCount(now) <= SmallFleet || ++m_beats % BeatsPerFarBeat == 0;
     sendNews(toAll ? PeerTable::Reach::All : PeerTable::Reach::Region, now);
--- a/Libraries/LibRelayServer/PeerLink.h
+++ b/Libraries/LibRelayServer/PeerLink.h
@@ -11,8 +11,6 @@
 {
 public:
     struct Hooks {
-        // A relay has joined, fallen silent, or changed whether it accepts callers.
-        std::function<void()> onPeersChanged;
         // A peer's document table has a newer change than this relay's.
         std::function<void(const PeerNews &news)> onNewerDocument;
         // A peer tells what it knows about targets.
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -84,8 +84,7 @@
     : m_core(loop, std::move(options), std::move(dialect), lines)
     , m_settings(std::move(settings))
     , m_peers(m_core,
-              {.onPeersChanged = [] {},
-               .onNewerDocument = [this](const PeerNews &news) { onPeerDocument(news); },
+              {.onNewerDocument = [this](const PeerNews &news) { onPeerDocument(news); },
                .onTargetNews = [this](const PeerNews &news, MonotonicTime now) { onPeerTargets(news, now); },
                .describeTables =
                    [this](PeerNews &news, MonotonicTime now) {
@@ -163,8 +162,9 @@
         std::make_shared<RelayExchange>(m_core, channel, std::move(request))->start();
     });
     if (status.ok()) {
-        status
-            = open(m_ready, m_core.options.ready, [this](const std::shared_ptr<CallerChannel> &channel, const CallerRequest &) { onReadyRequest(*channel); });
+        status = open(m_ready, m_core.options.ready, [this](const std::shared_ptr<CallerChannel> &channel, const CallerRequest &request) {
+            onReadyRequest(*channel, request);
+        });
     }
     if (status.ok()) {
         status = open(m_directory, m_core.options.directory, [this](const std::shared_ptr<CallerChannel> &channel, const CallerRequest &request) {
@@ -238,10 +238,15 @@
     channel.send({.status = StatusOk, .fields = {{.name = "Content-Type", .value = "text/plain; version=0.0.4"}}}, m_core.metrics.toText());
 }
 
-void Relay::onReadyRequest(CallerChannel &channel) const
+void Relay::onReadyRequest(CallerChannel &channel, const CallerRequest &request) const
 {
     constexpr int StatusOk = 200;
+    constexpr int StatusNotFound = 404;
     constexpr int StatusUnavailable = 503;
+    if (request.head.target != m_core.dialect.readyPath) {
+        channel.send({.status = StatusNotFound}, {});
+        return;
+    }
     const bool ready = m_core.routes && !m_core.isDraining();
     channel.send({.status = ready ? StatusOk : StatusUnavailable}, {});
 }
--- a/Libraries/LibRelayServer/Relay.h
+++ b/Libraries/LibRelayServer/Relay.h
@@ -39,7 +39,7 @@
     void followStore();
 
     void onMetricsRequest(CallerChannel &channel, const CallerRequest &request) const;
-    void onReadyRequest(CallerChannel &channel) const;
+    void onReadyRequest(CallerChannel &channel, const CallerRequest &request) const;
     void onDirectoryRequest(CallerChannel &channel, const CallerRequest &request);
     void onPeerRequest(CallerChannel &channel, const CallerRequest &request);
 
--- a/Libraries/LibRelayServer/RelayDialect.h
+++ b/Libraries/LibRelayServer/RelayDialect.h
@@ -46,8 +46,6 @@
     // The mark of a target's own answer.
     std::string seal;
     std::string notRun;
-    // Running requests, waiting requests and slots of the target that answers.
-    std::string load;
     std::string priority;
     std::string backup;
     std::string memorySource;
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -194,11 +194,8 @@
 
 void RelayExchange::createSession()
 {
-    const RelayFacts facts {.kind = m_route->kind,
-                            .resumable = m_route->resumable,
-                            .maxAttempts = m_route->maxAttempts,
-                            .deadline = m_deadline - DeadlineMargin,
-                            .goal = m_route->goal};
+    const RelayFacts facts {
+        .kind = m_route->kind, .resumable = m_route->resumable, .maxAttempts = m_route->maxAttempts, .deadline = m_deadline - DeadlineMargin};
     m_session = std::make_unique<RelaySession>(
         facts,
         RelaySession::Hooks {.choose = [this](const std::set<std::string> &excluded, MonotonicTime now) { return choose(excluded, now); },
--- a/Libraries/LibRelayServer/RelayOptions.h
+++ b/Libraries/LibRelayServer/RelayOptions.h
@@ -31,7 +31,6 @@
     std::chrono::milliseconds directoryLifetime {2000};
     ServiceRetryBudget::Options retries;
     size_t maxChannels = 3000;
-    std::string balancer;
 
     static std::vector<Setting> settings();
     static RelayOptions fromSettings(const Settings &settings);
