Try more than three unreachable targets before giving a request up

Change: targets that cannot be reached cost no budget and have a limit of their own (8); the outcome says that no target was there.

--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -12,6 +12,8 @@
 
 // Targets that may refuse one request before the gateway gives up. Refusals are not runs, but each counts against the retry budget.
 constexpr int MostRejections = 3;
+// Targets that may turn out to be unreachable before the gateway gives up. They cost no budget, only time.
+constexpr int MostUnreached = 8;
 // An answer that is not a stream is held back up to this size, so that one that breaks can still be replaced.
 constexpr size_t HeldBytes = 64 * 1024;
 // A retry is not worth its send with less time left than this.
@@ -189,7 +191,7 @@
         m_excluded.insert(m_target->id);
     }
     if (result == UpstreamResult::NotSent || notRun) {
-        ++m_rejections;
+        ++(notRun ? m_rejections : m_unreached);
         if (m_continuing) {
             // The copy is gone or its holder is; the source has stopped.
             if (!continueFromBackup(now) && !(m_facts.resumable && retry("continuation refused", true, now))) {
@@ -198,10 +200,12 @@
             return;
         }
         const bool mayRunElsewhere = !m_mayHaveRun || (m_facts.isRepeatable() && m_runs < m_facts.maxAttempts);
-        if (mayRunElsewhere && m_rejections <= MostRejections && retry(notRun ? "not run" : "not sent", notRun, now)) {
+        const bool mayTryOn = m_rejections <= MostRejections && m_unreached <= MostUnreached;
+        if (mayRunElsewhere && mayTryOn && retry(notRun ? "not run" : "not sent", notRun, now)) {
             return;
         }
-        giveUp(m_mayHaveRun ? RelayOutcome::TargetFailed : RelayOutcome::RetryBudgetSpent, std::chrono::milliseconds(300));
+        const auto refusal = notRun ? RelayOutcome::RetryBudgetSpent : RelayOutcome::NoTarget;
+        giveUp(m_mayHaveRun ? RelayOutcome::TargetFailed : refusal, std::chrono::milliseconds(300));
         return;
     }
     m_mayHaveRun = true;
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -223,6 +223,7 @@
     int m_sends = 0;
     int m_runs = 0;
     int m_rejections = 0;
+    int m_unreached = 0;
     Move m_move = Move::None;
     bool m_targetLeaving = false;
     RelayTarget m_source;
--- a/Tests/LibRelay/TestRelaySession.cpp
+++ b/Tests/LibRelay/TestRelaySession.cpp
@@ -50,6 +50,25 @@
     EXPECT_EQ(world.finished, 1);
 }
 
+// Load pattern: several engines have crashed while the list of targets is out of reach. Guards against a request that is given up although sound ones are left.
+TEST(RelaySession, RequestGoesOnPastUnreachableTargets)
+{
+    constexpr size_t Dead = 5;
+    SessionWorld world(OneTime);
+    world.retriesLeft = 0;
+    world.session().start(world.now());
+    for (size_t count = 0; count < Dead; ++count) {
+        world.session().onEnd(UpstreamResult::NotSent, world.now());
+    }
+    EXPECT_EQ(world.sends.size(), Dead + 1);
+    EXPECT_TRUE(world.answers.empty());
+    for (size_t count = 0; count < Dead; ++count) {
+        world.session().onEnd(UpstreamResult::NotSent, world.now());
+    }
+    ASSERT_EQ(world.answers.size(), 1U);
+    EXPECT_EQ(world.answers[0], RelayOutcome::NoTarget);
+}
+
 // Guards against refusals that use up a fleet's retry budget.
 TEST(RelaySession, RefusalWithoutBudgetIsAnsweredAsNotRun)
 {
