Copy only the last generation of an engine to another data centre

Two of a data centre's four engines left at 11.9 s; the one with room filled up, one gateway's generation went to another data centre, and that copy (1.5 s) held the source's link: all further copies were refused, and 8 drafts were cut. Ruled out: time, as the engines lived for 1.9 s after the news. Change: a generation without room in its data centre waits 0.15 s and is queued again; another data centre is chosen only if no other generation is left on the engine.

--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -201,8 +201,11 @@
     for (auto due = moves.takeDue(now); !due.empty(); due = moves.takeDue(now)) {
         for (const auto &request : due) {
             const auto exchange = findRunning(request);
-            if (!exchange || !exchange->startMove(now)) {
+            if (!exchange) {
                 moves.remove(request);
+            } else if (!exchange->startMove(now)) {
+                moves.remove(request);
+                exchange->retryMoveLater();
             }
         }
     }
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -35,6 +35,7 @@
 constexpr std::chrono::milliseconds ElsewhereRetryAfter {50};
 // Tries to move one generation away from targets that leave.
 constexpr int MostMoveTries = 12;
+constexpr std::chrono::milliseconds MoveRetryPause {150};
 // Weight of an output token against a prompt token in the worth of a generation.
 constexpr int64_t OutputWeight = 10;
 
@@ -69,6 +70,7 @@
     , m_id(m_request.head.value(core.dialect.fields.requestId))
     , m_deadlineTimer(core.loop)
     , m_silenceTimer(core.loop)
+    , m_moveTimer(core.loop)
 {
 }
 
@@ -260,8 +262,10 @@
                                  .source = m_core.running[this],
                                  .dataCentre = source ? source->entry.dataCentre : ""};
     auto choice = m_core.balancer.choose(query, m_core.targets, *m_service, now, m_core.random());
-    if (!choice.target) {
-        // A copy to another data centre takes many times as long.
+    const auto ownTokens = demand.promptTokens + m_core.balancer.producedBy(m_id);
+    const bool isLast = m_core.balancer.loadOf(m_core.running[this]).movable <= ownTokens;
+    if (!choice.target && isLast) {
+        // A copy to another data centre takes many times as long, and would hold up the copies of all other generations on the source's link.
         query.dataCentre.clear();
         choice = m_core.balancer.choose(query, m_core.targets, *m_service, now, m_core.random());
     }
@@ -594,6 +598,20 @@
     return !m_isOver && m_session->isMoving();
 }
 
+void RelayExchange::retryMoveLater()
+{
+    if (m_isOver) {
+        return;
+    }
+    m_moveTimer.expires_after(MoveRetryPause);
+    m_moveTimer.async_wait([weak = weak_from_this()](const LoopError &error) {
+        if (const auto self = weak.lock(); self && !error && !self->m_isOver && !self->m_session->isMoving()) {
+            self->queueMove();
+            self->m_core.runMoves();
+        }
+    });
+}
+
 void RelayExchange::armDeadline()
 {
     m_deadlineTimer.expires_at(m_deadline - DeadlineMargin);
@@ -643,6 +661,7 @@
     m_deadlineTimer.cancel();
     m_core.moves.remove(m_id);
     m_silenceTimer.cancel();
+    m_moveTimer.cancel();
 }
 
 } // namespace Jujube
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -24,6 +24,8 @@
     void queueMove();
     // The generation's turn has come. Returns false if no copy was ordered.
     bool startMove(MonotonicTime now);
+    // No copy could be ordered at the generation's turn: it is queued again a little later.
+    void retryMoveLater();
 
     bool isMovable() const
     {
@@ -87,6 +89,7 @@
     bool m_isOver = false;
     boost::asio::steady_timer m_deadlineTimer;
     boost::asio::steady_timer m_silenceTimer;
+    boost::asio::steady_timer m_moveTimer;
 };
 
 } // namespace Jujube
