--- a/Libraries/LibRelayServer/Relay.h
+++ b/Libraries/LibRelayServer/Relay.h
@@ -43,6 +43,7 @@
     void onDirectoryRequest(CallerChannel &channel, const CallerRequest &request);
     void onPeerRequest(CallerChannel &channel, const CallerRequest &request);
 
+    // The store's tables (RelayTables.cpp).
     void onDocumentTable(const std::vector<StoreRow> &rows, MonotonicTime now);
     void onDocumentRow(const StoreRow &row, MonotonicTime now);
     void applyDocument(const StoreRow &row);
--- /dev/null
+++ b/Libraries/LibRelayServer/RelayTables.cpp
@@ -0,0 +1,373 @@
+#include <LibRelayServer/Relay.h>
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
+#include <LibCore/AbslView.h>
+#include <LibCore/Json.h>
+#include <LibRelay/PeerNewsCodec.h>
+
+// What a relay knows of the document and of the targets: from the store, or from peers that have read it.
+namespace Jujube
+{
+
+namespace
+{
+
+constexpr std::string_view SnapshotPath = "/snapshot/";
+constexpr std::string_view TargetsPath = "/targets";
+
+// How long the store may hold a read of the document.
+constexpr std::chrono::milliseconds DocumentWait {3000};
+// A reading peer that knows other targets for this time is asked for all of them.
+constexpr std::chrono::milliseconds DifferenceTime {700};
+constexpr std::chrono::milliseconds PeerReadTimeout {500};
+
+// Rows as peers exchange them.
+std::string encodeSnapshot(const StoreRows &rows)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto &row : rows.rows) {
+        list.push_back({{"key", absl::Base64Escape(row.key)}, {"value", absl::Base64Escape(row.value)}, {"version", row.version}});
+    }
+    return nlohmann::json {{"version", rows.version}, {"change", rows.changeVersion}, {"rows", std::move(list)}}.dump();
+}
+
+std::optional<StoreRows> decodeSnapshot(std::string_view text)
+{
+    const auto json = parseJson(text);
+    if (!json.ok() || !json->is_object() || !json->contains("rows")) {
+        return std::nullopt;
+    }
+    StoreRows rows {.version = json->value("version", int64_t {0}), .changeVersion = json->value("change", int64_t {0})};
+    for (const auto &item : (*json)["rows"]) {
+        StoreRow row {.version = item.value("version", int64_t {0})};
+        if (!absl::Base64Unescape(item.value("key", std::string()), &row.key) || !absl::Base64Unescape(item.value("value", std::string()), &row.value)) {
+            return std::nullopt;
+        }
+        rows.rows.push_back(std::move(row));
+    }
+    return rows;
+}
+
+} // namespace
+
+void Relay::followStore()
+{
+    const auto &dialect = m_core.dialect;
+    const auto lost = [this](const std::string &table) { return [this, table](const std::string &error) { logStore(EventKind::PlatformLost, table, error); }; };
+    const auto regained = [this](const std::string &table) {
+        return [this, table](std::chrono::milliseconds outage) { logStore(EventKind::PlatformRegained, table, absl::StrCat("after ", outage.count(), " ms")); };
+    };
+    // Changes of the document are rare and urgent, so the store holds the read until there is one.
+    m_documents = std::make_unique<TableFollower>(
+        m_core.loop,
+        m_core.client,
+        dialect,
+        m_core.options.store,
+        TableFollower::Options {.table = dialect.documentTable,
+                                .wait = DocumentWait,
+                                .mayRead = [this](MonotonicTime now) { return mayRead(now); },
+                                .liveRelays = [this] { return m_core.liveGateways(monotonicNow()); }},
+        TableFollower::Hooks {.onTable = [this](const std::vector<StoreRow> &rows, bool) { onDocumentTable(rows, monotonicNow()); },
+                              .onChange = [this](const StoreRow &row, bool) { onDocumentRow(row, monotonicNow()); },
+                              .onLost = lost(dialect.documentTable),
+                              .onRegained = regained(dialect.documentTable)});
+    m_targets = std::make_unique<TableFollower>(
+        m_core.loop,
+        m_core.client,
+        dialect,
+        m_core.options.store,
+        TableFollower::Options {.table = dialect.targetTable,
+                                .mayRead = [this](MonotonicTime now) { return mayRead(now); },
+                                .liveRelays = [this] { return m_core.liveGateways(monotonicNow()); }},
+        TableFollower::Hooks {.onTable = [this](const std::vector<StoreRow> &rows, bool afterOutage) { onTargetTable(rows, afterOutage, monotonicNow()); },
+                              .onChange = [this](const StoreRow &row, bool afterOutage) { onTargetRow(row, afterOutage, monotonicNow()); },
+                              .onLost = lost(dialect.targetTable),
+                              .onRegained = regained(dialect.targetTable)});
+}
+
+void Relay::logStore(EventKind kind, const std::string &table, std::string_view detail)
+{
+    auto line = m_core.line(kind);
+    line.add("table", table).add("detail", detail);
+    m_core.log(line);
+    m_core.metrics.count("relay_store_changes_total", absl::StrCat("event=\"", toAbsl(nameOf(kind)), "\""));
+}
+
+void Relay::onPeerRequest(CallerChannel &channel, const CallerRequest &request)
+{
+    constexpr int StatusOk = 200;
+    constexpr int StatusNotFound = 404;
+    const auto &target = request.head.target;
+    const auto matches = [&](const std::string &table) { return target == absl::StrCat(toAbsl(SnapshotPath), table); };
+    if (matches(m_core.dialect.documentTable) && m_documents->hasRows()) {
+        channel.send({.status = StatusOk}, encodeSnapshot(m_documents->snapshot()));
+    } else if (target == TargetsPath && m_core.targets.size() > 0) {
+        const PeerNews news {.node = m_core.options.node, .targetsVersion = m_targets->version(), .targets = m_core.targets.allEntries()};
+        channel.send({.status = StatusOk}, encodePeerNews(news, MaxPeerAnswerBytes));
+    } else {
+        channel.send({.status = StatusNotFound}, {});
+    }
+}
+
+void Relay::askPeersIfLost(MonotonicTime now)
+{
+    // Documents come from whichever peer tells of a newer one. Targets are asked for where the store has not been read and a peer knows more.
+    if (m_targets->hasRows() && !m_targets->isLost()) {
+        return;
+    }
+    const Peer *best = nullptr;
+    for (const auto *peer : m_core.peers.alive(now)) {
+        if (!best || peer->news.targetsVersion > best->news.targetsVersion) {
+            best = peer;
+        }
+    }
+    if (best && best->news.targetsDigest != m_core.targets.digest()) {
+        askPeerForTargets(best->news);
+    }
+}
+
+void Relay::askPeer(TableFollower &follower, const std::string &table, const std::string &address)
+{
+    const auto endpoint = Endpoint::parse(address);
+    if (!endpoint || m_askingPeerForDocument) {
+        return;
+    }
+    m_askingPeerForDocument = true;
+    const LoopCall call {.target = absl::StrCat(toAbsl(SnapshotPath), table), .timeout = PeerReadTimeout, .freshConnection = true};
+    m_core.client.call(*endpoint, call, [this, &follower, table, address](const LoopAnswer &answer) {
+        m_askingPeerForDocument = false;
+        const auto rows = answer.isSuccess() ? decodeSnapshot(answer.body) : std::nullopt;
+        if (rows && follower.offer(*rows, monotonicNow())) {
+            logStore(EventKind::TableReplaced, table, absl::StrCat("from peer ", address, " as of ", rows->version));
+        }
+    });
+}
+
+void Relay::onPeerDocument(const PeerNews &news)
+{
+    if (news.documentTableVersion > m_documents->changeVersion()) {
+        askPeer(*m_documents, m_core.dialect.documentTable, news.peers);
+    }
+}
+
+void Relay::onPeerTargets(const PeerNews &news, MonotonicTime now)
+{
+    for (const auto &entry : news.targets) {
+        takeTarget(entry, "peer", now);
+    }
+    if (news.targetsDigest == m_core.targets.digest()) {
+        m_differsSince.reset();
+        if (m_targets->hasRows()) {
+            m_targets->noteCurrent(news.targetsVersion, news.targetsAge, now);
+        }
+        return;
+    }
+    if (!news.reading || news.targetsVersion <= m_targets->version()) {
+        return;
+    }
+    // Heartbeats repeat every change for a while; a difference that stays means that some were missed.
+    if (!m_differsSince) {
+        m_differsSince = now;
+    } else if (now - *m_differsSince >= DifferenceTime) {
+        m_differsSince = now;
+        askPeerForTargets(news);
+    }
+}
+
+void Relay::askPeerForTargets(const PeerNews &news)
+{
+    const auto endpoint = Endpoint::parse(news.peers);
+    if (!endpoint || m_askingPeerForTargets || news.targetsVersion == 0) {
+        return;
+    }
+    m_askingPeerForTargets = true;
+    const LoopCall call {.target = std::string(TargetsPath), .timeout = PeerReadTimeout, .freshConnection = true};
+    m_core.client.call(*endpoint, call, [this, node = news.node](const LoopAnswer &answer) {
+        m_askingPeerForTargets = false;
+        const auto peer = answer.isSuccess() ? decodePeerNews(answer.body) : std::nullopt;
+        if (peer) {
+            logStore(EventKind::TableReplaced, m_core.dialect.targetTable, absl::StrCat("from peer ", node, " as of ", peer->targetsVersion));
+            takePeerTargets(peer->targets, peer->targetsVersion, monotonicNow());
+        }
+    });
+}
+
+void Relay::takePeerTargets(const std::vector<TargetEntry> &entries, int64_t version, MonotonicTime now)
+{
+    absl::flat_hash_set<std::string> listed;
+    for (const auto &entry : entries) {
+        listed.insert(entry.id);
+        takeTarget(entry, "peer", now);
+    }
+    std::vector<std::string> missing;
+    for (const auto &[id, target] : m_core.targets.targets()) {
+        if (!listed.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const auto &id : missing) {
+        if (m_core.targets.remove(id, false, version, now)) {
+            m_core.announceLeaving(id, "not known to peer", now);
+        }
+    }
+}
+
+bool Relay::mayRead(MonotonicTime now)
+{
+    std::vector<std::string> readers;
+    for (const auto *peer : m_core.peers.alive(now)) {
+        if (peer->news.reading) {
+            readers.push_back(peer->news.node);
+        }
+    }
+    const bool wasReading = m_readers.isReading();
+    const bool reads = m_readers.decide(readers, m_core.liveGateways(now), now, m_core.random());
+    if (reads != wasReading) {
+        auto line = m_core.line(EventKind::StoreReaderChanged);
+        line.add("reads", reads ? 1 : 0).add("other_readers", static_cast<int64_t>(readers.size()));
+        m_core.log(line);
+        m_peers.sendSoon();
+    }
+    return reads;
+}
+
+void Relay::onDocumentTable(const std::vector<StoreRow> &rows, MonotonicTime now)
+{
+    m_out.clear();
+    for (const auto &row : rows) {
+        onDocumentRow(row, now);
+    }
+    applyOutDataCentres();
+}
+
+void Relay::onDocumentRow(const StoreRow &row, MonotonicTime)
+{
+    if (row.key == m_core.dialect.documentKey) {
+        applyDocument(row);
+        return;
+    }
+    const auto dataCentre = m_core.dialect.decodeOutDataCentre(row.key);
+    if (!dataCentre) {
+        return;
+    }
+    if (row.removed) {
+        m_out.erase(*dataCentre);
+    } else {
+        m_out.insert(*dataCentre);
+    }
+    auto line = m_core.line(row.removed ? EventKind::DataCentreIn : EventKind::DataCentreOut);
+    line.add("data_centre", *dataCentre).add("row_version", row.version);
+    m_core.log(line);
+    applyOutDataCentres();
+}
+
+void Relay::applyDocument(const StoreRow &row)
+{
+    if (row.removed) {
+        return;
+    }
+    auto document = m_core.dialect.decodeDocument(row.value);
+    if (!document.ok()) {
+        auto line = m_core.line(EventKind::DocumentRefused);
+        line.add("row_version", row.version).add("reason", std::string(document.status().message()));
+        m_core.log(line);
+        m_core.metrics.count("relay_documents_refused_total");
+        return;
+    }
+    if (m_core.routes && document->version <= m_core.routes->document().version) {
+        return;
+    }
+    auto line = m_core.line(EventKind::DocumentInForce);
+    line.add("version", document->version)
+        .add("row_version", row.version)
+        .add("routes", static_cast<int64_t>(document->routes.size()))
+        .add("workspaces", static_cast<int64_t>(document->workspaces.size()));
+    m_core.log(line);
+    m_core.routes = std::make_shared<const RouteTable>(*std::move(document));
+    m_peers.sendSoon();
+}
+
+void Relay::applyOutDataCentres()
+{
+    m_core.targets.setDataCentresOut(m_out);
+}
+
+std::optional<TargetEntry> Relay::decodeTarget(const StoreRow &row)
+{
+    auto entry = m_core.dialect.decodeTarget(row.key, row.value);
+    if (entry.ok() && Endpoint::parse(entry->address)) {
+        entry->version = row.version;
+        return *std::move(entry);
+    }
+    auto line = m_core.line(EventKind::RowUnreadable);
+    line.add("table", m_core.dialect.targetTable).add("key", row.key).add("reason", entry.ok() ? "bad address" : std::string(entry.status().message()));
+    m_core.log(line);
+    m_core.metrics.count("relay_rows_unreadable_total");
+    return std::nullopt;
+}
+
+void Relay::takeTarget(const TargetEntry &entry, std::string_view source, MonotonicTime now)
+{
+    const auto *known = m_core.targets.find(entry.id);
+    const bool isNew = !known || known->entry.incarnation < entry.incarnation;
+    if (isNew) {
+        auto line = m_core.line(EventKind::TargetListed);
+        line.add("target", entry.id)
+            .add("service", entry.service)
+            .add("address", entry.address)
+            .add("data_centre", entry.dataCentre)
+            .add("source", source)
+            .add("row_version", entry.version);
+        m_core.log(line);
+        if (const auto endpoint = Endpoint::parse(entry.address)) {
+            m_core.channels.forget(*endpoint);
+        }
+        m_core.balancer.reachable(entry.id);
+        m_peers.sendSoon();
+    }
+    if (m_core.targets.set(entry, now)) {
+        m_core.announceLeaving(entry.id, source, now);
+        m_peers.sendSoon();
+    }
+}
+
+void Relay::onTargetTable(const std::vector<StoreRow> &rows, bool afterOutage, MonotonicTime now)
+{
+    absl::flat_hash_set<std::string> listed;
+    const auto asOf = m_targets->version();
+    for (const auto &row : rows) {
+        listed.insert(row.key);
+        if (const auto entry = decodeTarget(row)) {
+            takeTarget(*entry, "list", now);
+        }
+    }
+    std::vector<std::string> missing;
+    for (const auto &[id, target] : m_core.targets.targets()) {
+        if (!listed.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const auto &id : missing) {
+        if (m_core.targets.remove(id, afterOutage, asOf, now)) {
+            m_core.announceLeaving(id, "not listed", now);
+        }
+    }
+    logStore(EventKind::TableReplaced, m_core.dialect.targetTable, absl::StrCat(rows.size(), " rows, ", missing.size(), " missing"));
+}
+
+void Relay::onTargetRow(const StoreRow &row, bool afterOutage, MonotonicTime now)
+{
+    if (row.removed) {
+        if (m_core.targets.remove(row.key, afterOutage, row.version, now)) {
+            m_core.announceLeaving(row.key, "entry removed", now);
+            m_peers.sendSoon();
+        }
+        return;
+    }
+    if (const auto entry = decodeTarget(row)) {
+        takeTarget(*entry, "list", now);
+    }
+}
+
+} // namespace Jujube
