Keep moved generations and disjoint homes in their regions

Found by reading: the choice of a target intersected the homes of route and workspace, and the choice of a move's destination used the route's alone, so that a draft of a workspace with homes could be copied out of its region. Where route and workspace had no region in common, the empty list meant anywhere. RouteTable::homeRegions serves both choices now and tells 'anywhere' from 'nowhere'.

--- a/Libraries/LibRelay/RouteTable.cpp
+++ b/Libraries/LibRelay/RouteTable.cpp
@@ -76,4 +76,18 @@
     return route.shares.back().service;
 }
 
+std::optional<std::vector<std::string>> RouteTable::homeRegions(const RelayRoute &route, const RelayWorkspace *workspace)
+{
+    const bool workspaceHasHomes = workspace && !workspace->homeRegions.empty();
+    if (route.homeRegions.empty()) {
+        return workspaceHasHomes ? std::optional(workspace->homeRegions) : std::nullopt;
+    }
+    auto regions = route.homeRegions;
+    if (workspaceHasHomes) {
+        const auto &own = workspace->homeRegions;
+        std::erase_if(regions, [&](const std::string &region) { return std::find(own.begin(), own.end(), region) == own.end(); });
+    }
+    return regions;
+}
+
 } // namespace Jujube
--- a/Libraries/LibRelay/RouteTable.h
+++ b/Libraries/LibRelay/RouteTable.h
@@ -23,6 +23,10 @@
     // The service for one request of a route, by the weights of its shares. `draw` is uniform in [0, 1).
     static const std::string &pickService(const RelayRoute &route, double draw);
 
+    // The regions in which a request may be served: those of the route and of the workspace, where they have any. Nothing if it may be served anywhere; an
+    // empty list if the two have no region in common.
+    static std::optional<std::vector<std::string>> homeRegions(const RelayRoute &route, const RelayWorkspace *workspace);
+
     const RelayDocument &document() const
     {
         return m_document;
--- a/Libraries/LibRelay/TargetBalancer.cpp
+++ b/Libraries/LibRelay/TargetBalancer.cpp
@@ -264,13 +264,13 @@
     return 0;
 }
 
-bool TargetBalancer::isHome(const std::vector<std::string> &homes, const std::string &dataCentre) const
+bool TargetBalancer::isHome(const std::optional<std::vector<std::string>> &homes, const std::string &dataCentre) const
 {
-    if (homes.empty()) {
+    if (!homes) {
         return true;
     }
     const auto found = m_options.regions.find(dataCentre);
-    return found != m_options.regions.end() && std::find(homes.begin(), homes.end(), found->second) != homes.end();
+    return found != m_options.regions.end() && std::find(homes->begin(), homes->end(), found->second) != homes->end();
 }
 
 TargetBalancer::Choice
--- a/Libraries/LibRelay/TargetBalancer.h
+++ b/Libraries/LibRelay/TargetBalancer.h
@@ -67,7 +67,8 @@
     struct Query {
         RunDemand demand;
         std::set<std::string> excluded;
-        std::vector<std::string> homeRegions;
+        // Regions in which the target must be. Nothing for anywhere.
+        std::optional<std::vector<std::string>> homeRegions;
         int liveGateways = 1;
         // For a copy of a running generation: no run is started, so the cold rate does not apply.
         bool isMove = false;
@@ -138,7 +139,7 @@
     double serviceCost(const TargetLoad &load, int slots) const;
     double distanceCost(const std::string &dataCentre, int liveGateways) const;
     bool isUnreachable(const std::string &target, MonotonicTime now) const;
-    bool isHome(const std::vector<std::string> &homes, const std::string &dataCentre) const;
+    bool isHome(const std::optional<std::vector<std::string>> &homes, const std::string &dataCentre) const;
     void applyOwn(const Run &run, int sign);
     void noteHealth(const std::string &target, bool failed, MonotonicTime now);
 
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -222,16 +222,7 @@
 
 RelayChoice RelayExchange::choose(const std::set<std::string> &excluded, MonotonicTime now)
 {
-    auto homes = m_route->homeRegions;
-    if (m_workspace && !m_workspace->homeRegions.empty()) {
-        if (homes.empty()) {
-            homes = m_workspace->homeRegions;
-        } else {
-            std::erase_if(homes, [&](const std::string &region) {
-                return std::find(m_workspace->homeRegions.begin(), m_workspace->homeRegions.end(), region) == m_workspace->homeRegions.end();
-            });
-        }
-    }
+    const auto homes = RouteTable::homeRegions(*m_route, m_workspace);
     const auto choice = m_core.balancer.choose({.demand = m_demand, .excluded = excluded, .homeRegions = homes, .liveGateways = m_core.liveGateways(now)},
                                                m_core.targets,
                                                *m_service,
@@ -256,7 +247,7 @@
     const auto *source = m_core.targets.find(m_core.running[this]);
     TargetBalancer::Query query {.demand = demand,
                                  .excluded = excluded,
-                                 .homeRegions = m_route->homeRegions,
+                                 .homeRegions = RouteTable::homeRegions(*m_route, m_workspace),
                                  .liveGateways = m_core.liveGateways(now),
                                  .isMove = true,
                                  .source = m_core.running[this],
--- a/Tests/LibRelay/TestRouteTable.cpp
+++ b/Tests/LibRelay/TestRouteTable.cpp
@@ -49,3 +49,18 @@
     EXPECT_EQ(RouteTable::pickService(route, 0.91), "b");
     EXPECT_EQ(RouteTable::pickService(route, 0.9999), "b");
 }
+
+// Guards against a request that leaves its homes because its route and its workspace have different ones, or none in common.
+TEST(RouteTable, HomesOfRouteAndWorkspaceBothBind)
+{
+    const RelayRoute anywhere;
+    const RelayRoute sindh {.homeRegions = {"sindh"}};
+    const RelayRoute both {.homeRegions = {"sindh", "punjab"}};
+    const RelayWorkspace punjab {.homeRegions = {"punjab"}};
+    using Regions = std::vector<std::string>;
+    EXPECT_EQ(RouteTable::homeRegions(anywhere, nullptr), std::nullopt);
+    EXPECT_EQ(RouteTable::homeRegions(sindh, nullptr), Regions {"sindh"});
+    EXPECT_EQ(RouteTable::homeRegions(anywhere, &punjab), Regions {"punjab"});
+    EXPECT_EQ(RouteTable::homeRegions(both, &punjab), Regions {"punjab"});
+    EXPECT_EQ(RouteTable::homeRegions(sindh, &punjab), Regions {});
+}
--- a/Tests/LibRelay/TestTargets.cpp
+++ b/Tests/LibRelay/TestTargets.cpp
@@ -168,8 +168,9 @@
     targets.set(far, Start);
     targets.set(entry("near"), Start);
     const auto policy = balancer();
-    EXPECT_EQ(chosen(policy, targets, engineService(), {.demand = {.service = "s"}, .homeRegions = {"sindh"}}), "far");
-    EXPECT_EQ(chosen(policy, targets, engineService(), {.demand = {.service = "s"}, .homeRegions = {"elsewhere"}}), "");
+    EXPECT_EQ(chosen(policy, targets, engineService(), {.demand = {.service = "s"}, .homeRegions = std::vector<std::string> {"sindh"}}), "far");
+    EXPECT_EQ(chosen(policy, targets, engineService(), {.demand = {.service = "s"}, .homeRegions = std::vector<std::string> {"elsewhere"}}), "");
+    EXPECT_EQ(chosen(policy, targets, engineService(), {.demand = {.service = "s"}, .homeRegions = std::vector<std::string> {}}), "");
 }
 
 // Load pattern: a target fails part of its requests while it reports itself healthy. Guards against sending it the same share as before.
