Use one piece for what relays and older parts did twice

- Reading and writing Thrift's compact protocol stood in the heartbeats of gateways, in those of relays and in the cursor: ThriftCompact.h in LibCore.
- RelayLimits was CallerLimits field by field.
- The retry budget and the cold rate had the same rule for a gateway's share.
- A caller who leaves was handled by the same lines after reads and writes.

--- a/Libraries/LibGeneration/Cursor.cpp
+++ b/Libraries/LibGeneration/Cursor.cpp
@@ -3,12 +3,11 @@
 #include <LibCore/AbslView.h>
 #include <LibCore/Digest.h>
 #include <LibCore/Error.h>
+#include <LibCore/ThriftCompact.h>
 
 #include <absl/strings/escaping.h>
 #include <absl/strings/numbers.h>
 #include <Cursor_types.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 
 namespace Jujube
 {
@@ -16,9 +15,6 @@
 namespace
 {
 
-using apache::thrift::protocol::TCompactProtocolT;
-using apache::thrift::transport::TMemoryBuffer;
-
 constexpr size_t MacBytes = 16;
 constexpr size_t MaxTextBytes = 1024;
 constexpr size_t GenerationBytes = 16;
@@ -66,10 +62,7 @@
 
 std::string CursorCodec::encode(const Cursor &cursor) const
 {
-    const auto buffer = std::make_shared<TMemoryBuffer>();
-    TCompactProtocolT<TMemoryBuffer> protocol(buffer);
-    toRecord(cursor).write(&protocol);
-    std::string bytes = buffer->getBufferAsString();
+    std::string bytes = toThriftCompact(toRecord(cursor));
     bytes += hmacSha256(m_options.key, bytes).substr(0, MacBytes);
     return absl::WebSafeBase64Escape(bytes);
 }
@@ -87,19 +80,11 @@
     if (!madeWithKey && !madeWithPrevious) {
         return invalidCursor();
     }
-    try {
-        const auto buffer
-            = std::make_shared<TMemoryBuffer>(reinterpret_cast<uint8_t *>(bytes.data()), static_cast<uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE);
-        TCompactProtocolT<TMemoryBuffer> protocol(buffer);
-        Thrift::CursorRecord record;
-        record.read(&protocol);
-        if (record.generation.size() != GenerationBytes || record.nextOffset < 0 || record.attempt < 1) {
-            return invalidCursor();
-        }
-        return fromRecord(record);
-    } catch (const apache::thrift::TException &) {
+    const auto record = fromThriftCompact<Thrift::CursorRecord>(std::move(bytes));
+    if (!record || record->generation.size() != GenerationBytes || record->nextOffset < 0 || record->attempt < 1) {
         return invalidCursor();
     }
+    return fromRecord(*record);
 }
 
 uint64_t bodyDigest(std::string_view body)
--- a/Libraries/LibLoop/CallerChannel.cpp
+++ b/Libraries/LibLoop/CallerChannel.cpp
@@ -56,8 +56,6 @@
     LoopError ignored;
     m_socket.set_option(Tcp::no_delay(true), ignored);
     beginMessage();
-    // The first request of a new channel is due within the time for a head.
-    armTimer(m_limits.idleTimeout);
     read();
 }
 
@@ -96,12 +94,7 @@
     if (error) {
         m_callerClosed = true;
         if (m_state == State::Answering) {
-            const auto onGone = std::move(m_answerHooks.onGone);
-            m_answerHooks = {};
-            close();
-            if (onGone) {
-                onGone();
-            }
+            loseCaller();
             return;
         }
         if (m_state != State::Closing || m_writing.empty()) {
@@ -124,6 +117,16 @@
     read();
 }
 
+void CallerChannel::loseCaller()
+{
+    const auto onGone = std::move(m_answerHooks.onGone);
+    m_answerHooks = {};
+    close();
+    if (onGone) {
+        onGone();
+    }
+}
+
 void CallerChannel::parseInput()
 {
     if (m_state == State::Idle && !m_input.empty()) {
@@ -131,7 +134,7 @@
         armTimer(m_limits.headTimeout);
     }
     if (const auto error = m_parser->feed(m_input)) {
-        reject(*error);
+        rejectWith(statusOf(*error));
         return;
     }
     if (m_state == State::ReadingHead && m_parser->hasHead()) {
@@ -158,11 +161,6 @@
     m_hooks.onRequest(shared_from_this(), std::move(request));
 }
 
-void CallerChannel::reject(ParseError error)
-{
-    rejectWith(statusOf(error));
-}
-
 void CallerChannel::rejectWith(int status)
 {
     m_hooks.onRejected(status);
@@ -303,12 +301,7 @@
     const bool wasCongested = isCongested();
     m_writing.clear();
     if (error) {
-        const auto onGone = std::move(m_answerHooks.onGone);
-        m_answerHooks = {};
-        close();
-        if (onGone) {
-            onGone();
-        }
+        loseCaller();
         return;
     }
     if (!m_output.empty()) {
--- a/Libraries/LibLoop/CallerChannel.h
+++ b/Libraries/LibLoop/CallerChannel.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <LibCore/CallerLimits.h>
 #include <LibCore/Time.h>
 #include <LibLoop/Asio.h>
 #include <LibLoop/MessageParser.h>
@@ -9,14 +10,6 @@
 namespace Jujube
 {
 
-// Limits of what a caller may send, and of how long it may take.
-struct CallerLimits {
-    size_t headBytes = 16 * 1024;
-    uint64_t bodyBytes = 4 << 20;
-    std::chrono::milliseconds headTimeout {3000};
-    std::chrono::milliseconds idleTimeout {15000};
-};
-
 // A request as it arrived, with its whole body.
 struct CallerRequest {
     MessageHead head;
@@ -97,9 +90,10 @@
 
     void read();
     void onRead(const LoopError &error, size_t bytes);
+    // The caller has left while its request was being answered.
+    void loseCaller();
     void parseInput();
     void beginMessage();
-    void reject(ParseError error);
     void rejectWith(int status);
     void addChannelFields(MessageHead &head);
     void append(std::string_view text);
@@ -126,7 +120,7 @@
     bool m_answerBegun = false;
     bool m_keep = true;
     bool m_callerClosed = false;
-    // An answer that a message over the limits or a malformed one gets is followed by the end of the channel.
+    // Input that was read and dropped since the last answer.
     size_t m_discarded = 0;
 };
 
--- a/Libraries/LibMembership/HeartbeatCodec.cpp
+++ b/Libraries/LibMembership/HeartbeatCodec.cpp
@@ -1,8 +1,7 @@
 #include <LibMembership/HeartbeatCodec.h>
 
 #include <LibCore/Digest.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
+#include <LibCore/ThriftCompact.h>
 
 namespace Jujube
 {
@@ -10,16 +9,9 @@
 namespace
 {
 
-using apache::thrift::TException;
-using apache::thrift::protocol::TCompactProtocolT;
-using apache::thrift::transport::TMemoryBuffer;
-
 // The second character is the version of the format.
 constexpr std::string_view Mark = "J1";
 constexpr size_t MacBytes = 16;
-// No valid datagram has longer strings or lists; the limits keep a damaged length from allocating memory.
-constexpr int MaxStringBytes = 1400;
-constexpr int MaxListItems = 1400;
 
 // Removes the last element of the least important list that is left. Returns false if nothing can be removed.
 bool shrink(Wire::Heartbeat &heartbeat)
@@ -61,10 +53,7 @@
 
 std::string HeartbeatCodec::serialize(const Wire::Heartbeat &heartbeat) const
 {
-    const auto buffer = std::make_shared<TMemoryBuffer>();
-    TCompactProtocolT<TMemoryBuffer> protocol(buffer);
-    heartbeat.write(&protocol);
-    return std::string(Mark) + buffer->getBufferAsString();
+    return std::string(Mark) + toThriftCompact(heartbeat);
 }
 
 std::optional<Wire::Heartbeat> HeartbeatCodec::decode(std::string_view datagram) const
@@ -77,17 +66,8 @@
     if (!equalInConstantTime(mac, hmacSha256(m_clusterKey, body).substr(0, MacBytes))) {
         return std::nullopt;
     }
-    // TMemoryBuffer only reads in OBSERVE mode, but its interface takes a mutable pointer.
-    std::string content(body.substr(Mark.size()));
-    const auto buffer = std::make_shared<TMemoryBuffer>(reinterpret_cast<uint8_t *>(content.data()), static_cast<uint32_t>(content.size()));
-    TCompactProtocolT<TMemoryBuffer> protocol(buffer, MaxStringBytes, MaxListItems);
-    Wire::Heartbeat heartbeat;
-    try {
-        heartbeat.read(&protocol);
-    } catch (const TException &) {
-        return std::nullopt;
-    }
-    return heartbeat;
+    // No valid datagram has longer strings or lists than the default limits.
+    return fromThriftCompact<Wire::Heartbeat>(std::string(body.substr(Mark.size())));
 }
 
 } // namespace Jujube
--- a/Libraries/LibRelay/ColdRate.cpp
+++ b/Libraries/LibRelay/ColdRate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <LibRelay/GatewayShare.h>
 
 namespace Jujube
 {
@@ -9,8 +10,6 @@
 namespace
 {
 
-// Gateways that may be alive beside those that are seen, because views lag when one starts or returns.
-constexpr int UnseenGateways = 1;
 // Part of the rate that is given out; above one, because not all gateways choose the same target at once.
 constexpr double UsedShare = 1.2;
 
@@ -18,7 +17,7 @@
 
 int ColdRate::share(double coldPerSecond, int liveGateways)
 {
-    return std::max(1, static_cast<int>(std::floor(UsedShare * coldPerSecond / (std::max(1, liveGateways) + UnseenGateways))));
+    return std::max(1, static_cast<int>(std::floor(UsedShare * gatewayShare(coldPerSecond, liveGateways))));
 }
 
 bool ColdRate::mayTake(const std::string &target, int share, MonotonicTime now) const
--- /dev/null
+++ b/Libraries/LibRelay/GatewayShare.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <algorithm>
+
+namespace Jujube
+{
+
+// One gateway's share of a bound that all gateways keep to together without talk. It counts one gateway more than is seen, because views lag when one starts or
+// returns.
+inline double gatewayShare(double bound, int liveGateways)
+{
+    return bound / (std::max(1, liveGateways) + 1);
+}
+
+} // namespace Jujube
--- a/Libraries/LibRelay/PeerNewsCodec.cpp
+++ b/Libraries/LibRelay/PeerNewsCodec.cpp
@@ -1,10 +1,9 @@
 #include <LibRelay/PeerNewsCodec.h>
 
 #include <algorithm>
+#include <LibCore/ThriftCompact.h>
 #include <limits>
 #include <Relay_types.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 
 namespace Jujube
 {
@@ -12,22 +11,10 @@
 namespace
 {
 
-using apache::thrift::protocol::TCompactProtocolT;
-using apache::thrift::transport::TMemoryBuffer;
-
 // The second character is the version of the format.
 constexpr std::string_view Mark = "R1";
-// No valid datagram has longer strings or lists; the limits keep a damaged length from allocating memory.
-constexpr int MaxStringBytes = 1400;
-constexpr int MaxListItems = 20000;
-
-std::string serialize(const Wire::RelayHeartbeat &heartbeat)
-{
-    const auto buffer = std::make_shared<TMemoryBuffer>();
-    TCompactProtocolT<TMemoryBuffer> protocol(buffer);
-    heartbeat.write(&protocol);
-    return std::string(Mark) + buffer->getBufferAsString();
-}
+// An answer with all targets of a fleet has the longest list.
+constexpr ThriftLimits Limits {.listItems = 20000};
 
 // Removes the last element of the least important list that is left. Returns false if nothing can be removed.
 bool shrink(Wire::RelayHeartbeat &heartbeat)
@@ -169,11 +156,11 @@
 std::string encodePeerNews(const PeerNews &news, size_t mostBytes)
 {
     auto heartbeat = toWire(news);
-    auto text = serialize(heartbeat);
-    while (text.size() > mostBytes && shrink(heartbeat)) {
-        text = serialize(heartbeat);
+    auto text = toThriftCompact(heartbeat);
+    while (Mark.size() + text.size() > mostBytes && shrink(heartbeat)) {
+        text = toThriftCompact(heartbeat);
     }
-    return text;
+    return std::string(Mark) + text;
 }
 
 std::optional<PeerNews> decodePeerNews(std::string_view datagram)
@@ -181,17 +168,11 @@
     if (datagram.size() <= Mark.size() || datagram.size() > MaxPeerAnswerBytes || datagram.substr(0, Mark.size()) != Mark) {
         return std::nullopt;
     }
-    // TMemoryBuffer only reads in OBSERVE mode, but its interface takes a mutable pointer.
-    std::string content(datagram.substr(Mark.size()));
-    const auto buffer = std::make_shared<TMemoryBuffer>(reinterpret_cast<uint8_t *>(content.data()), static_cast<uint32_t>(content.size()));
-    TCompactProtocolT<TMemoryBuffer> protocol(buffer, MaxStringBytes, MaxListItems);
-    Wire::RelayHeartbeat heartbeat;
-    try {
-        heartbeat.read(&protocol);
-    } catch (const apache::thrift::TException &) {
+    const auto heartbeat = fromThriftCompact<Wire::RelayHeartbeat>(std::string(datagram.substr(Mark.size())), Limits);
+    if (!heartbeat) {
         return std::nullopt;
     }
-    return fromWire(heartbeat);
+    return fromWire(*heartbeat);
 }
 
 } // namespace Jujube
--- a/Libraries/LibRelay/RelayDocument.h
+++ b/Libraries/LibRelay/RelayDocument.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <LibCore/CallerLimits.h>
 #include <optional>
 #include <string>
 #include <vector>
@@ -85,13 +86,6 @@
     std::vector<std::string> homeRegions;
 };
 
-struct RelayLimits {
-    size_t headBytes = 16 * 1024;
-    uint64_t bodyBytes = 4 << 20;
-    std::chrono::milliseconds headTimeout {3000};
-    std::chrono::milliseconds idleTimeout {15000};
-};
-
 // The relayed routes of an environment with everything that decides about them. Versions only grow.
 struct RelayDocument {
     int64_t version = 0;
@@ -100,7 +94,7 @@
     std::vector<RelayWorkspace> workspaces;
     // Whether the document names workspaces, so that requests need a key.
     bool requiresKeys = false;
-    RelayLimits limits;
+    CallerLimits limits;
 };
 
 } // namespace Jujube
--- a/Libraries/LibRelay/ServiceRetryBudget.cpp
+++ b/Libraries/LibRelay/ServiceRetryBudget.cpp
@@ -1,18 +1,10 @@
 #include <LibRelay/ServiceRetryBudget.h>
 
-#include <algorithm>
+#include <LibRelay/GatewayShare.h>
 
 namespace Jujube
 {
 
-namespace
-{
-
-// Gateways that may be alive beside those that are seen, because views lag when one starts or returns.
-constexpr int UnseenGateways = 1;
-
-} // namespace
-
 ServiceRetryBudget::ServiceRetryBudget(Options options)
     : m_options(options)
 {
@@ -38,7 +30,7 @@
 bool ServiceRetryBudget::tryRetry(int liveGateways, MonotonicTime now)
 {
     expire(now);
-    const double bound = m_options.ratio * static_cast<double>(m_requests.size()) + m_options.slack / (std::max(1, liveGateways) + UnseenGateways);
+    const double bound = m_options.ratio * static_cast<double>(m_requests.size()) + gatewayShare(m_options.slack, liveGateways);
     if (static_cast<double>(m_retries.size() + 1) > m_options.usedShare * bound) {
         return false;
     }
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -87,19 +87,10 @@
     return relay;
 }
 
-CallerLimits Relay::callerLimits() const
-{
-    if (!m_core.routes) {
-        return {};
-    }
-    const auto &limits = m_core.routes->document().limits;
-    return {.headBytes = limits.headBytes, .bodyBytes = limits.bodyBytes, .headTimeout = limits.headTimeout, .idleTimeout = limits.idleTimeout};
-}
-
 CallerChannel::Hooks Relay::hooksFor(std::function<void(const std::shared_ptr<CallerChannel> &, CallerRequest)> onRequest)
 {
     return {.onRequest = std::move(onRequest),
-            .limits = [this] { return callerLimits(); },
+            .limits = [this] { return m_core.routes ? m_core.routes->document().limits : CallerLimits {}; },
             .isClosing = [this] { return m_core.isDraining(); },
             .onRejected =
                 [this](int status) {
--- a/Libraries/LibRelayServer/Relay.h
+++ b/Libraries/LibRelayServer/Relay.h
@@ -35,7 +35,6 @@
 
     absl::Status listen();
     CallerChannel::Hooks hooksFor(std::function<void(const std::shared_ptr<CallerChannel> &, CallerRequest)> onRequest);
-    CallerLimits callerLimits() const;
     void followStore();
 
     void onMetricsRequest(CallerChannel &channel, const CallerRequest &request) const;
