Keep work out of the path of each heartbeat

Each datagram of a peer recomputed the digest of all targets (a text and a hash for each), summed all peers' loads anew, and collected the live peers only to count them. With 77 relays that was some 150 times a second on each. The digest is computed when a target has changed, a peer's loads replace its former ones in the sums, and live peers are counted in place. Copies and runs go through the same bookkeeping. A new test compares the sums with the latest loads over 2,000 random heartbeats.

--- a/Libraries/LibRelay/PeerTable.cpp
+++ b/Libraries/LibRelay/PeerTable.cpp
@@ -1,5 +1,7 @@
 #include <LibRelay/PeerTable.h>
 
+#include <algorithm>
+
 namespace Jujube
 {
 
@@ -99,7 +101,7 @@
 
 int PeerTable::liveCount(MonotonicTime now) const
 {
-    return static_cast<int>(alive(now).size()) + 1;
+    return static_cast<int>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &entry) { return isAlive(entry.second, now); })) + 1;
 }
 
 std::vector<std::string> PeerTable::knownAddresses(size_t most, MonotonicTime now, uint64_t random) const
--- a/Libraries/LibRelay/TargetBalancer.cpp
+++ b/Libraries/LibRelay/TargetBalancer.cpp
@@ -59,16 +59,16 @@
 
 void TargetBalancer::applyOwn(const Run &run, int sign)
 {
-    auto change = loadOf(run);
-    change.running *= sign;
-    change.memory *= sign;
-    change.prefill *= sign;
-    change.movable *= sign;
-    auto &load = m_own[run.target];
-    load.target = run.target;
-    load.add(change);
-    if (load.running == 0 && load.memory == 0) {
-        m_own.erase(run.target);
+    change(m_own, loadOf(run), sign);
+}
+
+void TargetBalancer::change(Loads &loads, const TargetLoad &load, int sign)
+{
+    auto &sum = loads[load.target];
+    sum.target = load.target;
+    sum.add(load, sign);
+    if (sum.isEmpty()) {
+        loads.erase(load.target);
     }
 }
 
@@ -157,10 +157,9 @@
 void TargetBalancer::setCopy(const std::string &request, const std::string &target, int64_t tokens)
 {
     dropCopy(request);
-    auto &load = m_own[target];
-    load.target = target;
-    load.memory += tokens;
-    m_copies[request] = {.target = target, .tokens = tokens};
+    const TargetLoad copy {.target = target, .memory = tokens};
+    change(m_own, copy, 1);
+    m_copies[request] = copy;
 }
 
 void TargetBalancer::dropCopy(const std::string &request)
@@ -169,35 +168,29 @@
     if (found == m_copies.end()) {
         return;
     }
-    auto &load = m_own[found->second.target];
-    load.memory -= found->second.tokens;
-    if (load.running == 0 && load.memory == 0) {
-        m_own.erase(found->second.target);
-    }
+    change(m_own, found->second, -1);
     m_copies.erase(found);
 }
 
 void TargetBalancer::setPeerLoads(const std::string &peer, const std::vector<TargetLoad> &loads)
 {
+    dropPeer(peer);
+    for (const auto &load : loads) {
+        change(m_peerSums, load, 1);
+    }
     m_peers[peer] = loads;
-    sumPeers();
 }
 
 void TargetBalancer::dropPeer(const std::string &peer)
 {
-    if (m_peers.erase(peer) > 0) {
-        sumPeers();
+    const auto found = m_peers.find(peer);
+    if (found == m_peers.end()) {
+        return;
     }
-}
-
-void TargetBalancer::sumPeers()
-{
-    m_peerSums.clear();
-    for (const auto &[peer, loads] : m_peers) {
-        for (const auto &load : loads) {
-            m_peerSums[load.target].add(load);
-        }
+    for (const auto &load : found->second) {
+        change(m_peerSums, load, -1);
     }
+    m_peers.erase(found);
 }
 
 std::vector<TargetLoad> TargetBalancer::ownLoads() const
--- a/Libraries/LibRelay/TargetBalancer.h
+++ b/Libraries/LibRelay/TargetBalancer.h
@@ -121,10 +121,8 @@
         RunDemand demand;
         int64_t produced = 0;
     };
-    struct Copy {
-        std::string target;
-        int64_t tokens = 0;
-    };
+    using Loads = absl::flat_hash_map<std::string, TargetLoad>;
+
     struct Health {
         // Exponentially weighted share of failures.
         double failures = 0;
@@ -141,18 +139,19 @@
     bool isUnreachable(const std::string &target, MonotonicTime now) const;
     bool isHome(const std::optional<std::vector<std::string>> &homes, const std::string &dataCentre) const;
     void applyOwn(const Run &run, int sign);
+    static void change(Loads &loads, const TargetLoad &load, int sign);
     void noteHealth(const std::string &target, bool failed, MonotonicTime now);
 
     const Options m_options;
     absl::flat_hash_map<std::string, Run> m_runs;
-    absl::flat_hash_map<std::string, Copy> m_copies;
-    absl::flat_hash_map<std::string, TargetLoad> m_own;
+    // Copies of generations' memory, by request.
+    absl::flat_hash_map<std::string, TargetLoad> m_copies;
+    Loads m_own;
     absl::flat_hash_map<std::string, std::vector<TargetLoad>> m_peers;
-    absl::flat_hash_map<std::string, TargetLoad> m_peerSums;
+    // Sum of all peers' loads by target.
+    Loads m_peerSums;
     absl::flat_hash_map<std::string, Health> m_health;
     ColdRate m_coldRate;
-
-    void sumPeers();
 };
 
 } // namespace Jujube
--- a/Libraries/LibRelay/TargetLoad.h
+++ b/Libraries/LibRelay/TargetLoad.h
@@ -17,12 +17,18 @@
     // Memory that generations hold that would have to be copied if the target left, in tokens.
     int64_t movable = 0;
 
-    void add(const TargetLoad &other)
+    // Adds a load, or takes it away again with a sign of -1.
+    void add(const TargetLoad &other, int sign = 1)
     {
-        running += other.running;
-        memory += other.memory;
-        prefill += other.prefill;
-        movable += other.movable;
+        running += sign * other.running;
+        memory += sign * other.memory;
+        prefill += sign * other.prefill;
+        movable += sign * other.movable;
+    }
+
+    bool isEmpty() const
+    {
+        return running == 0 && memory == 0 && prefill == 0 && movable == 0;
     }
 };
 
--- a/Libraries/LibRelay/TargetTable.cpp
+++ b/Libraries/LibRelay/TargetTable.cpp
@@ -12,6 +12,7 @@
 
 bool TargetTable::markLeaving(KnownTarget &target, MonotonicTime now)
 {
+    m_digest.reset();
     target.lapsedUntil.reset();
     target.entry.leaving = true;
     if (target.leavingSince) {
@@ -24,6 +25,7 @@
 
 bool TargetTable::set(const TargetEntry &entry, MonotonicTime now)
 {
+    m_digest.reset();
     auto &target = m_targets[entry.id];
     const bool isNew = target.entry.id.empty() || entry.incarnation > target.entry.incarnation;
     if (!isNew && (entry.incarnation < target.entry.incarnation || entry.version < target.entry.version)) {
@@ -66,6 +68,7 @@
         return markLeaving(target, now);
     }
     if (!target.lapsedUntil) {
+        m_digest.reset();
         target.lapsedUntil = now + m_options.lapseGrace;
     }
     return false;
@@ -98,6 +101,14 @@
 }
 
 uint64_t TargetTable::digest() const
+{
+    if (!m_digest) {
+        m_digest = computeDigest();
+    }
+    return *m_digest;
+}
+
+uint64_t TargetTable::computeDigest() const
 {
     uint64_t digest = 0;
     for (const auto &[id, target] : m_targets) {
--- a/Libraries/LibRelay/TargetTable.h
+++ b/Libraries/LibRelay/TargetTable.h
@@ -94,10 +94,13 @@
 
 private:
     bool markLeaving(KnownTarget &target, MonotonicTime now);
+    uint64_t computeDigest() const;
 
     const Options m_options;
     absl::flat_hash_map<std::string, KnownTarget> m_targets;
     absl::flat_hash_set<std::string> m_out;
+    // Every heartbeat of a peer asks for the digest; it is computed when a target has changed.
+    mutable std::optional<uint64_t> m_digest;
 };
 
 } // namespace Jujube
--- a/Tests/LibRelay/TestTargets.cpp
+++ b/Tests/LibRelay/TestTargets.cpp
@@ -148,6 +148,42 @@
     EXPECT_EQ(chosen(policy, targets, engineService(), {.demand = {.service = "s", .promptTokens = 3000}}), "a");
 }
 
+// Guards against sums of peers' loads that drift while heartbeats replace each other.
+TEST(TargetBalancer, LoadsOfPeersAreTheirLatest)
+{
+    auto policy = balancer();
+    std::mt19937 random(1);
+    std::map<std::string, std::vector<TargetLoad>> latest;
+    for (int round = 0; round < 2000; ++round) {
+        const auto peer = std::to_string(random() % 5);
+        if (random() % 8 == 0) {
+            policy.dropPeer(peer);
+            latest.erase(peer);
+            continue;
+        }
+        std::vector<TargetLoad> loads;
+        for (const auto *target : {"a", "b", "c"}) {
+            if (random() % 2 == 0) {
+                loads.push_back({.target = target, .running = static_cast<int>(random() % 4), .memory = static_cast<int64_t>(random() % 900)});
+            }
+        }
+        policy.setPeerLoads(peer, loads);
+        latest[peer] = loads;
+        for (const auto *target : {"a", "b", "c"}) {
+            TargetLoad expected;
+            for (const auto &[node, entries] : latest) {
+                for (const auto &load : entries) {
+                    if (load.target == target) {
+                        expected.add(load);
+                    }
+                }
+            }
+            ASSERT_EQ(policy.loadOf(target).running, expected.running) << round;
+            ASSERT_EQ(policy.loadOf(target).memory, expected.memory) << round;
+        }
+    }
+}
+
 // Load pattern: an engine is nearly full of generations that still grow. Guards against a placement that makes it run out of memory.
 TEST(TargetBalancer, NearlyFullEngineIsAvoided)
 {
