Quote log values with the JSON library

The hand-written quoting passed on bytes that are not UTF-8, so that a path of such bytes made a log line unreadable. nlohmann-json, which the project uses already, replaces them.

--- a/Libraries/LibEvents/LineWriter.h
+++ b/Libraries/LibEvents/LineWriter.h
@@ -29,11 +29,6 @@
 
     void add(std::string_view line);
 
-    uint64_t dropped() const
-    {
-        return m_dropped;
-    }
-
 private:
     void run();
     void write(const std::string &text) const;
--- a/Libraries/LibEvents/LogLine.cpp
+++ b/Libraries/LibEvents/LogLine.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <LibCore/AbslView.h>
+#include <nlohmann/json.hpp>
 
 namespace Jujube
 {
@@ -9,22 +10,10 @@
 namespace
 {
 
-constexpr unsigned char FirstPrintable = 0x20;
-
-void appendQuoted(std::string &text, std::string_view value)
+// A JSON string. Bytes that are not UTF-8, as callers may send them, are replaced.
+std::string quoted(std::string_view value)
 {
-    text += '"';
-    for (const char character : value) {
-        if (character == '"' || character == '\\') {
-            text += '\\';
-            text += character;
-        } else if (static_cast<unsigned char>(character) < FirstPrintable) {
-            absl::StrAppend(&text, "\\u", absl::Hex(static_cast<unsigned char>(character), absl::kZeroPad4));
-        } else {
-            text += character;
-        }
-    }
-    text += '"';
+    return nlohmann::json(value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 } // namespace
@@ -37,8 +26,7 @@
 
 LogLine &LogLine::add(std::string_view name, std::string_view value)
 {
-    absl::StrAppend(&m_text, ",\"", toAbsl(name), "\":");
-    appendQuoted(m_text, value);
+    absl::StrAppend(&m_text, ",\"", toAbsl(name), "\":", quoted(value));
     return *this;
 }
 
