Give each test process a loopback address of its own

One run of TestPlatform ended at 'cannot listen on 127.0.0.1:33531: Address already in use'. The tests asked the system for a free port, closed it and listened on it later; an outgoing connection, of this process or another, got the port in between. Each process now uses a loopback address derived from its process id and ports below the ephemeral range.

--- a/Tests/LibLoop/TestChannels.cpp
+++ b/Tests/LibLoop/TestChannels.cpp
@@ -1,3 +1,5 @@
+#include "../Support/LoopbackEndpoint.h"
+
 #include <absl/strings/match.h>
 #include <gtest/gtest.h>
 #include <LibLoop/CallerListener.h>
@@ -10,14 +12,6 @@
 namespace
 {
 
-// A port of the loopback interface that is free at the moment.
-uint16_t freePort()
-{
-    boost::asio::io_context loop;
-    Tcp::acceptor acceptor(loop, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-    return acceptor.local_endpoint().port();
-}
-
 // Runs the loop until the condition holds. Returns whether it did within the time.
 bool runUntil(boost::asio::io_context &loop, const std::function<bool()> &condition, std::chrono::milliseconds most = 5000ms)
 {
@@ -36,7 +30,7 @@
     void listen(CallerLimits limits = {})
     {
         m_limits = limits;
-        m_address = {.address = "127.0.0.1", .port = freePort()};
+        m_address = ownLoopbackEndpoint();
         auto listener = CallerListener::start(m_loop,
                                               {.address = m_address,
                                                .hooks = {.onRequest =
@@ -312,7 +306,7 @@
 {
     boost::asio::io_context loop;
     LoopClient client(loop);
-    EXPECT_EQ(callOnce(loop, client, {.address = "127.0.0.1", .port = freePort()}).end, ChannelEnd::NotSent);
+    EXPECT_EQ(callOnce(loop, client, ownLoopbackEndpoint()).end, ChannelEnd::NotSent);
 }
 
 // Guards against a call that waits for ever on a connection that has gone silent.
--- a/Tests/LibRelay/SessionWorld.cpp
+++ b/Tests/LibRelay/SessionWorld.cpp
@@ -38,6 +38,13 @@
                              .note = [](std::string_view, std::string_view) {}});
 }
 
+void SessionWorld::startStream(std::string_view bytes)
+{
+    m_session->start(m_now);
+    m_session->onHead(streamHead(), m_now);
+    m_session->onBody(bytes, m_now);
+}
+
 std::string SessionWorld::events(int first, int last)
 {
     std::string text;
--- a/Tests/LibRelay/SessionWorld.h
+++ b/Tests/LibRelay/SessionWorld.h
@@ -28,6 +28,9 @@
         m_now += time;
     }
 
+    // Starts the session and has its first target answer with these bytes of a stream.
+    void startStream(std::string_view bytes);
+
     // Bytes of the events from first to last.
     static std::string events(int first, int last);
 
--- a/Tests/LibRelay/TestRelaySession.cpp
+++ b/Tests/LibRelay/TestRelaySession.cpp
@@ -159,9 +159,7 @@
 TEST(RelaySession, ResumableStreamGoesOnAfterTheLastWholeEvent)
 {
     SessionWorld world(Suggestion);
-    world.session().start(world.now());
-    world.session().onHead(SessionWorld::streamHead(), world.now());
-    world.session().onBody(SessionWorld::events(1, 2) + "id: 3\nda", world.now());
+    world.startStream(SessionWorld::events(1, 2) + "id: 3\nda");
     world.session().onEnd(UpstreamResult::Broken, world.now());
     ASSERT_EQ(world.sends.size(), 2U);
     EXPECT_EQ(world.sends[1].lastEventId, 2);
@@ -177,9 +175,7 @@
 TEST(RelaySession, StreamThatEndsInsideAnEventIsNotComplete)
 {
     SessionWorld world(Draft);
-    world.session().start(world.now());
-    world.session().onHead(SessionWorld::streamHead(), world.now());
-    world.session().onBody(SessionWorld::events(1, 2) + "id: 3\n", world.now());
+    world.startStream(SessionWorld::events(1, 2) + "id: 3\n");
     world.session().onEnd(UpstreamResult::Complete, world.now());
     EXPECT_EQ(world.finished, 0);
     EXPECT_EQ(world.cuts, 1);
@@ -189,9 +185,7 @@
 TEST(RelaySession, EventsOutOfOrderCutTheStream)
 {
     SessionWorld world(Draft);
-    world.session().start(world.now());
-    world.session().onHead(SessionWorld::streamHead(), world.now());
-    world.session().onBody(SessionWorld::events(1, 2) + SessionWorld::events(4, 4), world.now());
+    world.startStream(SessionWorld::events(1, 2) + SessionWorld::events(4, 4));
     EXPECT_EQ(world.receivedIds(), idsUpTo(2));
     EXPECT_EQ(world.cuts, 1);
 }
@@ -200,9 +194,7 @@
 TEST(RelaySession, DraftMovesAwayFromALeavingEngine)
 {
     SessionWorld world(Draft);
-    world.session().start(world.now());
-    world.session().onHead(SessionWorld::streamHead(), world.now());
-    world.session().onBody(SessionWorld::events(1, 3), world.now());
+    world.startStream(SessionWorld::events(1, 3));
     world.session().onTargetLeaving(world.now());
     ASSERT_EQ(world.copies, std::vector<bool> {false});
     world.session().onBody(SessionWorld::events(4, 5), world.now());
@@ -227,9 +219,7 @@
 TEST(RelaySession, MovedDraftWaitsForTheEndOfTheSourcesStream)
 {
     SessionWorld world(Draft);
-    world.session().start(world.now());
-    world.session().onHead(SessionWorld::streamHead(), world.now());
-    world.session().onBody(SessionWorld::events(1, 1), world.now());
+    world.startStream(SessionWorld::events(1, 1));
     world.session().onTargetLeaving(world.now());
     world.session().onCopied({.kind = CopyResult::Kind::Copied, .handle = "h"}, world.now());
     world.session().onCopied({.kind = CopyResult::Kind::Copied, .handle = "h", .eventsMade = 3}, world.now());
@@ -244,9 +234,7 @@
 TEST(RelaySession, DraftStaysWhenNoCopyCanBeMade)
 {
     SessionWorld world(Draft);
-    world.session().start(world.now());
-    world.session().onHead(SessionWorld::streamHead(), world.now());
-    world.session().onBody(SessionWorld::events(1, 1), world.now());
+    world.startStream(SessionWorld::events(1, 1));
     world.session().onTargetLeaving(world.now());
     world.session().onCopied({.kind = CopyResult::Kind::NoRoom}, world.now());
     EXPECT_FALSE(world.session().isMoving());
@@ -260,9 +248,7 @@
 TEST(RelaySession, RefusedDestinationIsNotAskedAgain)
 {
     SessionWorld world(Draft);
-    world.session().start(world.now());
-    world.session().onHead(SessionWorld::streamHead(), world.now());
-    world.session().onBody(SessionWorld::events(1, 1), world.now());
+    world.startStream(SessionWorld::events(1, 1));
     world.session().onTargetLeaving(world.now());
     world.session().onCopied({.kind = CopyResult::Kind::NoRoom}, world.now());
     world.session().onTargetLeaving(world.now());
--- a/Tests/Platform/RelayWorld.cpp
+++ b/Tests/Platform/RelayWorld.cpp
@@ -1,4 +1,5 @@
 #include "RelayWorld.h"
+#include "../Support/LoopbackEndpoint.h"
 
 #include <absl/strings/str_cat.h>
 #include <fcntl.h>
@@ -10,7 +11,7 @@
 
 RelayWorld::RelayWorld()
     : m_lines({.fileDescriptor = open("/dev/null", O_WRONLY | O_CLOEXEC)})
-    , m_storeAddress(freeEndpoint())
+    , m_storeAddress(ownLoopbackEndpoint())
 {
     store = std::make_unique<StandInStore>(loop, m_storeAddress);
 }
@@ -20,13 +21,6 @@
     loop.stop();
 }
 
-Endpoint RelayWorld::freeEndpoint()
-{
-    boost::asio::io_context context;
-    Tcp::acceptor acceptor(context, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-    return {.address = "127.0.0.1", .port = acceptor.local_endpoint().port()};
-}
-
 Relay &RelayWorld::addRelay(const std::string &node)
 {
     std::vector<std::string> seeds;
@@ -38,11 +32,11 @@
                      .dataCentre = "lahore",
                      .region = "punjab",
                      .regions = {{"lahore", "punjab"}, {"karachi", "sindh"}},
-                     .callers = freeEndpoint(),
-                     .ready = freeEndpoint(),
-                     .directory = freeEndpoint(),
-                     .peers = freeEndpoint(),
-                     .metrics = freeEndpoint(),
+                     .callers = ownLoopbackEndpoint(),
+                     .ready = ownLoopbackEndpoint(),
+                     .directory = ownLoopbackEndpoint(),
+                     .peers = ownLoopbackEndpoint(),
+                     .metrics = ownLoopbackEndpoint(),
                      .store = m_storeAddress,
                      .seeds = seeds};
     auto relay = Relay::start(loop,
@@ -59,7 +53,7 @@
     auto &entry = m_servers[id];
     entry.service = service;
     entry.dataCentre = dataCentre;
-    entry.address = freeEndpoint();
+    entry.address = ownLoopbackEndpoint();
     entry.server = std::make_unique<StandInServer>(loop, StandInServer::Options {.id = id, .address = entry.address, .events = events});
     registerServer(id, "ready");
     return *entry.server;
--- a/Tests/Platform/RelayWorld.h
+++ b/Tests/Platform/RelayWorld.h
@@ -68,7 +68,6 @@
         std::unique_ptr<StandInServer> server;
     };
 
-    static Endpoint freeEndpoint();
     int get(const Endpoint &address, const std::string &path, std::string *body);
 
     LineWriter m_lines;
--- a/Tests/Platform/TestRelay.cpp
+++ b/Tests/Platform/TestRelay.cpp
@@ -21,6 +21,18 @@
     return text;
 }
 
+// More than a few events of a stand-in's stream.
+constexpr size_t SomeEventsBytes = 100;
+
+// Begins a stream at the relay "n1" and waits until some events have arrived, or for the time of runUntil().
+std::pair<std::shared_ptr<RelayWorld::Answer>, std::shared_ptr<TargetChannel>> startStream(RelayWorld &world, const std::string &path)
+{
+    const auto answer = std::make_shared<RelayWorld::Answer>();
+    const auto channel = world.begin("n1", {.path = path}, answer);
+    world.runUntil([&] { return answer->body.size() > SomeEventsBytes; });
+    return {answer, channel};
+}
+
 } // namespace
 
 // Guards against a path on which anything of a request or an answer is lost or added.
@@ -149,9 +161,8 @@
     auto &engine = world.addServer("i-1", "engine", 1000);
     world.addRelay("n1");
     ASSERT_TRUE(world.waitReady("n1"));
-    const auto answer = std::make_shared<RelayWorld::Answer>();
-    const auto channel = world.begin("n1", {.path = "/draft/x"}, answer);
-    ASSERT_TRUE(world.runUntil([&] { return !answer->body.empty(); }));
+    const auto [answer, channel] = startStream(world, "/draft/x");
+    ASSERT_GT(answer->body.size(), SomeEventsBytes);
     channel->abort();
     EXPECT_TRUE(world.runUntil([&] { return engine.activeCount() == 0; }));
 }
@@ -166,9 +177,8 @@
     auto &first = world.addServer("i-1", "engine", Events);
     world.addRelay("n1");
     ASSERT_TRUE(world.waitReady("n1"));
-    const auto answer = std::make_shared<RelayWorld::Answer>();
-    const auto channel = world.begin("n1", {.path = "/draft/x"}, answer);
-    ASSERT_TRUE(world.runUntil([&] { return answer->body.size() > 100; }));
+    const auto [answer, channel] = startStream(world, "/draft/x");
+    ASSERT_GT(answer->body.size(), SomeEventsBytes);
     auto &second = world.addServer("i-2", "engine", Events);
     world.runFor(700ms);
     world.registerServer("i-1", "draining");
@@ -190,9 +200,8 @@
     auto &first = world.addServer("i-1", "engine", Events);
     world.addRelay("n1");
     ASSERT_TRUE(world.waitReady("n1"));
-    const auto answer = std::make_shared<RelayWorld::Answer>();
-    const auto channel = world.begin("n1", {.path = "/draft/x"}, answer);
-    ASSERT_TRUE(world.runUntil([&] { return answer->body.size() > 100; }));
+    const auto [answer, channel] = startStream(world, "/draft/x");
+    ASSERT_GT(answer->body.size(), SomeEventsBytes);
     auto &second = world.addServer("i-2", "engine", Events);
     world.runFor(300ms);
     world.store->setFault(StandInStore::Fault::Silent);
@@ -241,9 +250,8 @@
     auto &first = world.addServer("i-1", "engine", Events);
     world.addRelay("n1");
     ASSERT_TRUE(world.waitReady("n1"));
-    const auto answer = std::make_shared<RelayWorld::Answer>();
-    const auto channel = world.begin("n1", {.path = "/hint/x"}, answer);
-    ASSERT_TRUE(world.runUntil([&] { return answer->body.size() > 100; }));
+    const auto [answer, channel] = startStream(world, "/hint/x");
+    ASSERT_GT(answer->body.size(), SomeEventsBytes);
     world.addServer("i-2", "engine", Events);
     world.runFor(700ms);
     first.crash();
@@ -260,9 +268,8 @@
     auto &engine = world.addServer("i-1", "engine", 1000);
     world.addRelay("n1");
     ASSERT_TRUE(world.waitReady("n1"));
-    const auto answer = std::make_shared<RelayWorld::Answer>();
-    const auto channel = world.begin("n1", {.path = "/draft/x"}, answer);
-    ASSERT_TRUE(world.runUntil([&] { return answer->body.size() > 100; }));
+    const auto [answer, channel] = startStream(world, "/draft/x");
+    ASSERT_GT(answer->body.size(), SomeEventsBytes);
     engine.crash();
     ASSERT_TRUE(world.runUntil([&] { return answer->end != ChannelEnd::NotSent; }));
     EXPECT_EQ(answer->end, ChannelEnd::Broken);
@@ -403,9 +410,8 @@
     ASSERT_TRUE(world.waitReady("n2"));
     world.runFor(1000ms);
     const auto both = world.directory("n2");
-    const auto answer = std::make_shared<RelayWorld::Answer>();
-    const auto channel = world.begin("n1", {.path = "/draft/x"}, answer);
-    ASSERT_TRUE(world.runUntil([&] { return answer->body.size() > 100; }));
+    const auto [answer, channel] = startStream(world, "/draft/x");
+    ASSERT_GT(answer->body.size(), SomeEventsBytes);
     relay.drain();
     EXPECT_EQ(world.readiness("n1"), 503);
     // A short call is still served, on a channel that ends with it.
