Separate admission, forwarding and moves from a relayed exchange

State and code that could be derived or were never used are gone: the target of each running request beside the exchange's own, a second copy of the data centres out of service (which logged each of them again with every read of the table), the lines for unlisted targets in two places, the document's version in heartbeats, two changes of a peer that nobody asked for, stop functions without a caller, an end of an exchange that was booked twice.

--- a/Libraries/LibLoop/CallerListener.cpp
+++ b/Libraries/LibLoop/CallerListener.cpp
@@ -88,11 +88,6 @@
     m_stopped = true;
     LoopError ignored;
     m_acceptor.close(ignored);
-    closeIdleChannels();
-}
-
-void CallerListener::closeIdleChannels()
-{
     const std::vector<CallerChannel *> channels(m_channels.begin(), m_channels.end());
     for (auto *channel : channels) {
         channel->closeIfIdle();
--- a/Libraries/LibLoop/CallerListener.h
+++ b/Libraries/LibLoop/CallerListener.h
@@ -28,7 +28,6 @@
 
     // Accepts nothing more, and closes the channels without a request. The others end with their answer.
     void stop();
-    void closeIdleChannels();
 
     size_t channelCount() const
     {
--- a/Libraries/LibRelay/Generated/Relay_types.cpp
+++ b/Libraries/LibRelay/Generated/Relay_types.cpp
@@ -721,10 +721,6 @@
   this->accepting = val;
 }
 
-void RelayHeartbeat::__set_documentVersion(const int64_t val) {
-  this->documentVersion = val;
-}
-
 void RelayHeartbeat::__set_documentTableVersion(const int64_t val) {
   this->documentTableVersion = val;
 }
@@ -844,14 +840,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->documentVersion);
-          this->__isset.documentVersion = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 9:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->documentTableVersion);
@@ -1017,10 +1005,6 @@
   xfer += oprot->writeBool(this->accepting);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("documentVersion", ::apache::thrift::protocol::T_I64, 8);
-  xfer += oprot->writeI64(this->documentVersion);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("documentTableVersion", ::apache::thrift::protocol::T_I64, 9);
   xfer += oprot->writeI64(this->documentTableVersion);
   xfer += oprot->writeFieldEnd();
@@ -1103,7 +1087,6 @@
   swap(a.peers, b.peers);
   swap(a.dataCentre, b.dataCentre);
   swap(a.accepting, b.accepting);
-  swap(a.documentVersion, b.documentVersion);
   swap(a.documentTableVersion, b.documentTableVersion);
   swap(a.loads, b.loads);
   swap(a.targets, b.targets);
@@ -1124,7 +1107,6 @@
   peers = other42.peers;
   dataCentre = other42.dataCentre;
   accepting = other42.accepting;
-  documentVersion = other42.documentVersion;
   documentTableVersion = other42.documentTableVersion;
   loads = other42.loads;
   targets = other42.targets;
@@ -1144,7 +1126,6 @@
   peers = std::move(other43.peers);
   dataCentre = std::move(other43.dataCentre);
   accepting = other43.accepting;
-  documentVersion = other43.documentVersion;
   documentTableVersion = other43.documentTableVersion;
   loads = std::move(other43.loads);
   targets = std::move(other43.targets);
@@ -1164,7 +1145,6 @@
   peers = other44.peers;
   dataCentre = other44.dataCentre;
   accepting = other44.accepting;
-  documentVersion = other44.documentVersion;
   documentTableVersion = other44.documentTableVersion;
   loads = other44.loads;
   targets = other44.targets;
@@ -1185,7 +1165,6 @@
   peers = std::move(other45.peers);
   dataCentre = std::move(other45.dataCentre);
   accepting = other45.accepting;
-  documentVersion = other45.documentVersion;
   documentTableVersion = other45.documentTableVersion;
   loads = std::move(other45.loads);
   targets = std::move(other45.targets);
@@ -1208,7 +1187,6 @@
   out << ", " << "peers=" << to_string(peers);
   out << ", " << "dataCentre=" << to_string(dataCentre);
   out << ", " << "accepting=" << to_string(accepting);
-  out << ", " << "documentVersion=" << to_string(documentVersion);
   out << ", " << "documentTableVersion=" << to_string(documentTableVersion);
   out << ", " << "loads=" << to_string(loads);
   out << ", " << "targets=" << to_string(targets);
--- a/Libraries/LibRelay/Generated/Relay_types.h
+++ b/Libraries/LibRelay/Generated/Relay_types.h
@@ -276,7 +276,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashOnTarget& obj);
 
 typedef struct _RelayHeartbeat__isset {
-  _RelayHeartbeat__isset() : node(false), incarnation(false), sequence(false), callers(false), peers(false), dataCentre(false), accepting(false), documentVersion(false), documentTableVersion(false), loads(false), targets(false), crashes(false), known(false), targetsDigest(false), targetsVersion(false), targetsAgeMs(false), reading(false) {}
+  _RelayHeartbeat__isset() : node(false), incarnation(false), sequence(false), callers(false), peers(false), dataCentre(false), accepting(false), documentTableVersion(false), loads(false), targets(false), crashes(false), known(false), targetsDigest(false), targetsVersion(false), targetsAgeMs(false), reading(false) {}
   bool node :1;
   bool incarnation :1;
   bool sequence :1;
@@ -284,7 +284,6 @@
   bool peers :1;
   bool dataCentre :1;
   bool accepting :1;
-  bool documentVersion :1;
   bool documentTableVersion :1;
   bool loads :1;
   bool targets :1;
@@ -311,7 +310,6 @@
                    peers(),
                    dataCentre(),
                    accepting(0),
-                   documentVersion(0),
                    documentTableVersion(0),
                    targetsDigest(0),
                    targetsVersion(0),
@@ -327,7 +325,6 @@
   std::string peers;
   std::string dataCentre;
   bool accepting;
-  int64_t documentVersion;
   int64_t documentTableVersion;
   std::vector<LoadOnTarget>  loads;
   std::vector<ChangedTarget>  targets;
@@ -354,8 +351,6 @@
 
   void __set_accepting(const bool val);
 
-  void __set_documentVersion(const int64_t val);
-
   void __set_documentTableVersion(const int64_t val);
 
   void __set_loads(const std::vector<LoadOnTarget> & val);
@@ -390,8 +385,6 @@
       return false;
     if (!(accepting == rhs.accepting))
       return false;
-    if (!(documentVersion == rhs.documentVersion))
-      return false;
     if (!(documentTableVersion == rhs.documentTableVersion))
       return false;
     if (!(loads == rhs.loads))
--- a/Libraries/LibRelay/PeerNewsCodec.cpp
+++ b/Libraries/LibRelay/PeerNewsCodec.cpp
@@ -96,7 +96,6 @@
     result.peers = news.peers;
     result.dataCentre = news.dataCentre;
     result.accepting = news.accepting;
-    result.documentVersion = news.documentVersion;
     result.documentTableVersion = news.documentTableVersion;
     result.targetsDigest = static_cast<int64_t>(news.targetsDigest);
     result.targetsVersion = news.targetsVersion;
@@ -132,7 +131,6 @@
                    .peers = wire.peers,
                    .dataCentre = wire.dataCentre,
                    .accepting = wire.accepting,
-                   .documentVersion = wire.documentVersion,
                    .documentTableVersion = wire.documentTableVersion,
                    .targetsDigest = static_cast<uint64_t>(wire.targetsDigest),
                    .targetsVersion = wire.targetsVersion,
--- a/Libraries/LibRelay/PeerTable.cpp
+++ b/Libraries/LibRelay/PeerTable.cpp
@@ -40,12 +40,8 @@
     for (const auto &known : news.known) {
         addAddress(known, now);
     }
-    const bool wasAccepting = found != m_peers.end() && found->second.news.accepting;
     m_peers[news.node] = {.news = news, .heardAt = now};
-    if (m_live.insert(news.node).second) {
-        return Change::Joined;
-    }
-    return wasAccepting == news.accepting ? Change::None : Change::Accepting;
+    return m_live.insert(news.node).second ? Change::Joined : Change::None;
 }
 
 std::vector<std::string> PeerTable::recipients(Reach reach, MonotonicTime now)
--- a/Libraries/LibRelay/PeerTable.h
+++ b/Libraries/LibRelay/PeerTable.h
@@ -27,7 +27,6 @@
     std::string dataCentre;
     // Whether callers may be sent to the relay.
     bool accepting = false;
-    int64_t documentVersion = 0;
     // Version of the newest change in the document's table.
     int64_t documentTableVersion = 0;
     // Digest of the targets that the relay knows, the store's version as of which it holds, and how long ago that was read.
@@ -71,8 +70,6 @@
     enum class Change {
         None,
         Joined,
-        // The relay accepts callers now, or does not any more.
-        Accepting,
         Stale,
     };
 
--- a/Libraries/LibRelay/Relay.thrift
+++ b/Libraries/LibRelay/Relay.thrift
@@ -42,7 +42,6 @@
   5: string peers
   6: string dataCentre
   7: bool accepting
-  8: i64 documentVersion
   // Version of the newest change in the table of the document.
   9: i64 documentTableVersion
   10: list<LoadOnTarget> loads
--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -172,7 +172,6 @@
             return;
         }
         // The source closes its stream when it stops; the answer to the order follows.
-        m_source = *m_target;
         m_target.reset();
         return;
     }
@@ -195,7 +194,7 @@
         if (m_continuing) {
             // The copy is gone or its holder is; the source has stopped.
             if (!continueFromBackup(now) && !(m_facts.resumable && retry("continuation refused", true, now))) {
-                giveUp(RelayOutcome::AnswerBroken, {});
+                giveUp(RelayOutcome::TargetFailed, {});
             }
             return;
         }
@@ -217,7 +216,7 @@
     if (mayRunAgain && retry("broken answer", true, now)) {
         return;
     }
-    giveUp(outcomeOfFailure(), {});
+    giveUp(RelayOutcome::TargetFailed, {});
 }
 
 bool RelaySession::retry(std::string_view reason, bool wasReached, MonotonicTime now)
@@ -255,11 +254,6 @@
     send(target, memorySource, now);
 }
 
-RelayOutcome RelaySession::outcomeOfFailure() const
-{
-    return m_begun ? RelayOutcome::AnswerBroken : RelayOutcome::TargetFailed;
-}
-
 void RelaySession::giveUp(RelayOutcome outcome, std::chrono::milliseconds retryAfter)
 {
     m_over = true;
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -5,6 +5,7 @@
 #include <LibRelay/EventSplitter.h>
 #include <LibRelay/RelayDocument.h>
 #include <LibRelay/RelayOutcome.h>
+#include <LibRelay/TargetTable.h>
 #include <optional>
 #include <set>
 #include <string>
@@ -18,6 +19,11 @@
     int64_t incarnation = 0;
     // "address:port".
     std::string address;
+
+    static RelayTarget of(const TargetEntry &entry)
+    {
+        return {.id = entry.id, .incarnation = entry.incarnation, .address = entry.address};
+    }
 };
 
 // What a session needs to know about its request.
@@ -150,11 +156,6 @@
         return m_over;
     }
 
-    bool hasBegun() const
-    {
-        return m_begun;
-    }
-
     const std::optional<RelayTarget> &target() const
     {
         return m_target;
@@ -196,8 +197,8 @@
     bool continueFromBackup(MonotonicTime now);
     void continueAt(const RelayTarget &target, const std::string &memorySource, MonotonicTime now);
     void startCopy(MonotonicTime now);
+    // Ends the request with an answer of the gateway's own, or cuts the answer if it has begun.
     void giveUp(RelayOutcome outcome, std::chrono::milliseconds retryAfter);
-    RelayOutcome outcomeOfFailure() const;
     void begin(std::optional<uint64_t> length);
     void deliver(std::string_view bytes);
     void complete();
--- a/Libraries/LibRelay/TargetTable.cpp
+++ b/Libraries/LibRelay/TargetTable.cpp
@@ -132,9 +132,9 @@
     return leaving;
 }
 
-void TargetTable::setDataCentresOut(absl::flat_hash_set<std::string> names)
+bool TargetTable::setDataCentreOut(const std::string &name, bool out)
 {
-    m_out = std::move(names);
+    return out ? m_out.insert(name).second : m_out.erase(name) > 0;
 }
 
 bool TargetTable::isOut(const std::string &dataCentre) const
--- a/Libraries/LibRelay/TargetTable.h
+++ b/Libraries/LibRelay/TargetTable.h
@@ -74,7 +74,12 @@
     // Lets grace periods run out. Returns the targets that became leaving.
     std::vector<std::string> tick(MonotonicTime now);
 
-    void setDataCentresOut(absl::flat_hash_set<std::string> names);
+    // Takes a data centre out of service, or back. Returns whether that is a change.
+    bool setDataCentreOut(const std::string &name, bool out);
+    const absl::flat_hash_set<std::string> &dataCentresOut() const
+    {
+        return m_out;
+    }
     bool isOut(const std::string &dataCentre) const;
 
     const KnownTarget *find(std::string_view id) const;
--- a/Libraries/LibRelayServer/PeerLink.cpp
+++ b/Libraries/LibRelayServer/PeerLink.cpp
@@ -64,18 +64,10 @@
     return absl::OkStatus();
 }
 
-void PeerLink::stop()
-{
-    m_timer.cancel();
-    m_loadTimer.cancel();
-    LoopError ignored;
-    m_socket.close(ignored);
-}
-
 void PeerLink::receive()
 {
     m_socket.async_receive_from(boost::asio::buffer(m_buffer), m_sender, [this](const LoopError &error, size_t bytes) {
-        if (error == boost::asio::error::operation_aborted || !m_socket.is_open()) {
+        if (error == boost::asio::error::operation_aborted) {
             return;
         }
         if (!error) {
@@ -196,7 +188,6 @@
                      .peers = m_core.options.peers.toText(),
                      .dataCentre = m_core.options.dataCentre,
                      .accepting = m_core.routes != nullptr && !m_core.isDraining(),
-                     .documentVersion = m_core.routes ? m_core.routes->document().version : 0,
                      .loads = m_core.balancer.ownLoads(),
                      .crashes = m_core.crashes.reports(MostCrashes, now),
                      .known = m_core.peers.knownAddresses(MostKnownAddresses, now, m_core.random())};
--- a/Libraries/LibRelayServer/PeerLink.h
+++ b/Libraries/LibRelayServer/PeerLink.h
@@ -23,7 +23,6 @@
 
     // Errors: ErrorKind::InvalidValue if the address cannot be bound.
     absl::Status start();
-    void stop();
 
     // Sends a heartbeat to all before the next one is due, because something changed that others should know.
     void sendSoon();
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -14,6 +14,9 @@
 {
 
 constexpr std::string_view MetricsPath = "/metrics";
+constexpr int StatusOk = 200;
+constexpr int StatusNotFound = 404;
+constexpr int StatusUnavailable = 503;
 
 constexpr std::chrono::milliseconds TickPause {100};
 // Callers keep addresses and channels for a while after the directory has left this node out.
@@ -140,8 +143,6 @@
 
 void Relay::onMetricsRequest(CallerChannel &channel, const CallerRequest &request) const
 {
-    constexpr int StatusOk = 200;
-    constexpr int StatusNotFound = 404;
     if (request.head.target != MetricsPath) {
         channel.send({.status = StatusNotFound}, {});
         return;
@@ -151,9 +152,6 @@
 
 void Relay::onReadyRequest(CallerChannel &channel, const CallerRequest &request) const
 {
-    constexpr int StatusOk = 200;
-    constexpr int StatusNotFound = 404;
-    constexpr int StatusUnavailable = 503;
     if (request.head.target != m_core.dialect.readyPath) {
         channel.send({.status = StatusNotFound}, {});
         return;
@@ -193,8 +191,6 @@
 
 void Relay::onDirectoryRequest(CallerChannel &channel, const CallerRequest &request)
 {
-    constexpr int StatusOk = 200;
-    constexpr int StatusNotFound = 404;
     const std::string_view target = request.head.target;
     const auto question = target.find('?');
     if (target.substr(0, question) != m_core.dialect.directoryPath) {
@@ -250,10 +246,10 @@
         return;
     }
     absl::flat_hash_set<std::string> engines;
-    for (const auto &[exchange, target] : m_core.running) {
-        const auto *known = m_core.targets.find(target);
+    for (const auto *exchange : m_core.running) {
+        const auto *known = m_core.targets.find(exchange->target());
         if (exchange->isMovable() && known && !known->leavingSince) {
-            engines.insert(target);
+            engines.insert(exchange->target());
         }
     }
     for (const auto &engine : engines) {
--- a/Libraries/LibRelayServer/Relay.h
+++ b/Libraries/LibRelayServer/Relay.h
@@ -43,11 +43,13 @@
     void onPeerRequest(CallerChannel &channel, const CallerRequest &request);
 
     // The store's tables (RelayTables.cpp).
-    void onDocumentTable(const std::vector<StoreRow> &rows, MonotonicTime now);
-    void onDocumentRow(const StoreRow &row, MonotonicTime now);
+    void onDocumentTable(const std::vector<StoreRow> &rows);
+    void onDocumentRow(const StoreRow &row);
+    void setDataCentreOut(const std::string &name, bool out, int64_t version);
     void applyDocument(const StoreRow &row);
-    void applyOutDataCentres();
     void onTargetTable(const std::vector<StoreRow> &rows, bool afterOutage, MonotonicTime now);
+    // Removes the targets that a whole list does not name. Returns their number.
+    size_t removeUnlisted(const absl::flat_hash_set<std::string> &listed, bool afterOutage, int64_t version, std::string_view reason, MonotonicTime now);
     void onTargetRow(const StoreRow &row, bool afterOutage, MonotonicTime now);
     std::optional<TargetEntry> decodeTarget(const StoreRow &row);
     void takeTarget(const TargetEntry &entry, std::string_view source, MonotonicTime now);
@@ -77,7 +79,6 @@
     std::unique_ptr<CallerListener> m_metrics;
     std::unique_ptr<TableFollower> m_documents;
     std::unique_ptr<TableFollower> m_targets;
-    absl::flat_hash_set<std::string> m_out;
     boost::asio::steady_timer m_timer;
     std::chrono::nanoseconds m_sleptBefore {0};
     uint64_t m_ticks = 0;
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -86,8 +86,8 @@
     log(entry);
     metrics.count("relay_targets_left_total");
     moves.targetLeaves(target, waitForPeers(target, now), now);
-    for (const auto &[exchange, runsOn] : running) {
-        if (runsOn == target) {
+    for (auto *exchange : running) {
+        if (exchange->target() == target) {
             exchange->queueMove();
         }
     }
@@ -187,7 +187,7 @@
 
 std::shared_ptr<RelayExchange> RelayCore::findRunning(const std::string &request) const
 {
-    for (const auto &[exchange, runsOn] : running) {
+    for (auto *exchange : running) {
         if (exchange->requestId() == request) {
             return exchange->shared_from_this();
         }
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <LibEvents/LineWriter.h>
 #include <LibEvents/LogLine.h>
 #include <LibLoop/LoopClient.h>
@@ -41,8 +42,8 @@
     MoveSchedule moves;
     // Time of the SIGTERM.
     std::optional<MonotonicTime> drainingSince;
-    // Requests in progress, and the target that runs each of them.
-    absl::flat_hash_map<RelayExchange *, std::string> running;
+    // Requests that have been sent to a target and have not ended.
+    absl::flat_hash_set<RelayExchange *> running;
 
     ServiceRetryBudget &retryBudget(const std::string &service);
     uint64_t random();
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibLoop/CallerChannel.h>
+#include <LibRelay/RelayAdmission.h>
 #include <LibRelay/RelaySession.h>
 #include <LibRelayServer/RelayCore.h>
 #include <memory>
@@ -29,7 +30,13 @@
 
     bool isMovable() const
     {
-        return m_demand.isMovable && !m_isOver;
+        return m_admission.demand.isMovable && !m_isOver;
+    }
+
+    // Name of the target that the request was sent to last.
+    const std::string &target() const
+    {
+        return m_target;
     }
 
     const std::string &requestId() const
@@ -38,17 +45,19 @@
     }
 
 private:
+    void listenToCaller();
     // Returns how the request must be answered at once, or nothing if it is admitted.
     std::optional<RelayOutcome> admit(MonotonicTime now);
+    void logAccepted(MonotonicTime now);
     std::chrono::milliseconds retryAfterFor(RelayOutcome outcome, MonotonicTime now) const;
-    void readUsage();
     void createSession();
     RelayChoice choose(const std::set<std::string> &excluded, MonotonicTime now);
     std::optional<RelayTarget> chooseDestination(const std::set<std::string> &excluded, MonotonicTime now);
-    void send(const RelaySend &send);
-    std::string requestTextFor(const RelaySend &send) const;
+    void send(const RelaySend &order);
+    void logSend(const RelaySend &order, const TargetLoad &load);
     bool onHead(const MessageHead &head, std::optional<uint64_t> length);
     void onBody(std::string_view bytes);
+    void noteEvents();
     void onEnd(ChannelEnd end, const std::string &error);
     void abortSend();
     void copy(const RelayTarget &source, const RelayTarget &destination, bool stop);
@@ -59,21 +68,18 @@
     void note(std::string_view decision, std::string_view reason);
     void armDeadline();
     void armSilence();
-    void leaveTarget(RunEnd end, MonotonicTime now);
-    void over();
+    // The request has its end; `end` is what that says about its target.
+    void over(RunEnd end);
 
     RelayCore &m_core;
     const std::shared_ptr<CallerChannel> m_caller;
     CallerRequest m_request;
     std::shared_ptr<const RouteTable> m_routes;
-    const RelayRoute *m_route = nullptr;
-    const RelayService *m_service = nullptr;
-    const RelayWorkspace *m_workspace = nullptr;
-    std::string m_id;
+    RequestAdmission m_admission;
+    const std::string m_id;
+    std::string m_target;
     // Tells requests apart that would crash each target that runs them.
     uint64_t m_digest = 0;
-    RunDemand m_demand;
-    MonotonicTime m_deadline;
     std::unique_ptr<RelaySession> m_session;
     std::shared_ptr<TargetChannel> m_upstream;
     // Numbers the sends, so that what arrives from an earlier one is ignored.
--- /dev/null
+++ b/Libraries/LibRelayServer/RelayExchangeMoves.cpp
@@ -0,0 +1,123 @@
+#include <LibRelayServer/RelayExchange.h>
+
+#include <algorithm>
+
+// How a request's generation moves to another engine when its own leaves.
+namespace Jujube
+{
+
+namespace
+{
+
+// Longest time for a copy of a running generation.
+constexpr std::chrono::milliseconds CopyTimeout {2500};
+// Tries to move one generation away from targets that leave.
+constexpr int MostMoveTries = 12;
+constexpr std::chrono::milliseconds MoveRetryPause {150};
+// Weight of an output token against a prompt token in the worth of a generation.
+constexpr int64_t OutputWeight = 10;
+
+} // namespace
+
+std::optional<RelayTarget> RelayExchange::chooseDestination(const std::set<std::string> &excluded, MonotonicTime now)
+{
+    const auto &service = *m_admission.service;
+    if (!service.engine || !service.engine->canMove) {
+        return std::nullopt;
+    }
+    auto demand = m_admission.demand;
+    demand.expectedTokens = std::max(demand.expectedTokens, m_session->eventCount() * service.engine->tokensPerEvent);
+    const auto *source = m_core.targets.find(m_target);
+    TargetBalancer::Query query {.demand = demand,
+                                 .excluded = excluded,
+                                 .homeRegions = m_admission.homeRegions,
+                                 .liveGateways = m_core.liveGateways(now),
+                                 .isMove = true,
+                                 .source = m_target,
+                                 .dataCentre = source ? source->entry.dataCentre : ""};
+    auto choice = m_core.balancer.choose(query, m_core.targets, service, now, m_core.random());
+    const auto ownTokens = demand.promptTokens + m_core.balancer.producedBy(m_id);
+    const bool isLast = m_core.balancer.loadOf(m_target).movable <= ownTokens;
+    if (!choice.target && isLast) {
+        // A copy to another data centre takes many times as long, and would hold up the copies of all other generations on the source's link.
+        query.dataCentre.clear();
+        choice = m_core.balancer.choose(query, m_core.targets, service, now, m_core.random());
+    }
+    if (!choice.target) {
+        return std::nullopt;
+    }
+    const auto &entry = choice.target->entry;
+    // The copy takes up memory from now on.
+    m_core.balancer.setCopy(m_id, entry.id, demand.promptTokens + demand.expectedTokens);
+    return RelayTarget::of(entry);
+}
+
+void RelayExchange::copy(const RelayTarget &source, const RelayTarget &destination, bool stop)
+{
+    const auto endpoint = Endpoint::parse(source.address);
+    auto call = m_core.dialect.copyCall(m_id, destination.address, stop);
+    call.timeout = CopyTimeout;
+    call.freshConnection = true;
+    const auto orderedAt = monotonicNow();
+    m_core.client.call(*endpoint, call, [self = shared_from_this(), source, destination, stop, orderedAt](const LoopAnswer &answer) {
+        const auto now = monotonicNow();
+        const auto result = self->m_core.dialect.decodeCopy(answer);
+        auto line = self->m_core.line(EventKind::RelayCopied);
+        line.add("request", self->m_id)
+            .add("source", source.id)
+            .add("destination", destination.id)
+            .add("stop", stop ? 1 : 0)
+            .add("status", answer.status)
+            .add("events_made", result.eventsMade)
+            .add("took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - orderedAt).count());
+        self->m_core.log(line);
+        if (self->m_isOver) {
+            return;
+        }
+        self->m_session->onCopied(result, now);
+        if (!self->m_isOver && !self->m_session->isMoving()) {
+            self->m_core.moves.remove(self->m_id);
+            if (result.kind != CopyResult::Kind::Copied) {
+                self->m_core.balancer.dropCopy(self->m_id);
+                self->queueMove();
+            }
+            self->m_core.runMoves();
+        }
+    });
+}
+
+void RelayExchange::queueMove()
+{
+    if (m_isOver || !m_admission.demand.isMovable || m_moveTries >= MostMoveTries) {
+        return;
+    }
+    ++m_moveTries;
+    // The worth of a generation grows with its size, and most with its output.
+    const double value = static_cast<double>(m_admission.demand.promptTokens + OutputWeight * m_admission.demand.expectedTokens);
+    m_core.moves.add(m_target, m_id, value);
+}
+
+bool RelayExchange::startMove(MonotonicTime now)
+{
+    if (m_isOver) {
+        return false;
+    }
+    m_session->onTargetLeaving(now);
+    return !m_isOver && m_session->isMoving();
+}
+
+void RelayExchange::retryMoveLater()
+{
+    if (m_isOver) {
+        return;
+    }
+    m_moveTimer.expires_after(MoveRetryPause);
+    m_moveTimer.async_wait([weak = weak_from_this()](const LoopError &error) {
+        if (const auto self = weak.lock(); self && !error && !self->m_isOver && !self->m_session->isMoving()) {
+            self->queueMove();
+            self->m_core.runMoves();
+        }
+    });
+}
+
+} // namespace Jujube
--- /dev/null
+++ b/Libraries/LibRelayServer/RelayForwarding.cpp
@@ -0,0 +1,131 @@
+#include <LibRelayServer/RelayForwarding.h>
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <algorithm>
+#include <LibCore/AbslView.h>
+
+namespace Jujube
+{
+
+namespace
+{
+
+constexpr std::string_view BearerPrefix = "Bearer ";
+constexpr std::string_view EventStreamType = "text/event-stream";
+constexpr int StatusMisdirected = 421;
+constexpr int StatusNoContent = 204;
+constexpr int StatusNotModified = 304;
+constexpr int MostPriority = 9;
+
+int64_t numberIn(std::string_view text)
+{
+    int64_t number = 0;
+    return absl::SimpleAtoi(toAbsl(text), &number) && number > 0 ? number : 0;
+}
+
+bool isReserved(const RelayFieldNames &names, std::string_view name)
+{
+    return std::any_of(
+        names.reserved.begin(), names.reserved.end(), [&](const std::string &reserved) { return absl::EqualsIgnoreCase(reserved, toAbsl(name)); });
+}
+
+} // namespace
+
+RequestClaims claimsOf(const MessageHead &head, const RelayFieldNames &names)
+{
+    const std::string_view target = head.target;
+    const auto host = head.value("host");
+    const auto authorization = head.value("authorization");
+    const auto usage = head.value(names.usage);
+    const auto comma = usage.find(',');
+    RequestClaims claims {.id = head.value(names.requestId),
+                          .host = host.substr(0, host.find(':')),
+                          .path = target.substr(0, target.find('?')),
+                          .promptTokens = numberIn(usage.substr(0, comma)),
+                          .mostTokens = comma == std::string_view::npos ? 0 : numberIn(usage.substr(comma + 1)),
+                          .lengthHint = numberIn(head.value(names.lengthHint))};
+    if (authorization.starts_with(BearerPrefix)) {
+        claims.key = authorization.substr(BearerPrefix.size());
+    }
+    if (const auto given = numberIn(head.value(names.deadline)); given > 0) {
+        claims.timeLeft = std::chrono::milliseconds(given);
+    }
+    return claims;
+}
+
+std::string forwardedRequest(const CallerRequest &request, const RequestAdmission &admitted, const RelaySend &order, const RelayFieldNames &names)
+{
+    MessageHead head {.method = request.head.method, .target = request.head.target};
+    for (const auto &field : request.head.fields) {
+        if (!isChannelField(request.head, field.name) && !isReserved(names, field.name)) {
+            head.fields.push_back(field);
+        }
+    }
+    head.remove("content-length");
+    head.remove("expect");
+    const bool hadBody = request.head.has("content-length") || request.head.has("transfer-encoding");
+    if (hadBody || !request.body.empty()) {
+        head.set("Content-Length", absl::StrCat(request.body.size()));
+    }
+    head.set(names.deadline, absl::StrCat(std::max<int64_t>(1, order.timeLeft.count())));
+    head.set(names.expectedTarget, order.target.id);
+    if (admitted.workspace) {
+        head.set(names.workspace, admitted.workspace->name);
+    }
+    if (admitted.service->engine) {
+        head.set(names.priority, absl::StrCat(std::clamp(admitted.demand.priority, 0, MostPriority)));
+    }
+    if (!order.backupAddress.empty()) {
+        head.set(names.backup, order.backupAddress);
+    }
+    if (!order.memorySource.empty()) {
+        head.set(names.memorySource, order.memorySource);
+    }
+    if (order.lastEventId) {
+        head.set(names.lastEventId, absl::StrCat(*order.lastEventId));
+    }
+    return requestText(head) + request.body;
+}
+
+TargetAnswer targetAnswerOf(const MessageHead &head, std::optional<uint64_t> length, const RelayFieldNames &names)
+{
+    return {.status = head.status,
+            .notRun = head.has(names.notRun),
+            .misdirected = head.status == StatusMisdirected,
+            .sealed = head.has(names.seal),
+            .isStream = head.status / 100 == 2 && absl::StartsWithIgnoreCase(toAbsl(head.value("content-type")), toAbsl(EventStreamType)),
+            .length = length};
+}
+
+MessageHead forwardedAnswer(const MessageHead &head)
+{
+    MessageHead result {.status = head.status, .reason = head.reason};
+    for (const auto &field : head.fields) {
+        if (!isChannelField(head, field.name)) {
+            result.fields.push_back(field);
+        }
+    }
+    return result;
+}
+
+MessageHead ownAnswer(const RelayOutcomeInfo &outcome, const std::string &requestId, std::chrono::milliseconds retryAfter, const RelayFieldNames &names)
+{
+    MessageHead head {.status = outcome.status};
+    if (!requestId.empty()) {
+        head.set(names.requestId, requestId);
+    }
+    if (outcome.hasRetryAfter) {
+        head.set("Retry-After", absl::StrFormat("%.2f", std::chrono::duration<double>(retryAfter).count()));
+    }
+    return head;
+}
+
+bool hasBody(std::string_view requestMethod, int status)
+{
+    return requestMethod != "HEAD" && status != StatusNoContent && status != StatusNotModified;
+}
+
+} // namespace Jujube
--- a/Libraries/LibRelayServer/RelayTables.cpp
+++ b/Libraries/LibRelayServer/RelayTables.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::string_view SnapshotPath = "/snapshot/";
 constexpr std::string_view TargetsPath = "/targets";
+constexpr int StatusOk = 200;
+constexpr int StatusNotFound = 404;
 
 // How long the store may hold a read of the document.
 constexpr std::chrono::milliseconds DocumentWait {3000};
@@ -59,19 +61,18 @@
         return [this, table](std::chrono::milliseconds outage) { logStore(EventKind::PlatformRegained, table, absl::StrCat("after ", outage.count(), " ms")); };
     };
     // Changes of the document are rare and urgent, so the store holds the read until there is one.
-    m_documents = std::make_unique<TableFollower>(
-        m_core.loop,
-        m_core.client,
-        dialect,
-        m_core.options.store,
-        TableFollower::Options {.table = dialect.documentTable,
-                                .wait = DocumentWait,
-                                .mayRead = [this](MonotonicTime now) { return mayRead(now); },
-                                .liveRelays = [this] { return m_core.liveGateways(monotonicNow()); }},
-        TableFollower::Hooks {.onTable = [this](const std::vector<StoreRow> &rows, bool) { onDocumentTable(rows, monotonicNow()); },
-                              .onChange = [this](const StoreRow &row, bool) { onDocumentRow(row, monotonicNow()); },
-                              .onLost = lost(dialect.documentTable),
-                              .onRegained = regained(dialect.documentTable)});
+    m_documents = std::make_unique<TableFollower>(m_core.loop,
+                                                  m_core.client,
+                                                  dialect,
+                                                  m_core.options.store,
+                                                  TableFollower::Options {.table = dialect.documentTable,
+                                                                          .wait = DocumentWait,
+                                                                          .mayRead = [this](MonotonicTime now) { return mayRead(now); },
+                                                                          .liveRelays = [this] { return m_core.liveGateways(monotonicNow()); }},
+                                                  TableFollower::Hooks {.onTable = [this](const std::vector<StoreRow> &rows, bool) { onDocumentTable(rows); },
+                                                                        .onChange = [this](const StoreRow &row, bool) { onDocumentRow(row); },
+                                                                        .onLost = lost(dialect.documentTable),
+                                                                        .onRegained = regained(dialect.documentTable)});
     m_targets = std::make_unique<TableFollower>(
         m_core.loop,
         m_core.client,
@@ -96,8 +97,6 @@
 
 void Relay::onPeerRequest(CallerChannel &channel, const CallerRequest &request)
 {
-    constexpr int StatusOk = 200;
-    constexpr int StatusNotFound = 404;
     const auto &target = request.head.target;
     const auto matches = [&](const std::string &table) { return target == absl::StrCat(toAbsl(SnapshotPath), table); };
     if (matches(m_core.dialect.documentTable) && m_documents->hasRows()) {
@@ -200,17 +199,7 @@
         listed.insert(entry.id);
         takeTarget(entry, "peer", now);
     }
-    std::vector<std::string> missing;
-    for (const auto &[id, target] : m_core.targets.targets()) {
-        if (!listed.contains(id)) {
-            missing.push_back(id);
-        }
-    }
-    for (const auto &id : missing) {
-        if (m_core.targets.remove(id, false, version, now)) {
-            m_core.announceLeaving(id, "not known to peer", now);
-        }
-    }
+    removeUnlisted(listed, false, version, "not known to peer", now);
 }
 
 bool Relay::mayRead(MonotonicTime now)
@@ -232,34 +221,37 @@
     return reads;
 }
 
-void Relay::onDocumentTable(const std::vector<StoreRow> &rows, MonotonicTime now)
+void Relay::onDocumentTable(const std::vector<StoreRow> &rows)
 {
-    m_out.clear();
+    absl::flat_hash_set<std::string> back = m_core.targets.dataCentresOut();
     for (const auto &row : rows) {
-        onDocumentRow(row, now);
+        if (const auto dataCentre = m_core.dialect.decodeOutDataCentre(row.key)) {
+            back.erase(*dataCentre);
+        }
+        onDocumentRow(row);
+    }
+    for (const auto &dataCentre : back) {
+        setDataCentreOut(dataCentre, false, m_documents->version());
     }
-    applyOutDataCentres();
 }
 
-void Relay::onDocumentRow(const StoreRow &row, MonotonicTime)
+void Relay::onDocumentRow(const StoreRow &row)
 {
     if (row.key == m_core.dialect.documentKey) {
         applyDocument(row);
-        return;
+    } else if (const auto dataCentre = m_core.dialect.decodeOutDataCentre(row.key)) {
+        setDataCentreOut(*dataCentre, !row.removed, row.version);
     }
-    const auto dataCentre = m_core.dialect.decodeOutDataCentre(row.key);
-    if (!dataCentre) {
+}
+
+void Relay::setDataCentreOut(const std::string &name, bool out, int64_t version)
+{
+    if (!m_core.targets.setDataCentreOut(name, out)) {
         return;
     }
-    if (row.removed) {
-        m_out.erase(*dataCentre);
-    } else {
-        m_out.insert(*dataCentre);
-    }
-    auto line = m_core.line(row.removed ? EventKind::DataCentreIn : EventKind::DataCentreOut);
-    line.add("data_centre", *dataCentre).add("row_version", row.version);
+    auto line = m_core.line(out ? EventKind::DataCentreOut : EventKind::DataCentreIn);
+    line.add("data_centre", name).add("row_version", version);
     m_core.log(line);
-    applyOutDataCentres();
 }
 
 void Relay::applyDocument(const StoreRow &row)
@@ -288,11 +280,6 @@
     m_peers.sendSoon();
 }
 
-void Relay::applyOutDataCentres()
-{
-    m_core.targets.setDataCentresOut(m_out);
-}
-
 std::optional<TargetEntry> Relay::decodeTarget(const StoreRow &row)
 {
     auto entry = m_core.dialect.decodeTarget(row.key, row.value);
@@ -335,13 +322,18 @@
 void Relay::onTargetTable(const std::vector<StoreRow> &rows, bool afterOutage, MonotonicTime now)
 {
     absl::flat_hash_set<std::string> listed;
-    const auto asOf = m_targets->version();
     for (const auto &row : rows) {
         listed.insert(row.key);
         if (const auto entry = decodeTarget(row)) {
             takeTarget(*entry, "list", now);
         }
     }
+    const auto missing = removeUnlisted(listed, afterOutage, m_targets->version(), "not listed", now);
+    logStore(EventKind::TableReplaced, m_core.dialect.targetTable, absl::StrCat(rows.size(), " rows, ", missing, " missing"));
+}
+
+size_t Relay::removeUnlisted(const absl::flat_hash_set<std::string> &listed, bool afterOutage, int64_t version, std::string_view reason, MonotonicTime now)
+{
     std::vector<std::string> missing;
     for (const auto &[id, target] : m_core.targets.targets()) {
         if (!listed.contains(id)) {
@@ -349,11 +341,11 @@
         }
     }
     for (const auto &id : missing) {
-        if (m_core.targets.remove(id, afterOutage, asOf, now)) {
-            m_core.announceLeaving(id, "not listed", now);
+        if (m_core.targets.remove(id, afterOutage, version, now)) {
+            m_core.announceLeaving(id, reason, now);
         }
     }
-    logStore(EventKind::TableReplaced, m_core.dialect.targetTable, absl::StrCat(rows.size(), " rows, ", missing.size(), " missing"));
+    return missing.size();
 }
 
 void Relay::onTargetRow(const StoreRow &row, bool afterOutage, MonotonicTime now)
--- a/Libraries/LibRelayServer/TableFollower.cpp
+++ b/Libraries/LibRelayServer/TableFollower.cpp
@@ -30,16 +30,9 @@
     next();
 }
 
-void TableFollower::stop()
-{
-    m_stopped = true;
-    ++m_read;
-    m_timer.cancel();
-}
-
 void TableFollower::hurry()
 {
-    if (m_stopped || m_hurrying) {
+    if (m_hurrying) {
         return;
     }
     m_hurrying = true;
@@ -61,9 +54,6 @@
 
 void TableFollower::schedule(std::chrono::milliseconds pause)
 {
-    if (m_stopped) {
-        return;
-    }
     m_timer.expires_after(pause);
     m_timer.async_wait([this](const LoopError &error) {
         if (error) {
--- a/Libraries/LibRelayServer/TableFollower.h
+++ b/Libraries/LibRelayServer/TableFollower.h
@@ -46,7 +46,6 @@
     TableFollower(boost::asio::io_context &loop, LoopClient &client, const RelayDialect &dialect, Endpoint store, Options options, Hooks hooks);
 
     void start();
-    void stop();
 
     // Reads at once, over a new connection, unless such a read is in progress: a peer has newer rows, or the process was frozen.
     void hurry();
@@ -116,7 +115,6 @@
     bool m_lost = false;
     bool m_afterOutage = false;
     bool m_freshConnection = false;
-    bool m_stopped = false;
     // Numbers the reads, so that the answer to one that was overtaken is ignored.
     uint64_t m_read = 0;
     std::chrono::milliseconds m_retryPause;
--- a/Tests/LibRelay/TestPeers.cpp
+++ b/Tests/LibRelay/TestPeers.cpp
@@ -90,7 +90,6 @@
 TEST(PeerNewsCodec, RoundTrip)
 {
     auto sent = news("a", 7);
-    sent.documentVersion = 12;
     sent.documentTableVersion = 90;
     sent.targetsDigest = 0xfedcba9876543210ULL;
     sent.targetsVersion = 91;
--- a/Tests/LibRelay/TestTargets.cpp
+++ b/Tests/LibRelay/TestTargets.cpp
@@ -92,9 +92,9 @@
 {
     TargetTable targets({});
     targets.set(entry("a"), Start);
-    targets.setDataCentresOut({"lahore"});
+    targets.setDataCentreOut("lahore", true);
     EXPECT_FALSE(targets.isUsable(*targets.find("a"), Start));
-    targets.setDataCentresOut({});
+    targets.setDataCentreOut("lahore", false);
     EXPECT_TRUE(targets.isUsable(*targets.find("a"), Start));
 }
 
