Return a moved draft to its source when the destination fails

The source had stopped the run and kept its memory, but the session gave the request up when the destination reset the connection. Ruled out: a late heartbeat (the entry of a crashed engine stays listed until its heartbeats are missed), a wrong handle (the copy order had succeeded). Change: a continuation that gets no answer of the destination goes back to the source with the same handle, once. A handle can be used once, so the source refuses if the destination has begun. Before: RelaySession.DraftReturnsToItsSourceWhenTheDestinationFails and RelaySession.DraftReturnsToItsSourceOnce fail. After: 63 tests of TestLibRelay pass.

--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -184,11 +184,14 @@
 
 void RelaySession::onFailure(UpstreamResult result, bool notRun, MonotonicTime now)
 {
-    m_accepted = false;
+    const bool hadAnswer = std::exchange(m_accepted, false);
     m_move = Move::None;
     if (m_target) {
         m_excluded.insert(m_target->id);
     }
+    if (!hadAnswer && continueAtSource(now)) {
+        return;
+    }
     if (result == UpstreamResult::NotSent || notRun) {
         ++(notRun ? m_rejections : m_unreached);
         if (m_continuing) {
@@ -248,6 +251,18 @@
     return true;
 }
 
+bool RelaySession::continueAtSource(MonotonicTime now)
+{
+    const bool wasMoved = !m_handle.empty() && m_target && m_target->id == m_destination.id && m_destination.id != m_source.id;
+    if (!wasMoved || m_facts.deadline - now < LeastTimeForRetry) {
+        return false;
+    }
+    m_hooks.note("continue_at_source", m_source.id);
+    m_hooks.abortSend();
+    continueAt(m_source, std::exchange(m_handle, {}), now);
+    return true;
+}
+
 void RelaySession::continueAt(const RelayTarget &target, const std::string &memorySource, MonotonicTime now)
 {
     m_move = Move::None;
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -195,6 +195,8 @@
     // Sends the request to another target if time and, unless the last one was never reached, the budget allow it.
     bool retry(std::string_view reason, bool wasReached, MonotonicTime now);
     bool continueFromBackup(MonotonicTime now);
+    // After a move whose destination has not begun: the source keeps the memory of a generation that it stopped, until its copy is used.
+    bool continueAtSource(MonotonicTime now);
     void continueAt(const RelayTarget &target, const std::string &memorySource, MonotonicTime now);
     void startCopy(MonotonicTime now);
     // Ends the request with an answer of the gateway's own, or cuts the answer if it has begun.
--- a/Tests/LibRelay/TestRelaySession.cpp
+++ b/Tests/LibRelay/TestRelaySession.cpp
@@ -230,6 +230,68 @@
     EXPECT_EQ(world.sends[1].lastEventId, 3);
 }
 
+namespace
+{
+
+// A draft whose copy is complete, and which was sent on to its destination.
+void moveToDestination(SessionWorld &world)
+{
+    world.startStream(SessionWorld::events(1, 2));
+    world.session().onTargetLeaving(world.now());
+    world.session().onCopied({.kind = CopyResult::Kind::Copied, .handle = "h"}, world.now());
+    world.session().onCopied({.kind = CopyResult::Kind::Copied, .handle = "h", .eventsMade = 2}, world.now());
+    world.session().onEnd(UpstreamResult::Broken, world.now());
+}
+
+} // namespace
+
+// Guards against a draft that is lost with the destination of its move, although the engine that it left still has its memory. The destination crashed between
+// the copy and the send, and its entry was still listed.
+TEST(RelaySession, DraftReturnsToItsSourceWhenTheDestinationFails)
+{
+    const auto fail = [](SessionWorld &world, UpstreamResult result) { world.session().onEnd(result, world.now()); };
+    const auto reject = [](SessionWorld &world, UpstreamResult) { EXPECT_FALSE(world.session().onHead({.status = 503, .notRun = true}, world.now())); };
+    for (const auto &[failure, result] : {std::pair<std::function<void(SessionWorld &, UpstreamResult)>, UpstreamResult> {fail, UpstreamResult::NotSent},
+                                          {fail, UpstreamResult::Broken},
+                                          {reject, UpstreamResult::Broken}}) {
+        SessionWorld world(Draft);
+        moveToDestination(world);
+        ASSERT_EQ(world.sends.size(), 2U);
+        failure(world, result);
+        ASSERT_EQ(world.sends.size(), 3U);
+        EXPECT_EQ(world.sends[2].target.id, world.sends[0].target.id);
+        EXPECT_EQ(world.sends[2].memorySource, world.sends[1].memorySource);
+        EXPECT_EQ(world.sends[2].lastEventId, 2);
+        world.session().onHead(SessionWorld::streamHead(), world.now());
+        world.session().onBody(SessionWorld::events(3, 4), world.now());
+        world.session().onEnd(UpstreamResult::Complete, world.now());
+        EXPECT_EQ(world.receivedIds(), idsUpTo(4));
+        EXPECT_EQ(world.finished, 1);
+    }
+}
+
+// Guards against a generation that runs at two engines: a copy that was used cannot be used again.
+TEST(RelaySession, DraftDoesNotReturnOnceTheDestinationHasBegun)
+{
+    SessionWorld world(Draft);
+    moveToDestination(world);
+    world.session().onHead(SessionWorld::streamHead(), world.now());
+    world.session().onEnd(UpstreamResult::Broken, world.now());
+    EXPECT_EQ(world.sends.size(), 2U);
+    EXPECT_EQ(world.cuts, 1);
+}
+
+// Guards against a draft that goes back and forth: the source that has refused is not asked again.
+TEST(RelaySession, DraftReturnsToItsSourceOnce)
+{
+    SessionWorld world(Draft);
+    moveToDestination(world);
+    world.session().onEnd(UpstreamResult::NotSent, world.now());
+    world.session().onEnd(UpstreamResult::NotSent, world.now());
+    EXPECT_EQ(world.sends.size(), 3U);
+    EXPECT_EQ(world.cuts, 1);
+}
+
 // Guards against a move that fails and takes the generation with it, although its engine still runs it.
 TEST(RelaySession, DraftStaysWhenNoCopyCanBeMade)
 {
