--- a/Tests/Platform/RelayWorld.cpp
+++ b/Tests/Platform/RelayWorld.cpp
@@ -3,8 +3,8 @@
 
 #include <absl/strings/str_cat.h>
 #include <fcntl.h>
-#include <nlohmann/json.hpp>
 #include <platform/PlatformDialect.h>
+#include <platform/StandIns/StandInRows.h>
 
 namespace Jujube
 {
@@ -62,18 +62,8 @@
 void RelayWorld::registerServer(const std::string &id, const std::string &state, int64_t born)
 {
     const auto &entry = m_servers.at(id);
-    store->put("servers",
-               id,
-               nlohmann::json {{"service", entry.service},
-                               {"address", entry.address.toText()},
-                               {"zone", entry.dataCentre},
-                               {"version", "v1"},
-                               {"slots", 6},
-                               {"state", state},
-                               {"cold_left_ms", 0},
-                               {"sequence", 1},
-                               {"born", born}}
-                   .dump());
+    const StandInServerRow row {.service = entry.service, .address = entry.address.toText(), .dataCentre = entry.dataCentre, .state = state, .born = born};
+    store->put("servers", id, row.toText());
 }
 
 void RelayWorld::unregisterServer(const std::string &id)
@@ -83,36 +73,7 @@
 
 void RelayWorld::writeDocument(int64_t version, const std::string &key)
 {
-    const auto route = [](const std::string &name, const std::string &type, const std::string &service, int attempts, bool resumable) {
-        return nlohmann::json {{"name", name},
-                               {"host", "shop.example"},
-                               {"prefix", "/" + name + "/"},
-                               {"route_type", type},
-                               {"timeout_ms", 3000},
-                               {"goal_ms", 300},
-                               {"priority", 1},
-                               {"service", service},
-                               {"max_attempts", attempts},
-                               {"public", false},
-                               {"resumable", resumable},
-                               {"home_regions", nlohmann::json::array()}};
-    };
-    const nlohmann::json document {
-        {"version", version},
-        {"routes",
-         {route("draft", "streaming", "engine", 1, false),
-          route("hint", "streaming", "engine", 2, true),
-          route("commit", "non_idempotent", "desk", 1, false),
-          route("status", "idempotent", "desk", 2, false)}},
-        {"services",
-         {{{"name", "engine"},
-           {"health_path", "/healthz"},
-           {"cold_per_s", 0},
-           {"engine", {{"slots", 24}, {"kv_capacity", 30000}, {"kv_bytes", 1000}, {"link_mbps", 47000}, {"moves", true}, {"backups", true}, {"stride", 4}}}},
-          {{"name", "desk"}, {"health_path", "/healthz"}, {"cold_per_s", 0}}}},
-        {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 100000}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}},
-        {"tenants", {{{"name", "workspace-1"}, {"api_keys", {key}}}}}};
-    store->put("op", "config", document.dump());
+    store->put("op", "config", StandInDocument {.version = version, .keys = {key}}.toText());
 }
 
 bool RelayWorld::runUntil(const std::function<bool()> &condition, std::chrono::milliseconds most)
--- /dev/null
+++ b/Tests/Soak/Harness/FaultPlan.cpp
@@ -0,0 +1,109 @@
+#include "FaultPlan.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <array>
+#include <LibCore/AbslView.h>
+#include <random>
+
+namespace Jujube
+{
+
+namespace
+{
+
+struct KindEntry {
+    FaultKind kind;
+    std::string_view name;
+    // How often the kind is drawn, against the others.
+    unsigned weight;
+    // Longest time until the fault is lifted, in milliseconds.
+    unsigned mostMs;
+};
+
+constexpr std::array Kinds {KindEntry {FaultKind::KillRelay, "kill-relay", 3, 1500},
+                            KindEntry {FaultKind::PauseRelay, "pause-relay", 3, 3000},
+                            KindEntry {FaultKind::TerminateRelay, "terminate-relay", 3, 8000},
+                            KindEntry {FaultKind::ReloadRelay, "reload-relay", 1, 1},
+                            KindEntry {FaultKind::CallerLink, "caller-link", 2, 3000},
+                            KindEntry {FaultKind::StoreLink, "store-link", 2, 5000},
+                            KindEntry {FaultKind::TargetLink, "target-link", 2, 3000},
+                            KindEntry {FaultKind::ResetLinks, "reset-links", 1, 1},
+                            KindEntry {FaultKind::Store, "store", 1, 5000},
+                            KindEntry {FaultKind::TargetBehaviour, "target-behaviour", 4, 3000},
+                            KindEntry {FaultKind::CrashTarget, "crash-target", 2, 2000},
+                            KindEntry {FaultKind::DrainTarget, "drain-target", 2, 5000},
+                            KindEntry {FaultKind::ChangeDocument, "change-document", 2, 1},
+                            KindEntry {FaultKind::Evacuate, "evacuate", 1, 6000}};
+
+const KindEntry &entryOf(FaultKind kind)
+{
+    return *std::find_if(Kinds.begin(), Kinds.end(), [&](const auto &entry) { return entry.kind == kind; });
+}
+
+size_t subjectCount(const FaultPlanOptions &options, FaultKind kind)
+{
+    switch (kind) {
+    case FaultKind::TargetLink:
+    case FaultKind::TargetBehaviour:
+    case FaultKind::CrashTarget:
+    case FaultKind::DrainTarget:
+        return options.targets;
+    case FaultKind::Evacuate:
+        return options.dataCentres;
+    default:
+        return options.relays;
+    }
+}
+
+} // namespace
+
+std::string_view nameOf(FaultKind kind)
+{
+    return entryOf(kind).name;
+}
+
+std::string Fault::toText() const
+{
+    return absl::StrCat(at.count(), " ms: ", toAbsl(nameOf(kind)), " subject ", subject, " variant ", variant, " for ", duration.count(), " ms");
+}
+
+std::vector<Fault> makeFaultPlan(const FaultPlanOptions &options)
+{
+    constexpr unsigned MostInSeries = 4;
+    constexpr unsigned Variants = 1U << 16;
+    constexpr unsigned LeastMs = 50;
+    constexpr unsigned MostPauseMs = 1500;
+    constexpr double MillisecondsPerSecond = 1000;
+    std::mt19937_64 random(options.seed);
+    const auto below = [&random](uint64_t bound) { return std::uniform_int_distribution<uint64_t>(0, bound - 1)(random); };
+    unsigned weights = 0;
+    for (const auto &entry : Kinds) {
+        weights += entry.weight;
+    }
+    std::vector<Fault> plan;
+    const auto count = static_cast<size_t>(options.rate * static_cast<double>(options.length.count()) / MillisecondsPerSecond);
+    for (size_t number = 0; number < count; ++number) {
+        auto drawn = below(weights);
+        auto entry = Kinds.begin();
+        while (drawn >= entry->weight) {
+            drawn -= entry->weight;
+            ++entry;
+        }
+        const auto subject = below(subjectCount(options, entry->kind));
+        auto at = std::chrono::milliseconds(below(static_cast<uint64_t>(options.length.count())));
+        // Half of the faults come once, the others in a series.
+        const auto series = below(2) == 0 ? 1 : 1 + below(MostInSeries);
+        for (uint64_t turn = 0; turn < series; ++turn) {
+            const auto duration = std::chrono::milliseconds(std::min<uint64_t>(entry->mostMs, LeastMs + below(entry->mostMs)));
+            if (at + duration < options.length) {
+                plan.push_back({.at = at, .duration = duration, .kind = entry->kind, .subject = subject, .variant = static_cast<unsigned>(below(Variants))});
+            }
+            at += std::chrono::milliseconds(below(MostPauseMs)) + duration / (1 + static_cast<int>(below(2)));
+        }
+    }
+    std::stable_sort(plan.begin(), plan.end(), [](const Fault &a, const Fault &b) { return a.at < b.at; });
+    return plan;
+}
+
+} // namespace Jujube
--- /dev/null
+++ b/Tests/Soak/Harness/FaultPlan.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "LoopbackProxy.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Jujube
+{
+
+enum class FaultKind {
+    // SIGKILL and a restart.
+    KillRelay,
+    // SIGSTOP and SIGCONT.
+    PauseRelay,
+    // SIGTERM, the end of the process, and a restart.
+    TerminateRelay,
+    // A changed settings file, at times with mistakes, and SIGHUP.
+    ReloadRelay,
+    CallerLink,
+    StoreLink,
+    TargetLink,
+    ResetLinks,
+    Store,
+    TargetBehaviour,
+    CrashTarget,
+    DrainTarget,
+    ChangeDocument,
+    Evacuate,
+};
+
+std::string_view nameOf(FaultKind kind);
+
+// Which relays, targets or links a fault strikes, and how.
+struct Fault {
+    std::chrono::milliseconds at {0};
+    std::chrono::milliseconds duration {0};
+    FaultKind kind = FaultKind::KillRelay;
+    // Index of the relay, target or data centre.
+    size_t subject = 0;
+    // Chooses among the forms of the fault.
+    unsigned variant = 0;
+
+    std::string toText() const;
+};
+
+struct FaultPlanOptions {
+    uint64_t seed = 1;
+    size_t relays = 0;
+    size_t targets = 0;
+    size_t dataCentres = 0;
+    // The last fault is lifted before this time.
+    std::chrono::milliseconds length {15000};
+    // Faults for each second, each of them possibly a series.
+    double rate = 1;
+};
+
+// The faults of a run, by time. Faults come in series on the same subject and overlap. The plan depends on the options only.
+std::vector<Fault> makeFaultPlan(const FaultPlanOptions &options);
+
+} // namespace Jujube
--- /dev/null
+++ b/Tests/Soak/Harness/SoakFaults.cpp
@@ -0,0 +1,315 @@
+#include "SoakWorld.h"
+
+#include <absl/strings/str_cat.h>
+#include <LibCore/AbslView.h>
+
+namespace Jujube
+{
+
+namespace
+{
+
+constexpr std::array LinkFaults {LinkFault::Delay, LinkFault::Silence, LinkFault::CutForward, LinkFault::CutBackward, LinkFault::Refuse};
+constexpr std::array StoreFaults {StandInStore::Fault::Silent, StandInStore::Fault::Busy, StandInStore::Fault::Reset};
+constexpr std::array Behaviours {StandInServer::Behaviour::Full,
+                                 StandInServer::Behaviour::Fail,
+                                 StandInServer::Behaviour::LoseAnswer,
+                                 StandInServer::Behaviour::Truncate,
+                                 StandInServer::Behaviour::WrongAnswer,
+                                 StandInServer::Behaviour::Hang};
+
+// Every second variant of a fault takes the rarer of two forms.
+bool isOdd(unsigned variant)
+{
+    return variant % 2 == 1;
+}
+
+} // namespace
+
+void SoakWorld::strike(const Fault &fault, const std::string &name, const std::function<void()> &begin, std::function<void()> end)
+{
+    ++m_active[name];
+    begin();
+    after(fault.duration, [this, name, end = std::move(end)] {
+        if (--m_active[name] == 0) {
+            end();
+        }
+    });
+}
+
+void SoakWorld::apply(const Fault &fault)
+{
+    log(fault.toText());
+    strikeSubject(fault);
+    // Callers may see the fault before the next tick.
+    noteDisturbances(monotonicNow());
+}
+
+void SoakWorld::strikeSubject(const Fault &fault)
+{
+    switch (fault.kind) {
+    case FaultKind::KillRelay:
+    case FaultKind::PauseRelay:
+    case FaultKind::TerminateRelay:
+    case FaultKind::ReloadRelay:
+        strikeRelay(fault, *m_relays[fault.subject]);
+        return;
+    case FaultKind::CallerLink:
+        strikeLink(fault, m_relays[fault.subject]->callerLink, "callers of " + m_relays[fault.subject]->options().name);
+        return;
+    case FaultKind::StoreLink:
+        strikeLink(fault, m_relays[fault.subject]->storeLink, "store of " + m_relays[fault.subject]->options().name);
+        return;
+    case FaultKind::TargetLink:
+        strikeLink(fault, *m_targets[fault.subject]->link, "link of " + m_targets[fault.subject]->id);
+        return;
+    case FaultKind::ResetLinks:
+        resetLinks(fault, *m_relays[fault.subject]);
+        return;
+    case FaultKind::Store:
+        strikeStore(fault);
+        return;
+    case FaultKind::TargetBehaviour:
+    case FaultKind::CrashTarget:
+    case FaultKind::DrainTarget:
+        strikeTarget(fault, *m_targets[fault.subject]);
+        return;
+    case FaultKind::ChangeDocument:
+        changeDocument(fault.variant);
+        return;
+    case FaultKind::Evacuate:
+        evacuate(fault);
+        return;
+    }
+}
+
+void SoakWorld::strikeRelay(const Fault &fault, SoakRelay &relay)
+{
+    const auto now = monotonicNow();
+    switch (fault.kind) {
+    case FaultKind::KillRelay:
+        relay.kill(now, fault.duration);
+        return;
+    case FaultKind::PauseRelay:
+        strike(
+            fault, "pause of " + relay.options().name, [&] { relay.pause(); }, [&relay] { relay.resume(); });
+        return;
+    case FaultKind::TerminateRelay:
+        if (relay.state() == SoakRelay::State::Running) {
+            relay.terminate(now);
+            after(SoakBounds::NotReadyAfterTerm, [this, &relay] { checkNotReadyAfterTerm(relay); });
+        }
+        return;
+    default:
+        relay.reload(fault.variant, !isOdd(fault.variant / 4));
+        return;
+    }
+}
+
+void SoakWorld::checkNotReadyAfterTerm(SoakRelay &relay)
+{
+    if (relay.state() != SoakRelay::State::Ending || monotonicNow() < relay.stoppedAt() + SoakBounds::NotReadyAfterTerm) {
+        return;
+    }
+    m_client.call(relay.ready, {.target = "/-/readyz"}, [this, &relay](const LoopAnswer &answer) {
+        if (answer.isSuccess() && relay.state() == SoakRelay::State::Ending) {
+            m_ledger.reportTimed("drain", relay.options().name + " is ready although it ends");
+        }
+    });
+}
+
+void SoakWorld::strikeLink(const Fault &fault, LoopbackProxy &link, const std::string &name)
+{
+    const auto form = LinkFaults[fault.variant % LinkFaults.size()];
+    // What a cut held up is delivered or lost at its end.
+    const bool resets = isOdd(fault.variant / LinkFaults.size());
+    strike(
+        fault,
+        name,
+        [&] { link.setFault(form); },
+        [&link, resets] {
+            link.setFault(LinkFault::None);
+            if (resets) {
+                link.resetAll();
+            }
+        });
+}
+
+void SoakWorld::resetLinks(const Fault &fault, SoakRelay &relay)
+{
+    const auto &name = relay.options().name;
+    if (isOdd(fault.variant)) {
+        m_ledger.disturb(name, monotonicNow());
+        relay.callerLink.resetAll();
+        relay.storeLink.resetAll();
+        return;
+    }
+    auto &target = *m_targets[fault.variant / 2 % m_targets.size()];
+    m_ledger.disturbTarget(target.id, monotonicNow());
+    target.link->resetAll();
+}
+
+void SoakWorld::strikeStore(const Fault &fault)
+{
+    if (fault.variant % 4 == 0) {
+        m_store->forgetHistory();
+        return;
+    }
+    strike(
+        fault, "store", [&] { m_store->setFault(StoreFaults[fault.variant % StoreFaults.size()]); }, [this] { m_store->setFault(StandInStore::Fault::None); });
+}
+
+void SoakWorld::strikeTarget(const Fault &fault, Target &target)
+{
+    const auto end = "end of " + target.id;
+    if (target.isDown || m_active[end] > 0) {
+        return;
+    }
+    if (fault.kind == FaultKind::DrainTarget) {
+        drainTarget(fault, target);
+        return;
+    }
+    if (fault.kind == FaultKind::TargetBehaviour) {
+        strike(
+            fault,
+            "behaviour of " + target.id,
+            [&] { target.server->setBehaviour(Behaviours[fault.variant % Behaviours.size()]); },
+            [&target] {
+                if (target.server) {
+                    target.server->setBehaviour(StandInServer::Behaviour::Answer);
+                }
+            });
+        return;
+    }
+    // The entry of a crashed target goes after a while, or the target is back before. It keeps its id at times.
+    const bool keepsId = isOdd(fault.variant);
+    const bool keepsEntry = isOdd(fault.variant / 2);
+    crashTarget(target);
+    if (!keepsEntry) {
+        after(fault.duration / 2, [this, id = target.id] { m_store->remove("servers", id); });
+    }
+    after(fault.duration, [this, &target, keepsId] {
+        ++target.born;
+        if (!keepsId) {
+            m_store->remove("servers", target.id);
+            target.id += "x";
+        }
+        startTarget(target);
+    });
+}
+
+void SoakWorld::drainTarget(const Fault &fault, Target &target)
+{
+    // Some targets never say that they leave: their entry goes, and they serve on for a while.
+    const bool isSilent = isOdd(fault.variant);
+    const auto name = "end of " + target.id;
+    ++m_active[name];
+    if (isSilent) {
+        m_store->remove("servers", target.id);
+    } else {
+        target.server->setLeaving();
+        registerTarget(target, "draining");
+    }
+    if (m_active["store"] == 0) {
+        m_ledger.forbidTarget(target.id, "drain", monotonicNow() + SoakBounds::Drain);
+    }
+    after(SoakBounds::Drain + fault.duration, [this, &target, name] {
+        --m_active[name];
+        m_store->remove("servers", target.id);
+        crashTarget(target);
+        ++target.born;
+        target.id += "x";
+        startTarget(target);
+    });
+}
+
+void SoakWorld::evacuate(const Fault &fault)
+{
+    const std::string dataCentre = m_targets[fault.subject]->dataCentre;
+    const auto row = "evacuate/" + dataCentre;
+    const auto begin = [&] {
+        const auto now = monotonicNow();
+        m_store->put("op", row, "{}");
+        m_evacuatedSince.try_emplace(dataCentre, now);
+        for (const auto &target : m_targets) {
+            if (target->dataCentre == dataCentre && m_active["store"] == 0) {
+                m_ledger.forbidTarget(target->id, "evacuation", now + SoakBounds::Evacuation);
+            }
+        }
+    };
+    strike(fault, row, begin, [this, dataCentre, row] {
+        m_store->remove("op", row);
+        m_evacuatedSince.erase(dataCentre);
+        for (const auto &target : m_targets) {
+            m_ledger.allowTarget(target->id, "evacuation");
+        }
+        for (const auto &[other, since] : m_evacuatedSince) {
+            for (const auto &target : m_targets) {
+                if (target->dataCentre == other) {
+                    m_ledger.forbidTarget(target->id, "evacuation", since + SoakBounds::Evacuation);
+                }
+            }
+        }
+    });
+}
+
+void SoakWorld::changeDocument(unsigned variant)
+{
+    constexpr unsigned MostStep = 5;
+    m_document.version += 1 + variant % MostStep;
+    const bool removes = isOdd(variant / MostStep) && !m_document.addedRoutes.empty();
+    std::string route;
+    if (removes) {
+        route = m_document.addedRoutes.front();
+        m_document.addedRoutes.erase(m_document.addedRoutes.begin());
+    } else {
+        route = absl::StrCat("added-", m_document.version);
+        m_document.addedRoutes.push_back(route);
+    }
+    m_store->put("op", "config", m_document.toText());
+    if (m_active["store"] == 0) {
+        after(SoakBounds::Document, [this, version = m_document.version, route, isThere = !removes] { probeDocument(version, route, isThere); });
+    }
+}
+
+void SoakWorld::probeDocument(int64_t version, const std::string &route, bool isThere)
+{
+    const auto now = monotonicNow();
+    for (const auto &relay : m_relays) {
+        if (version == m_document.version && m_ledger.isInTouch(relay->options().name, now) && relay->state() == SoakRelay::State::Running) {
+            probe(*relay, route, isThere);
+        }
+    }
+}
+
+void SoakWorld::probe(SoakRelay &relay, const std::string &route, bool isThere)
+{
+    constexpr int StatusNotFound = 404;
+    const auto id = absl::StrCat("probe-", ++m_probes);
+    const SoakLedger::Sent sent {.relay = relay.options().name,
+                                 .kind = SoakKind::Repeatable,
+                                 .method = "GET",
+                                 .target = absl::StrCat("/", route, "/x"),
+                                 .proper = isThere,
+                                 .deadline = std::chrono::milliseconds(3000)};
+    MessageHead head {.method = sent.method, .target = sent.target};
+    head.set("Host", "shop.example");
+    head.set("X-Attempt-Id", id);
+    head.set("X-Deadline-Ms", "3000");
+    head.set("X-Own", "kept");
+    head.set("Authorization", "Bearer key-1");
+    m_ledger.onSent(monotonicNow(), id, sent);
+    const auto channel = std::make_shared<TargetChannel>(m_loop, relay.callers);
+    const auto onHead = [this, name = sent.relay, isThere, route](const MessageHead &answer, const std::optional<uint64_t> &) {
+        if ((answer.status == StatusNotFound) == isThere && m_ledger.isInTouch(name, monotonicNow())) {
+            m_ledger.reportTimed("document", absl::StrCat(name, " answers ", answer.status, " on the route ", route, isThere ? ", added" : ", removed"));
+        }
+        return true;
+    };
+    channel->exchange(requestText(head),
+                      false,
+                      std::chrono::seconds(1),
+                      {.onHead = onHead, .onBody = [](std::string_view) {}, .onEnd = [channel](ChannelEnd, const std::string &) {}});
+}
+
+} // namespace Jujube
--- /dev/null
+++ b/Tests/Soak/Harness/SoakLedger.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibLoop/MessageHead.h>
+#include <map>
+#include <optional>
+#include <platform/StandIns/StandInServer.h>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Jujube
+{
+
+// Bounds that the users state for their deployments, all for nodes that are in touch.
+namespace SoakBounds
+{
+constexpr std::chrono::milliseconds Contact {3000};
+constexpr std::chrono::milliseconds Drain {2500};
+constexpr std::chrono::milliseconds Document {2500};
+constexpr std::chrono::milliseconds Evacuation {5000};
+constexpr std::chrono::milliseconds AfterLeaving {500};
+constexpr std::chrono::milliseconds AfterTimeout {500};
+constexpr std::chrono::milliseconds NotReadyAfterTerm {4000};
+constexpr std::chrono::milliseconds Recovery {12000};
+// Retries of a service in a window, beside a fifth of its requests.
+constexpr std::chrono::milliseconds RetryWindow {10000};
+constexpr double RetryRatio = 0.2;
+// Requests that may still reach a target after their caller has left.
+constexpr size_t FewRequests = 3;
+} // namespace SoakBounds
+
+enum class SoakKind {
+    OneTime,
+    Repeatable,
+    Generation,
+    ResumableGeneration,
+};
+
+constexpr bool isGeneration(SoakKind kind)
+{
+    return kind == SoakKind::Generation || kind == SoakKind::ResumableGeneration;
+}
+
+// The body of a plain target's answer to a request, and of a complete generation.
+std::string soakBody(const std::string &id);
+std::string soakEvents(int events);
+
+// What callers, targets and the store saw of the relays during a run, and which promises that breaks. Knows nothing of how the relays work.
+class SoakLedger
+{
+public:
+    struct Options {
+        // Events of each complete generation.
+        int events = 0;
+        double retrySlack = 0;
+        // Whether promises with a time bound are checked. They hold only while the machine keeps up.
+        bool timed = true;
+    };
+
+    struct Sent {
+        std::string relay;
+        SoakKind kind = SoakKind::OneTime;
+        std::string method;
+        std::string target;
+        // Whether every document of the run allows the request.
+        bool proper = true;
+        std::chrono::milliseconds deadline {0};
+    };
+
+    struct Answer {
+        // Zero if no whole head arrived.
+        int status = 0;
+        std::string echoedId;
+        std::string seal;
+        std::string body;
+        bool complete = false;
+    };
+
+    explicit SoakLedger(Options options);
+
+    // A disturbance of a node, its links or the store. A node is in touch again some time after its end.
+    void disturb(const std::string &relay, MonotonicTime until);
+    // A graceful shutdown, which must not cut any request.
+    void disturbAsPlanned(const std::string &relay, MonotonicTime until);
+    // The same for a target and its link.
+    void disturbTarget(const std::string &target, MonotonicTime until);
+    bool isInTouch(const std::string &relay, MonotonicTime now) const;
+
+    void onSent(MonotonicTime now, const std::string &id, Sent sent);
+    void onArrival(MonotonicTime now, const std::string &target, const std::string &service, const MessageHead &head, StandInServer::Arrival arrival);
+    void onAnswer(MonotonicTime now, const std::string &id, const Answer &answer);
+    // The caller has closed its connection before the end.
+    void onLeft(MonotonicTime now, const std::string &id);
+    // Checks some time after a caller left that no target works on its request.
+    void onStillRunning(MonotonicTime now, const std::string &id, const std::string &target);
+
+    // From a time on, until it is allowed again, requests that reach a target break a promise.
+    void forbidTarget(const std::string &target, const std::string &promise, MonotonicTime from);
+    void allowTarget(const std::string &target, const std::string &promise);
+
+    void report(const std::string &promise, const std::string &detail);
+    // For a promise with a bound in time.
+    void reportTimed(const std::string &promise, const std::string &detail);
+    // Checks over the whole run.
+    void finish();
+
+    const std::vector<std::string> &violations() const
+    {
+        return m_violations;
+    }
+    size_t sentCount() const
+    {
+        return m_requests.size();
+    }
+    // Requests that were answered with success, sent in a span of time.
+    std::pair<size_t, size_t> servedBetween(MonotonicTime from, MonotonicTime to) const;
+    // How many requests ended with each status.
+    const std::map<int, size_t> &statuses() const
+    {
+        return m_statuses;
+    }
+
+private:
+    struct Request {
+        Sent sent;
+        MonotonicTime sentAt;
+        size_t runs = 0;
+        size_t arrivals = 0;
+        std::string lastTarget;
+        std::optional<MonotonicTime> leftAt;
+        std::optional<int> answered;
+        bool served = false;
+    };
+
+    bool wasDisturbed(const std::map<std::string, MonotonicTime> &until, const std::string &name, MonotonicTime now) const;
+    // A request that was passed on and whose channel ended without its whole answer, for no reason outside the relay.
+    void checkLost(MonotonicTime now, const std::string &id, const Request &request, const Answer &answer);
+    void checkSuccess(const std::string &id, const Request &request, const Answer &answer);
+    void checkForwarded(MonotonicTime now, const std::string &id, const Request &request, const std::string &target, const MessageHead &head);
+    void checkForbidden(MonotonicTime now, const std::string &id, const Request &request, const std::string &target);
+    void checkRetries();
+
+    const Options m_options;
+    std::map<std::string, Request> m_requests;
+    std::map<std::string, MonotonicTime> m_disturbedUntil;
+    // Without planned shutdowns.
+    std::map<std::string, MonotonicTime> m_unplannedUntil;
+    std::map<std::string, MonotonicTime> m_targetDisturbedUntil;
+    // By target and promise.
+    std::map<std::pair<std::string, std::string>, MonotonicTime> m_forbiddenFrom;
+    // By service, in the order of time.
+    std::map<std::string, std::vector<MonotonicTime>> m_offered;
+    std::map<std::string, std::vector<MonotonicTime>> m_retried;
+    std::map<int, size_t> m_statuses;
+    std::vector<std::string> m_passedAfterLeaving;
+    std::vector<std::string> m_violations;
+};
+
+} // namespace Jujube
--- /dev/null
+++ b/Tests/Soak/Harness/SoakRelay.cpp
@@ -0,0 +1,140 @@
+#include "SoakRelay.h"
+
+#include "../../Support/LoopbackEndpoint.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <csignal>
+#include <fstream>
+
+namespace Jujube
+{
+
+namespace
+{
+
+constexpr std::chrono::seconds Grace {8};
+// Time until a process handles signals.
+constexpr std::chrono::milliseconds StartTime {500};
+// Pause before a process that ended is started again.
+constexpr std::chrono::milliseconds RestartPause {300};
+
+} // namespace
+
+SoakRelay::SoakRelay(boost::asio::io_context &loop, Options options)
+    : callers(ownLoopbackEndpoint())
+    , ready(ownLoopbackEndpoint())
+    , directory(ownLoopbackEndpoint())
+    , peers(ownLoopbackEndpoint())
+    , callerLink(loop, ownLoopbackEndpoint(), callers)
+    , storeLink(loop, ownLoopbackEndpoint(), options.store)
+    , m_options(std::move(options))
+    , m_metrics(ownLoopbackEndpoint())
+{
+    writeSettings({});
+}
+
+void SoakRelay::writeSettings(const std::string &further) const
+{
+    std::ofstream file(absl::StrCat(m_options.directory, "/", m_options.name, ".settings"), std::ios::trunc);
+    file << "JUJUBE_NODE=" << m_options.name << "\nJUJUBE_DATA_CENTRE=" << m_options.dataCentre << "\nJUJUBE_REGION=" << m_options.region
+         << "\nJUJUBE_REGIONS=" << m_options.regions << "\nJUJUBE_LISTEN=" << callers.toText() << "\nJUJUBE_READY_LISTEN=" << ready.toText()
+         << "\nJUJUBE_DIRECTORY_LISTEN=" << directory.toText() << "\nJUJUBE_PEER_LISTEN=" << peers.toText() << "\nJUJUBE_METRICS_LISTEN=" << m_metrics.toText()
+         << "\nJUJUBE_STORE=" << storeLink.address().toText() << "\nJUJUBE_SEEDS=" << absl::StrJoin(m_options.seeds, ",")
+         << "\nJUJUBE_GRACE_S=" << Grace.count() << "\nJUJUBE_RETRY_SLACK=" << m_options.retrySlack << "\n"
+         << further;
+}
+
+void SoakRelay::start()
+{
+    // Faults of the settings end with the process.
+    writeSettings({});
+    m_process
+        = std::make_unique<ChildProcess>("jujube-relay",
+                                         std::vector<std::string> {"--settings-file", absl::StrCat(m_options.directory, "/", m_options.name, ".settings")},
+                                         absl::StrCat(m_options.directory, "/", m_options.name, ".log"));
+    m_state = State::Running;
+    m_startedAt = monotonicNow();
+}
+
+void SoakRelay::kill(MonotonicTime now, std::chrono::milliseconds downtime)
+{
+    if (m_process) {
+        m_process->kill();
+        m_process.reset();
+    }
+    m_state = State::Down;
+    m_stoppedAt = now;
+    m_restartAt = now + downtime;
+}
+
+void SoakRelay::terminate(MonotonicTime now)
+{
+    if (m_state == State::Running) {
+        m_process->signal(SIGTERM);
+        m_state = State::Ending;
+        m_stoppedAt = now;
+    }
+}
+
+void SoakRelay::pause()
+{
+    if (m_state == State::Running) {
+        m_process->signal(SIGSTOP);
+        m_state = State::Paused;
+    }
+}
+
+void SoakRelay::resume()
+{
+    if (m_state == State::Paused) {
+        m_process->signal(SIGCONT);
+        m_state = State::Running;
+    }
+}
+
+void SoakRelay::reload(unsigned variant, bool withSignal)
+{
+    constexpr unsigned Forms = 4;
+    switch (variant % Forms) {
+    case 0:
+        writeSettings("JUJUBE_DIRECTORY_LIFETIME_MS=1500\n");
+        break;
+    case 1:
+        writeSettings("JUJUBE_GRACE_S=never\nJUJUBE_UNKNOWN=1\n");
+        break;
+    case 2:
+        writeSettings("not a setting\n");
+        break;
+    default:
+        writeSettings({});
+    }
+    if (withSignal && m_state == State::Running) {
+        m_process->signal(SIGHUP);
+    }
+}
+
+std::string SoakRelay::follow(MonotonicTime now)
+{
+    if (m_state == State::Down) {
+        if (now >= m_restartAt) {
+            start();
+        }
+        return {};
+    }
+    if (m_state == State::Ending && now > m_stoppedAt + Grace) {
+        kill(now, RestartPause);
+        return {};
+    }
+    const auto code = m_process->poll();
+    if (!code) {
+        return {};
+    }
+    // A process that was asked to end before it could handle signals ends by the signal.
+    const bool wasStarting = m_stoppedAt - m_startedAt < StartTime;
+    const bool asked = m_state == State::Ending && (*code == 0 || (wasStarting && *code == -SIGTERM));
+    kill(now, RestartPause);
+    return asked ? std::string() : absl::StrCat(m_options.name, " ended by itself with code ", *code);
+}
+
+} // namespace Jujube
--- /dev/null
+++ b/Tests/Soak/Harness/SoakWorld.cpp
@@ -0,0 +1,333 @@
+#include "SoakWorld.h"
+
+#include "../../Support/LoopbackEndpoint.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <LibCore/AbslView.h>
+
+namespace Jujube
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds TickInterval {20};
+constexpr std::chrono::milliseconds ReadyTimeout {20000};
+// Without promises in time, the relays only have to get ready some time after the faults.
+constexpr std::chrono::milliseconds ShortRecovery {3000};
+// Requests of this time after the faults show whether the relays serve again.
+constexpr std::chrono::milliseconds RecoveredTime {3000};
+constexpr double LeastServedAfterRecovery = 0.25;
+// Time until the last requests have ended.
+constexpr std::chrono::milliseconds LastRequests {7000};
+constexpr double RetrySlack = 50;
+constexpr int EventsOfGeneration = 30;
+
+struct Place {
+    const char *dataCentre;
+    const char *region;
+};
+
+constexpr std::array Places {Place {"lahore-a", "lahore"}, Place {"karachi-a", "karachi"}, Place {"islamabad-a", "islamabad"}};
+
+} // namespace
+
+SoakWorld::SoakWorld(SoakOptions options)
+    : m_options(std::move(options))
+    , m_startedAt(monotonicNow())
+    , m_log(m_options.directory + "/faults.log")
+    , m_ledger({.events = EventsOfGeneration, .retrySlack = RetrySlack, .timed = m_options.timed})
+    , m_storeAddress(ownLoopbackEndpoint())
+    , m_store(std::make_unique<StandInStore>(m_loop, m_storeAddress))
+    , m_client(m_loop)
+    , m_tick(m_loop)
+{
+}
+
+SoakWorld::~SoakWorld()
+{
+    m_loop.stop();
+}
+
+SoakResult SoakWorld::run()
+{
+    m_store->put("op", "config", m_document.toText());
+    startTargets();
+    startRelays();
+    m_nextTick = monotonicNow() + TickInterval;
+    tick();
+    waitReady();
+    startCallers();
+    constexpr std::chrono::milliseconds CalmStart {3000};
+    runFor(CalmStart);
+    const auto plan = makeFaultPlan({.seed = m_options.seed,
+                                     .relays = m_relays.size(),
+                                     .targets = m_targets.size(),
+                                     .dataCentres = Places.size(),
+                                     .length = m_options.length,
+                                     .rate = m_options.faultRate});
+    for (const auto &fault : plan) {
+        after(fault.at, [this, fault] { apply(fault); });
+    }
+    runFor(m_options.length);
+    runFor(m_options.timed ? SoakBounds::Recovery : ShortRecovery);
+    waitReady();
+    const auto recoveredAt = monotonicNow();
+    runFor(RecoveredTime);
+    for (const auto &caller : m_callers) {
+        caller->stop();
+    }
+    const auto sentUntil = monotonicNow();
+    runFor(LastRequests);
+    const auto [served, owed] = m_ledger.servedBetween(recoveredAt, sentUntil);
+    if (static_cast<double>(served) < LeastServedAfterRecovery * static_cast<double>(owed)) {
+        m_ledger.report("recover", absl::StrCat(served, " of ", owed, " requests served after the last fault"));
+    }
+    m_ledger.finish();
+    logViolations();
+    return {.violations = m_ledger.violations(),
+            .requests = m_ledger.sentCount(),
+            .served = served,
+            .owed = owed,
+            .statuses = m_ledger.statuses(),
+            .worstLateness = m_worstLateness};
+}
+
+void SoakWorld::startTargets()
+{
+    for (const auto *service : {"desk", "engine"}) {
+        for (size_t number = 0; number < m_options.targets; ++number) {
+            auto target = std::make_unique<Target>();
+            target->id = absl::StrCat("i-", service, "-", number);
+            target->service = service;
+            target->dataCentre = Places[number % Places.size()].dataCentre;
+            target->address = ownLoopbackEndpoint();
+            target->link = std::make_unique<LoopbackProxy>(m_loop, ownLoopbackEndpoint(), target->address);
+            startTarget(*target);
+            m_targets.push_back(std::move(target));
+        }
+    }
+}
+
+void SoakWorld::startTarget(Target &target)
+{
+    const bool isEngine = target.service == "engine";
+    StandInServer::Options options {.id = target.id,
+                                    .address = target.address,
+                                    .events = isEngine ? EventsOfGeneration : 0,
+                                    .eventPause = std::chrono::milliseconds(20),
+                                    .work = std::chrono::milliseconds(60),
+                                    .body = isEngine ? [](const std::string &) { return soakEvents(EventsOfGeneration); } : soakBody,
+                                    .canCopyTo = [this](const std::string &to) { return takesCopies(to); },
+                                    .onArrival =
+                                        [this, id = target.id, service = target.service](const MessageHead &head, StandInServer::Arrival arrival) {
+                                            m_ledger.onArrival(monotonicNow(), id, service, head, arrival);
+                                        }};
+    target.server = std::make_unique<StandInServer>(m_loop, std::move(options));
+    target.isDown = false;
+    if (const auto evacuated = m_evacuatedSince.find(target.dataCentre); evacuated != m_evacuatedSince.end()) {
+        m_ledger.forbidTarget(target.id, "evacuation", evacuated->second + SoakBounds::Evacuation);
+    }
+    registerTarget(target, "ready");
+}
+
+bool SoakWorld::takesCopies(const std::string &address) const
+{
+    return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto &target) { return target->link->address().toText() == address && !target->isDown; });
+}
+
+void SoakWorld::registerTarget(const Target &target, const std::string &state)
+{
+    const StandInServerRow row {
+        .service = target.service, .address = target.link->address().toText(), .dataCentre = target.dataCentre, .state = state, .born = target.born};
+    m_store->put("servers", target.id, row.toText());
+}
+
+void SoakWorld::crashTarget(Target &target)
+{
+    m_ledger.disturbTarget(target.id, monotonicNow());
+    target.server->crash();
+    target.isDown = true;
+    m_crashed.push_back(std::move(target.server));
+}
+
+void SoakWorld::startRelays()
+{
+    std::vector<std::string> regions;
+    for (const auto &place : Places) {
+        regions.push_back(absl::StrCat(place.dataCentre, ":", place.region));
+    }
+    std::vector<std::string> seeds;
+    constexpr size_t MostSeeds = 3;
+    for (size_t number = 0; number < m_options.relays; ++number) {
+        const auto &place = Places[number % Places.size()];
+        m_relays.push_back(std::make_unique<SoakRelay>(m_loop,
+                                                       SoakRelay::Options {.name = absl::StrCat("n", number),
+                                                                           .dataCentre = place.dataCentre,
+                                                                           .region = place.region,
+                                                                           .regions = absl::StrJoin(regions, ","),
+                                                                           .store = m_storeAddress,
+                                                                           .seeds = seeds,
+                                                                           .directory = m_options.directory,
+                                                                           .retrySlack = RetrySlack}));
+        if (seeds.size() < MostSeeds) {
+            seeds.push_back(m_relays.back()->peers.toText());
+        }
+        m_relays.back()->start();
+    }
+}
+
+void SoakWorld::startCallers()
+{
+    for (size_t number = 0; number < m_options.callers; ++number) {
+        const auto &place = Places[number % Places.size()];
+        SoakCaller::Options options {.name = absl::StrCat("c", number),
+                                     .region = place.region,
+                                     .dataCentre = place.dataCentre,
+                                     .keepsAddresses = number % 2 == 0,
+                                     .seed = m_options.seed * m_options.callers + number};
+        SoakCaller::Hooks hooks {.directories = [this, dataCentre = std::string(place.dataCentre)] { return directoriesFor(dataCentre); },
+                                 .relayAt = [this](const std::string &address) { return relayAt(address); },
+                                 .onDirectory
+                                 = [this](const std::string &relay, const std::vector<std::string> &addresses) { checkDirectory(relay, addresses); },
+                                 .onLeft = [this](const std::string &id) { after(SoakBounds::AfterLeaving, [this, id] { checkStopsAfterLeaving(id); }); }};
+        m_callers.push_back(std::make_unique<SoakCaller>(m_loop, m_ledger, std::move(options), std::move(hooks)));
+        m_callers.back()->start();
+    }
+}
+
+std::vector<std::pair<std::string, Endpoint>> SoakWorld::directoriesFor(const std::string &dataCentre)
+{
+    std::vector<std::pair<std::string, Endpoint>> near;
+    std::vector<std::pair<std::string, Endpoint>> far;
+    for (const auto &relay : m_relays) {
+        auto &list = relay->options().dataCentre == dataCentre ? near : far;
+        list.emplace_back(relay->options().name, relay->directory);
+    }
+    // Each call begins at another one, so that a directory that is down is not asked for ever.
+    std::rotate(near.begin(), near.begin() + static_cast<ptrdiff_t>(static_cast<size_t>(m_probes++) % near.size()), near.end());
+    near.insert(near.end(), far.begin(), far.end());
+    return near;
+}
+
+std::optional<SoakCaller::Relay> SoakWorld::relayAt(const std::string &address) const
+{
+    for (const auto &relay : m_relays) {
+        if (relay->callers.toText() == address) {
+            return SoakCaller::Relay {.name = relay->options().name, .link = relay->callerLink.address()};
+        }
+    }
+    return std::nullopt;
+}
+
+void SoakWorld::checkDirectory(const std::string &name, const std::vector<std::string> &addresses)
+{
+    constexpr auto Unlisted = SoakBounds::Contact + std::chrono::milliseconds(3000);
+    const auto now = monotonicNow();
+    for (const auto &relay : m_relays) {
+        const bool isListed = std::find(addresses.begin(), addresses.end(), relay->callers.toText()) != addresses.end();
+        if (isListed && relay->state() == SoakRelay::State::Down && now > relay->stoppedAt() + Unlisted && m_ledger.isInTouch(name, now)) {
+            m_ledger.reportTimed("directory", absl::StrCat(name, " lists ", relay->options().name, ", which is down"));
+        }
+    }
+}
+
+void SoakWorld::checkStopsAfterLeaving(const std::string &id)
+{
+    for (const auto &target : m_targets) {
+        if (target->server && target->server->isRunning(id)) {
+            m_ledger.onStillRunning(monotonicNow(), id, target->id);
+        }
+    }
+}
+
+void SoakWorld::after(std::chrono::milliseconds time, std::function<void()> action)
+{
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, time);
+    timer->async_wait([timer, action = std::move(action)](const LoopError &error) {
+        if (!error) {
+            action();
+        }
+    });
+}
+
+void SoakWorld::tick()
+{
+    const auto now = monotonicNow();
+    m_worstLateness = std::max(m_worstLateness, std::chrono::duration_cast<std::chrono::milliseconds>(now - m_nextTick));
+    m_nextTick = now + TickInterval;
+    noteDisturbances(now);
+    for (const auto &relay : m_relays) {
+        if (const auto mistake = relay->follow(now); !mistake.empty()) {
+            m_ledger.report("fault", mistake);
+        }
+    }
+    logViolations();
+    m_client.expire(now);
+    m_tick.expires_at(m_nextTick);
+    m_tick.async_wait([this](const LoopError &error) {
+        if (!error) {
+            tick();
+        }
+    });
+}
+
+void SoakWorld::noteDisturbances(MonotonicTime now)
+{
+    const bool storeIsDisturbed = m_active["store"] > 0;
+    for (const auto &relay : m_relays) {
+        const auto &name = relay->options().name;
+        const bool linksAreHarmed = m_active["callers of " + name] > 0 || m_active["store of " + name] > 0;
+        const bool isPlanned = relay->state() == SoakRelay::State::Ending;
+        const bool isCut = relay->state() == SoakRelay::State::Paused || relay->state() == SoakRelay::State::Down;
+        if (storeIsDisturbed || linksAreHarmed || isCut) {
+            m_ledger.disturb(name, now);
+        } else if (isPlanned) {
+            m_ledger.disturbAsPlanned(name, now);
+        }
+    }
+    for (const auto &target : m_targets) {
+        if (target->isDown || m_active["link of " + target->id] > 0 || m_active["behaviour of " + target->id] > 0) {
+            m_ledger.disturbTarget(target->id, now);
+        }
+    }
+}
+
+void SoakWorld::runFor(std::chrono::milliseconds time)
+{
+    m_loop.restart();
+    m_loop.run_for(time);
+}
+
+void SoakWorld::waitReady()
+{
+    const auto end = monotonicNow() + ReadyTimeout;
+    for (const auto &relay : m_relays) {
+        const auto isReady = std::make_shared<bool>(false);
+        while (!*isReady && monotonicNow() < end) {
+            constexpr std::chrono::milliseconds AskAgain {50};
+            m_client.call(relay->ready, {.target = "/-/readyz"}, [isReady](const LoopAnswer &answer) { *isReady = *isReady || answer.isSuccess(); });
+            runFor(AskAgain);
+        }
+        if (!*isReady) {
+            m_ledger.report("recover", absl::StrCat(relay->options().name, " does not get ready"));
+        }
+    }
+}
+
+void SoakWorld::logViolations()
+{
+    const auto &violations = m_ledger.violations();
+    for (; m_loggedViolations < violations.size(); ++m_loggedViolations) {
+        log(violations[m_loggedViolations]);
+    }
+}
+
+void SoakWorld::log(const std::string &text)
+{
+    const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - m_startedAt).count();
+    m_log << time << " ms: " << text << std::endl;
+}
+
+} // namespace Jujube
--- /dev/null
+++ b/Tests/Soak/Harness/SoakWorld.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "FaultPlan.h"
+#include "SoakCaller.h"
+#include "SoakRelay.h"
+
+#include <fstream>
+#include <platform/StandIns/StandInRows.h>
+#include <platform/StandIns/StandInStore.h>
+
+namespace Jujube
+{
+
+struct SoakOptions {
+    uint64_t seed = 1;
+    size_t relays = 12;
+    size_t callers = 30;
+    // Targets of each of the two services.
+    size_t targets = 4;
+    // Time with faults.
+    std::chrono::milliseconds length {15000};
+    double faultRate = 1;
+    // Whether promises with a time bound are checked, and a full recovery is awaited.
+    bool timed = true;
+    // Settings and logs of the relays and the log of faults are written here.
+    std::string directory;
+};
+
+struct SoakResult {
+    std::vector<std::string> violations;
+    size_t requests = 0;
+    // Of the requests after the last fault.
+    size_t served = 0;
+    size_t owed = 0;
+    std::map<int, size_t> statuses;
+    // How far behind the soak's own loop was, at most.
+    std::chrono::milliseconds worstLateness {0};
+};
+
+// Runs relays as processes, with a store, targets and callers in this process and proxies between them, and plays a plan of faults.
+class SoakWorld
+{
+public:
+    explicit SoakWorld(SoakOptions options);
+    ~SoakWorld();
+
+    SoakResult run();
+
+private:
+    struct Target {
+        std::string id;
+        std::string service;
+        std::string dataCentre;
+        Endpoint address;
+        std::unique_ptr<LoopbackProxy> link;
+        std::unique_ptr<StandInServer> server;
+        int64_t born = 1;
+        bool isDown = false;
+    };
+    // Faults of one kind on one subject that have not been lifted.
+    using ActiveFaults = std::map<std::string, int>;
+
+    void startTargets();
+    void startTarget(Target &target);
+    void registerTarget(const Target &target, const std::string &state);
+    void crashTarget(Target &target);
+    bool takesCopies(const std::string &address) const;
+    void startRelays();
+    void startCallers();
+    std::vector<std::pair<std::string, Endpoint>> directoriesFor(const std::string &dataCentre);
+    std::optional<SoakCaller::Relay> relayAt(const std::string &address) const;
+    void checkDirectory(const std::string &relay, const std::vector<std::string> &addresses);
+    void checkStopsAfterLeaving(const std::string &id);
+
+    void after(std::chrono::milliseconds time, std::function<void()> action);
+    // Begins a fault, and ends it once no fault of the same name is active any more.
+    void strike(const Fault &fault, const std::string &name, const std::function<void()> &begin, std::function<void()> end);
+    void apply(const Fault &fault);
+    void strikeSubject(const Fault &fault);
+    void strikeRelay(const Fault &fault, SoakRelay &relay);
+    void strikeTarget(const Fault &fault, Target &target);
+    void strikeLink(const Fault &fault, LoopbackProxy &link, const std::string &name);
+    void strikeStore(const Fault &fault);
+    void resetLinks(const Fault &fault, SoakRelay &relay);
+    void drainTarget(const Fault &fault, Target &target);
+    void evacuate(const Fault &fault);
+    void changeDocument(unsigned variant);
+    void probeDocument(int64_t version, const std::string &route, bool isThere);
+    void probe(SoakRelay &relay, const std::string &route, bool isThere);
+    void checkNotReadyAfterTerm(SoakRelay &relay);
+
+    void tick();
+    void noteDisturbances(MonotonicTime now);
+    void runFor(std::chrono::milliseconds time);
+    // Waits until every relay says that it is ready.
+    void waitReady();
+    void log(const std::string &text);
+    void logViolations();
+
+    const SoakOptions m_options;
+    boost::asio::io_context m_loop;
+    MonotonicTime m_startedAt;
+    std::ofstream m_log;
+    SoakLedger m_ledger;
+    Endpoint m_storeAddress;
+    std::unique_ptr<StandInStore> m_store;
+    std::vector<std::unique_ptr<Target>> m_targets;
+    // Targets that crashed; their timers may still run.
+    std::vector<std::unique_ptr<StandInServer>> m_crashed;
+    std::vector<std::unique_ptr<SoakRelay>> m_relays;
+    std::vector<std::unique_ptr<SoakCaller>> m_callers;
+    LoopClient m_client;
+    ActiveFaults m_active;
+    StandInDocument m_document {.version = 1, .keys = {"key-1"}};
+    int m_probes = 0;
+    std::map<std::string, MonotonicTime> m_evacuatedSince;
+    boost::asio::steady_timer m_tick;
+    MonotonicTime m_nextTick;
+    std::chrono::milliseconds m_worstLateness {0};
+    size_t m_loggedViolations = 0;
+};
+
+} // namespace Jujube
--- /dev/null
+++ b/Tests/Soak/Program/main.cpp
@@ -0,0 +1,131 @@
+#include "../Harness/SoakWorld.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <csignal>
+#include <cxxopts.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+using namespace Jujube;
+
+namespace
+{
+
+constexpr int ExitPromiseBroken = 1;
+constexpr int ExitInvalidArguments = 2;
+
+// Runs one seed and prints its result. Returns whether it broke no promise; the logs are kept if it did.
+bool runSeed(SoakOptions options)
+{
+    options.directory = absl::StrCat(options.directory, "/seed-", options.seed);
+    std::filesystem::remove_all(options.directory);
+    std::filesystem::create_directories(options.directory);
+    const auto result = SoakWorld(options).run();
+    std::cout << "seed " << options.seed << ": " << result.requests << " requests, " << result.served << " of " << result.owed
+              << " served after the faults, loop late by " << result.worstLateness.count() << " ms, statuses";
+    for (const auto &[status, count] : result.statuses) {
+        std::cout << " " << status << ":" << count;
+    }
+    std::cout << ", " << result.violations.size() << " promises broken\n";
+    for (const auto &violation : result.violations) {
+        std::cout << "  " << violation << "\n";
+    }
+    std::cout.flush();
+    if (result.violations.empty()) {
+        std::filesystem::remove_all(options.directory);
+    }
+    return result.violations.empty();
+}
+
+SoakOptions optionsOf(const cxxopts::ParseResult &arguments)
+{
+    return {.seed = arguments["seed"].as<uint64_t>(),
+            .relays = arguments["relays"].as<size_t>(),
+            .callers = arguments["callers"].as<size_t>(),
+            .targets = arguments["targets"].as<size_t>(),
+            .length = std::chrono::seconds(arguments["seconds"].as<int>()),
+            .faultRate = arguments["rate"].as<double>(),
+            .timed = !arguments["untimed"].as<bool>(),
+            .directory = arguments["out"].as<std::string>()};
+}
+
+// The runs of a file with lines "SEED RELAYS CALLERS SECONDS RATE", each followed by a comment. Nothing if a line cannot be read.
+std::optional<std::vector<SoakOptions>> readCases(const std::string &path, const SoakOptions &base)
+{
+    std::ifstream file(path);
+    std::vector<SoakOptions> cases;
+    std::string line;
+    while (std::getline(file, line)) {
+        const std::vector<std::string> words = absl::StrSplit(line.substr(0, line.find('#')), ' ', absl::SkipEmpty());
+        if (words.empty()) {
+            continue;
+        }
+        auto options = base;
+        int seconds = 0;
+        if (words.size() != 5 || !absl::SimpleAtoi(words[0], &options.seed) || !absl::SimpleAtoi(words[1], &options.relays)
+            || !absl::SimpleAtoi(words[2], &options.callers) || !absl::SimpleAtoi(words[3], &seconds) || !absl::SimpleAtod(words[4], &options.faultRate)) {
+            std::cerr << path << ": cannot read \"" << line << "\"\n";
+            return std::nullopt;
+        }
+        options.length = std::chrono::seconds(seconds);
+        cases.push_back(options);
+    }
+    return cases;
+}
+
+int run(const cxxopts::ParseResult &arguments)
+{
+    const auto base = optionsOf(arguments);
+    std::optional<std::vector<SoakOptions>> runs;
+    if (arguments.count("cases") > 0) {
+        runs = readCases(arguments["cases"].as<std::string>(), base);
+    } else {
+        runs.emplace();
+        for (uint64_t number = 0; number < arguments["seeds"].as<uint64_t>(); ++number) {
+            runs->push_back(base);
+            runs->back().seed += number;
+        }
+    }
+    if (!runs || runs->empty()) {
+        return ExitInvalidArguments;
+    }
+    bool allKept = true;
+    for (const auto &options : *runs) {
+        allKept = runSeed(options) && allKept;
+    }
+    return allKept ? 0 : ExitPromiseBroken;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options("jujube-soak", "Runs relays as processes under random faults, and checks what callers and targets see");
+    auto add = options.add_options();
+    add("seed", "First seed", cxxopts::value<uint64_t>()->default_value("1"));
+    add("seeds", "How many seeds to run", cxxopts::value<uint64_t>()->default_value("1"));
+    add("cases", "File with runs, instead of seeds", cxxopts::value<std::string>());
+    add("relays", "Relay processes", cxxopts::value<size_t>()->default_value("24"));
+    add("callers", "Callers", cxxopts::value<size_t>()->default_value("40"));
+    add("targets", "Targets of each of the two services", cxxopts::value<size_t>()->default_value("4"));
+    add("seconds", "Time with faults", cxxopts::value<int>()->default_value("18"));
+    add("rate", "Faults a second, each of them possibly a series", cxxopts::value<double>()->default_value("3"));
+    add("untimed", "Leave promises with a time bound out");
+    add("out", "Directory for settings and logs, which are kept of runs that break a promise", cxxopts::value<std::string>()->default_value("soak-runs"));
+    add("help", "Print this help");
+    try {
+        const auto arguments = options.parse(argc, argv);
+        if (arguments.count("help") > 0) {
+            std::cout << options.help();
+            return 0;
+        }
+        std::signal(SIGPIPE, SIG_IGN);
+        return run(arguments);
+    } catch (const cxxopts::exceptions::exception &error) {
+        std::cerr << error.what() << '\n';
+        return ExitInvalidArguments;
+    }
+}
--- /dev/null
+++ b/Tests/Soak/TestFaultPlan.cpp
@@ -0,0 +1,43 @@
+#include "Harness/FaultPlan.h"
+
+#include <gtest/gtest.h>
+#include <set>
+
+using namespace Jujube;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr FaultPlanOptions Options {.seed = 7, .relays = 12, .targets = 8, .dataCentres = 3, .length = 60s, .rate = 5};
+
+} // namespace
+
+// Guards against a seed that cannot be played again.
+TEST(FaultPlan, DependsOnItsOptionsOnly)
+{
+    const auto plan = makeFaultPlan(Options);
+    const auto again = makeFaultPlan(Options);
+    ASSERT_EQ(plan.size(), again.size());
+    for (size_t index = 0; index < plan.size(); ++index) {
+        EXPECT_EQ(plan[index].toText(), again[index].toText());
+    }
+    auto other = Options;
+    other.seed = 8;
+    EXPECT_NE(makeFaultPlan(other)[0].toText(), plan[0].toText());
+}
+
+// Guards against kinds of faults that are never played, faults that outlast the run, and faults that never overlap.
+TEST(FaultPlan, DrawsAllKindsInSeriesThatOverlap)
+{
+    const auto plan = makeFaultPlan(Options);
+    std::set<std::string_view> kinds;
+    size_t overlaps = 0;
+    for (size_t index = 0; index < plan.size(); ++index) {
+        kinds.insert(nameOf(plan[index].kind));
+        EXPECT_LT(plan[index].at + plan[index].duration, Options.length);
+        overlaps += index > 0 && plan[index].at < plan[index - 1].at + plan[index - 1].duration ? 1 : 0;
+    }
+    EXPECT_EQ(kinds.size(), 14U);
+    EXPECT_GT(overlaps, plan.size() / 10);
+}
--- /dev/null
+++ b/Tests/Soak/TestSoak.cpp
@@ -0,0 +1,24 @@
+#include "Harness/SoakWorld.h"
+
+#include <csignal>
+#include <filesystem>
+#include <gtest/gtest.h>
+
+using namespace Jujube;
+
+// Guards against promises that relays break under random faults. The runs by hand are longer, and check the promises in time as well.
+TEST(Soak, ShortRunsBreakNoPromise)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    for (const uint64_t seed : {1, 2}) {
+        const auto directory = std::filesystem::temp_directory_path() / ("jujube-soak-" + std::to_string(getpid()) + "-" + std::to_string(seed));
+        std::filesystem::create_directories(directory);
+        const auto result
+            = SoakWorld({.seed = seed, .relays = 6, .callers = 15, .length = std::chrono::seconds(8), .timed = false, .directory = directory.string()}).run();
+        EXPECT_EQ(result.violations, std::vector<std::string>()) << "seed " << seed << ", logs in " << directory;
+        EXPECT_GT(result.requests, 0U);
+        if (result.violations.empty()) {
+            std::filesystem::remove_all(directory);
+        }
+    }
+}
--- /dev/null
+++ b/Tests/Soak/TestSoakLedger.cpp
@@ -0,0 +1,197 @@
+#include "Harness/SoakLedger.h"
+
+#include <absl/strings/match.h>
+#include <gtest/gtest.h>
+
+using namespace Jujube;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr int Events = 3;
+const MonotonicTime Start = MonotonicTime() + 100s;
+
+// A ledger with one request under way, which a target may get.
+struct World {
+    SoakLedger ledger {{.events = Events, .retrySlack = 1}};
+    std::string id = "c1-1";
+
+    explicit World(SoakKind kind)
+    {
+        send(kind);
+    }
+
+    void send(SoakKind kind, bool proper = true)
+    {
+        const bool streams = isGeneration(kind);
+        ledger.onSent(
+            Start, id, {.relay = "n1", .kind = kind, .method = "POST", .target = streams ? "/draft/x" : "/commit/x", .proper = proper, .deadline = 10s});
+        service = streams ? "engine" : "desk";
+    }
+
+    MessageHead head() const
+    {
+        MessageHead result {.method = "POST", .target = service == "engine" ? "/draft/x" : "/commit/x"};
+        result.set("X-Attempt-Id", id);
+        result.set("X-Deadline-Ms", "3000");
+        result.set("X-Tenant", "workspace-1");
+        result.set("X-Own", "kept");
+        result.set("X-Expect-Instance", "i-1");
+        return result;
+    }
+
+    void arrive(MonotonicTime now = Start, StandInServer::Arrival arrival = StandInServer::Arrival::Run)
+    {
+        ledger.onArrival(now, "i-1", service, head(), arrival);
+    }
+
+    SoakLedger::Answer success() const
+    {
+        return {.status = 200, .echoedId = id, .seal = "i-1.seal", .body = service == "engine" ? soakEvents(Events) : soakBody(id), .complete = true};
+    }
+
+    // Whether the only violation is of this promise. An empty name means none.
+    bool breaksOnly(const std::string &promise)
+    {
+        const auto &violations = ledger.violations();
+        return promise.empty() ? violations.empty() : violations.size() == 1 && absl::StartsWith(violations[0], promise + ":");
+    }
+
+    std::string service;
+};
+
+} // namespace
+
+// Guards against a ledger that blames sound relays.
+TEST(SoakLedger, ServedRequestsBreakNothing)
+{
+    for (const auto kind : {SoakKind::OneTime, SoakKind::Repeatable, SoakKind::Generation, SoakKind::ResumableGeneration}) {
+        World world(kind);
+        world.arrive();
+        world.ledger.onAnswer(Start + 1s, world.id, world.success());
+        world.ledger.finish();
+        EXPECT_TRUE(world.breaksOnly(""));
+        EXPECT_EQ(world.ledger.servedBetween(Start, Start + 1s), std::make_pair(size_t(1), size_t(1)));
+    }
+}
+
+// Guards against requests that run twice and are not noticed.
+TEST(SoakLedger, FindsASecondRun)
+{
+    World once(SoakKind::OneTime);
+    once.arrive();
+    once.arrive();
+    EXPECT_TRUE(once.breaksOnly("twice"));
+    World repeatable(SoakKind::Repeatable);
+    repeatable.arrive();
+    repeatable.arrive();
+    EXPECT_TRUE(repeatable.breaksOnly(""));
+    repeatable.arrive();
+    EXPECT_TRUE(repeatable.breaksOnly("budget"));
+}
+
+// Guards against untrue refusals that are not noticed, whichever comes first, the run or the refusal.
+TEST(SoakLedger, FindsUntrueRefusals)
+{
+    World before(SoakKind::OneTime);
+    before.arrive();
+    before.ledger.onAnswer(Start, before.id, {.status = 503, .complete = true});
+    EXPECT_TRUE(before.breaksOnly("refused"));
+    World after(SoakKind::Generation);
+    after.ledger.onAnswer(Start, after.id, {.status = 429, .complete = true});
+    after.arrive();
+    EXPECT_TRUE(after.breaksOnly("refused"));
+}
+
+// Guards against wrong, crossed and truncated answers that are not noticed.
+TEST(SoakLedger, FindsWrongAnswers)
+{
+    const auto breaks = [](SoakKind kind, const std::function<void(SoakLedger::Answer &)> &change) {
+        World world(kind);
+        world.arrive();
+        auto answer = world.success();
+        change(answer);
+        world.ledger.onAnswer(Start, world.id, answer);
+        return world.ledger.violations().empty() ? std::string() : world.ledger.violations()[0].substr(0, world.ledger.violations()[0].find(':'));
+    };
+    EXPECT_EQ(breaks(SoakKind::OneTime, [](auto &answer) { answer.body.pop_back(); }), "mixed");
+    EXPECT_EQ(breaks(SoakKind::OneTime, [](auto &answer) { answer.seal.clear(); }), "mixed");
+    EXPECT_EQ(breaks(SoakKind::OneTime, [](auto &answer) { answer.echoedId = "c2-1"; }), "mixed");
+    EXPECT_EQ(breaks(SoakKind::OneTime, [](auto &answer) { answer.status = 502; }), "mixed");
+    EXPECT_EQ(breaks(SoakKind::Generation, [](auto &answer) { answer.body = soakEvents(Events - 1); }), "order");
+    EXPECT_EQ(breaks(SoakKind::Generation, [](auto &answer) { answer.body = soakEvents(1) + soakEvents(Events); }), "order");
+}
+
+// Guards against requests that reach a target changed, or at a target of another service.
+TEST(SoakLedger, FindsChangedRequests)
+{
+    World world(SoakKind::OneTime);
+    auto head = world.head();
+    head.set("Authorization", "Bearer key-1");
+    world.ledger.onArrival(Start, "i-1", "desk", head, StandInServer::Arrival::NotRun);
+    EXPECT_TRUE(world.breaksOnly("unasked"));
+    World elsewhere(SoakKind::OneTime);
+    elsewhere.service = "engine";
+    auto wrong = elsewhere.head();
+    wrong.target = "/commit/x";
+    elsewhere.ledger.onArrival(Start, "i-1", "engine", wrong, StandInServer::Arrival::NotRun);
+    EXPECT_TRUE(elsewhere.breaksOnly("route"));
+    World longer(SoakKind::OneTime);
+    head = longer.head();
+    head.set("X-Deadline-Ms", "11000");
+    longer.ledger.onArrival(Start, "i-1", "desk", head, StandInServer::Arrival::NotRun);
+    EXPECT_TRUE(longer.breaksOnly("budget"));
+}
+
+// Guards against requests at leaving targets that are not noticed, and against blame for relays that are out of touch.
+TEST(SoakLedger, FindsRequestsAtForbiddenTargets)
+{
+    World world(SoakKind::OneTime);
+    world.ledger.forbidTarget("i-1", "drain", Start);
+    world.ledger.disturb("n1", Start);
+    world.arrive(Start + 1s, StandInServer::Arrival::NotRun);
+    EXPECT_TRUE(world.breaksOnly(""));
+    world.arrive(Start + 4s, StandInServer::Arrival::NotRun);
+    EXPECT_TRUE(world.breaksOnly("drain"));
+    World allowed(SoakKind::OneTime);
+    allowed.ledger.forbidTarget("i-1", "drain", Start);
+    allowed.ledger.allowTarget("i-1", "drain");
+    allowed.arrive(Start + 4s);
+    EXPECT_TRUE(allowed.breaksOnly(""));
+}
+
+// Guards against cut and late answers that are not noticed.
+TEST(SoakLedger, FindsLostAndLateRequests)
+{
+    World cut(SoakKind::Generation);
+    cut.ledger.disturbAsPlanned("n1", Start);
+    cut.arrive();
+    cut.ledger.onAnswer(Start, cut.id, {.status = 200, .seal = "i-1.seal", .body = soakEvents(1), .complete = false});
+    EXPECT_TRUE(cut.breaksOnly("lost"));
+    World late(SoakKind::OneTime);
+    late.ledger.onAnswer(Start + 4s, late.id, {.status = 504, .complete = true});
+    EXPECT_TRUE(late.breaksOnly("timeout"));
+    World left(SoakKind::Repeatable);
+    left.ledger.onLeft(Start, left.id);
+    left.ledger.onStillRunning(Start + 500ms, left.id, "i-1");
+    EXPECT_TRUE(left.breaksOnly("gone"));
+}
+
+// Guards against a retry bound that is not checked.
+TEST(SoakLedger, FindsTooManyRetries)
+{
+    SoakLedger ledger({.events = Events, .retrySlack = 1});
+    World world(SoakKind::Repeatable);
+    for (int number = 0; number < 5; ++number) {
+        const auto id = "c1-" + std::to_string(number);
+        ledger.onSent(Start, id, {.relay = "n1", .kind = SoakKind::Repeatable, .method = "POST", .target = "/commit/x", .deadline = 5s});
+        world.id = id;
+        for (int turn = 0; turn < 2; ++turn) {
+            ledger.onArrival(Start + 1s, "i-1", "desk", world.head(), StandInServer::Arrival::NotRun);
+        }
+    }
+    ledger.finish();
+    ASSERT_EQ(ledger.violations().size(), 1U);
+    EXPECT_TRUE(absl::StartsWith(ledger.violations()[0], "budget:"));
+}
--- a/Tests/Support/ChildProcess.cpp
+++ b/Tests/Support/ChildProcess.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments)
+void ChildProcess::spawn(const std::string &program, const std::vector<std::string> &arguments, int output)
 {
     const std::string path = std::string(JUJUBE_BINARY_DIRECTORY) + "/" + program;
     std::vector<char *> argv {const_cast<char *>(path.c_str())};
@@ -34,19 +34,26 @@
         argv.push_back(const_cast<char *>(argument.c_str()));
     }
     argv.push_back(nullptr);
-    int pipeEnds[2] {};
-    if (pipe2(pipeEnds, O_CLOEXEC) != 0) {
-        return;
-    }
     posix_spawn_file_actions_t actions {};
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_adddup2(&actions, pipeEnds[1], STDOUT_FILENO);
+    posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, "/dev/null", O_WRONLY, 0);
+    // The sockets of Boost.Asio would stay open in the program otherwise.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     if (posix_spawn(&m_pid, path.c_str(), &actions, nullptr, argv.data(), environ) != 0) {
         m_pid = -1;
     }
     posix_spawn_file_actions_destroy(&actions);
-    close(pipeEnds[1]);
+    close(output);
+}
+
+ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments)
+{
+    int pipeEnds[2] {};
+    if (pipe2(pipeEnds, O_CLOEXEC) != 0) {
+        return;
+    }
+    spawn(program, arguments, pipeEnds[1]);
     m_output = pipeEnds[0];
     const std::string prefix = "listening on ";
     const auto line = readLine(m_output);
@@ -55,10 +62,21 @@
     }
 }
 
+ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments, const std::string &outputFile)
+{
+    constexpr mode_t OwnerReadsAndWrites = 0600;
+    const int output = open(outputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, OwnerReadsAndWrites);
+    if (output >= 0) {
+        spawn(program, arguments, output);
+    }
+}
+
 ChildProcess::~ChildProcess()
 {
     kill();
-    close(m_output);
+    if (m_output >= 0) {
+        close(m_output);
+    }
 }
 
 void ChildProcess::signal(int number) const
@@ -85,4 +103,14 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+std::optional<int> ChildProcess::poll()
+{
+    int status = 0;
+    if (m_pid > 0 && waitpid(m_pid, &status, WNOHANG) == 0) {
+        return std::nullopt;
+    }
+    m_pid = -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
 } // namespace Jujube
--- a/Tests/Support/ChildProcess.h
+++ b/Tests/Support/ChildProcess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -7,11 +8,14 @@
 namespace Jujube
 {
 
-// A program under test. Its first line of output, "listening on ADDRESS", tells where it serves.
+// A program under test.
 class ChildProcess
 {
 public:
+    // Reads the first line of the program's output, "listening on ADDRESS", which tells where it serves.
     ChildProcess(const std::string &program, const std::vector<std::string> &arguments);
+    // Appends the output of the program to a file.
+    ChildProcess(const std::string &program, const std::vector<std::string> &arguments, const std::string &outputFile);
     // Kills the process if it still runs.
     ~ChildProcess();
     ChildProcess(const ChildProcess &) = delete;
@@ -31,7 +35,12 @@
     // Waits for the end. Returns the exit code, or -1 if a signal ended the process.
     int wait();
 
+    // The exit code, or the negative number of the signal that ended the process. Nothing while it runs.
+    std::optional<int> poll();
+
 private:
+    void spawn(const std::string &program, const std::vector<std::string> &arguments, int output);
+
     pid_t m_pid = -1;
     int m_output = -1;
     std::string m_address;
--- a/Tests/System/TestFleet.h
+++ b/Tests/System/TestFleet.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ChildProcess.h"
+#include "../Support/ChildProcess.h"
 
 #include <functional>
 #include <LibHttp/HttpClient.h>
