Return drafts from silent destinations, and continue streams with streams only

A resumable stream was continued by a target whose answer was not a stream; its bytes were appended to the events. Change: a moved generation that has no answer after 1 s goes back to its source (a handle can be used once, so it cannot run at both), and is moved again from there; a continuation must be a stream; signals are caught before the listeners open. Before: Relay.DraftReturnsWhenTheDestinationIsSilent and RelaySession.StreamGoesOnWithAStreamOnly fail.

--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -85,7 +85,8 @@
         onFailure(UpstreamResult::Broken, false, now);
         return false;
     }
-    if (m_continuing && !isSuccess(answer.status)) {
+    // Bytes of another format must not follow the events that the caller has.
+    if (m_continuing && (!isSuccess(answer.status) || (m_facts.kind == RelayKind::Stream && !answer.isStream))) {
         onFailure(UpstreamResult::Broken, false, now);
         return false;
     }
@@ -251,10 +252,14 @@
     return true;
 }
 
+bool RelaySession::awaitsMovedRun() const
+{
+    return !m_over && !m_accepted && !m_handle.empty() && m_target && m_target->id == m_destination.id && m_destination.id != m_source.id;
+}
+
 bool RelaySession::continueAtSource(MonotonicTime now)
 {
-    const bool wasMoved = !m_handle.empty() && m_target && m_target->id == m_destination.id && m_destination.id != m_source.id;
-    if (!wasMoved || m_facts.deadline - now < LeastTimeForRetry) {
+    if (!awaitsMovedRun() || m_facts.deadline - now < LeastTimeForRetry) {
         return false;
     }
     m_hooks.note("continue_at_source", m_source.id);
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -172,6 +172,9 @@
         return m_move != Move::None;
     }
 
+    // Whether a generation that was moved has been sent to its destination, and the destination has not answered.
+    bool awaitsMovedRun() const;
+
     int sendCount() const
     {
         return m_sends;
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -19,6 +19,8 @@
 // A resumable stream whose target is silent for this time goes on at another target. Before its first event it may wait in the target's queue.
 constexpr std::chrono::milliseconds StreamSilence {1500};
 constexpr std::chrono::milliseconds FirstEventSilence {2600};
+// The destination of a move admits the generation at once. After this time without an answer, the engine that it left has to go on before it is gone.
+constexpr std::chrono::milliseconds MovedRunSilence {1000};
 constexpr std::chrono::milliseconds DefaultRetryAfter {500};
 // Another gateway can take the request at once.
 constexpr std::chrono::milliseconds ElsewhereRetryAfter {50};
@@ -211,6 +213,11 @@
                                   }
                               }});
     armSilence();
+    const auto *known = m_core.targets.find(order.target.id);
+    if (!order.memorySource.empty() && known && known->leavingSince) {
+        // The generation went back to the engine that it was to leave.
+        retryMoveLater();
+    }
 }
 
 void RelayExchange::logSend(const RelaySend &order, const TargetLoad &load)
@@ -391,20 +398,33 @@
     });
 }
 
-void RelayExchange::armSilence()
+std::optional<std::chrono::milliseconds> RelayExchange::silenceLimit() const
 {
+    if (m_session->awaitsMovedRun()) {
+        return MovedRunSilence;
+    }
     if (m_admission.route->kind != RelayKind::Stream || !m_admission.route->resumable) {
+        return std::nullopt;
+    }
+    return m_eventsCounted == 0 ? FirstEventSilence : StreamSilence;
+}
+
+void RelayExchange::armSilence()
+{
+    const auto limit = silenceLimit();
+    if (!limit) {
+        m_silenceTimer.cancel();
         return;
     }
-    const auto limit = m_eventsCounted == 0 ? FirstEventSilence : StreamSilence;
-    m_silenceTimer.expires_at(m_lastByteAt + limit);
-    m_silenceTimer.async_wait([weak = weak_from_this(), limit](const LoopError &error) {
+    m_silenceTimer.expires_at(m_lastByteAt + *limit);
+    m_silenceTimer.async_wait([weak = weak_from_this()](const LoopError &error) {
         const auto self = weak.lock();
         if (!self || error || self->m_isOver) {
             return;
         }
         const auto now = monotonicNow();
-        if (now - self->m_lastByteAt >= limit) {
+        const auto limitNow = self->silenceLimit();
+        if (limitNow && now - self->m_lastByteAt >= *limitNow) {
             self->m_session->onSilence(now);
         }
         if (!self->m_isOver) {
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -67,6 +67,8 @@
     void cut(RelayOutcome outcome);
     void note(std::string_view decision, std::string_view reason);
     void armDeadline();
+    // How long a sound target would be silent at most. Nothing where only the deadline counts.
+    std::optional<std::chrono::milliseconds> silenceLimit() const;
     void armSilence();
     // The request has its end; `end` is what that says about its target.
     void over(RunEnd end);
--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -94,18 +94,19 @@
     std::signal(SIGPIPE, SIG_IGN);
     LineWriter lines({});
     boost::asio::io_context loop(1);
+    // From here on, a signal that arrives during the start is handled once the loop runs.
+    boost::asio::signal_set stopSignals(loop, SIGTERM, SIGINT);
+    boost::asio::signal_set reloadSignals(loop, SIGHUP);
     auto relay = Relay::start(loop, RelayOptions::fromSettings(*settings), platformDialect(), lines, {.read = readOptions, .haveChanged = haveChanged});
     if (!relay.ok()) {
         std::cerr << relay.status().message() << '\n';
         return ExitCannotStart;
     }
-    boost::asio::signal_set stopSignals(loop, SIGTERM, SIGINT);
     stopSignals.async_wait([&relay](const LoopError &error, int) {
         if (!error) {
             (*relay)->drain();
         }
     });
-    boost::asio::signal_set reloadSignals(loop, SIGHUP);
     std::function<void(const LoopError &, int)> onReload = [&](const LoopError &error, int) {
         if (!error) {
             (*relay)->reloadSettings();
--- a/Tests/LibRelay/TestRelaySession.cpp
+++ b/Tests/LibRelay/TestRelaySession.cpp
@@ -281,6 +281,18 @@
     EXPECT_EQ(world.cuts, 1);
 }
 
+// Guards against events that are followed by bytes of another format: the target that should continue the stream sent an answer that is none.
+TEST(RelaySession, StreamGoesOnWithAStreamOnly)
+{
+    SessionWorld world(Suggestion);
+    world.startStream(SessionWorld::events(1, 2));
+    world.session().onEnd(UpstreamResult::Broken, world.now());
+    ASSERT_EQ(world.sends.size(), 2U);
+    EXPECT_FALSE(world.session().onHead({.status = 200, .sealed = true, .length = 100}, world.now()));
+    world.session().onBody(SessionWorld::events(1, 1), world.now());
+    EXPECT_EQ(world.receivedIds(), idsUpTo(2));
+}
+
 // Guards against a draft that goes back and forth: the source that has refused is not asked again.
 TEST(RelaySession, DraftReturnsToItsSourceOnce)
 {
--- a/Tests/Platform/TestRelay.cpp
+++ b/Tests/Platform/TestRelay.cpp
@@ -191,6 +191,28 @@
     EXPECT_EQ(second.continuations(), 1);
 }
 
+// Guards against a draft that is lost because the link to the destination of its move went silent after the copy.
+TEST(Relay, DraftReturnsWhenTheDestinationIsSilent)
+{
+    constexpr int Events = 120;
+    RelayWorld world;
+    world.writeDocument(1);
+    auto &first = world.addServer("i-1", "engine", Events);
+    world.addRelay("n1");
+    ASSERT_TRUE(world.waitReady("n1"));
+    const auto [answer, channel] = startStream(world, "/draft/x");
+    auto &second = world.addServer("i-2", "engine", Events);
+    second.setBehaviour(StandInServer::Behaviour::Hang);
+    world.runFor(300ms);
+    world.registerServer("i-1", "draining");
+    ASSERT_TRUE(world.runUntil([&] { return answer->end != ChannelEnd::NotSent; }));
+    EXPECT_EQ(answer->end, ChannelEnd::Complete);
+    EXPECT_TRUE(answer->body == eventsText(Events)) << answer->body.size() << " bytes";
+    EXPECT_EQ(second.continuations(), 1);
+    EXPECT_EQ(first.continuations(), 1);
+    EXPECT_EQ(second.activeCount(), 0U);
+}
+
 // Guards against drafts that are lost because their engine's leaving cannot be learnt from the store while it is away.
 TEST(Relay, EngineTellsThatItLeavesWhileTheStoreIsAway)
 {
