Soak a request that crashes targets, and count heartbeats

Change: during a third of each run such a request goes to one relay after the other; after the third crash and 3 s it may be passed on in three more tries. relay_heartbeats_sent_total and relay_heartbeats_received_total. Traced to the soak: the proxy before a crashed target accepted connections and reset them, while a machine without a listener refuses them, which is what relays go by. The proxy stops listening now.

--- a/Libraries/LibRelayServer/PeerLink.cpp
+++ b/Libraries/LibRelayServer/PeerLink.cpp
@@ -80,6 +80,7 @@
 
 void PeerLink::onDatagram(std::string_view datagram, MonotonicTime now)
 {
+    m_core.metrics.count("relay_heartbeats_received_total");
     const auto news = decodePeerNews(datagram);
     if (!news) {
         m_core.metrics.count("relay_peer_datagrams_malformed_total");
@@ -196,6 +197,7 @@
             // A datagram that cannot be sent is as good as lost; the next heartbeat follows.
             LoopError ignored;
             m_socket.send_to(boost::asio::buffer(datagram), endpoint->udp(), 0, ignored);
+            m_core.metrics.count("relay_heartbeats_sent_total");
         }
     }
 }
--- a/Tests/Soak/Harness/LoopbackProxy.cpp
+++ b/Tests/Soak/Harness/LoopbackProxy.cpp
@@ -154,9 +154,9 @@
     : m_loop(loop)
     , m_listen(std::move(listen))
     , m_target(target)
-    , m_acceptor(loop, m_listen.tcp(), true)
+    , m_acceptor(loop)
 {
-    accept();
+    open();
 }
 
 LoopbackProxy::~LoopbackProxy()
@@ -180,6 +180,25 @@
     }
 }
 
+void LoopbackProxy::setListening(bool isListening)
+{
+    if (isListening == m_acceptor.is_open()) {
+        return;
+    }
+    if (isListening) {
+        open();
+        return;
+    }
+    m_acceptor.close();
+    resetAll();
+}
+
+void LoopbackProxy::open()
+{
+    m_acceptor = Tcp::acceptor(m_loop, m_listen.tcp(), true);
+    accept();
+}
+
 void LoopbackProxy::accept()
 {
     m_acceptor.async_accept([this](const LoopError &error, Tcp::socket socket) {
--- a/Tests/Soak/Harness/LoopbackProxy.h
+++ b/Tests/Soak/Harness/LoopbackProxy.h
@@ -36,6 +36,8 @@
     void setFault(LinkFault fault);
     // Resets the open connections.
     void resetAll();
+    // Whether anybody listens at the address. A program that is down refuses connections.
+    void setListening(bool isListening);
 
     const Endpoint &address() const
     {
@@ -45,6 +47,7 @@
 private:
     class Connection;
 
+    void open();
     void accept();
     // Whether bytes may pass in a direction.
     bool passes(bool forward) const;
--- a/Tests/Soak/Harness/SoakFaults.cpp
+++ b/Tests/Soak/Harness/SoakFaults.cpp
@@ -190,12 +190,11 @@
         after(fault.duration / 2, [this, id = target.id] { m_store->remove("servers", id); });
     }
     after(fault.duration, [this, &target, keepsId] {
-        ++target.born;
-        if (!keepsId) {
+        if (target.isDown && !keepsId) {
             m_store->remove("servers", target.id);
             target.id += "x";
         }
-        startTarget(target);
+        restartTarget(target);
     });
 }
 
@@ -218,9 +217,8 @@
         --m_active[name];
         m_store->remove("servers", target.id);
         crashTarget(target);
-        ++target.born;
         target.id += "x";
-        startTarget(target);
+        restartTarget(target);
     });
 }
 
@@ -286,25 +284,49 @@
 void SoakWorld::probe(SoakRelay &relay, const std::string &route, bool isThere)
 {
     constexpr int StatusNotFound = 404;
-    const auto id = absl::StrCat("probe-", ++m_probes);
     const SoakLedger::Sent sent {.relay = relay.options().name,
                                  .kind = SoakKind::Repeatable,
                                  .method = "GET",
                                  .target = absl::StrCat("/", route, "/x"),
                                  .proper = isThere,
                                  .deadline = std::chrono::milliseconds(3000)};
+    ask(relay, sent, [this, name = sent.relay, isThere, route](int status) {
+        if ((status == StatusNotFound) == isThere && m_ledger.isInTouch(name, monotonicNow())) {
+            m_ledger.reportTimed("document", absl::StrCat(name, " answers ", status, " on the route ", route, isThere ? ", added" : ", removed"));
+        }
+    });
+}
+
+void SoakWorld::sendFatalRequests(MonotonicTime until)
+{
+    constexpr std::chrono::milliseconds Pause {400};
+    if (monotonicNow() > until) {
+        return;
+    }
+    auto &relay = *m_relays[m_fatalRelay++ % m_relays.size()];
+    const SoakLedger::Sent sent {.relay = relay.options().name,
+                                 .kind = SoakKind::Repeatable,
+                                 .method = "GET",
+                                 .target = std::string(FatalTarget),
+                                 .deadline = std::chrono::milliseconds(3000),
+                                 .isFatal = true};
+    ask(relay, sent, [this, name = sent.relay](int status) { log(absl::StrCat("fatal request at ", name, " ends with status ", status)); });
+    after(Pause, [this, until] { sendFatalRequests(until); });
+}
+
+void SoakWorld::ask(SoakRelay &relay, SoakLedger::Sent sent, std::function<void(int status)> onStatus)
+{
+    const auto id = absl::StrCat("probe-", ++m_probes);
     MessageHead head {.method = sent.method, .target = sent.target};
     head.set("Host", "shop.example");
     head.set("X-Attempt-Id", id);
-    head.set("X-Deadline-Ms", "3000");
+    head.set("X-Deadline-Ms", absl::StrCat(sent.deadline.count()));
     head.set("X-Own", "kept");
     head.set("Authorization", "Bearer key-1");
-    m_ledger.onSent(monotonicNow(), id, sent);
+    m_ledger.onSent(monotonicNow(), id, std::move(sent));
     const auto channel = std::make_shared<TargetChannel>(m_loop, relay.callers);
-    const auto onHead = [this, name = sent.relay, isThere, route](const MessageHead &answer, const std::optional<uint64_t> &) {
-        if ((answer.status == StatusNotFound) == isThere && m_ledger.isInTouch(name, monotonicNow())) {
-            m_ledger.reportTimed("document", absl::StrCat(name, " answers ", answer.status, " on the route ", route, isThere ? ", added" : ", removed"));
-        }
+    const auto onHead = [onStatus = std::move(onStatus)](const MessageHead &answer, const std::optional<uint64_t> &) {
+        onStatus(answer.status);
         return true;
     };
     channel->exchange(requestText(head),
--- a/Tests/Soak/Harness/SoakLedger.cpp
+++ b/Tests/Soak/Harness/SoakLedger.cpp
@@ -124,11 +124,16 @@
     if (arrival != StandInServer::Arrival::Continued && ++request.arrivals > 1) {
         m_retried[service].push_back(now);
     }
+    if (request.sent.isFatal) {
+        checkFatal(now, request, arrival);
+    }
+    if (arrival != StandInServer::Arrival::NotRun) {
+        request.lastTarget = target;
+    }
     if (arrival != StandInServer::Arrival::Run) {
         return;
     }
     ++request.runs;
-    request.lastTarget = target;
     const bool repeatable = request.sent.kind == SoakKind::Repeatable || request.sent.kind == SoakKind::ResumableGeneration;
     if (request.runs > (repeatable ? MostRuns : 1)) {
         report(repeatable ? "budget" : "twice", absl::StrCat(id, " ran ", request.runs, " times, last at ", target));
@@ -159,6 +164,17 @@
     }
 }
 
+void SoakLedger::checkFatal(MonotonicTime now, const Request &request, StandInServer::Arrival arrival)
+{
+    if (m_fatalKnownAt && now > *m_fatalKnownAt + SoakBounds::Contact && isInTouch(request.sent.relay, now)
+        && ++m_fatalPassed == SoakBounds::FewFatalRequests + 1) {
+        reportTimed("crash", absl::StrCat(request.sent.relay, " passed on a request that has crashed ", m_crashes, " targets"));
+    }
+    if (arrival == StandInServer::Arrival::Run && ++m_crashes == SoakBounds::CrashesUntilKnown) {
+        m_fatalKnownAt = now;
+    }
+}
+
 void SoakLedger::checkForbidden(MonotonicTime now, const std::string &id, const Request &request, const std::string &target)
 {
     for (auto entry = m_forbiddenFrom.lower_bound({target, ""}); entry != m_forbiddenFrom.end() && entry->first.first == target; ++entry) {
--- a/Tests/Soak/Harness/SoakLedger.h
+++ b/Tests/Soak/Harness/SoakLedger.h
@@ -28,6 +28,9 @@
 constexpr double RetryRatio = 0.2;
 // Requests that may still reach a target after their caller has left.
 constexpr size_t FewRequests = 3;
+// A request that has crashed this many targets has to be known to all nodes in touch, and reaches targets in a few more tries at most.
+constexpr int CrashesUntilKnown = 3;
+constexpr size_t FewFatalRequests = 3;
 } // namespace SoakBounds
 
 enum class SoakKind {
@@ -66,6 +69,8 @@
         // Whether every document of the run allows the request.
         bool proper = true;
         std::chrono::milliseconds deadline {0};
+        // Whether it crashes each target that runs it.
+        bool isFatal = false;
     };
 
     struct Answer {
@@ -127,6 +132,7 @@
         MonotonicTime sentAt;
         size_t runs = 0;
         size_t arrivals = 0;
+        // Which target ran it last, or went on with it.
         std::string lastTarget;
         std::optional<MonotonicTime> leftAt;
         std::optional<int> answered;
@@ -139,6 +145,8 @@
     void checkSuccess(const std::string &id, const Request &request, const Answer &answer);
     void checkForwarded(MonotonicTime now, const std::string &id, const Request &request, const std::string &target, const MessageHead &head);
     void checkForbidden(MonotonicTime now, const std::string &id, const Request &request, const std::string &target);
+    // A request that crashes targets, which has reached one more.
+    void checkFatal(MonotonicTime now, const Request &request, StandInServer::Arrival arrival);
     void checkRetries();
 
     const Options m_options;
@@ -154,6 +162,10 @@
     std::map<std::string, std::vector<MonotonicTime>> m_retried;
     std::map<int, size_t> m_statuses;
     std::vector<std::string> m_passedAfterLeaving;
+    int m_crashes = 0;
+    // When the request that crashes targets had done so often enough to be known.
+    std::optional<MonotonicTime> m_fatalKnownAt;
+    size_t m_fatalPassed = 0;
     std::vector<std::string> m_violations;
 };
 
--- a/Tests/Soak/Harness/SoakWorld.cpp
+++ b/Tests/Soak/Harness/SoakWorld.cpp
@@ -22,6 +22,8 @@
 // Time until the last requests have ended.
 constexpr std::chrono::milliseconds LastRequests {7000};
 constexpr double RetrySlack = 50;
+// How long a target is down after the request that crashes targets.
+constexpr std::chrono::milliseconds FatalDowntime {1200};
 constexpr int EventsOfGeneration = 30;
 
 struct Place {
@@ -70,6 +72,7 @@
     for (const auto &fault : plan) {
         after(fault.at, [this, fault] { apply(fault); });
     }
+    after(m_options.length / 3, [this] { sendFatalRequests(monotonicNow() + m_options.length / 3); });
     runFor(m_options.length);
     runFor(m_options.timed ? SoakBounds::Recovery : ShortRecovery);
     waitReady();
@@ -119,12 +122,19 @@
                                     .eventPause = std::chrono::milliseconds(20),
                                     .work = std::chrono::milliseconds(60),
                                     .body = isEngine ? [](const std::string &) { return soakEvents(EventsOfGeneration); } : soakBody,
+                                    .isFatal = [](const MessageHead &head) { return head.target == FatalTarget; },
+                                    .onFatal =
+                                        [this, &target] {
+                                            crashTarget(target);
+                                            after(FatalDowntime, [this, &target] { restartTarget(target); });
+                                        },
                                     .canCopyTo = [this](const std::string &to) { return takesCopies(to); },
                                     .onArrival =
                                         [this, id = target.id, service = target.service](const MessageHead &head, StandInServer::Arrival arrival) {
                                             m_ledger.onArrival(monotonicNow(), id, service, head, arrival);
                                         }};
     target.server = std::make_unique<StandInServer>(m_loop, std::move(options));
+    target.link->setListening(true);
     target.isDown = false;
     if (const auto evacuated = m_evacuatedSince.find(target.dataCentre); evacuated != m_evacuatedSince.end()) {
         m_ledger.forbidTarget(target.id, "evacuation", evacuated->second + SoakBounds::Evacuation);
@@ -144,10 +154,23 @@
     m_store->put("servers", target.id, row.toText());
 }
 
+void SoakWorld::restartTarget(Target &target)
+{
+    // The target may have been started again by the end of another fault.
+    if (target.isDown) {
+        ++target.born;
+        startTarget(target);
+    }
+}
+
 void SoakWorld::crashTarget(Target &target)
 {
+    if (target.isDown) {
+        return;
+    }
     m_ledger.disturbTarget(target.id, monotonicNow());
     target.server->crash();
+    target.link->setListening(false);
     target.isDown = true;
     m_crashed.push_back(std::move(target.server));
 }
--- a/Tests/Soak/Harness/SoakWorld.h
+++ b/Tests/Soak/Harness/SoakWorld.h
@@ -11,6 +11,9 @@
 namespace Jujube
 {
 
+// Targets crash when they run a request with this path.
+constexpr std::string_view FatalTarget = "/status/fatal";
+
 struct SoakOptions {
     uint64_t seed = 1;
     size_t relays = 12;
@@ -64,6 +67,7 @@
     void startTarget(Target &target);
     void registerTarget(const Target &target, const std::string &state);
     void crashTarget(Target &target);
+    void restartTarget(Target &target);
     bool takesCopies(const std::string &address) const;
     void startRelays();
     void startCallers();
@@ -87,6 +91,10 @@
     void changeDocument(unsigned variant);
     void probeDocument(int64_t version, const std::string &route, bool isThere);
     void probe(SoakRelay &relay, const std::string &route, bool isThere);
+    // Sends a request straight to a relay, and tells the status of its answer.
+    void ask(SoakRelay &relay, SoakLedger::Sent sent, std::function<void(int status)> onStatus);
+    // Sends the request that crashes targets to one relay after the other, until the faults end.
+    void sendFatalRequests(MonotonicTime until);
     void checkNotReadyAfterTerm(SoakRelay &relay);
 
     void tick();
@@ -113,6 +121,7 @@
     ActiveFaults m_active;
     StandInDocument m_document {.version = 1, .keys = {"key-1"}};
     int m_probes = 0;
+    size_t m_fatalRelay = 0;
     std::map<std::string, MonotonicTime> m_evacuatedSince;
     boost::asio::steady_timer m_tick;
     MonotonicTime m_nextTick;
--- a/Tests/Soak/TestSoakLedger.cpp
+++ b/Tests/Soak/TestSoakLedger.cpp
@@ -199,3 +199,25 @@
     ASSERT_EQ(ledger.violations().size(), 1U);
     EXPECT_TRUE(absl::StartsWith(ledger.violations()[0], "budget:"));
 }
+
+// Guards against a request that crashes one target after the other and is not noticed, and against blame for the first tries after the third crash.
+TEST(SoakLedger, FindsRequestsThatGoOnCrashingTargets)
+{
+    SoakLedger ledger({.events = Events, .retrySlack = 100});
+    World world(SoakKind::Repeatable);
+    const auto arrive = [&](int number, MonotonicTime now) {
+        world.id = "f-" + std::to_string(number);
+        ledger.onSent(now, world.id, {.relay = "n1", .kind = SoakKind::Repeatable, .method = "POST", .target = "/commit/x", .deadline = 5s, .isFatal = true});
+        ledger.onArrival(now, "i-1", "desk", world.head(), StandInServer::Arrival::Run);
+    };
+    for (int number = 0; number < 5; ++number) {
+        arrive(number, Start);
+    }
+    for (int number = 5; number < 8; ++number) {
+        arrive(number, Start + 4s);
+    }
+    EXPECT_TRUE(ledger.violations().empty());
+    arrive(8, Start + 4s);
+    ASSERT_EQ(ledger.violations().size(), 1U);
+    EXPECT_TRUE(absl::StartsWith(ledger.violations()[0], "crash:"));
+}
