--- a/Libraries/LibRelay/TargetTable.cpp
+++ b/Libraries/LibRelay/TargetTable.cpp
@@ -157,7 +157,7 @@
 
 const std::vector<const KnownTarget *> &TargetTable::ofService(const std::string &service) const
 {
-    static const std::vector<const KnownTarget *> None;
+    static const std::vector<const KnownTarget *> none;
     if (!m_byService) {
         m_byService.emplace();
         for (const auto &[id, target] : m_targets) {
@@ -165,7 +165,7 @@
         }
     }
     const auto found = m_byService->find(service);
-    return found == m_byService->end() ? None : found->second;
+    return found == m_byService->end() ? none : found->second;
 }
 
 bool TargetTable::isUsable(const KnownTarget &target, MonotonicTime) const
--- a/Tests/LibRelay/TestPeers.cpp
+++ b/Tests/LibRelay/TestPeers.cpp
@@ -269,6 +269,7 @@
     constexpr int Relays = 30;
     constexpr int Targets = 16;
     std::vector<TargetLoad> own;
+    own.reserve(Targets);
     for (int index = 0; index < Targets; ++index) {
         own.push_back({.target = "t" + std::to_string(index), .running = 1, .memory = 4000, .prefill = 100, .movable = index == 0 ? 3000 : 0});
     }
--- a/Tests/Soak/Harness/SoakCaller.cpp
+++ b/Tests/Soak/Harness/SoakCaller.cpp
@@ -169,7 +169,7 @@
     const auto id = absl::StrCat(m_options.name, "-", ++m_sent);
     const auto sent = drawRequest(relay->name);
     m_pool.expire(now);
-    m_exchange.emplace();
+    m_exchange = Exchange();
     m_exchange->id = id;
     m_exchange->relayAddress = address;
     m_exchange->channel = m_pool.acquire(relay->link, now);
--- a/Tests/Soak/Harness/SoakWorld.cpp
+++ b/Tests/Soak/Harness/SoakWorld.cpp
@@ -178,6 +178,7 @@
 void SoakWorld::startRelays()
 {
     std::vector<std::string> regions;
+    regions.reserve(Places.size());
     for (const auto &place : Places) {
         regions.push_back(absl::StrCat(place.dataCentre, ":", place.region));
     }
