--- a/Libraries/LibLoop/LoopClient.cpp
+++ b/Libraries/LibLoop/LoopClient.cpp
@@ -19,8 +19,18 @@
     boost::asio::steady_timer timer;
     LoopAnswer answer;
     LoopClient::AnswerHook onAnswer;
+    size_t mostAnswerBytes = 0;
     bool over = false;
 
+    void fail(const std::string &error)
+    {
+        channel->abort();
+        answer.end = ChannelEnd::Broken;
+        answer.status = 0;
+        answer.error = error;
+        finish();
+    }
+
     void finish()
     {
         if (over) {
@@ -57,16 +67,13 @@
     const auto pending = std::make_shared<PendingCall>(m_loop);
     pending->channel = call.freshConnection ? m_pool.fresh(address) : m_pool.acquire(address, monotonicNow());
     pending->onAnswer = std::move(onAnswer);
+    pending->mostAnswerBytes = call.mostAnswerBytes;
     pending->timer.expires_after(call.timeout);
     pending->timer.async_wait([pending](const LoopError &error) {
         if (error || pending->over) {
             return;
         }
-        pending->channel->abort();
-        pending->answer.end = ChannelEnd::Broken;
-        pending->answer.status = 0;
-        pending->answer.error = "timeout";
-        pending->finish();
+        pending->fail("timeout");
     });
     pending->channel->exchange(textOf(address, call),
                                call.method == "HEAD",
@@ -76,7 +83,13 @@
                                         pending->answer.status = head.status;
                                         return true;
                                     },
-                                .onBody = [pending](std::string_view bytes) { pending->answer.body += bytes; },
+                                .onBody =
+                                    [pending](std::string_view bytes) {
+                                        pending->answer.body += bytes;
+                                        if (pending->answer.body.size() > pending->mostAnswerBytes) {
+                                            pending->fail("answer too long");
+                                        }
+                                    },
                                 .onEnd =
                                     [this, pending](ChannelEnd end, const std::string &error) {
                                         pending->answer.end = end;
--- a/Libraries/LibLoop/MessageParser.cpp
+++ b/Libraries/LibLoop/MessageParser.cpp
@@ -93,7 +93,7 @@
 }
 
 template<typename Parser>
-std::optional<ParseError> feedParser(Parser &parser, std::string &buffer)
+std::optional<ParseError> feedParser(Parser &parser, std::string &buffer, size_t mostUnused)
 {
     while (!buffer.empty() && !parser.is_done()) {
         BeastError error;
@@ -112,6 +112,9 @@
     if (parser.is_header_done() && hasUnknownCoding(parser.head)) {
         return ParseError::Malformed;
     }
+    if (!parser.is_done() && buffer.size() > mostUnused) {
+        return ParseError::HeadTooLarge;
+    }
     return std::nullopt;
 }
 
@@ -120,6 +123,7 @@
 class MessageParser::Impl
 {
 public:
+    size_t mostUnused = 0;
     std::variant<std::unique_ptr<CollectingParser<true>>, std::unique_ptr<CollectingParser<false>>> parser;
 
     template<typename Function>
@@ -139,6 +143,7 @@
         parser->skip(direction == Direction::AnswerWithoutBody);
         m_impl->parser = std::move(parser);
     }
+    m_impl->mostUnused = limits.headBytes;
     m_impl->visit([&](auto &parser) {
         parser.header_limit(static_cast<std::uint32_t>(limits.headBytes));
         parser.body_limit(limits.bodyBytes);
@@ -150,7 +155,7 @@
 
 std::optional<ParseError> MessageParser::feed(std::string &buffer)
 {
-    return m_impl->visit([&](auto &parser) { return feedParser(parser, buffer); });
+    return m_impl->visit([&](auto &parser) { return feedParser(parser, buffer, m_impl->mostUnused); });
 }
 
 bool MessageParser::finishAtEnd()
--- a/Libraries/LibLoop/TargetChannel.cpp
+++ b/Libraries/LibLoop/TargetChannel.cpp
@@ -13,6 +13,8 @@
 {
 
 constexpr int FirstFinalStatus = 200;
+// Interim answers (RFC 9110, section 15.2) that may precede the final one.
+constexpr int MostInterimAnswers = 8;
 constexpr std::chrono::milliseconds DefaultKeepAlive {4000};
 // Unacknowledged data ends the connection after this time (TCP_USER_TIMEOUT), so that a silent network does not hold it for minutes.
 constexpr int UnacknowledgedTimeoutMs = 4000;
@@ -48,6 +50,7 @@
     m_direction = isHead ? MessageParser::Direction::AnswerWithoutBody : MessageParser::Direction::Answer;
     m_parser = std::make_unique<MessageParser>(m_direction, MessageParser::Limits {});
     m_headSeen = false;
+    m_interimAnswers = 0;
     m_requestWritten = false;
     m_keep = true;
     m_paused = false;
@@ -150,6 +153,10 @@
             return;
         }
         if (m_parser->head().status < FirstFinalStatus) {
+            if (++m_interimAnswers > MostInterimAnswers) {
+                end(ChannelEnd::Broken, "too many interim answers");
+                return;
+            }
             m_parser = std::make_unique<MessageParser>(m_direction, MessageParser::Limits {});
             continue;
         }
--- a/Libraries/LibLoop/TargetChannel.h
+++ b/Libraries/LibLoop/TargetChannel.h
@@ -103,6 +103,7 @@
     bool m_reading = false;
     bool m_paused = false;
     bool m_headSeen = false;
+    int m_interimAnswers = 0;
     bool m_keep = true;
     std::chrono::milliseconds m_keepAlive;
     MonotonicTime m_idleSince;
--- a/Libraries/LibRelay/ColdRate.cpp
+++ b/Libraries/LibRelay/ColdRate.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <LibPolicy/SplitMix.h>
 #include <LibRelay/GatewayShare.h>
+#include <xxhash.h>
 
 namespace Jujube
 {
@@ -20,11 +22,28 @@
     return std::max(1, static_cast<int>(std::floor(UsedShare * gatewayShare(coldPerSecond, liveGateways))));
 }
 
+int ColdRate::coldShare(double coldPerSecond, const ColdSharers &sharers, std::string_view target)
+{
+    if (!sharers.isSettled) {
+        return 0;
+    }
+    const auto starts = std::max<size_t>(1, static_cast<size_t>(std::floor(UsedShare * coldPerSecond)));
+    const auto gateways = sharers.others.size() + 1;
+    if (gateways < starts) {
+        return share(coldPerSecond, static_cast<int>(gateways));
+    }
+    const auto salt = XXH3_64bits(target.data(), target.size());
+    const auto order = [salt](uint64_t gateway) { return SplitMix(gateway ^ salt).next(); };
+    const auto own = order(sharers.self);
+    const auto before = std::count_if(sharers.others.begin(), sharers.others.end(), [&](uint64_t other) { return order(other) < own; });
+    return static_cast<size_t>(before) < starts ? 1 : 0;
+}
+
 bool ColdRate::mayTake(const std::string &target, int share, MonotonicTime now) const
 {
     const auto found = m_taken.find(target);
     if (found == m_taken.end()) {
-        return true;
+        return share > 0;
     }
     const auto recent = std::count_if(found->second.begin(), found->second.end(), [&](MonotonicTime time) { return now - time < Window; });
     return recent < share;
--- a/Libraries/LibRelay/EventSplitter.h
+++ b/Libraries/LibRelay/EventSplitter.h
@@ -40,10 +40,19 @@
         return m_outOfOrder;
     }
 
+    // The bytes behind the last whole event are too many for one event.
+    bool isTooLong() const
+    {
+        return m_partial.size() > MostEventBytes;
+    }
+
     // The stream goes on from another target after the last whole event.
     void restart();
 
 private:
+    // Engines send events of some hundred bytes.
+    static constexpr size_t MostEventBytes = 64 * 1024;
+
     void noteEvent(std::string_view event);
 
     std::string m_partial;
--- a/Libraries/LibRelay/Generated/Relay_types.cpp
+++ b/Libraries/LibRelay/Generated/Relay_types.cpp
@@ -242,6 +242,10 @@
 void ChangedTarget::__set_version(const int64_t val) {
   this->version = val;
 }
+
+void ChangedTarget::__set_saidLeaving(const bool val) {
+  this->saidLeaving = val;
+}
 std::ostream& operator<<(std::ostream& out, const ChangedTarget& obj)
 {
   obj.printTo(out);
@@ -342,6 +346,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->saidLeaving);
+          this->__isset.saidLeaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -395,6 +407,10 @@
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("saidLeaving", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->saidLeaving);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -411,6 +427,7 @@
   swap(a.leaving, b.leaving);
   swap(a.coldLeftMs, b.coldLeftMs);
   swap(a.version, b.version);
+  swap(a.saidLeaving, b.saidLeaving);
   swap(a.__isset, b.__isset);
 }
 
@@ -424,6 +441,7 @@
   leaving = other4.leaving;
   coldLeftMs = other4.coldLeftMs;
   version = other4.version;
+  saidLeaving = other4.saidLeaving;
   __isset = other4.__isset;
 }
 ChangedTarget::ChangedTarget(ChangedTarget&& other5) noexcept {
@@ -436,6 +454,7 @@
   leaving = other5.leaving;
   coldLeftMs = other5.coldLeftMs;
   version = other5.version;
+  saidLeaving = other5.saidLeaving;
   __isset = other5.__isset;
 }
 ChangedTarget& ChangedTarget::operator=(const ChangedTarget& other6) {
@@ -448,6 +467,7 @@
   leaving = other6.leaving;
   coldLeftMs = other6.coldLeftMs;
   version = other6.version;
+  saidLeaving = other6.saidLeaving;
   __isset = other6.__isset;
   return *this;
 }
@@ -461,6 +481,7 @@
   leaving = other7.leaving;
   coldLeftMs = other7.coldLeftMs;
   version = other7.version;
+  saidLeaving = other7.saidLeaving;
   __isset = other7.__isset;
   return *this;
 }
@@ -476,6 +497,7 @@
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "coldLeftMs=" << to_string(coldLeftMs);
   out << ", " << "version=" << to_string(version);
+  out << ", " << "saidLeaving=" << to_string(saidLeaving);
   out << ")";
 }
 
--- a/Libraries/LibRelay/Generated/Relay_types.h
+++ b/Libraries/LibRelay/Generated/Relay_types.h
@@ -103,7 +103,7 @@
 std::ostream& operator<<(std::ostream& out, const LoadOnTarget& obj);
 
 typedef struct _ChangedTarget__isset {
-  _ChangedTarget__isset() : target(false), incarnation(false), serviceName(false), address(false), dataCentre(false), slots(false), leaving(false), coldLeftMs(false), version(false) {}
+  _ChangedTarget__isset() : target(false), incarnation(false), serviceName(false), address(false), dataCentre(false), slots(false), leaving(false), coldLeftMs(false), version(false), saidLeaving(false) {}
   bool target :1;
   bool incarnation :1;
   bool serviceName :1;
@@ -113,6 +113,7 @@
   bool leaving :1;
   bool coldLeftMs :1;
   bool version :1;
+  bool saidLeaving :1;
 } _ChangedTarget__isset;
 
 class ChangedTarget : public virtual ::apache::thrift::TBase {
@@ -131,7 +132,8 @@
                   slots(0),
                   leaving(0),
                   coldLeftMs(0),
-                  version(0) {
+                  version(0),
+                  saidLeaving(0) {
   }
 
   virtual ~ChangedTarget() noexcept;
@@ -144,6 +146,7 @@
   bool leaving;
   int32_t coldLeftMs;
   int64_t version;
+  bool saidLeaving;
 
   _ChangedTarget__isset __isset;
 
@@ -165,6 +168,8 @@
 
   void __set_version(const int64_t val);
 
+  void __set_saidLeaving(const bool val);
+
   bool operator == (const ChangedTarget & rhs) const
   {
     if (!(target == rhs.target))
@@ -185,6 +190,8 @@
       return false;
     if (!(version == rhs.version))
       return false;
+    if (!(saidLeaving == rhs.saidLeaving))
+      return false;
     return true;
   }
   bool operator != (const ChangedTarget &rhs) const {
--- a/Libraries/LibRelay/PeerNewsCodec.cpp
+++ b/Libraries/LibRelay/PeerNewsCodec.cpp
@@ -28,6 +28,7 @@
     result.leaving = entry.leaving;
     result.coldLeftMs = static_cast<int32_t>(entry.coldLeft.count());
     result.version = entry.version;
+    result.saidLeaving = entry.saidLeaving;
     return result;
 }
 
@@ -40,6 +41,7 @@
             .dataCentre = target.dataCentre,
             .slots = target.slots,
             .leaving = target.leaving,
+            .saidLeaving = target.saidLeaving,
             .coldLeft = std::chrono::milliseconds(target.coldLeftMs),
             .version = target.version};
 }
--- a/Libraries/LibRelay/PeerTable.cpp
+++ b/Libraries/LibRelay/PeerTable.cpp
@@ -1,12 +1,25 @@
 #include <LibRelay/PeerTable.h>
 
 #include <algorithm>
+#include <xxhash.h>
 
 namespace Jujube
 {
 
-PeerTable::PeerTable(Options options)
+namespace
+{
+
+uint64_t hashOf(const std::string &node)
+{
+    return XXH3_64bits(node.data(), node.size());
+}
+
+} // namespace
+
+PeerTable::PeerTable(Options options, MonotonicTime now)
     : m_options(std::move(options))
+    , m_startedAt(now)
+    , m_ownHash(hashOf(m_options.ownNode))
 {
 }
 
@@ -40,7 +53,11 @@
         addAddress(known, now);
     }
     m_peers[news.node] = {.news = news, .heardAt = now};
-    return m_live.insert(news.node).second ? Change::Joined : Change::None;
+    if (!m_live.insert(news.node).second) {
+        return Change::None;
+    }
+    collectSharers(now);
+    return Change::Joined;
 }
 
 std::vector<std::string> PeerTable::recipients(Reach reach, MonotonicTime now)
@@ -99,6 +116,7 @@
         }
     }
     absl::erase_if(m_peers, [&](const auto &entry) { return now - entry.second.heardAt > m_options.memory; });
+    collectSharers(now);
     absl::erase_if(m_addresses, [&](const auto &entry) {
         const auto &address = entry.second;
         return now - std::max(address.addedAt, address.heardAt) > m_options.memory;
@@ -106,6 +124,21 @@
     return silent;
 }
 
+void PeerTable::collectSharers(MonotonicTime now)
+{
+    m_sharers.clear();
+    for (const auto &[node, peer] : m_peers) {
+        if (now - peer.heardAt <= m_options.sharerMemory) {
+            m_sharers.push_back(hashOf(node));
+        }
+    }
+}
+
+ColdSharers PeerTable::coldSharers(MonotonicTime now) const
+{
+    return {.others = m_sharers, .self = m_ownHash, .isSettled = now - m_startedAt >= m_options.settleTime};
+}
+
 std::vector<const Peer *> PeerTable::alive(MonotonicTime now) const
 {
     std::vector<const Peer *> result;
--- a/Libraries/LibRelay/PeerTable.h
+++ b/Libraries/LibRelay/PeerTable.h
@@ -3,6 +3,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <LibCore/Time.h>
 #include <LibPolicy/CrashSuspects.h>
+#include <LibRelay/ColdRate.h>
 #include <LibRelay/TargetLoad.h>
 #include <LibRelay/TargetTable.h>
 #include <map>
@@ -57,11 +58,16 @@
 public:
     struct Options {
         std::string ownAddress;
+        std::string ownNode;
         std::string region;
         // Region of each data centre.
         std::map<std::string, std::string> regions;
         // A relay that has not been heard for this time counts as dead.
         std::chrono::milliseconds silenceTimeout {2500};
+        // Relays that have been silent for longer have no share in cold targets any more.
+        std::chrono::seconds sharerMemory {30};
+        // After this time since its start a relay has heard the others, by way of its seeds.
+        std::chrono::milliseconds settleTime {2000};
         // Addresses that were never heard, or not for this time, are forgotten.
         std::chrono::seconds memory {120};
         // Pause between heartbeats to an address that does not answer.
@@ -75,7 +81,7 @@
         Stale,
     };
 
-    explicit PeerTable(Options options);
+    PeerTable(Options options, MonotonicTime now);
 
     void addAddress(const std::string &address, MonotonicTime now);
     Change hear(const PeerNews &news, MonotonicTime now);
@@ -100,6 +106,8 @@
     std::vector<const Peer *> alive(MonotonicTime now) const;
     // Number of live relays, this one included.
     int liveCount(MonotonicTime now) const;
+    // The relays over which the rate of a cold target is divided. Valid until the table changes.
+    ColdSharers coldSharers(MonotonicTime now) const;
     // Some addresses of live relays, for the next heartbeat. Different random numbers give different ones, so that all get known in time.
     std::vector<std::string> knownAddresses(size_t most, MonotonicTime now, uint64_t random) const;
 
@@ -115,11 +123,16 @@
 
     bool isInRegion(const std::string &dataCentre) const;
     bool isAlive(const Peer &peer, MonotonicTime now) const;
+    void collectSharers(MonotonicTime now);
 
     const Options m_options;
     absl::flat_hash_map<std::string, Address> m_addresses;
     absl::flat_hash_map<std::string, Peer> m_peers;
     std::set<std::string> m_live;
+    MonotonicTime m_startedAt;
+    uint64_t m_ownHash = 0;
+    // Hashes of the names of relays that were heard lately.
+    std::vector<uint64_t> m_sharers;
 };
 
 } // namespace Jujube
--- /dev/null
+++ b/Libraries/LibRelay/QuietTargets.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <LibCore/Time.h>
+#include <optional>
+#include <string>
+
+namespace Jujube
+{
+
+// Targets that have turned a request of this relay away and have said when to come back (RFC 9110, section 10.2.3). Until then they get no new run from this
+// relay. The wish holds for the relay that was told, so others are not told of it.
+class QuietTargets
+{
+public:
+    struct Options {
+        // Longest time for which a target is left alone, however long it asks for.
+        std::chrono::milliseconds longest {60000};
+        // Sends that a target gets all the same, because the memory of a running generation lies there and nowhere else.
+        int mostContinuations = 1;
+    };
+
+    explicit QuietTargets(Options options);
+
+    // A target has asked to be left alone. The later end holds if it has asked before.
+    void note(const std::string &target, std::chrono::milliseconds time, MonotonicTime now);
+
+    // Until when a target is to be left alone. Nothing if it may get work.
+    std::optional<MonotonicTime> until(const std::string &target, MonotonicTime now) const;
+
+    // Whether a running generation may go on at a target, which uses up one of its continuations if the target wants to be left alone.
+    bool tryContinue(const std::string &target, MonotonicTime now);
+
+    // Another target has the name now.
+    void forget(const std::string &target);
+    void expire(MonotonicTime now);
+
+private:
+    struct Quiet {
+        MonotonicTime until;
+        int continuations = 0;
+    };
+
+    const Options m_options;
+    absl::flat_hash_map<std::string, Quiet> m_targets;
+};
+
+} // namespace Jujube
--- a/Libraries/LibRelay/Relay.thrift
+++ b/Libraries/LibRelay/Relay.thrift
@@ -22,6 +22,8 @@
   8: i32 coldLeftMs
   // The store's version of the entry.
   9: i64 version
+  // The target itself has said that it leaves.
+  10: bool saidLeaving
 }
 
 // One crash of a target as one relay saw it.
--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -142,6 +142,12 @@
         m_hooks.cut(RelayOutcome::AnswerBroken);
         return;
     }
+    if (m_events.isTooLong()) {
+        m_hooks.note("abort", "event without end");
+        m_hooks.abortSend();
+        onFailure(UpstreamResult::Broken, false, now);
+        return;
+    }
     // The copy of a generation that has just produced its first event can start now.
     if (m_targetLeaving && m_move == Move::None && m_events.count() > 0) {
         startCopy(now);
@@ -208,7 +214,7 @@
             return;
         }
         const auto refusal = notRun ? RelayOutcome::RetryBudgetSpent : RelayOutcome::NoTarget;
-        giveUp(m_mayHaveRun ? RelayOutcome::TargetFailed : refusal, std::chrono::milliseconds(300));
+        giveUp(m_mayHaveRun ? RelayOutcome::TargetFailed : refusal, m_retryAfter);
         return;
     }
     m_mayHaveRun = true;
@@ -230,7 +236,11 @@
     }
     // The answer at hand is given up only for a target that can take the request.
     const auto choice = m_hooks.choose(m_excluded, now);
-    if (!choice.target || (wasReached && !m_hooks.takeRetry(now))) {
+    if (!choice.target) {
+        m_retryAfter = choice.retryAfter;
+        return false;
+    }
+    if (wasReached && !m_hooks.takeRetry(now)) {
         return false;
     }
     m_hooks.note("retry", reason);
@@ -242,7 +252,8 @@
 
 bool RelaySession::continueFromBackup(MonotonicTime now)
 {
-    if (m_backup.address.empty() || m_target == std::nullopt || m_target->id == m_backup.id || m_facts.deadline - now < LeastTimeForRetry) {
+    if (m_backup.address.empty() || m_target == std::nullopt || m_target->id == m_backup.id || m_facts.deadline - now < LeastTimeForRetry
+        || !m_hooks.mayContinue(m_backup, now)) {
         return false;
     }
     const auto holder = std::exchange(m_backup, {});
@@ -259,7 +270,7 @@
 
 bool RelaySession::continueAtSource(MonotonicTime now)
 {
-    if (!awaitsMovedRun() || m_facts.deadline - now < LeastTimeForRetry) {
+    if (!awaitsMovedRun() || m_facts.deadline - now < LeastTimeForRetry || !m_hooks.mayContinue(m_source, now)) {
         return false;
     }
     m_hooks.note("continue_at_source", m_source.id);
@@ -345,7 +356,8 @@
         return;
     }
     m_handle = m_source.address + "/" + result.handle;
-    if (keptAtSource) {
+    // The source keeps the memory of a run that it has stopped.
+    if (keptAtSource || !m_hooks.mayContinue(m_destination, now)) {
         m_destination = m_source;
     }
     if (m_target) {
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -93,6 +93,10 @@
     // The answer bears the mark of a target's own answer.
     bool sealed = false;
     bool isStream = false;
+    // The target says that it leaves.
+    bool leaving = false;
+    // The target turned the request away and wants nothing from this relay for so long.
+    std::optional<std::chrono::milliseconds> quietFor;
     // Length of the body, if the target has declared it.
     std::optional<uint64_t> length;
 };
@@ -114,6 +118,8 @@
         std::function<RelayChoice(const std::set<std::string> &excluded, MonotonicTime now)> choose;
         // Chooses the destination of a move away from a target that leaves.
         std::function<std::optional<RelayTarget>(const std::set<std::string> &excluded, MonotonicTime now)> chooseDestination;
+        // Whether a generation may go on at the target that holds its memory, also if the target wants to be left alone.
+        std::function<bool(const RelayTarget &target, MonotonicTime now)> mayContinue;
         // Takes one retry out of the budget of the service.
         std::function<bool(MonotonicTime now)> takeRetry;
         std::function<void(const RelaySend &send)> send;
@@ -221,6 +227,8 @@
     bool m_accepted = false;
     // The caller has the head of an answer.
     bool m_begun = false;
+    // When a refused request may come back, by the last choice that found no target.
+    std::chrono::milliseconds m_retryAfter {300};
     // A byte of the request may have reached a target that did not deny having run it.
     bool m_mayHaveRun = false;
     bool m_over = false;
--- a/Libraries/LibRelay/TargetBalancer.cpp
+++ b/Libraries/LibRelay/TargetBalancer.cpp
@@ -44,6 +44,7 @@
 
 TargetBalancer::TargetBalancer(Options options)
     : m_options(std::move(options))
+    , m_quiet(m_options.quiet)
 {
 }
 
@@ -132,6 +133,11 @@
     }
 }
 
+void TargetBalancer::failed(const std::string &target, MonotonicTime now)
+{
+    noteHealth(target, true, now);
+}
+
 bool TargetBalancer::isUnreachable(const std::string &target, MonotonicTime now) const
 {
     const auto found = m_health.find(target);
@@ -288,8 +294,7 @@
         || (!query.dataCentre.empty() && target.entry.dataCentre != query.dataCentre)) {
         return std::nullopt;
     }
-    const bool startsRun = !query.isMove;
-    if (startsRun && service.coldPerSecond > 0 && !m_coldRate.mayTake(id, ColdRate::share(service.coldPerSecond, query.liveGateways), now)) {
+    if (!query.isMove && service.coldPerSecond > 0 && !mayStart(target, query, service, now)) {
         return std::nullopt;
     }
     const auto load = loadOf(id);
@@ -307,6 +312,17 @@
     return cost;
 }
 
+bool TargetBalancer::mayStart(const KnownTarget &target, const Query &query, const RelayService &service, MonotonicTime now) const
+{
+    const auto &id = target.entry.id;
+    const auto health = m_health.find(id);
+    // A target that could not be reached may have started again.
+    const bool mayBeCold = now < target.coldUntil || (health != m_health.end() && health->second.unreachableStreak > 0);
+    const int share
+        = mayBeCold ? ColdRate::coldShare(service.coldPerSecond, query.coldSharers, id) : ColdRate::share(service.coldPerSecond, query.liveGateways);
+    return m_coldRate.mayTake(id, share, now);
+}
+
 TargetBalancer::Choice
 TargetBalancer::choose(const Query &query, const TargetTable &targets, const RelayService &service, MonotonicTime now, uint64_t random) const
 {
@@ -320,6 +336,12 @@
     for (size_t index = 0; index < all.size() && (index < sample || !best.target); ++index) {
         const auto &target = *all[(first + index) % all.size()];
         ++best.candidates;
+        // A target that this request has tried counts as well: the time at which it takes work again is what the caller needs to know.
+        const auto quietUntil = targets.isUsable(target, now) ? m_quiet.until(target.entry.id, now) : std::nullopt;
+        if (quietUntil) {
+            best.quietUntil = std::min(best.quietUntil.value_or(*quietUntil), *quietUntil);
+            continue;
+        }
         const auto known = costOf(target, query, targets, service, now);
         if (!known) {
             continue;
@@ -336,6 +358,7 @@
 void TargetBalancer::expire(MonotonicTime now)
 {
     m_coldRate.expire(now);
+    m_quiet.expire(now);
     constexpr std::chrono::seconds HealthLifetime {30};
     absl::erase_if(m_health, [&](const auto &entry) { return now - entry.second.updated > HealthLifetime; });
 }
--- a/Libraries/LibRelay/TargetBalancer.h
+++ b/Libraries/LibRelay/TargetBalancer.h
@@ -3,6 +3,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <LibCore/Time.h>
 #include <LibRelay/ColdRate.h>
+#include <LibRelay/QuietTargets.h>
 #include <LibRelay/RelayDocument.h>
 #include <LibRelay/TargetLoad.h>
 #include <LibRelay/TargetTable.h>
@@ -61,6 +62,7 @@
         // A target that failed to connect is avoided for this time, and for twice as long after each further failure, up to the longest.
         std::chrono::milliseconds unreachableTime {1500};
         std::chrono::milliseconds longestUnreachableTime {12000};
+        QuietTargets::Options quiet;
     };
 
     struct Query {
@@ -69,6 +71,7 @@
         // Regions in which the target must be. Nothing for anywhere.
         std::optional<std::vector<std::string>> homeRegions;
         int liveGateways = 1;
+        ColdSharers coldSharers;
         // For a copy of a running generation: no run is started, so the cold rate does not apply.
         bool isMove = false;
         // The target that the generation leaves. Copies from different targets go to different ones where there is room, because copies to one target queue
@@ -82,6 +85,8 @@
         const KnownTarget *target = nullptr;
         // Targets that were looked at: all of the service, or a sample of a large fleet.
         int candidates = 0;
+        // The first of them that asked to be left alone may get work again then.
+        std::optional<MonotonicTime> quietUntil;
     };
 
     explicit TargetBalancer(Options options);
@@ -95,6 +100,13 @@
     void unreachable(const std::string &target, MonotonicTime now);
     // The target answers, or another one has its name now.
     void reachable(const std::string &target);
+    // A send of a request that goes on elsewhere got no usable answer.
+    void failed(const std::string &target, MonotonicTime now);
+    // Targets that asked this gateway to be left alone for a while.
+    QuietTargets &quiet()
+    {
+        return m_quiet;
+    }
     // A copy of a run's memory that is kept on a target.
     void setCopy(const std::string &request, const std::string &target, int64_t tokens);
     void dropCopy(const std::string &request);
@@ -134,6 +146,8 @@
     // What placing a run on a target would cost, in milliseconds. Nothing if it may not be placed there.
     std::optional<double>
     costOf(const KnownTarget &target, const Query &query, const TargetTable &targets, const RelayService &service, MonotonicTime now) const;
+    // Whether the target's cold rate allows another run of this gateway.
+    bool mayStart(const KnownTarget &target, const Query &query, const RelayService &service, MonotonicTime now) const;
     double engineCost(const TargetLoad &load, const EngineProfile &engine, const RunDemand &demand) const;
     double serviceCost(const TargetLoad &load, int slots) const;
     double distanceCost(const std::string &dataCentre, int liveGateways) const;
@@ -153,6 +167,7 @@
     Loads m_peerSums;
     absl::flat_hash_map<std::string, Health> m_health;
     ColdRate m_coldRate;
+    QuietTargets m_quiet;
 };
 
 } // namespace Jujube
--- a/Libraries/LibRelay/TargetTable.cpp
+++ b/Libraries/LibRelay/TargetTable.cpp
@@ -33,21 +33,30 @@
         m_byService.reset();
     }
     const bool isNew = target.entry.id.empty() || entry.incarnation > target.entry.incarnation;
-    if (!isNew && (entry.incarnation < target.entry.incarnation || entry.version < target.entry.version)) {
+    const bool isSameLifetime = !isNew && entry.incarnation == target.entry.incarnation;
+    if (isSameLifetime && entry.saidLeaving && !target.entry.saidLeaving) {
+        return noteLeaving(entry.id, entry.incarnation, now);
+    }
+    if (!isNew && (!isSameLifetime || entry.version < target.entry.version)) {
         return false;
     }
-    if (isNew || entry.address != target.entry.address) {
+    const bool saidLeaving = !isNew && (target.entry.saidLeaving || entry.saidLeaving);
+    if (isNew || (entry.address != target.entry.address && !saidLeaving)) {
         target = {.changedAt = now};
     }
     target.entry = entry;
+    target.entry.saidLeaving = target.entry.saidLeaving || saidLeaving;
     if (target.lapsedUntil) {
         target.lapsedUntil.reset();
         target.changedAt = now;
     }
     if (entry.coldLeft.count() > 0) {
+        if (now >= target.coldUntil) {
+            target.changedAt = now;
+        }
         target.coldUntil = now + entry.coldLeft;
     }
-    if (entry.leaving) {
+    if (target.entry.leaving || target.entry.saidLeaving) {
         return markLeaving(target, now);
     }
     if (target.leavingSince) {
@@ -82,7 +91,16 @@
 bool TargetTable::noteLeaving(const std::string &id, int64_t incarnation, MonotonicTime now)
 {
     const auto found = m_targets.find(id);
-    return found != m_targets.end() && found->second.entry.incarnation == incarnation && markLeaving(found->second, now);
+    if (found == m_targets.end() || found->second.entry.incarnation != incarnation) {
+        return false;
+    }
+    auto &target = found->second;
+    if (!target.entry.saidLeaving) {
+        target.entry.saidLeaving = true;
+        // The others learn of it, also if the list has called the target leaving already.
+        target.changedAt = now;
+    }
+    return markLeaving(target, now);
 }
 
 std::vector<TargetEntry> TargetTable::recentChanges(std::chrono::milliseconds within, MonotonicTime now) const
@@ -133,15 +151,29 @@
             leaving.push_back(id);
         }
     }
-    if (absl::erase_if(m_targets, [&](const auto &item) { return item.second.leavingSince && now - *item.second.leavingSince > m_options.memory; }) > 0) {
+    const auto isForgotten = [&](const KnownTarget &target) {
+        return target.leavingSince && now - *target.leavingSince > (target.entry.saidLeaving ? m_options.saidLeavingMemory : m_options.memory);
+    };
+    if (absl::erase_if(m_targets, [&](const auto &item) { return isForgotten(item.second); }) > 0) {
         m_byService.reset();
     }
     return leaving;
 }
 
-bool TargetTable::setDataCentreOut(const std::string &name, bool out)
+bool TargetTable::setDataCentreOut(const std::string &name, bool out, MonotonicTime now)
 {
-    return out ? m_out.insert(name).second : m_out.erase(name) > 0;
+    if (out) {
+        return m_out.insert(name).second;
+    }
+    if (m_out.erase(name) == 0) {
+        return false;
+    }
+    for (auto &[id, target] : m_targets) {
+        if (target.entry.dataCentre == name) {
+            target.coldUntil = std::max(target.coldUntil, now + m_options.coldAfterReturn);
+        }
+    }
+    return true;
 }
 
 bool TargetTable::isOut(const std::string &dataCentre) const
--- a/Libraries/LibRelay/TargetTable.h
+++ b/Libraries/LibRelay/TargetTable.h
@@ -22,6 +22,8 @@
     std::string dataCentre;
     int slots = 1;
     bool leaving = false;
+    // The target itself has said that it leaves. This holds for the rest of its lifetime, whatever later entries say.
+    bool saidLeaving = false;
     // How long the target stays cold, from when the entry was written.
     std::chrono::milliseconds coldLeft {0};
     // The store's version of the entry.
@@ -47,8 +49,12 @@
     struct Options {
         // A target whose entry lapsed while the store was away registers again within this time of the store's return.
         std::chrono::milliseconds lapseGrace {2000};
+        // For this time after the return of a data centre its targets may be cold, although their entries do not say so yet.
+        std::chrono::milliseconds coldAfterReturn {3000};
         // Targets that left are forgotten after this time.
         std::chrono::seconds memory {20};
+        // Targets that said themselves that they leave are kept longer, so that no late entry brings them back.
+        std::chrono::seconds saidLeavingMemory {300};
     };
 
     explicit TargetTable(Options options);
@@ -68,14 +74,14 @@
     // Digest of the targets that neither leave nor have lapsed. Two gateways with the same digest know the same targets.
     uint64_t digest() const;
 
-    // The target itself says that it leaves.
+    // The target itself says that it leaves. Returns whether it became leaving by that.
     bool noteLeaving(const std::string &id, int64_t incarnation, MonotonicTime now);
 
     // Lets grace periods run out. Returns the targets that became leaving.
     std::vector<std::string> tick(MonotonicTime now);
 
     // Takes a data centre out of service, or back. Returns whether that is a change.
-    bool setDataCentreOut(const std::string &name, bool out);
+    bool setDataCentreOut(const std::string &name, bool out, MonotonicTime now);
     const absl::flat_hash_set<std::string> &dataCentresOut() const
     {
         return m_out;
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -31,8 +31,8 @@
     , channels(loopInUse)
     , client(loopInUse)
     , targets({})
-    , balancer({.region = options.region, .regions = options.regions})
-    , peers({.ownAddress = options.peers.toText(), .region = options.region, .regions = options.regions})
+    , balancer({.region = options.region, .regions = options.regions, .quiet = {.longest = options.longestQuiet}})
+    , peers({.ownAddress = options.peers.toText(), .ownNode = options.node, .region = options.region, .regions = options.regions}, monotonicNow())
     , m_lines(lines)
     , m_random(std::random_device {}())
     , m_brokenTimer(loopInUse)
@@ -94,6 +94,14 @@
     runMoves();
 }
 
+void RelayCore::noteLeaving(const std::string &target, int64_t incarnation, std::string_view reason, MonotonicTime now)
+{
+    if (targets.noteLeaving(target, incarnation, now)) {
+        announceLeaving(target, reason, now);
+        onTurnEnded();
+    }
+}
+
 std::chrono::milliseconds RelayCore::waitForPeers(const std::string &target, MonotonicTime now) const
 {
     const auto *known = targets.find(target);
@@ -164,9 +172,8 @@
             return;
         }
         const auto state = answer.isSuccess() ? dialect.decodeState(answer.body) : absl::StatusOr<EngineState>(EngineState {});
-        if (state.ok() && state->leaving && targets.noteLeaving(target, state->incarnation, now)) {
-            announceLeaving(target, "own report", now);
-            onTurnEnded();
+        if (state.ok() && state->leaving) {
+            noteLeaving(target, state->incarnation, "own report", now);
         }
     });
 }
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -64,6 +64,9 @@
     // A target leaves: its generations are queued for a copy to another one.
     void announceLeaving(const std::string &target, std::string_view reason, MonotonicTime now);
 
+    // A target has said itself, by its report or in an answer, that it leaves.
+    void noteLeaving(const std::string &target, int64_t incarnation, std::string_view reason, MonotonicTime now);
+
     // Asks an engine for its state, and draws the conclusions: it leaves, or it has crashed. `broken` are digests of requests whose answers broke off there.
     void checkTarget(const std::string &target, const std::vector<uint64_t> &broken);
     // The answer to a request broke off although its target was not known to leave.
--- a/Libraries/LibRelayServer/RelayDialect.h
+++ b/Libraries/LibRelayServer/RelayDialect.h
@@ -46,6 +46,9 @@
     // The mark of a target's own answer.
     std::string seal;
     std::string notRun;
+    // Has this value in all answers of a target that leaves.
+    std::string leaving;
+    std::string leavingValue;
     std::string priority;
     std::string backup;
     std::string memorySource;
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -141,6 +141,8 @@
         facts,
         RelaySession::Hooks {.choose = [this](const std::set<std::string> &excluded, MonotonicTime now) { return choose(excluded, now); },
                              .chooseDestination = [this](const std::set<std::string> &excluded, MonotonicTime now) { return chooseDestination(excluded, now); },
+                             .mayContinue
+                             = [this](const RelayTarget &target, MonotonicTime now) { return m_core.balancer.quiet().tryContinue(target.id, now); },
                              .takeRetry
                              = [this](MonotonicTime now) { return m_core.retryBudget(m_admission.service->name).tryRetry(m_core.liveGateways(now), now); },
                              .send = [this](const RelaySend &order) { send(order); },
@@ -163,11 +165,13 @@
 RelayChoice RelayExchange::choose(const std::set<std::string> &excluded, MonotonicTime now)
 {
     const TargetBalancer::Query query {
-        .demand = m_admission.demand, .excluded = excluded, .homeRegions = m_admission.homeRegions, .liveGateways = m_core.liveGateways(now)};
+        .demand = m_admission.demand, .excluded = excluded, .homeRegions = m_admission.homeRegions, .liveGateways = m_core.liveGateways(now), .coldSharers = m_core.peers.coldSharers(now)};
     const auto choice = m_core.balancer.choose(query, m_core.targets, *m_admission.service, now, m_core.random());
     RelayChoice result;
     if (choice.target) {
         result.target = RelayTarget::of(choice.target->entry);
+    } else if (choice.quietUntil) {
+        result.retryAfter = std::max(DefaultRetryAfter, std::chrono::ceil<std::chrono::milliseconds>(*choice.quietUntil - now));
     }
     return result;
 }
@@ -179,7 +183,11 @@
     const bool mayReuse = m_admission.route->kind == RelayKind::Repeatable;
     m_upstream = mayReuse ? m_core.channels.acquire(*endpoint, now) : m_core.channels.fresh(*endpoint);
     m_sentAt = now;
-    m_lastByteAt = now;
+    m_progressAt = now;
+    if (m_sendFailed) {
+        m_core.balancer.failed(m_target, now);
+        m_sendFailed = false;
+    }
     const auto load = m_core.balancer.loadOf(order.target.id);
     m_core.balancer.dropCopy(m_id);
     m_core.balancer.started(m_id, order.target.id, m_admission.demand, now);
@@ -189,6 +197,7 @@
         m_core.onTurnEnded();
     }
     m_target = order.target.id;
+    m_targetIncarnation = order.target.incarnation;
     m_core.running.insert(this);
     m_core.moves.remove(m_id);
     logSend(order, load);
@@ -244,7 +253,7 @@
 bool RelayExchange::onHead(const MessageHead &head, std::optional<uint64_t> length)
 {
     const auto &fields = m_core.dialect.fields;
-    m_lastByteAt = monotonicNow();
+    const auto now = monotonicNow();
     // An answer that arrives late, to an earlier request on this connection, bears that request's id.
     if (head.has(fields.requestId) && head.value(fields.requestId) != m_id) {
         m_core.metrics.count("relay_foreign_answers_total");
@@ -253,29 +262,54 @@
     m_answerHead = head;
     m_core.balancer.reachable(m_target);
     const auto answer = targetAnswerOf(head, length, fields);
+    if (!answer.misdirected) {
+        noteWishes(answer, now);
+    }
     if (answer.notRun || answer.misdirected || answer.status >= FirstServerError) {
+        m_sendFailed = true;
         auto line = m_core.line(EventKind::RelayTargetFailed);
         line.add("request", m_id).add("target", m_target).add("status", answer.status).add("not_run", answer.notRun ? 1 : 0);
         m_core.log(line);
     }
     // An answer that the session does not accept ends with abortSend().
-    m_session->onHead(answer, m_lastByteAt);
+    m_session->onHead(answer, now);
     return true;
 }
 
+void RelayExchange::noteWishes(const TargetAnswer &answer, MonotonicTime now)
+{
+    if (answer.leaving) {
+        m_core.noteLeaving(m_target, m_targetIncarnation, "own answer", now);
+    }
+    if (answer.quietFor) {
+        m_core.balancer.quiet().note(m_target, *answer.quietFor, now);
+        auto line = m_core.line(EventKind::RelayTargetFailed);
+        line.add("request", m_id).add("target", m_target).add("status", answer.status).add("quiet_ms", answer.quietFor->count());
+        m_core.log(line);
+        m_core.metrics.count("relay_targets_quiet_total");
+    }
+}
+
 void RelayExchange::onBody(std::string_view bytes)
 {
-    m_lastByteAt = monotonicNow();
-    m_session->onBody(bytes, m_lastByteAt);
-    if (!m_isOver && m_admission.service->engine && m_session->eventCount() > m_eventsCounted) {
-        noteEvents();
+    const auto now = monotonicNow();
+    const auto sendNumber = m_sendNumber;
+    const auto eventsBefore = m_session->eventCount();
+    m_session->onBody(bytes, now);
+    if (m_isOver || sendNumber != m_sendNumber || m_session->eventCount() == eventsBefore) {
+        return;
+    }
+    // Bytes that complete no event are no progress of a stream.
+    m_progressAt = now;
+    if (m_admission.service->engine) {
+        noteEvents(now);
     }
 }
 
-void RelayExchange::noteEvents()
+void RelayExchange::noteEvents(MonotonicTime now)
 {
     const bool isFirst = m_eventsCounted == 0;
-    const auto gap = m_lastByteAt - (isFirst ? m_request.arrivedAt : m_lastEventAt);
+    const auto gap = now - (isFirst ? m_request.arrivedAt : m_lastEventAt);
     if (isFirst) {
         m_firstEventAfter = wholeMilliseconds(gap);
         m_core.metrics.observe("relay_first_event_seconds", std::chrono::duration<double>(gap).count());
@@ -284,7 +318,7 @@
     }
     const auto events = m_session->eventCount();
     m_core.balancer.produced(m_id, (events - m_eventsCounted) * m_admission.service->engine->tokensPerEvent);
-    m_lastEventAt = m_lastByteAt;
+    m_lastEventAt = now;
     m_eventsCounted = events;
 }
 
@@ -302,6 +336,7 @@
             .add("after_ms", wholeMilliseconds(now - m_sentAt).count());
         m_core.log(line);
         m_core.metrics.count("relay_target_failures_total");
+        m_sendFailed = end == ChannelEnd::Broken && !m_session->isMoving();
         if (end == ChannelEnd::NotSent) {
             m_core.balancer.unreachable(m_target, now);
         } else if (!m_session->isMoving()) {
@@ -416,7 +451,7 @@
         m_silenceTimer.cancel();
         return;
     }
-    m_silenceTimer.expires_at(m_lastByteAt + *limit);
+    m_silenceTimer.expires_at(m_progressAt + *limit);
     m_silenceTimer.async_wait([weak = weak_from_this()](const LoopError &error) {
         const auto self = weak.lock();
         if (!self || error || self->m_isOver) {
@@ -424,7 +459,7 @@
         }
         const auto now = monotonicNow();
         const auto limitNow = self->silenceLimit();
-        if (limitNow && now - self->m_lastByteAt >= *limitNow) {
+        if (limitNow && now - self->m_progressAt >= *limitNow) {
             self->m_session->onSilence(now);
         }
         if (!self->m_isOver) {
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -56,8 +56,10 @@
     void send(const RelaySend &order);
     void logSend(const RelaySend &order, const TargetLoad &load);
     bool onHead(const MessageHead &head, std::optional<uint64_t> length);
+    // Takes in what a target says beside its answer: that it leaves, or wants to be left alone.
+    void noteWishes(const TargetAnswer &answer, MonotonicTime now);
     void onBody(std::string_view bytes);
-    void noteEvents();
+    void noteEvents(MonotonicTime now);
     void onEnd(ChannelEnd end, const std::string &error);
     void abortSend();
     void copy(const RelayTarget &source, const RelayTarget &destination, bool stop);
@@ -80,6 +82,7 @@
     RequestAdmission m_admission;
     const std::string m_id;
     std::string m_target;
+    int64_t m_targetIncarnation = 0;
     // Tells requests apart that would crash each target that runs them.
     uint64_t m_digest = 0;
     std::unique_ptr<RelaySession> m_session;
@@ -88,7 +91,10 @@
     uint64_t m_sendNumber = 0;
     MessageHead m_answerHead;
     MonotonicTime m_sentAt;
-    MonotonicTime m_lastByteAt;
+    // When the request was sent, or its stream has had a whole event since.
+    MonotonicTime m_progressAt;
+    // The last send got no usable answer.
+    bool m_sendFailed = false;
     int64_t m_eventsCounted = 0;
     MonotonicTime m_lastEventAt;
     std::chrono::milliseconds m_firstEventAfter {0};
--- a/Libraries/LibRelayServer/RelayForwarding.cpp
+++ b/Libraries/LibRelayServer/RelayForwarding.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 #include <algorithm>
+#include <cmath>
 #include <LibCore/AbslView.h>
 
 namespace Jujube
@@ -18,6 +19,7 @@
 constexpr int StatusMisdirected = 421;
 constexpr int StatusNoContent = 204;
 constexpr int StatusNotModified = 304;
+constexpr int StatusUnavailable = 503;
 constexpr int MostPriority = 9;
 
 int64_t numberIn(std::string_view text)
@@ -26,6 +28,18 @@
     return absl::SimpleAtoi(toAbsl(text), &number) && number > 0 ? number : 0;
 }
 
+// When an answer asks its receiver to come back. Fractions of a second are accepted (RFC 9110 allows whole ones only); dates and anything else count as absent.
+std::optional<std::chrono::milliseconds> retryAfterOf(const MessageHead &head)
+{
+    constexpr double MillisecondsPerSecond = 1000;
+    constexpr double MostSeconds = 86400;
+    double seconds = 0;
+    if (head.count("retry-after") != 1 || !absl::SimpleAtod(toAbsl(head.value("retry-after")), &seconds) || !(seconds > 0)) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(static_cast<int64_t>(std::ceil(MillisecondsPerSecond * std::min(seconds, MostSeconds))));
+}
+
 bool isReserved(const RelayFieldNames &names, std::string_view name)
 {
     return std::any_of(
@@ -97,6 +111,8 @@
             .misdirected = head.status == StatusMisdirected,
             .sealed = head.has(names.seal),
             .isStream = head.status / 100 == 2 && absl::StartsWithIgnoreCase(toAbsl(head.value("content-type")), toAbsl(EventStreamType)),
+            .leaving = head.value(names.leaving) == names.leavingValue,
+            .quietFor = head.status == StatusUnavailable ? retryAfterOf(head) : std::nullopt,
             .length = length};
 }
 
--- a/Libraries/LibRelayServer/RelayOptions.cpp
+++ b/Libraries/LibRelayServer/RelayOptions.cpp
@@ -86,6 +86,10 @@
         {.name = "retry-ratio", .help = "Retries for each request of a service", .defaultValue = "0.2", .check = checkDecimal()},
         {.name = "retry-slack", .help = "Retries of all nodes in a window beside the ratio", .defaultValue = "50", .check = checkDecimal()},
         {.name = "retry-window-s", .help = "Window of the retry budget, in seconds", .defaultValue = "10", .check = checkDecimal()},
+        {.name = "longest-quiet-ms",
+         .help = "Longest time for which a target that turned a request away with Retry-After is left alone",
+         .defaultValue = "60000",
+         .check = checkNumber(0, MostMilliseconds)},
         {.name = "max-channels", .help = "Most open connections of callers", .defaultValue = "3000", .check = checkNumber(1, MostChannels)},
     };
 }
@@ -106,6 +110,7 @@
         .grace = seconds(settings, "grace-s"),
         .directoryLifetime = settings.milliseconds("directory-lifetime-ms"),
         .retries = {.ratio = decimal(settings, "retry-ratio"), .slack = decimal(settings, "retry-slack"), .window = seconds(settings, "retry-window-s")},
+        .longestQuiet = settings.milliseconds("longest-quiet-ms"),
         .maxChannels = static_cast<size_t>(settings.number("max-channels"))};
     for (const auto &part : settings.list("regions")) {
         const std::vector<std::string> words = absl::StrSplit(part, ':');
--- a/Libraries/LibRelayServer/RelayOptions.h
+++ b/Libraries/LibRelayServer/RelayOptions.h
@@ -30,6 +30,8 @@
     // How long callers may keep an answer of the directory.
     std::chrono::milliseconds directoryLifetime {2000};
     ServiceRetryBudget::Options retries;
+    // Longest time for which a target that asks for it is left alone.
+    std::chrono::milliseconds longestQuiet {60000};
     size_t maxChannels = 3000;
 
     static std::vector<Setting> settings();
--- a/Libraries/LibRelayServer/RelayTables.cpp
+++ b/Libraries/LibRelayServer/RelayTables.cpp
@@ -246,7 +246,7 @@
 
 void Relay::setDataCentreOut(const std::string &name, bool out, int64_t version)
 {
-    if (!m_core.targets.setDataCentreOut(name, out)) {
+    if (!m_core.targets.setDataCentreOut(name, out, monotonicNow())) {
         return;
     }
     auto line = m_core.line(out ? EventKind::DataCentreOut : EventKind::DataCentreIn);
@@ -317,6 +317,7 @@
             m_core.channels.forget(*endpoint);
         }
         m_core.balancer.reachable(entry.id);
+        m_core.balancer.quiet().forget(entry.id);
         m_peers.sendSoon(audienceForTarget(fromPeer, false, false));
     }
     if (m_core.targets.set(entry, now)) {
--- a/Tests/LibLoop/TestChannels.cpp
+++ b/Tests/LibLoop/TestChannels.cpp
@@ -328,3 +328,31 @@
     LoopClient client(loop);
     EXPECT_EQ(callOnce(loop, client, target.address()).end, ChannelEnd::Broken);
 }
+
+// Guards against interim answers without end that hold a request until its deadline.
+TEST(TargetChannel, EndlessInterimAnswersAreBroken)
+{
+    boost::asio::io_context loop;
+    std::string interim;
+    for (int count = 0; count < 50; ++count) {
+        interim += "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+    }
+    FixedTarget target(loop, interim, false);
+    LoopClient client(loop);
+    const auto answer = callOnce(loop, client, target.address());
+    EXPECT_EQ(answer.end, ChannelEnd::Broken);
+    EXPECT_EQ(answer.error, "too many interim answers");
+}
+
+// Guards against a body without end in the answer to a call of the relay's own.
+TEST(LoopClient, TooLongAnswerIsBroken)
+{
+    boost::asio::io_context loop;
+    FixedTarget target(loop, "HTTP/1.1 200 OK\r\n\r\n" + std::string(10000, 'x'), false);
+    LoopClient client(loop);
+    std::optional<LoopAnswer> result;
+    client.call(target.address(), {.target = "/x", .timeout = 2000ms, .mostAnswerBytes = 5000}, [&](const LoopAnswer &answer) { result = answer; });
+    ASSERT_TRUE(runUntil(loop, [&] { return result.has_value(); }));
+    EXPECT_EQ(result->end, ChannelEnd::Broken);
+    EXPECT_EQ(result->error, "answer too long");
+}
--- a/Tests/LibLoop/TestMessageParser.cpp
+++ b/Tests/LibLoop/TestMessageParser.cpp
@@ -157,3 +157,60 @@
     EXPECT_TRUE(parser.finishAtEnd());
     EXPECT_EQ(parser.takeBody(), "abc");
 }
+
+// Guards against memory that grows with bytes that are no answer and never end: in a head, a chunk line, a chunk's extension or the trailers.
+TEST(MessageParser, BytesWithoutEndAreRefused)
+{
+    constexpr size_t Most = 64 * 1024;
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const auto &start : {std::string("HTTP/1.1 200 OK\r\nX-Long: "),
+                              std::string("HTTP/1.1 200 "),
+                              head + "000000",
+                              head + "5;extension=",
+                              head + "3\r\nabc\r\n0\r\nX-Trailer: "}) {
+        MessageParser parser(MessageParser::Direction::Answer, {});
+        auto buffer = start;
+        std::optional<ParseError> error = parser.feed(buffer);
+        size_t fed = 0;
+        while (!error && fed < Most) {
+            buffer += std::string(512, '0');
+            fed += 512;
+            error = parser.feed(buffer);
+        }
+        EXPECT_TRUE(error) << start;
+        EXPECT_LE(buffer.size(), 20U * 1024) << start;
+    }
+}
+
+// Guards against a parser that reads beyond its input, crashes or keeps more than its limits on damaged messages.
+TEST(MessageParser, DamagedMessagesAreRefusedOrRead)
+{
+    const std::vector<std::string> seeds {
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-A: b\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=b\r\nhello\r\n0\r\nX-T: 1\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\nRetry-After: 1.5\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.0 200 OK\r\n\r\nuntil the end",
+    };
+    for (unsigned seed = 0; seed < RandomSchedules; ++seed) {
+        std::mt19937 random(seed);
+        auto bytes = seeds[random() % seeds.size()];
+        for (unsigned change = random() % 8; change > 0; --change) {
+            const auto position = random() % bytes.size();
+            switch (random() % 3) {
+            case 0:
+                bytes[position] = static_cast<char>(random());
+                break;
+            case 1:
+                bytes.erase(position, 1 + random() % 4);
+                break;
+            default:
+                bytes.insert(position, bytes.substr(random() % bytes.size(), random() % 40));
+            }
+            if (bytes.empty()) {
+                bytes = "\r\n";
+            }
+        }
+        const auto parsed = parseInPieces(MessageParser::Direction::Answer, bytes, random);
+        ASSERT_LE(parsed.body.size(), bytes.size()) << seed;
+    }
+}
--- a/Tests/LibRelay/SessionWorld.cpp
+++ b/Tests/LibRelay/SessionWorld.cpp
@@ -26,6 +26,7 @@
                                      lastExcluded = excluded;
                                      return hasDestination ? std::optional(RelayTarget {.id = "d", .incarnation = 1, .address = "d:1"}) : std::nullopt;
                                  },
+                             .mayContinue = [this](const RelayTarget &target, MonotonicTime) { return !refusesContinuation.contains(target.id); },
                              .takeRetry = [this](MonotonicTime) { return retriesLeft-- > 0; },
                              .send = [this](const RelaySend &send) { sends.push_back(send); },
                              .abortSend = [this] { ++aborts; },
--- a/Tests/LibRelay/SessionWorld.h
+++ b/Tests/LibRelay/SessionWorld.h
@@ -57,6 +57,8 @@
     // What the last choice of a destination had to leave out.
     std::set<std::string> lastExcluded;
     std::string backup;
+    // Targets that want no continuation of a generation.
+    std::set<std::string> refusesContinuation;
 
 private:
     MonotonicTime m_now {std::chrono::hours(1)};
--- a/Tests/LibRelay/TestEventSplitter.cpp
+++ b/Tests/LibRelay/TestEventSplitter.cpp
@@ -45,3 +45,14 @@
     EXPECT_EQ(repetition.feed("id: 1\n\nid: 1\n\n"), "id: 1\n\n");
     EXPECT_TRUE(repetition.isOutOfOrder());
 }
+
+// Guards against memory that grows with an event that never ends.
+TEST(EventSplitter, EventWithoutEndIsNoticed)
+{
+    EventSplitter splitter;
+    splitter.feed("data: ");
+    for (int count = 0; count < 100 && !splitter.isTooLong(); ++count) {
+        splitter.feed(std::string(1024, 'x'));
+    }
+    EXPECT_TRUE(splitter.isTooLong());
+}
--- a/Tests/LibRelay/TestPeers.cpp
+++ b/Tests/LibRelay/TestPeers.cpp
@@ -24,7 +24,7 @@
 // Guards against a dead gateway that callers are still sent to.
 TEST(PeerTable, SilentRelayIsNotAlive)
 {
-    PeerTable peers({.ownAddress = "me:81", .silenceTimeout = 1600ms});
+    PeerTable peers({.ownAddress = "me:81", .silenceTimeout = 1600ms}, Start);
     EXPECT_EQ(peers.hear(news("a", 1), Start), PeerTable::Change::Joined);
     EXPECT_EQ(peers.liveCount(Start + 1500ms), 2);
     EXPECT_EQ(peers.liveCount(Start + 1600ms), 1);
@@ -35,7 +35,7 @@
 // Guards against a delayed heartbeat of an earlier process, or an overtaken one, that replaces newer news.
 TEST(PeerTable, OlderHeartbeatsAreIgnored)
 {
-    PeerTable peers({.ownAddress = "me:81"});
+    PeerTable peers({.ownAddress = "me:81"}, Start);
     peers.hear(news("a", 5, 2), Start);
     EXPECT_EQ(peers.hear(news("a", 4, 2), Start), PeerTable::Change::Stale);
     EXPECT_EQ(peers.hear(news("a", 9, 1), Start), PeerTable::Change::Stale);
@@ -45,7 +45,7 @@
 // Guards against relays that never meet because a seed was down, and against heartbeats to dead addresses at the full pace.
 TEST(PeerTable, AddressesSpreadAndDeadOnesAreProbedSeldom)
 {
-    PeerTable peers({.ownAddress = "me:81", .probePause = 2000ms});
+    PeerTable peers({.ownAddress = "me:81", .probePause = 2000ms}, Start);
     peers.addAddress("seed:81", Start);
     auto first = news("a", 1);
     first.known = {"b:81", "me:81"};
@@ -63,7 +63,7 @@
     std::vector<PeerTable> tables;
     const auto address = [](int index) { return "n" + std::to_string(index) + ":81"; };
     for (int index = 0; index < Relays; ++index) {
-        tables.emplace_back(PeerTable::Options {.ownAddress = address(index)});
+        tables.emplace_back(PeerTable::Options {.ownAddress = address(index)}, Start);
         for (int seed = 0; seed < 3; ++seed) {
             tables.back().addAddress(address(seed), Start);
         }
@@ -265,7 +265,7 @@
 // Guards against heartbeats that go to the wrong half of the fleet: both together reach every live relay once.
 TEST(PeerTable, RecipientsAreSplitByRegion)
 {
-    PeerTable peers({.ownAddress = "me:81", .region = "punjab", .regions = {{"lahore", "punjab"}, {"karachi", "sindh"}}});
+    PeerTable peers({.ownAddress = "me:81", .region = "punjab", .regions = {{"lahore", "punjab"}, {"karachi", "sindh"}}}, Start);
     for (const auto &[node, dataCentre] : {std::pair("near", "lahore"), std::pair("far", "karachi")}) {
         auto heartbeat = news(node, 1);
         heartbeat.dataCentre = dataCentre;
@@ -280,7 +280,7 @@
 // Guards against a region that nobody speaks for once its speaker is gone, or two do: the first by name of the live relays of the region does.
 TEST(PeerTable, OneRelaySpeaksForItsRegion)
 {
-    PeerTable peers({.ownAddress = "me:81", .region = "punjab", .regions = {{"lahore", "punjab"}, {"karachi", "sindh"}}, .silenceTimeout = 1600ms});
+    PeerTable peers({.ownAddress = "me:81", .region = "punjab", .regions = {{"lahore", "punjab"}, {"karachi", "sindh"}}, .silenceTimeout = 1600ms}, Start);
     EXPECT_TRUE(peers.speaksForRegion("me", Start));
     auto far = news("a", 1);
     far.dataCentre = "karachi";
@@ -334,3 +334,18 @@
     // Others wait for this relay's turn to copy.
     EXPECT_EQ(audienceForTarget(true, true, true), NewsAudience::All);
 }
+
+// Guards against a relay that is cut off from the others and takes their shares of cold targets as its own.
+TEST(PeerTable, SilentRelaysKeepTheirShareOfColdTargets)
+{
+    PeerTable peers({.ownAddress = "me:81", .ownNode = "me"}, Start);
+    EXPECT_FALSE(peers.coldSharers(Start).isSettled);
+    peers.hear(news("a", 1), Start);
+    peers.hear(news("b", 1), Start);
+    peers.expire(Start + 10s);
+    EXPECT_EQ(peers.liveCount(Start + 10s), 1);
+    EXPECT_EQ(peers.coldSharers(Start + 10s).others.size(), 2U);
+    EXPECT_TRUE(peers.coldSharers(Start + 10s).isSettled);
+    peers.expire(Start + 40s);
+    EXPECT_TRUE(peers.coldSharers(Start + 40s).others.empty());
+}
--- a/Tests/LibRelay/TestRelaySession.cpp
+++ b/Tests/LibRelay/TestRelaySession.cpp
@@ -473,3 +473,32 @@
         }
     }
 }
+
+// Guards against a stream of bytes that never completes an event and is read until the caller leaves: a suggestion goes on elsewhere, a draft ends.
+TEST(RelaySession, EventWithoutEndEndsTheSend)
+{
+    for (const auto &facts : {Suggestion, Draft}) {
+        SessionWorld world(facts);
+        world.startStream(SessionWorld::events(1, 2));
+        for (int count = 0; count < 100; ++count) {
+            world.session().onBody(std::string(1024, 'x'), world.now());
+        }
+        EXPECT_EQ(world.sends.size(), facts.resumable ? 2U : 1U);
+        EXPECT_EQ(world.cuts, facts.resumable ? 0 : 1);
+        EXPECT_EQ(world.receivedIds(), idsUpTo(2));
+    }
+}
+
+// Guards against a generation that is sent to a target that wants nothing from this relay, although its memory is still at the source.
+TEST(RelaySession, MoveGoesBackToTheSourceIfTheDestinationWantsNothing)
+{
+    SessionWorld world(Draft);
+    world.startStream(SessionWorld::events(1, 2));
+    world.session().onTargetLeaving(world.now());
+    world.session().onCopied({.kind = CopyResult::Kind::Copied, .handle = "h"}, world.now());
+    world.refusesContinuation.insert("d");
+    world.session().onEnd(UpstreamResult::Broken, world.now());
+    world.session().onCopied({.kind = CopyResult::Kind::Copied, .handle = "h"}, world.now());
+    ASSERT_EQ(world.sends.size(), 2U);
+    EXPECT_EQ(world.sends[1].target.id, world.sends[0].target.id);
+}
--- a/Tests/LibRelay/TestTargets.cpp
+++ b/Tests/LibRelay/TestTargets.cpp
@@ -2,6 +2,7 @@
 #include <LibRelay/TargetBalancer.h>
 #include <LibRelay/TargetTable.h>
 #include <random>
+#include <LibPolicy/SplitMix.h>
 
 using namespace Jujube;
 using namespace std::chrono_literals;
@@ -92,9 +93,9 @@
 {
     TargetTable targets({});
     targets.set(entry("a"), Start);
-    targets.setDataCentreOut("lahore", true);
+    targets.setDataCentreOut("lahore", true, Start);
     EXPECT_FALSE(targets.isUsable(*targets.find("a"), Start));
-    targets.setDataCentreOut("lahore", false);
+    targets.setDataCentreOut("lahore", false, Start);
     EXPECT_TRUE(targets.isUsable(*targets.find("a"), Start));
 }
 
@@ -369,3 +370,126 @@
     targets.tick(Start + 21s);
     EXPECT_TRUE(targets.ofService("other").empty());
 }
+
+// Guards against work for a target that has said in an answer that it leaves, brought about by a later entry of the list, a peer's table, another address or a
+// lapse. Only a new lifetime ends it.
+TEST(TargetTable, TargetThatSaidItLeavesStaysLeaving)
+{
+    TargetTable targets({});
+    targets.set(entry("a", 1), Start);
+    EXPECT_TRUE(targets.noteLeaving("a", 1, Start));
+    targets.set(entry("a", 7), Start + 1s);
+    EXPECT_FALSE(targets.isUsable(*targets.find("a"), Start + 1s));
+    auto moved = entry("a", 8);
+    moved.address = "elsewhere:1";
+    targets.set(moved, Start + 2s);
+    EXPECT_FALSE(targets.isUsable(*targets.find("a"), Start + 2s));
+    targets.remove("a", true, 9, Start + 3s);
+    targets.set(entry("a", 10), Start + 4s);
+    targets.tick(Start + 60s);
+    targets.set(entry("a", 11), Start + 61s);
+    EXPECT_FALSE(targets.isUsable(*targets.find("a"), Start + 61s));
+    targets.set(entry("a", 12, 2), Start + 62s);
+    EXPECT_TRUE(targets.isUsable(*targets.find("a"), Start + 62s));
+}
+
+// Guards against a report of an earlier lifetime that takes a new one out of use.
+TEST(TargetTable, LeavingOfAnEarlierLifetimeIsIgnored)
+{
+    TargetTable targets({});
+    targets.set(entry("a", 1, 2), Start);
+    EXPECT_FALSE(targets.noteLeaving("a", 1, Start));
+    EXPECT_TRUE(targets.isUsable(*targets.find("a"), Start));
+}
+
+// Guards against relays that do not learn from a peer that a target leaves because they have a newer entry of the list.
+TEST(TargetTable, LeavingIsToldToRelaysWithNewerEntries)
+{
+    TargetTable teller({});
+    teller.set(entry("a", 1), Start);
+    teller.noteLeaving("a", 1, Start);
+    TargetTable listener({});
+    listener.set(entry("a", 5), Start);
+    for (const auto &change : teller.recentChanges(1s, Start)) {
+        EXPECT_TRUE(listener.set(change, Start));
+    }
+    EXPECT_FALSE(listener.isUsable(*listener.find("a"), Start));
+}
+
+// Guards against relays that do not read the list and take a target that has turned cold for a warm one.
+TEST(TargetTable, TurningColdIsNews)
+{
+    TargetTable targets({});
+    targets.set(entry("a", 1), Start);
+    auto cold = entry("a", 2);
+    cold.coldLeft = 900ms;
+    targets.set(cold, Start + 10s);
+    EXPECT_EQ(targets.recentChanges(1s, Start + 10s).size(), 1U);
+}
+
+// Guards against a target that asked to be left alone and gets work from the same relay all the same, and against refusals that name an earlier time.
+TEST(TargetBalancer, QuietTargetGetsNoWork)
+{
+    TargetTable targets({});
+    targets.set(entry("a"), Start);
+    targets.set(entry("b"), Start);
+    auto choices = balancer();
+    choices.quiet().note("a", 2000ms, Start);
+    choices.quiet().note("b", 1500ms, Start);
+    EXPECT_EQ(choices.choose({}, targets, engineService(), Start, 1).target, nullptr);
+    EXPECT_EQ(choices.choose({}, targets, engineService(), Start, 1).quietUntil, Start + 1500ms);
+    EXPECT_EQ(choices.choose({.isMove = true, .source = "c"}, targets, engineService(), Start, 1).target, nullptr);
+    EXPECT_EQ(choices.choose({}, targets, engineService(), Start + 1600ms, 1).target->entry.id, "b");
+    EXPECT_TRUE(choices.quiet().tryContinue("a", Start));
+    EXPECT_FALSE(choices.quiet().tryContinue("a", Start));
+    EXPECT_TRUE(choices.quiet().tryContinue("a", Start + 2100ms));
+}
+
+// Guards against a target that is never used again because of an absurd time.
+TEST(QuietTargets, TimesAreBounded)
+{
+    QuietTargets quiet({.longest = 10s});
+    quiet.note("a", std::chrono::hours(24), Start);
+    EXPECT_EQ(quiet.until("a", Start), Start + 10s);
+    quiet.note("a", 1s, Start);
+    EXPECT_EQ(quiet.until("a", Start), Start + 10s);
+    quiet.note("b", 0ms, Start);
+    EXPECT_FALSE(quiet.until("b", Start));
+}
+
+// Load pattern: one engine returns cold and is the cheapest for each of 400 relays, which start as much there as they may. Views differ: each relay has lost up
+// to half of the others lately, some relays have just started, and some are cut off and hear nobody.
+TEST(ColdRate, ColdTargetsKeepToTheBoundInLargeFleets)
+{
+    constexpr double ColdPerSecond = 19;
+    // The users' bound on starts within a second.
+    constexpr double Bound = 1.5 * ColdPerSecond + 5;
+    for (const size_t relays : {3U, 7U, 21U, 25U, 77U, 195U, 400U}) {
+        std::vector<uint64_t> names;
+        for (size_t index = 0; index < relays; ++index) {
+            names.push_back(SplitMix(index).next());
+        }
+        for (unsigned seed = 0; seed < 50; ++seed) {
+            std::mt19937 random(seed);
+            const size_t alive = seed % 2 == 0 ? relays : 1 + random() % relays;
+            const auto target = "engine-" + std::to_string(seed);
+            int starts = 0;
+            for (size_t self = 0; self < alive; ++self) {
+                // All relays that are alive are known; of those that have gone, only some are remembered.
+                std::vector<uint64_t> others;
+                for (size_t other = 0; other < relays; ++other) {
+                    if (other != self && (other < alive || random() % 2 == 0)) {
+                        others.push_back(names[other]);
+                    }
+                }
+                const bool isNew = random() % 10 == 0;
+                if (isNew) {
+                    others.resize(random() % (others.size() + 1));
+                }
+                starts += ColdRate::coldShare(ColdPerSecond, {.others = others, .self = names[self], .isSettled = !isNew}, target);
+            }
+            ASSERT_LE(starts, Bound) << relays << " relays, seed " << seed;
+            ASSERT_TRUE(starts > 0 || alive < relays || relays < 10) << relays << " relays, seed " << seed;
+        }
+    }
+}
--- a/Tests/Platform/TestRelay.cpp
+++ b/Tests/Platform/TestRelay.cpp
@@ -475,3 +475,62 @@
         EXPECT_EQ(world.call("n1", {.path = "/commit/x", .id = "r" + std::to_string(count)}).status, 200);
     }
 }
+
+// Guards against requests that go on reaching a target which has said in an answer that it leaves, although the list calls it ready.
+TEST(Relay, TargetThatSaysItLeavesGetsNothingMore)
+{
+    RelayWorld world;
+    world.writeDocument(1);
+    auto &leaving = world.addServer("i-1", "desk");
+    world.addRelay("n1");
+    ASSERT_TRUE(world.waitReady("n1"));
+    leaving.setSaysLeaving();
+    EXPECT_EQ(world.call("n1", {.path = "/commit/x"}).status, 200);
+    auto &other = world.addServer("i-2", "desk");
+    world.registerServer("i-1", "ready");
+    ASSERT_TRUE(world.runUntil([&] { return other.runCount() > 0 || world.call("n1", {.path = "/commit/x", .id = "probe"}).status == 200; }, InForce));
+    for (int count = 0; count < 10; ++count) {
+        world.registerServer("i-1", "ready");
+        EXPECT_EQ(world.call("n1", {.path = "/commit/x", .id = "r" + std::to_string(count)}).status, 200);
+    }
+    EXPECT_EQ(leaving.runCount(), 1);
+    EXPECT_EQ(other.runCount(), 11);
+}
+
+// Guards against a target that asked to be left alone and is asked all the same, and against refusals that send callers back too early.
+TEST(Relay, TargetThatAsksForItIsLeftAlone)
+{
+    RelayWorld world;
+    world.writeDocument(1);
+    auto &desk = world.addServer("i-1", "desk");
+    desk.setBehaviour(StandInServer::Behaviour::Full);
+    desk.setRetryAfter("1.5");
+    world.addRelay("n1");
+    ASSERT_TRUE(world.waitReady("n1"));
+    for (int count = 0; count < 5; ++count) {
+        const auto answer = world.call("n1", {.path = "/status/x", .id = "r" + std::to_string(count), .method = "GET", .body = ""});
+        EXPECT_EQ(answer.status, 503);
+        EXPECT_GE(std::stod(std::string(answer.head.value("Retry-After"))), 1.0);
+    }
+    EXPECT_EQ(desk.heads().size(), 1U);
+    desk.setBehaviour(StandInServer::Behaviour::Answer);
+    world.runFor(1600ms);
+    EXPECT_EQ(world.call("n1", {.path = "/status/x", .id = "later", .method = "GET", .body = ""}).status, 200);
+}
+
+// Guards against a stream that sends a byte now and then and is kept open although it makes no progress.
+TEST(Relay, StreamWithoutProgressGoesOnElsewhere)
+{
+    RelayWorld world;
+    world.writeDocument(1);
+    auto &stalled = world.addServer("i-1", "engine", 5);
+    stalled.setBehaviour(StandInServer::Behaviour::Drip);
+    world.addRelay("n1");
+    ASSERT_TRUE(world.waitReady("n1"));
+    const auto answer = std::make_shared<RelayWorld::Answer>();
+    const auto channel = world.begin("n1", {.path = "/hint/x"}, answer);
+    ASSERT_TRUE(world.runUntil([&] { return !answer->body.empty(); }));
+    world.addServer("i-2", "engine", 5);
+    ASSERT_TRUE(world.runUntil([&] { return answer->end == ChannelEnd::Complete; }));
+    EXPECT_EQ(answer->body, eventsText(5));
+}
