Tell in large fleets only what the receiver uses, and news of targets at first hand

Each relay repeated for 1.5 s in every heartbeat what it had heard of targets from peers, while a sixth of the engines changes every three seconds; each order call was told to 64 relays, which heard of it when it was nearly over; every message carried everything. Change: only who knows a change of a target at first hand tells it; who missed it sees another digest and asks. In fleets of more than 12 relays a placement of a generation is told by a short message, that of a call is not told at once.

--- a/Libraries/LibRelay/Generated/Relay_types.cpp
+++ b/Libraries/LibRelay/Generated/Relay_types.cpp
@@ -782,6 +782,14 @@
 void RelayHeartbeat::__set_trying(const bool val) {
   this->trying = val;
 }
+
+void RelayHeartbeat::__set_beatMs(const int32_t val) {
+  this->beatMs = val;
+}
+
+void RelayHeartbeat::__set_onlyLoads(const bool val) {
+  this->onlyLoads = val;
+}
 std::ostream& operator<<(std::ostream& out, const RelayHeartbeat& obj)
 {
   obj.printTo(out);
@@ -994,6 +1002,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->beatMs);
+          this->__isset.beatMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->onlyLoads);
+          this->__isset.onlyLoads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1111,6 +1135,14 @@
   xfer += oprot->writeBool(this->trying);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("beatMs", ::apache::thrift::protocol::T_I32, 19);
+  xfer += oprot->writeI32(this->beatMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("onlyLoads", ::apache::thrift::protocol::T_BOOL, 20);
+  xfer += oprot->writeBool(this->onlyLoads);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1135,6 +1167,8 @@
   swap(a.targetsAgeMs, b.targetsAgeMs);
   swap(a.reading, b.reading);
   swap(a.trying, b.trying);
+  swap(a.beatMs, b.beatMs);
+  swap(a.onlyLoads, b.onlyLoads);
   swap(a.__isset, b.__isset);
 }
 
@@ -1156,6 +1190,8 @@
   targetsAgeMs = other42.targetsAgeMs;
   reading = other42.reading;
   trying = other42.trying;
+  beatMs = other42.beatMs;
+  onlyLoads = other42.onlyLoads;
   __isset = other42.__isset;
 }
 RelayHeartbeat::RelayHeartbeat(RelayHeartbeat&& other43) noexcept {
@@ -1176,6 +1212,8 @@
   targetsAgeMs = other43.targetsAgeMs;
   reading = other43.reading;
   trying = other43.trying;
+  beatMs = other43.beatMs;
+  onlyLoads = other43.onlyLoads;
   __isset = other43.__isset;
 }
 RelayHeartbeat& RelayHeartbeat::operator=(const RelayHeartbeat& other44) {
@@ -1196,6 +1234,8 @@
   targetsAgeMs = other44.targetsAgeMs;
   reading = other44.reading;
   trying = other44.trying;
+  beatMs = other44.beatMs;
+  onlyLoads = other44.onlyLoads;
   __isset = other44.__isset;
   return *this;
 }
@@ -1217,6 +1257,8 @@
   targetsAgeMs = other45.targetsAgeMs;
   reading = other45.reading;
   trying = other45.trying;
+  beatMs = other45.beatMs;
+  onlyLoads = other45.onlyLoads;
   __isset = other45.__isset;
   return *this;
 }
@@ -1240,6 +1282,8 @@
   out << ", " << "targetsAgeMs=" << to_string(targetsAgeMs);
   out << ", " << "reading=" << to_string(reading);
   out << ", " << "trying=" << to_string(trying);
+  out << ", " << "beatMs=" << to_string(beatMs);
+  out << ", " << "onlyLoads=" << to_string(onlyLoads);
   out << ")";
 }
 
--- a/Libraries/LibRelay/Generated/Relay_types.h
+++ b/Libraries/LibRelay/Generated/Relay_types.h
@@ -283,7 +283,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashOnTarget& obj);
 
 typedef struct _RelayHeartbeat__isset {
-  _RelayHeartbeat__isset() : node(false), incarnation(false), sequence(false), callers(false), peers(false), dataCentre(false), accepting(false), documentTableVersion(false), loads(false), targets(false), crashes(false), known(false), targetsDigest(false), targetsVersion(false), targetsAgeMs(false), reading(false), trying(false) {}
+  _RelayHeartbeat__isset() : node(false), incarnation(false), sequence(false), callers(false), peers(false), dataCentre(false), accepting(false), documentTableVersion(false), loads(false), targets(false), crashes(false), known(false), targetsDigest(false), targetsVersion(false), targetsAgeMs(false), reading(false), trying(false), beatMs(false), onlyLoads(false) {}
   bool node :1;
   bool incarnation :1;
   bool sequence :1;
@@ -301,6 +301,8 @@
   bool targetsAgeMs :1;
   bool reading :1;
   bool trying :1;
+  bool beatMs :1;
+  bool onlyLoads :1;
 } _RelayHeartbeat__isset;
 
 class RelayHeartbeat : public virtual ::apache::thrift::TBase {
@@ -323,7 +325,9 @@
                    targetsVersion(0),
                    targetsAgeMs(0),
                    reading(0),
-                   trying(0) {
+                   trying(0),
+                   beatMs(0),
+                   onlyLoads(0) {
   }
 
   virtual ~RelayHeartbeat() noexcept;
@@ -344,6 +348,8 @@
   int32_t targetsAgeMs;
   bool reading;
   bool trying;
+  int32_t beatMs;
+  bool onlyLoads;
 
   _RelayHeartbeat__isset __isset;
 
@@ -381,6 +387,10 @@
 
   void __set_trying(const bool val);
 
+  void __set_beatMs(const int32_t val);
+
+  void __set_onlyLoads(const bool val);
+
   bool operator == (const RelayHeartbeat & rhs) const
   {
     if (!(node == rhs.node))
@@ -417,6 +427,10 @@
       return false;
     if (!(trying == rhs.trying))
       return false;
+    if (!(beatMs == rhs.beatMs))
+      return false;
+    if (!(onlyLoads == rhs.onlyLoads))
+      return false;
     return true;
   }
   bool operator != (const RelayHeartbeat &rhs) const {
--- a/Libraries/LibRelay/PeerNewsCodec.cpp
+++ b/Libraries/LibRelay/PeerNewsCodec.cpp
@@ -81,6 +81,8 @@
     result.targetsVersion = news.targetsVersion;
     result.reading = news.reading;
     result.trying = news.trying;
+    result.beatMs = static_cast<int32_t>(news.beatPause.count());
+    result.onlyLoads = news.onlyLoads;
     result.targetsAgeMs = static_cast<int32_t>(std::min<int64_t>(news.targetsAge.count(), std::numeric_limits<int32_t>::max()));
     auto loads = news.loads;
     std::sort(loads.begin(), loads.end(), [](const auto &left, const auto &right) { return left.running > right.running; });
@@ -117,7 +119,9 @@
                    .targetsVersion = wire.targetsVersion,
                    .targetsAge = std::chrono::milliseconds(wire.targetsAgeMs),
                    .reading = wire.reading,
-                   .trying = wire.trying};
+                   .trying = wire.trying,
+                   .beatPause = std::chrono::milliseconds(wire.beatMs),
+                   .onlyLoads = wire.onlyLoads};
     for (const auto &load : wire.loads) {
         news.loads.push_back({.target = load.target, .running = load.running, .memory = load.memory, .prefill = load.prefill, .movable = load.movable});
     }
--- a/Libraries/LibRelay/PeerTable.cpp
+++ b/Libraries/LibRelay/PeerTable.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+// Heartbeats that may be lost in a row before their sender counts as dead.
+constexpr double BeatsUntilSilent = 2.5;
+
 uint64_t hashOf(const std::string &node)
 {
     return XXH3_64bits(node.data(), node.size());
@@ -44,10 +47,22 @@
             return Change::Stale;
         }
     }
+    if (news.onlyLoads) {
+        if (found == m_peers.end() || found->second.news.incarnation != news.incarnation) {
+            return Change::Stale;
+        }
+        found->second.news.sequence = news.sequence;
+        if (m_live.contains(news.node)) {
+            found->second.heardAt = now;
+            m_addresses[news.peers].heardAt = now;
+        }
+        return Change::None;
+    }
     addAddress(news.peers, now);
     auto &address = m_addresses[news.peers];
     address.heard = true;
     address.heardAt = now;
+    address.silenceTimeout = silenceTimeoutOf(news);
     address.isNear = isInRegion(news.dataCentre);
     for (const auto &known : news.known) {
         addAddress(known, now);
@@ -64,7 +79,7 @@
 {
     std::vector<std::string> result;
     for (auto &[text, address] : m_addresses) {
-        const bool answers = address.heard && now - address.heardAt < m_options.silenceTimeout;
+        const bool answers = address.heard && now - address.heardAt < address.silenceTimeout;
         const bool isLiveInRegion = answers && address.isNear;
         if (reach == Reach::Region) {
             if (isLiveInRegion) {
@@ -102,9 +117,15 @@
     return std::all_of(near.begin(), near.end(), [&](const Peer *peer) { return ownNode < peer->news.node; });
 }
 
+std::chrono::milliseconds PeerTable::silenceTimeoutOf(const PeerNews &news) const
+{
+    const auto announced = std::chrono::duration_cast<std::chrono::milliseconds>(BeatsUntilSilent * news.beatPause);
+    return std::max(m_options.silenceTimeout, std::min(announced, m_options.longestSilence));
+}
+
 bool PeerTable::isAlive(const Peer &peer, MonotonicTime now) const
 {
-    return now - peer.heardAt < m_options.silenceTimeout;
+    return now - peer.heardAt < silenceTimeoutOf(peer.news);
 }
 
 std::vector<std::string> PeerTable::expire(MonotonicTime now)
--- a/Libraries/LibRelay/PeerTable.h
+++ b/Libraries/LibRelay/PeerTable.h
@@ -38,6 +38,10 @@
     bool reading = false;
     // Whether it reads them, or its reads have failed for a short time only.
     bool trying = false;
+    // Longest time until the next heartbeat to the same receiver.
+    std::chrono::milliseconds beatPause {0};
+    // Nothing but the name, the numbers and the loads is filled in.
+    bool onlyLoads = false;
     std::vector<TargetLoad> loads;
     // Targets that changed lately.
     std::vector<TargetEntry> targets;
@@ -62,8 +66,9 @@
         std::string region;
         // Region of each data centre.
         std::map<std::string, std::string> regions;
-        // A relay that has not been heard for this time counts as dead.
+        // A relay that has not been heard for this time counts as dead, or for the time of some of the heartbeats that it has announced if that is longer.
         std::chrono::milliseconds silenceTimeout {2500};
+        std::chrono::milliseconds longestSilence {6000};
         // Relays that have been silent for longer have no share in cold targets any more.
         std::chrono::seconds sharerMemory {30};
         // After this time since its start a relay has heard the others, by way of its seeds.
@@ -84,6 +89,7 @@
     PeerTable(Options options, MonotonicTime now);
 
     void addAddress(const std::string &address, MonotonicTime now);
+    // Takes in a heartbeat. One with loads only has no effect but that its sender is alive; it is stale if its sender is not known.
     Change hear(const PeerNews &news, MonotonicTime now);
 
     // Which relays get a heartbeat.
@@ -116,12 +122,15 @@
         MonotonicTime addedAt;
         MonotonicTime heardAt;
         MonotonicTime probedAt;
+        // How long the relay there counts as alive without a further heartbeat.
+        std::chrono::milliseconds silenceTimeout {0};
         bool heard = false;
         // Whether a relay of this region has the address.
         bool isNear = false;
     };
 
     bool isInRegion(const std::string &dataCentre) const;
+    std::chrono::milliseconds silenceTimeoutOf(const PeerNews &news) const;
     bool isAlive(const Peer &peer, MonotonicTime now) const;
     void collectSharers(MonotonicTime now);
 
--- a/Libraries/LibRelay/Relay.thrift
+++ b/Libraries/LibRelay/Relay.thrift
@@ -59,4 +59,8 @@
   17: bool reading
   // Whether the sender reads them, or its reads have failed for a short time only.
   18: bool trying
+  // Longest time until the next heartbeat to the same receiver.
+  19: i32 beatMs
+  // Only the name, the numbers and the loads are filled in.
+  20: bool onlyLoads
 }
--- a/Libraries/LibRelay/TargetTable.cpp
+++ b/Libraries/LibRelay/TargetTable.cpp
@@ -11,7 +11,14 @@
 {
 }
 
-bool TargetTable::markLeaving(KnownTarget &target, MonotonicTime now)
+void TargetTable::noteChange(KnownTarget &target, MonotonicTime now, Source source)
+{
+    if (source == Source::FirstHand) {
+        target.changedAt = now;
+    }
+}
+
+bool TargetTable::markLeaving(KnownTarget &target, MonotonicTime now, Source source)
 {
     m_digest.reset();
     target.lapsedUntil.reset();
@@ -20,11 +27,11 @@
         return false;
     }
     target.leavingSince = now;
-    target.changedAt = now;
+    noteChange(target, now, source);
     return true;
 }
 
-bool TargetTable::set(const TargetEntry &entry, MonotonicTime now)
+bool TargetTable::set(const TargetEntry &entry, MonotonicTime now, Source source)
 {
     m_digest.reset();
     const auto [found, wasAdded] = m_targets.try_emplace(entry.id);
@@ -35,34 +42,36 @@
     const bool isNew = target.entry.id.empty() || entry.incarnation > target.entry.incarnation;
     const bool isSameLifetime = !isNew && entry.incarnation == target.entry.incarnation;
     if (isSameLifetime && entry.saidLeaving && !target.entry.saidLeaving) {
-        return noteLeaving(entry.id, entry.incarnation, now);
+        target.entry.saidLeaving = true;
+        return markLeaving(target, now, source);
     }
     if (!isNew && (!isSameLifetime || entry.version < target.entry.version)) {
         return false;
     }
     const bool saidLeaving = !isNew && (target.entry.saidLeaving || entry.saidLeaving);
     if (isNew || (entry.address != target.entry.address && !saidLeaving)) {
-        target = {.changedAt = now};
+        target = {};
+        noteChange(target, now, source);
     }
     target.entry = entry;
     target.entry.saidLeaving = target.entry.saidLeaving || saidLeaving;
     if (target.lapsedUntil) {
         target.lapsedUntil.reset();
-        target.changedAt = now;
+        noteChange(target, now, source);
     }
     if (entry.coldLeft.count() > 0) {
         if (now >= target.coldUntil) {
-            target.changedAt = now;
+            noteChange(target, now, source);
         }
         target.coldUntil = now + entry.coldLeft;
     }
     if (target.entry.leaving || target.entry.saidLeaving) {
-        return markLeaving(target, now);
+        return markLeaving(target, now, source);
     }
     if (target.leavingSince) {
         // The entry had lapsed and is back.
         target.leavingSince.reset();
-        target.changedAt = now;
+        noteChange(target, now, source);
     }
     return false;
 }
--- a/Libraries/LibRelay/TargetTable.h
+++ b/Libraries/LibRelay/TargetTable.h
@@ -38,7 +38,7 @@
     std::optional<MonotonicTime> leavingSince;
     // The entry lapsed while the list was out of reach, and the target may register again until this time.
     std::optional<MonotonicTime> lapsedUntil;
-    // When this gateway learnt what others may not know yet: a new target, a new address, or that the target leaves.
+    // When this gateway learnt at first hand what others may not know yet: a new target, a new address, or that the target leaves.
     MonotonicTime changedAt;
 };
 
@@ -59,14 +59,22 @@
 
     explicit TargetTable(Options options);
 
-    // Takes in an entry, from the store or from another gateway. An older one than the known one has no effect. Returns whether a target became leaving by it.
-    bool set(const TargetEntry &entry, MonotonicTime now);
+    // Who has told of an entry.
+    enum class Source {
+        // The list in the store, or the target itself.
+        FirstHand,
+        // Another gateway, which tells all others itself.
+        Peer,
+    };
+
+    // Takes in an entry. An older one than the known one has no effect. Returns whether a target became leaving by it.
+    bool set(const TargetEntry &entry, MonotonicTime now, Source source = Source::FirstHand);
 
     // The entry has disappeared as of a version of the store. `afterOutage` tells that the list was out of reach until now, so that the entry may only have
     // lapsed. Returns whether a target became leaving by it.
     bool remove(const std::string &id, bool afterOutage, int64_t version, MonotonicTime now);
 
-    // Targets that changed within the given time, for other gateways.
+    // Targets that changed within the given time, as far as this gateway knows it at first hand, for other gateways.
     std::vector<TargetEntry> recentChanges(std::chrono::milliseconds within, MonotonicTime now) const;
 
     std::vector<TargetEntry> allEntries() const;
@@ -109,7 +117,8 @@
 private:
     using TargetsByService = absl::flat_hash_map<std::string, std::vector<const KnownTarget *>>;
 
-    bool markLeaving(KnownTarget &target, MonotonicTime now);
+    bool markLeaving(KnownTarget &target, MonotonicTime now, Source source = Source::FirstHand);
+    static void noteChange(KnownTarget &target, MonotonicTime now, Source source);
     uint64_t computeDigest() const;
 
     const Options m_options;
--- a/Libraries/LibRelayServer/PeerLink.cpp
+++ b/Libraries/LibRelayServer/PeerLink.cpp
@@ -15,7 +15,7 @@
 // Pause between heartbeats. They carry loads, on which placement depends. With many relays it grows, so that a relay's share of processor time and traffic
 // stays bounded.
 constexpr std::chrono::milliseconds ShortestBeatPause {200};
-constexpr std::chrono::milliseconds LongestBeatPause {400};
+constexpr std::chrono::milliseconds LongestBeatPause {800};
 constexpr std::chrono::milliseconds BeatPausePerRelay {5};
 // A change is told in several heartbeats, because a datagram may be lost.
 constexpr std::chrono::milliseconds NewsTime {1500};
@@ -93,6 +93,9 @@
     }
     m_core.balancer.setPeerLoads(news->node, std::move(loads));
     m_core.checkTurns(now);
+    if (news->onlyLoads) {
+        return;
+    }
     m_hooks.onTargetNews(*news, now);
     for (const auto &crash : news->crashes) {
         m_core.crashes.merge(crash, now);
@@ -130,9 +133,9 @@
     }
 }
 
-void PeerLink::tellLoadSoon()
+void PeerLink::tellLoadSoon(bool isGeneration)
 {
-    if (m_loadSoon) {
+    if (m_loadSoon || (!isGeneration && !isSmallFleet(monotonicNow()))) {
         return;
     }
     m_loadSoon = true;
@@ -143,7 +146,11 @@
         }
         m_loadSoon = false;
         const auto now = monotonicNow();
-        sendNews(isSmallFleet(now) ? NewsAudience::All : NewsAudience::Region, now);
+        if (isSmallFleet(now)) {
+            sendNews(NewsAudience::All, now);
+        } else {
+            sendLoads(now);
+        }
     });
 }
 
@@ -169,11 +176,32 @@
         line.add("peer", node);
         m_core.log(line);
     }
-    // Relays of other regions use the targets here seldom, and bytes between regions have a price.
-    const bool isFarTurn = ++m_beats % BeatsPerFarBeat == 0 || m_core.peers.speaksForRegion(m_core.options.node, now);
-    const bool toAll = wasSoonToAll || isFarTurn || isSmallFleet(now);
+    const bool toAll = wasSoonToAll || beatsToAll(now) || ++m_beats % BeatsPerFarBeat == 0;
     sendNews(toAll ? NewsAudience::All : NewsAudience::Region, now);
-    armTimer(std::clamp(BeatPausePerRelay * m_core.peers.liveCount(now), ShortestBeatPause, LongestBeatPause));
+    armTimer(beatPause(now));
+}
+
+std::chrono::milliseconds PeerLink::beatPause(MonotonicTime now) const
+{
+    return std::clamp(BeatPausePerRelay * m_core.peers.liveCount(now), ShortestBeatPause, LongestBeatPause);
+}
+
+bool PeerLink::beatsToAll(MonotonicTime now) const
+{
+    // Relays of other regions use the targets here seldom, and bytes between regions have a price. All depend on those that read the store and on those that
+    // tell the loads of a region.
+    return isSmallFleet(now) || m_core.peers.speaksForRegion(m_core.options.node, now) || m_hooks.isReading();
+}
+
+void PeerLink::sendLoads(MonotonicTime now)
+{
+    const PeerNews loads {.node = m_core.options.node,
+                          .incarnation = m_incarnation,
+                          .sequence = ++m_sequence,
+                          .peers = m_core.options.peers.toText(),
+                          .onlyLoads = true,
+                          .loads = m_core.balancer.ownLoads()};
+    sendTo(PeerTable::Reach::Region, encodePeerNews(loads), now);
 }
 
 bool PeerLink::isSmallFleet(MonotonicTime now) const
@@ -184,11 +212,15 @@
 void PeerLink::sendNews(NewsAudience audience, MonotonicTime now)
 {
     auto heartbeat = news(now);
+    heartbeat.beatPause = beatPause(now);
     auto datagram = encodePeerNews(heartbeat);
     sendTo(PeerTable::Reach::Region, datagram, now);
     if (audience == NewsAudience::Region) {
         return;
     }
+    if (!beatsToAll(now)) {
+        heartbeat.beatPause *= BeatsPerFarBeat;
+    }
     if (!isSmallFleet(now)) {
         heartbeat.loads = farLoads(heartbeat.loads, now);
         datagram = encodePeerNews(heartbeat);
--- a/Libraries/LibRelayServer/PeerLink.h
+++ b/Libraries/LibRelayServer/PeerLink.h
@@ -18,6 +18,8 @@
         std::function<void(const PeerNews &news, MonotonicTime now)> onTargetNews;
         // Completes the own heartbeat by what is known about the store's tables.
         std::function<void(PeerNews &news, MonotonicTime now)> describeTables;
+        // Whether this relay reads the store for others.
+        std::function<bool()> isReading;
     };
 
     PeerLink(RelayCore &core, Hooks hooks);
@@ -28,8 +30,9 @@
     // Sends a heartbeat before the next one is due, because something changed that others should know.
     void sendSoon(NewsAudience audience);
 
-    // Tells the relays that use the same targets most that this relay's load has changed.
-    void tellLoadSoon();
+    // Tells the relays that use the same targets most that this relay's load has changed. Load pattern: in a large fleet each relay places a call or two a second,
+    // which end before most others hear of them; only the placement of generations is told at once there.
+    void tellLoadSoon(bool isGeneration);
 
 private:
     void receive();
@@ -38,8 +41,13 @@
     // Tells a relay that was heard for the first time which others there are.
     void introduce(const std::string &address, MonotonicTime now);
     void sendNews(NewsAudience audience, MonotonicTime now);
+    // A short message in place of a heartbeat.
+    void sendLoads(MonotonicTime now);
     void sendTo(PeerTable::Reach reach, const std::string &datagram, MonotonicTime now);
     bool isSmallFleet(MonotonicTime now) const;
+    // Whether every heartbeat goes to all regions.
+    bool beatsToAll(MonotonicTime now) const;
+    std::chrono::milliseconds beatPause(MonotonicTime now) const;
     // The loads for relays of other regions, in a large fleet.
     std::vector<TargetLoad> farLoads(const std::vector<TargetLoad> &own, MonotonicTime now) const;
     PeerNews news(MonotonicTime now);
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -58,7 +58,8 @@
                        news.targetsAge = m_targets->age(now);
                        news.reading = readsTables(now);
                        news.trying = triesStore(ownReads(), now);
-                   }})
+                   },
+               .isReading = [this] { return m_readers.isReading(); }})
     , m_timer(loop)
     , m_sleptBefore(suspendedTime())
     , m_readers({.node = m_core.options.node})
@@ -71,7 +72,7 @@
     auto relay = std::unique_ptr<Relay>(new Relay(loop, std::move(options), std::move(dialect), lines, std::move(settings)));
     relay->followStore();
     relay->m_core.onTurnEnded = [raw = relay.get()] { raw->m_peers.sendSoon(NewsAudience::All); };
-    relay->m_core.onLoadChanged = [raw = relay.get()] { raw->m_peers.tellLoadSoon(); };
+    relay->m_core.onLoadChanged = [raw = relay.get()](bool isGeneration) { raw->m_peers.tellLoadSoon(isGeneration); };
     if (auto status = relay->listen(); !status.ok()) {
         return status;
     }
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -73,7 +73,7 @@
     void noteBroken(const std::string &target, uint64_t digest);
 
     // Called when this relay has placed a request, so that others learn of it.
-    std::function<void()> onLoadChanged = [] {};
+    std::function<void(bool isGeneration)> onLoadChanged = [](bool) {};
     // Called when a generation has left a target that leaves, because another relay may wait for that.
     std::function<void()> onTurnEnded = [] {};
 
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -192,7 +192,7 @@
     m_core.balancer.dropCopy(m_id);
     m_core.balancer.started(m_id, order.target.id, m_admission.demand, now);
     if (order.memorySource.empty()) {
-        m_core.onLoadChanged();
+        m_core.onLoadChanged(m_admission.service->engine.has_value());
     } else {
         m_core.onTurnEnded();
     }
--- a/Libraries/LibRelayServer/RelayTables.cpp
+++ b/Libraries/LibRelayServer/RelayTables.cpp
@@ -320,7 +320,7 @@
         m_core.balancer.quiet().forget(entry.id);
         m_peers.sendSoon(audienceForTarget(fromPeer, false, false));
     }
-    if (m_core.targets.set(entry, now)) {
+    if (m_core.targets.set(entry, now, fromPeer ? TargetTable::Source::Peer : TargetTable::Source::FirstHand)) {
         m_core.announceLeaving(entry.id, nameOf(source), now);
         m_peers.sendSoon(audienceForTarget(fromPeer, true, m_core.balancer.ownLoad(entry.id).movable > 0));
     }
--- a/Tests/LibRelay/TestPeers.cpp
+++ b/Tests/LibRelay/TestPeers.cpp
@@ -349,3 +349,55 @@
     peers.expire(Start + 40s);
     EXPECT_TRUE(peers.coldSharers(Start + 40s).others.empty());
 }
+
+// Load pattern: 195 relays, whose heartbeats to other regions are far apart. Guards against relays that count as dead between two of them, and against relays that
+// count as alive for long after their end.
+TEST(PeerTable, AnnouncedPausesCountForSilence)
+{
+    PeerTable peers({.ownAddress = "me:81", .silenceTimeout = 2500ms}, Start);
+    auto seldom = news("seldom", 1);
+    seldom.beatPause = 2400ms;
+    auto never = news("never", 1);
+    never.beatPause = 100s;
+    peers.hear(seldom, Start);
+    peers.hear(never, Start);
+    peers.hear(news("often", 1), Start);
+    EXPECT_EQ(peers.expire(Start + 2600ms), std::vector<std::string> {"often"});
+    EXPECT_EQ(peers.alive(Start + 5900ms).size(), 2U);
+    EXPECT_EQ(peers.alive(Start + 6100ms).size(), 0U);
+}
+
+// Guards against short messages that replace what a relay is known for, or bring a dead one back.
+TEST(PeerTable, MessagesWithLoadsOnlyChangeNothingElse)
+{
+    PeerTable peers({.ownAddress = "me:81"}, Start);
+    const PeerNews loads {.node = "a", .incarnation = 1, .sequence = 2, .peers = "a:81", .onlyLoads = true};
+    EXPECT_EQ(peers.hear(loads, Start), PeerTable::Change::Stale);
+    peers.hear(news("a", 1), Start);
+    EXPECT_EQ(peers.hear(loads, Start + 1s), PeerTable::Change::None);
+    ASSERT_EQ(peers.alive(Start + 3s).size(), 1U);
+    EXPECT_FALSE(peers.alive(Start + 3s)[0]->news.callers.empty());
+    EXPECT_EQ(peers.hear(news("a", 1), Start + 1s), PeerTable::Change::Stale);
+    peers.expire(Start + 10s);
+    auto late = loads;
+    late.sequence = 3;
+    peers.hear(late, Start + 10s);
+    EXPECT_TRUE(peers.alive(Start + 10s).empty());
+}
+
+// Load pattern: a sixth of the engines leaves every three seconds, and others come. Guards against each of some hundred relays repeating in each heartbeat what
+// the relays that read the list tell all others.
+TEST(TargetTable, NewsOfPeersIsNotRepeated)
+{
+    TargetTable targets({});
+    TargetEntry entry {.id = "t", .incarnation = 1, .service = "s", .address = "10.0.0.1:80", .version = 1};
+    targets.set(entry, Start, TargetTable::Source::Peer);
+    EXPECT_TRUE(targets.recentChanges(1s, Start).empty());
+    entry.leaving = true;
+    entry.version = 2;
+    EXPECT_TRUE(targets.set(entry, Start, TargetTable::Source::Peer));
+    EXPECT_TRUE(targets.recentChanges(1s, Start).empty());
+    EXPECT_FALSE(targets.isUsable(*targets.find("t"), Start));
+    EXPECT_FALSE(targets.noteLeaving("t", 1, Start + 2s));
+    EXPECT_EQ(targets.recentChanges(1s, Start + 2s).size(), 1U);
+}
