Leave time for other generations when one cannot be copied, and spread drafts by the time to send them

Change: after a refusal that no other destination would mend, the generation waits 150 ms and others get the turn. An engine whose generations need over 0.7 s of its link costs more for a further one.

--- a/Libraries/LibRelay/RelayDocument.h
+++ b/Libraries/LibRelay/RelayDocument.h
@@ -67,6 +67,14 @@
     int tokensPerEvent = 1;
     // How long a copy waits to be used.
     std::chrono::milliseconds copyLifetime {5000};
+
+    // Time in which an engine's link sends the memory of so many tokens, in seconds. The link must have a rate.
+    double secondsToSend(int64_t tokens) const
+    {
+        constexpr double BitsPerByte = 8;
+        constexpr double BitsPerMegabit = 1e6;
+        return static_cast<double>(tokens) * static_cast<double>(bytesPerToken) * BitsPerByte / (linkMbps * BitsPerMegabit);
+    }
 };
 
 struct RelayService {
--- a/Libraries/LibRelay/TargetBalancer.cpp
+++ b/Libraries/LibRelay/TargetBalancer.cpp
@@ -259,6 +259,10 @@
     if (share > m_options.memoryKnee) {
         cost += m_options.memoryCost * (share - m_options.memoryKnee);
     }
+    if (demand.isMovable && engine.linkMbps > 0) {
+        const double send = engine.secondsToSend(load.movable + demand.promptTokens);
+        cost += m_options.sendCostPerSecond * std::max(0.0, send - std::chrono::duration<double>(m_options.timeToSend).count());
+    }
     return cost;
 }
 
--- a/Libraries/LibRelay/TargetBalancer.h
+++ b/Libraries/LibRelay/TargetBalancer.h
@@ -54,6 +54,10 @@
         double prefillTokensPerMs = 7.5;
         // Cost of one more run on an engine, in milliseconds.
         double costPerRun = 6;
+        // Time in which an engine can send its generations away when it leaves, and the cost of each further second that its link would need. Load pattern: engines
+        // leave with a notice of 1.5 to 2 s, of which the news takes a part; generations that the link cannot send by then are lost.
+        std::chrono::milliseconds timeToSend {700};
+        double sendCostPerSecond = 250;
         // Part of an engine's memory above which a further run costs more, as memory may run out.
         double memoryKnee = 0.85;
         double memoryCost = 6000;
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -16,8 +16,6 @@
 // Answers of one target that break off within this time belong to one crash.
 constexpr std::chrono::milliseconds BrokenPause {100};
 constexpr std::chrono::milliseconds StateTimeout {400};
-constexpr int64_t BitsPerByte = 8;
-constexpr double BitsPerMegabit = 1e6;
 constexpr double MillisecondsPerSecond = 1000;
 // Time of a copy beside the transfer: two orders and the way to the engine and back.
 constexpr std::chrono::milliseconds CopyOverhead {100};
@@ -117,8 +115,7 @@
         const auto movable = balancer.peerLoad(peer->news.node, target).movable;
         const bool isFar = peer->news.dataCentre != known->entry.dataCentre;
         if (movable > 0 && std::tie(isFar, peer->news.node) < std::tie(ownIsFar, options.node)) {
-            const double seconds = static_cast<double>(movable * engine.bytesPerToken * BitsPerByte) / (engine.linkMbps * BitsPerMegabit);
-            wait += std::chrono::milliseconds(static_cast<int64_t>(seconds * MillisecondsPerSecond)) + CopyOverhead;
+            wait += std::chrono::milliseconds(static_cast<int64_t>(MillisecondsPerSecond * engine.secondsToSend(movable))) + CopyOverhead;
         }
     }
     return wait;
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -25,6 +25,8 @@
     void queueMove();
     // The generation's turn has come. Returns false if no copy was ordered.
     bool startMove(MonotonicTime now);
+    // An order to copy the generation has ended, and the generation does not move.
+    void moveAgainAfter(CopyResult::Kind kind);
     // No copy could be ordered at the generation's turn: it is queued again a little later.
     void retryMoveLater();
 
--- a/Libraries/LibRelayServer/RelayExchangeMoves.cpp
+++ b/Libraries/LibRelayServer/RelayExchangeMoves.cpp
@@ -77,15 +77,27 @@
         self->m_session->onCopied(result, now);
         if (!self->m_isOver && !self->m_session->isMoving()) {
             self->m_core.moves.remove(self->m_id);
-            if (result.kind != CopyResult::Kind::Copied) {
-                self->m_core.balancer.dropCopy(self->m_id);
-                self->queueMove();
-            }
+            self->moveAgainAfter(result.kind);
             self->m_core.runMoves();
         }
     });
 }
 
+void RelayExchange::moveAgainAfter(CopyResult::Kind kind)
+{
+    if (kind == CopyResult::Kind::Copied) {
+        return;
+    }
+    m_core.balancer.dropCopy(m_id);
+    if (kind == CopyResult::Kind::NoRoom) {
+        // Another destination may have room.
+        queueMove();
+        return;
+    }
+    // A run that the engine has put back into its queue, or that is being copied already, cannot be copied now, wherever to. Other generations get the turn.
+    retryMoveLater();
+}
+
 void RelayExchange::queueMove()
 {
     if (m_isOver || !m_admission.demand.isMovable || m_moveTries >= MostMoveTries) {
--- a/Tests/LibRelay/TestTargets.cpp
+++ b/Tests/LibRelay/TestTargets.cpp
@@ -493,3 +493,21 @@
         }
     }
 }
+
+// Load pattern: engines leave with a notice of 1.5 to 2 s. Guards against an engine that gathers more generations than its link can send away by then, although
+// others have fewer; requests that are not copied do not mind.
+TEST(TargetBalancer, GenerationsAreSpreadByTheTimeToSendThem)
+{
+    TargetTable targets({});
+    targets.set(entry("few"), Start);
+    targets.set(entry("many"), Start);
+    auto service = engineService();
+    service.engine->memoryTokens = 90000;
+    service.engine->bytesPerToken = 327680;
+    service.engine->linkMbps = 47000;
+    auto choices = balancer();
+    // Five generations of 4,000 tokens need 1.1 s of the link; the other engine runs some more short requests.
+    choices.setPeerLoads("p", {{.target = "many", .running = 5, .memory = 25000, .movable = 20000}, {.target = "few", .running = 9, .memory = 20000}});
+    EXPECT_EQ(chosen(choices, targets, service, {.demand = {.promptTokens = 3000, .expectedTokens = 900, .isMovable = true}}), "few");
+    EXPECT_EQ(chosen(choices, targets, service, {.demand = {.promptTokens = 3000, .expectedTokens = 10}}), "many");
+}
