Keep a backup of each draft as it grows, and go on from it when its engine is gone

Cause: engines leave with 1.5 to 2 s of notice, and their link sends five drafts in that time; the others were lost, as were all drafts of engines that crash. Change: the session asks for an engine that keeps a copy as the draft grows (X-Kv-Backup on the users' platform), in the same data centre, below 0.6 of its memory. A draft with a backup is not moved on notice.

--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -48,7 +48,6 @@
         giveUp(m_mayHaveRun ? RelayOutcome::TargetFailed : choice.refusal, choice.retryAfter);
         return;
     }
-    m_backup = choice.backup;
     send(*choice.target, {}, now);
 }
 
@@ -62,12 +61,13 @@
     m_events.restart();
     ++m_sends;
     m_continuing = m_begun;
+    m_backup = m_hooks.chooseBackup(target, now);
     m_hooks.send({.target = target,
                   .attempt = m_sends,
                   .timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(m_facts.deadline - now),
                   .lastEventId = m_events.lastId(),
                   .memorySource = memorySource,
-                  .backupAddress = m_backup.address});
+                  .backup = m_backup});
 }
 
 bool RelaySession::onHead(const TargetAnswer &answer, MonotonicTime now)
@@ -149,7 +149,7 @@
         return;
     }
     // The copy of a generation that has just produced its first event can start now.
-    if (m_targetLeaving && m_move == Move::None && m_events.count() > 0) {
+    if (m_targetLeaving && m_move == Move::None && m_events.count() > 0 && !m_backup) {
         startCopy(now);
     }
 }
@@ -196,8 +196,12 @@
     if (m_target) {
         m_excluded.insert(m_target->id);
     }
-    if (!hadAnswer && continueAtSource(now)) {
-        return;
+    if (!hadAnswer) {
+        if (continueAtSource(now)) {
+            return;
+        }
+        // The run has not begun at this target, and no copy has grown with it.
+        m_backup.reset();
     }
     if (result == UpstreamResult::NotSent || notRun) {
         ++(notRun ? m_rejections : m_unreached);
@@ -245,21 +249,19 @@
     }
     m_hooks.note("retry", reason);
     m_hooks.abortSend();
-    m_backup = choice.backup;
     send(*choice.target, {}, now);
     return true;
 }
 
 bool RelaySession::continueFromBackup(MonotonicTime now)
 {
-    if (m_backup.address.empty() || m_target == std::nullopt || m_target->id == m_backup.id || m_facts.deadline - now < LeastTimeForRetry
-        || !m_hooks.mayContinue(m_backup, now)) {
+    if (!m_backup || m_facts.deadline - now < LeastTimeForRetry || !m_hooks.mayContinue(*m_backup, now)) {
         return false;
     }
-    const auto holder = std::exchange(m_backup, {});
+    const auto holder = *std::exchange(m_backup, std::nullopt);
     m_hooks.note("continue_from_backup", holder.id);
     m_hooks.abortSend();
-    continueAt(holder, holder.address, now);
+    continueAt(holder, holder.address + "/" + m_facts.id, now);
     return true;
 }
 
@@ -302,7 +304,8 @@
         return;
     }
     m_targetLeaving = true;
-    if (m_move == Move::None && m_events.count() > 0) {
+    // A copy that has grown with the generation takes over when the target is gone, and needs nothing of the link that others wait for.
+    if (m_move == Move::None && m_events.count() > 0 && !m_backup) {
         startCopy(now);
     }
 }
@@ -367,6 +370,11 @@
     continueAt(m_destination, m_handle, now);
 }
 
+void RelaySession::onBackupLost()
+{
+    m_backup.reset();
+}
+
 void RelaySession::onDeadline(MonotonicTime)
 {
     if (m_over) {
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -28,6 +28,8 @@
 
 // What a session needs to know about its request.
 struct RelayFacts {
+    // By which engines name a copy of the generation that has grown with it.
+    std::string id;
     RelayKind kind = RelayKind::OneTime;
     // Only for streams: another target may continue after the last event, reading everything anew.
     bool resumable = false;
@@ -52,14 +54,13 @@
     std::optional<int64_t> lastEventId;
     // Where the memory of the running generation comes from: the address of an engine and the name of the copy. Empty for a run from the start.
     std::string memorySource;
-    // An engine that keeps a copy of the generation as it grows. Empty for none.
-    std::string backupAddress;
+    // An engine that keeps a copy of the generation as it grows. Nothing for none.
+    std::optional<RelayTarget> backup;
 };
 
 // The choice of a target, or why there is none.
 struct RelayChoice {
     std::optional<RelayTarget> target;
-    RelayTarget backup;
     RelayOutcome refusal = RelayOutcome::NoTarget;
     std::chrono::milliseconds retryAfter {500};
 };
@@ -116,6 +117,8 @@
     struct Hooks {
         // Chooses a target. `excluded` are targets that must not be chosen.
         std::function<RelayChoice(const std::set<std::string> &excluded, MonotonicTime now)> choose;
+        // Chooses an engine that keeps a copy of the generation as it grows on its target. Nothing if none is worth its memory.
+        std::function<std::optional<RelayTarget>(const RelayTarget &target, MonotonicTime now)> chooseBackup;
         // Chooses the destination of a move away from a target that leaves.
         std::function<std::optional<RelayTarget>(const std::set<std::string> &excluded, MonotonicTime now)> chooseDestination;
         // Whether a generation may go on at the target that holds its memory, also if the target wants to be left alone.
@@ -151,6 +154,12 @@
     // The target that runs the request leaves, and the request may be copied to another one now. May be called again after a copy that failed.
     void onTargetLeaving(MonotonicTime now);
     void onCopied(const CopyResult &result, MonotonicTime now);
+    // The engine that keeps a copy as the generation grows is not to be relied on any more.
+    void onBackupLost();
+    const std::optional<RelayTarget> &backup() const
+    {
+        return m_backup;
+    }
 
     void onDeadline(MonotonicTime now);
     void onCallerGone();
@@ -217,7 +226,7 @@
     const RelayFacts m_facts;
     const Hooks m_hooks;
     std::optional<RelayTarget> m_target;
-    RelayTarget m_backup;
+    std::optional<RelayTarget> m_backup;
     std::set<std::string> m_excluded;
     EventSplitter m_events;
     // Body bytes of an answer that is not a stream, held back until the answer is whole.
--- a/Libraries/LibRelay/TargetBalancer.cpp
+++ b/Libraries/LibRelay/TargetBalancer.cpp
@@ -55,7 +55,7 @@
         const auto output = std::max(run.demand.expectedTokens, run.produced + (run.produced >= run.demand.expectedTokens ? FurtherTokens : 0));
         load.memory = run.demand.promptTokens + output;
         load.prefill = run.produced == 0 ? run.demand.promptTokens : 0;
-        load.movable = run.demand.isMovable ? run.demand.promptTokens + run.produced : 0;
+        load.movable = run.demand.isMovable && !run.hasBackup ? run.demand.promptTokens + run.produced : 0;
     }
     return load;
 }
@@ -180,6 +180,28 @@
     m_copies.erase(found);
 }
 
+void TargetBalancer::setBackup(const std::string &request, const std::string &target, int64_t tokens)
+{
+    setCopy(request, target, tokens);
+    noteBackup(request, true);
+}
+
+void TargetBalancer::dropBackup(const std::string &request)
+{
+    dropCopy(request);
+    noteBackup(request, false);
+}
+
+void TargetBalancer::noteBackup(const std::string &request, bool hasBackup)
+{
+    const auto found = m_runs.find(request);
+    if (found != m_runs.end()) {
+        applyOwn(found->second, -1);
+        found->second.hasBackup = hasBackup;
+        applyOwn(found->second, 1);
+    }
+}
+
 void TargetBalancer::setPeerLoads(const std::string &peer, std::vector<TargetLoad> loads)
 {
     dropPeer(peer);
@@ -302,6 +324,11 @@
         return std::nullopt;
     }
     const auto load = loadOf(id);
+    if (query.mostMemory && service.engine
+        && static_cast<double>(load.memory + query.demand.promptTokens + query.demand.expectedTokens)
+            > *query.mostMemory * static_cast<double>(service.engine->memoryTokens)) {
+        return std::nullopt;
+    }
     double cost = service.engine ? engineCost(load, *service.engine, query.demand) : serviceCost(load, target.entry.slots);
     if (query.isMove) {
         cost += MoveSpreadCost * spreadOf(query.source, id);
--- a/Libraries/LibRelay/TargetBalancer.h
+++ b/Libraries/LibRelay/TargetBalancer.h
@@ -83,6 +83,8 @@
         std::string source;
         // Only targets of this data centre. Empty for any.
         std::string dataCentre;
+        // Only targets in which the run fits below this part of the memory.
+        std::optional<double> mostMemory;
     };
 
     struct Choice {
@@ -114,6 +116,9 @@
     // A copy of a run's memory that is kept on a target.
     void setCopy(const std::string &request, const std::string &target, int64_t tokens);
     void dropCopy(const std::string &request);
+    // A copy that grows with the run. While there is one, nothing has to be copied when the run's target leaves.
+    void setBackup(const std::string &request, const std::string &target, int64_t tokens);
+    void dropBackup(const std::string &request);
 
     void setPeerLoads(const std::string &peer, std::vector<TargetLoad> loads);
     void dropPeer(const std::string &peer);
@@ -134,6 +139,7 @@
         std::string target;
         RunDemand demand;
         int64_t produced = 0;
+        bool hasBackup = false;
     };
     using Loads = absl::flat_hash_map<std::string, TargetLoad>;
 
@@ -158,6 +164,7 @@
     bool isUnreachable(const std::string &target, MonotonicTime now) const;
     bool isHome(const std::optional<std::vector<std::string>> &homes, const std::string &dataCentre) const;
     void applyOwn(const Run &run, int sign);
+    void noteBackup(const std::string &request, bool hasBackup);
     static void change(Loads &loads, const TargetLoad &load, int sign);
     void noteHealth(const std::string &target, bool failed, MonotonicTime now);
 
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -133,13 +133,15 @@
 
 void RelayExchange::createSession()
 {
-    const RelayFacts facts {.kind = m_admission.route->kind,
+    const RelayFacts facts {.id = m_id,
+                            .kind = m_admission.route->kind,
                             .resumable = m_admission.route->resumable,
                             .maxAttempts = m_admission.route->maxAttempts,
                             .deadline = m_admission.deadline - DeadlineMargin};
     m_session = std::make_unique<RelaySession>(
         facts,
         RelaySession::Hooks {.choose = [this](const std::set<std::string> &excluded, MonotonicTime now) { return choose(excluded, now); },
+                             .chooseBackup = [this](const RelayTarget &target, MonotonicTime now) { return chooseBackup(target, now); },
                              .chooseDestination = [this](const std::set<std::string> &excluded, MonotonicTime now) { return chooseDestination(excluded, now); },
                              .mayContinue
                              = [this](const RelayTarget &target, MonotonicTime now) { return m_core.balancer.quiet().tryContinue(target.id, now); },
@@ -191,6 +193,9 @@
     const auto load = m_core.balancer.loadOf(order.target.id);
     m_core.balancer.dropCopy(m_id);
     m_core.balancer.started(m_id, order.target.id, m_admission.demand, now);
+    if (order.backup) {
+        m_core.balancer.setBackup(m_id, order.backup->id, m_admission.demand.promptTokens + m_admission.demand.expectedTokens);
+    }
     if (order.memorySource.empty()) {
         m_core.onLoadChanged(m_admission.service->engine.has_value());
     } else {
@@ -246,6 +251,9 @@
     if (!order.memorySource.empty()) {
         line.add("memory_from", order.memorySource);
     }
+    if (order.backup) {
+        line.add("backup", order.backup->id);
+    }
     m_core.log(line);
     m_core.metrics.count("relay_sends_total");
 }
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -23,6 +23,8 @@
 
     // The request's target leaves: puts the generation into the queue of moves, if it is one that is worth a move.
     void queueMove();
+    // A target leaves that may keep a copy of the generation as it grows.
+    void onBackupLeaving(const std::string &target);
     // The generation's turn has come. Returns false if no copy was ordered.
     bool startMove(MonotonicTime now);
     // An order to copy the generation has ended, and the generation does not move.
@@ -55,6 +57,7 @@
     void createSession();
     RelayChoice choose(const std::set<std::string> &excluded, MonotonicTime now);
     std::optional<RelayTarget> chooseDestination(const std::set<std::string> &excluded, MonotonicTime now);
+    std::optional<RelayTarget> chooseBackup(const RelayTarget &target, MonotonicTime now);
     void send(const RelaySend &order);
     void logSend(const RelaySend &order, const TargetLoad &load);
     bool onHead(const MessageHead &head, std::optional<uint64_t> length);
--- a/Libraries/LibRelayServer/RelayExchangeMoves.cpp
+++ b/Libraries/LibRelayServer/RelayExchangeMoves.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds MoveRetryPause {150};
 // Weight of an output token against a prompt token in the worth of a generation.
 constexpr int64_t OutputWeight = 10;
+// An engine that is fuller than this keeps no copies that grow with generations elsewhere, so that its own do not lose their memory.
+constexpr double MostMemoryWithBackups = 0.6;
 
 } // namespace
 
@@ -52,6 +54,38 @@
     return RelayTarget::of(entry);
 }
 
+std::optional<RelayTarget> RelayExchange::chooseBackup(const RelayTarget &target, MonotonicTime now)
+{
+    const auto &service = *m_admission.service;
+    if (!m_admission.demand.isMovable || !service.engine->canBackUp) {
+        return std::nullopt;
+    }
+    const auto *known = m_core.targets.find(target.id);
+    const TargetBalancer::Query query {.demand = m_admission.demand,
+                                       .excluded = {target.id},
+                                       .homeRegions = m_admission.homeRegions,
+                                       .liveGateways = m_core.liveGateways(now),
+                                       .isMove = true,
+                                       .source = target.id,
+                                       .dataCentre = known ? known->entry.dataCentre : "",
+                                       .mostMemory = MostMemoryWithBackups};
+    const auto choice = m_core.balancer.choose(query, m_core.targets, service, now, m_core.random());
+    return choice.target ? std::optional(RelayTarget::of(choice.target->entry)) : std::nullopt;
+}
+
+void RelayExchange::onBackupLeaving(const std::string &target)
+{
+    if (m_isOver || !m_session->backup() || m_session->backup()->id != target) {
+        return;
+    }
+    m_session->onBackupLost();
+    m_core.balancer.dropBackup(m_id);
+    const auto *known = m_core.targets.find(m_target);
+    if (known && known->leavingSince) {
+        queueMove();
+    }
+}
+
 void RelayExchange::copy(const RelayTarget &source, const RelayTarget &destination, bool stop)
 {
     const auto endpoint = Endpoint::parse(source.address);
@@ -100,7 +134,7 @@
 
 void RelayExchange::queueMove()
 {
-    if (m_isOver || !m_admission.demand.isMovable || m_moveTries >= MostMoveTries) {
+    if (m_isOver || !m_admission.demand.isMovable || m_session->backup() || m_moveTries >= MostMoveTries) {
         return;
     }
     ++m_moveTries;
--- a/Libraries/LibRelayServer/RelayForwarding.cpp
+++ b/Libraries/LibRelayServer/RelayForwarding.cpp
@@ -92,8 +92,8 @@
     if (admitted.service->engine) {
         head.set(names.priority, absl::StrCat(std::clamp(admitted.demand.priority, 0, MostPriority)));
     }
-    if (!order.backupAddress.empty()) {
-        head.set(names.backup, order.backupAddress);
+    if (order.backup) {
+        head.set(names.backup, order.backup->address);
     }
     if (!order.memorySource.empty()) {
         head.set(names.memorySource, order.memorySource);
--- a/Tests/LibRelay/SessionWorld.cpp
+++ b/Tests/LibRelay/SessionWorld.cpp
@@ -5,6 +5,7 @@
 
 SessionWorld::SessionWorld(RelayFacts facts)
 {
+    facts.id = "r";
     facts.deadline = m_now + std::chrono::seconds(30);
     m_session = std::make_unique<RelaySession>(
         facts,
@@ -15,12 +16,15 @@
                                          --targetsLeft;
                                          const auto id = "t" + std::to_string(sends.size() + excluded.size());
                                          choice.target = RelayTarget {.id = id, .incarnation = 1, .address = id + ":1"};
-                                         if (!backup.empty()) {
-                                             choice.backup = {.id = backup, .incarnation = 1, .address = backup + ":1"};
-                                         }
                                      }
                                      return choice;
                                  },
+                             .chooseBackup = [this](const RelayTarget &target, MonotonicTime) -> std::optional<RelayTarget> {
+                                 if (backup.empty() || target.id == backup) {
+                                     return std::nullopt;
+                                 }
+                                 return RelayTarget {.id = backup, .incarnation = 1, .address = backup + ":1"};
+                             },
                              .chooseDestination =
                                  [this](const std::set<std::string> &excluded, MonotonicTime) {
                                      lastExcluded = excluded;
--- a/Tests/LibRelay/TestRelaySession.cpp
+++ b/Tests/LibRelay/TestRelaySession.cpp
@@ -336,7 +336,8 @@
     SessionWorld world(Draft);
     world.backup = "b";
     world.session().start(world.now());
-    EXPECT_EQ(world.sends[0].backupAddress, "b:1");
+    ASSERT_TRUE(world.sends[0].backup);
+    EXPECT_EQ(world.sends[0].backup->address, "b:1");
     world.session().onHead(SessionWorld::streamHead(), world.now());
     world.session().onBody(SessionWorld::events(1, 2) + "id: 3", world.now());
     world.session().onEnd(UpstreamResult::Broken, world.now());
@@ -502,3 +503,32 @@
     ASSERT_EQ(world.sends.size(), 2U);
     EXPECT_EQ(world.sends[1].target.id, world.sends[0].target.id);
 }
+
+// Load pattern: an engine with more drafts than its link can send away leaves. Guards against a draft that takes up the link although a copy has grown with it,
+// and against one that is lost because that copy's engine leaves as well.
+TEST(RelaySession, DraftWithABackupNeedsNoMove)
+{
+    SessionWorld world(Draft);
+    world.backup = "b";
+    world.startStream(SessionWorld::events(1, 2));
+    world.session().onTargetLeaving(world.now());
+    EXPECT_TRUE(world.copies.empty());
+    world.session().onBackupLost();
+    world.session().onTargetLeaving(world.now());
+    EXPECT_EQ(world.copies.size(), 1U);
+}
+
+// Guards against a draft that is sent to an engine which cannot have a copy of it, after the engine that has one refused it.
+TEST(RelaySession, RefusedContinuationIsNotTriedWhereNoCopyCanBe)
+{
+    SessionWorld world(Draft);
+    world.backup = "b";
+    world.startStream(SessionWorld::events(1, 2));
+    world.backup = "c";
+    world.session().onEnd(UpstreamResult::Broken, world.now());
+    ASSERT_EQ(world.sends.size(), 2U);
+    EXPECT_EQ(world.sends[1].memorySource, "b:1/r");
+    world.session().onHead({.status = 503, .notRun = true}, world.now());
+    EXPECT_EQ(world.sends.size(), 2U);
+    EXPECT_EQ(world.cuts, 1);
+}
