Bound what a draft may do from backup to backup, and divide destinations (trial in part)

Cause: a draft that crashes its engines crashed five instead of three. Copies from engines that leave together met at one destination's link, and the run that stops waited for the other copy. Change: a draft goes on once after an engine that was not known to leave, and not at all once it is known to crash engines. Each destination serves one leaving engine first. Turns overlap less. Trial: backups in any data centre, and a move to get a new one after the loss of a backup.

--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -131,6 +131,7 @@
         }
         return;
     }
+    const bool hadEvents = m_events.count() > 0;
     const auto events = m_events.feed(bytes);
     if (!events.empty()) {
         deliver(events);
@@ -149,7 +150,7 @@
         return;
     }
     // The copy of a generation that has just produced its first event can start now.
-    if (m_targetLeaving && m_move == Move::None && m_events.count() > 0 && !m_backup) {
+    if (m_targetLeaving && m_move == Move::None && !hadEvents && m_events.count() > 0 && !m_backup) {
         startCopy(now);
     }
 }
--- a/Libraries/LibRelay/TargetBalancer.cpp
+++ b/Libraries/LibRelay/TargetBalancer.cpp
@@ -30,6 +30,8 @@
 constexpr double BusySlotCost = 6;
 // Weight of the fixed order in which a leaving target's generations choose their destinations, in milliseconds.
 constexpr double MoveSpreadCost = 120;
+// Cost of a destination that serves another leaving target first, in milliseconds.
+constexpr double OtherSourceCost = 200;
 // Tokens by which a run that has outgrown its expected length is expected to grow further.
 constexpr int64_t FurtherTokens = 200;
 
@@ -331,7 +333,11 @@
     }
     double cost = service.engine ? engineCost(load, *service.engine, query.demand) : serviceCost(load, target.entry.slots);
     if (query.isMove) {
-        cost += MoveSpreadCost * spreadOf(query.source, id);
+        const double spread = spreadOf(query.source, id);
+        cost += MoveSpreadCost * spread;
+        const bool servesOther = std::any_of(
+            query.otherSources.begin(), query.otherSources.end(), [&](const std::string &other) { return other != query.source && spreadOf(other, id) < spread; });
+        cost += servesOther ? OtherSourceCost : 0;
     }
     cost += distanceCost(target.entry.dataCentre, query.liveGateways) + FailureCost * failureShare(id, now);
     if (isUnreachable(id, now)) {
--- a/Libraries/LibRelay/TargetBalancer.h
+++ b/Libraries/LibRelay/TargetBalancer.h
@@ -81,6 +81,9 @@
         // The target that the generation leaves. Copies from different targets go to different ones where there is room, because copies to one target queue
         // behind each other on its link.
         std::string source;
+        // Other targets that leave at the same time. Load pattern: a sixth of the engines leaves at once, and copies that meet at one link make each other late. Each
+        // destination serves one of the sources first, on which all gateways agree.
+        std::vector<std::string> otherSources;
         // Only targets of this data centre. Empty for any.
         std::string dataCentre;
         // Only targets in which the run fits below this part of the memory.
--- a/Libraries/LibRelay/TargetTable.cpp
+++ b/Libraries/LibRelay/TargetTable.cpp
@@ -185,6 +185,17 @@
     return true;
 }
 
+std::vector<std::string> TargetTable::leavingLately(const std::string &service, MonotonicTime now) const
+{
+    std::vector<std::string> result;
+    for (const auto &[id, target] : m_targets) {
+        if (target.leavingSince && now - *target.leavingSince < m_options.notice && target.entry.service == service) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
 bool TargetTable::isOut(const std::string &dataCentre) const
 {
     return m_out.contains(dataCentre);
--- a/Libraries/LibRelay/TargetTable.h
+++ b/Libraries/LibRelay/TargetTable.h
@@ -51,6 +51,8 @@
         std::chrono::milliseconds lapseGrace {2000};
         // For this time after the return of a data centre its targets may be cold, although their entries do not say so yet.
         std::chrono::milliseconds coldAfterReturn {3000};
+        // Longest notice with which targets leave while their generations are being copied.
+        std::chrono::milliseconds notice {2500};
         // Targets that left are forgotten after this time.
         std::chrono::seconds memory {20};
         // Targets that said themselves that they leave are kept longer, so that no late entry brings them back.
@@ -101,6 +103,9 @@
     // Whether the target may get new requests.
     bool isUsable(const KnownTarget &target, MonotonicTime now) const;
 
+    // Targets of a service that have begun to leave within the notice that targets usually give.
+    std::vector<std::string> leavingLately(const std::string &service, MonotonicTime now) const;
+
     const absl::flat_hash_map<std::string, KnownTarget> &targets() const
     {
         return m_targets;
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -17,8 +17,9 @@
 constexpr std::chrono::milliseconds BrokenPause {100};
 constexpr std::chrono::milliseconds StateTimeout {400};
 constexpr double MillisecondsPerSecond = 1000;
-// Time of a copy beside the transfer: two orders and the way to the engine and back.
-constexpr std::chrono::milliseconds CopyOverhead {100};
+// Time of a copy beside the transfer: two orders, the way to the engine and back, and the news that the turn has ended. If a turn begins too early, the run that
+// stops waits for the other copy on the link.
+constexpr std::chrono::milliseconds CopyOverhead {200};
 
 } // namespace
 
@@ -85,7 +86,7 @@
     metrics.count("relay_targets_left_total");
     moves.targetLeaves(target, waitForPeers(target, now), now);
     for (auto *exchange : running) {
-        exchange->onBackupLeaving(target);
+        exchange->onBackupLeaving(target, now);
         if (exchange->target() == target) {
             exchange->queueMove();
         }
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -144,7 +144,7 @@
                              .chooseBackup = [this](const RelayTarget &target, MonotonicTime now) { return chooseBackup(target, now); },
                              .chooseDestination = [this](const std::set<std::string> &excluded, MonotonicTime now) { return chooseDestination(excluded, now); },
                              .mayContinue
-                             = [this](const RelayTarget &target, MonotonicTime now) { return m_core.balancer.quiet().tryContinue(target.id, now); },
+                             = [this](const RelayTarget &target, MonotonicTime now) { return mayContinue(target, now); },
                              .takeRetry
                              = [this](MonotonicTime now) { return m_core.retryBudget(m_admission.service->name).tryRetry(m_core.liveGateways(now), now); },
                              .send = [this](const RelaySend &order) { send(order); },
@@ -349,6 +349,8 @@
             m_core.balancer.unreachable(m_target, now);
         } else if (!m_session->isMoving()) {
             m_core.noteBroken(m_target, m_digest);
+            const auto *known = m_core.targets.find(m_target);
+            m_unannouncedEnds += known && known->leavingSince ? 0 : 1;
         }
     }
     const auto result = end == ChannelEnd::Complete ? UpstreamResult::Complete : end == ChannelEnd::NotSent ? UpstreamResult::NotSent : UpstreamResult::Broken;
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -24,7 +24,7 @@
     // The request's target leaves: puts the generation into the queue of moves, if it is one that is worth a move.
     void queueMove();
     // A target leaves that may keep a copy of the generation as it grows.
-    void onBackupLeaving(const std::string &target);
+    void onBackupLeaving(const std::string &target, MonotonicTime now);
     // The generation's turn has come. Returns false if no copy was ordered.
     bool startMove(MonotonicTime now);
     // An order to copy the generation has ended, and the generation does not move.
@@ -57,6 +57,7 @@
     void createSession();
     RelayChoice choose(const std::set<std::string> &excluded, MonotonicTime now);
     std::optional<RelayTarget> chooseDestination(const std::set<std::string> &excluded, MonotonicTime now);
+    bool mayContinue(const RelayTarget &holder, MonotonicTime now);
     std::optional<RelayTarget> chooseBackup(const RelayTarget &target, MonotonicTime now);
     void send(const RelaySend &order);
     void logSend(const RelaySend &order, const TargetLoad &load);
@@ -105,6 +106,8 @@
     std::chrono::milliseconds m_firstEventAfter {0};
     std::chrono::milliseconds m_longestGap {0};
     int m_moveTries = 0;
+    // Answers that broke off although their targets were not known to leave.
+    int m_unannouncedEnds = 0;
     bool m_isOver = false;
     boost::asio::steady_timer m_deadlineTimer;
     boost::asio::steady_timer m_silenceTimer;
--- a/Libraries/LibRelayServer/RelayExchangeMoves.cpp
+++ b/Libraries/LibRelayServer/RelayExchangeMoves.cpp
@@ -18,6 +18,10 @@
 constexpr int64_t OutputWeight = 10;
 // An engine that is fuller than this keeps no copies that grow with generations elsewhere, so that its own do not lose their memory.
 constexpr double MostMemoryWithBackups = 0.6;
+// A generation that is nearly done is not moved to get a new backup.
+constexpr int64_t LeastTokensForNewBackup = 200;
+// Times that a generation goes on after an engine that was not known to leave. Load pattern: a request that crashes each engine that runs it.
+constexpr int MostUnannouncedEnds = 1;
 
 } // namespace
 
@@ -36,6 +40,7 @@
                                  .liveGateways = m_core.liveGateways(now),
                                  .isMove = true,
                                  .source = m_target,
+                                 .otherSources = m_core.targets.leavingLately(service.name, now),
                                  .dataCentre = source ? source->entry.dataCentre : ""};
     auto choice = m_core.balancer.choose(query, m_core.targets, service, now, m_core.random());
     const auto ownTokens = demand.promptTokens + m_core.balancer.producedBy(m_id);
@@ -51,29 +56,37 @@
     const auto &entry = choice.target->entry;
     // The copy takes up memory from now on.
     m_core.balancer.setCopy(m_id, entry.id, demand.promptTokens + demand.expectedTokens);
+    m_core.onLoadChanged(true);
     return RelayTarget::of(entry);
 }
 
+bool RelayExchange::mayContinue(const RelayTarget &holder, MonotonicTime now)
+{
+    // A generation that crashes the engines that run it must not go from one to the next.
+    if (m_unannouncedEnds > MostUnannouncedEnds || m_core.crashes.verdict(m_digest, now).action == CrashVerdict::Action::Refuse) {
+        return false;
+    }
+    return m_core.balancer.quiet().tryContinue(holder.id, now);
+}
+
 std::optional<RelayTarget> RelayExchange::chooseBackup(const RelayTarget &target, MonotonicTime now)
 {
     const auto &service = *m_admission.service;
     if (!m_admission.demand.isMovable || !service.engine->canBackUp) {
         return std::nullopt;
     }
-    const auto *known = m_core.targets.find(target.id);
     const TargetBalancer::Query query {.demand = m_admission.demand,
                                        .excluded = {target.id},
                                        .homeRegions = m_admission.homeRegions,
                                        .liveGateways = m_core.liveGateways(now),
                                        .isMove = true,
                                        .source = target.id,
-                                       .dataCentre = known ? known->entry.dataCentre : "",
                                        .mostMemory = MostMemoryWithBackups};
     const auto choice = m_core.balancer.choose(query, m_core.targets, service, now, m_core.random());
     return choice.target ? std::optional(RelayTarget::of(choice.target->entry)) : std::nullopt;
 }
 
-void RelayExchange::onBackupLeaving(const std::string &target)
+void RelayExchange::onBackupLeaving(const std::string &target, MonotonicTime now)
 {
     if (m_isOver || !m_session->backup() || m_session->backup()->id != target) {
         return;
@@ -83,6 +96,9 @@
     const auto *known = m_core.targets.find(m_target);
     if (known && known->leavingSince) {
         queueMove();
+    } else if (m_admission.demand.expectedTokens - m_core.balancer.producedBy(m_id) > LeastTokensForNewBackup) {
+        // An engine is told of a backup only when a run begins there. The generation moves while nobody is in a hurry, and gets one at its new engine.
+        m_session->onTargetLeaving(now);
     }
 }
 
--- a/Tests/LibRelay/TestTargets.cpp
+++ b/Tests/LibRelay/TestTargets.cpp
@@ -511,3 +511,30 @@
     EXPECT_EQ(chosen(choices, targets, service, {.demand = {.promptTokens = 3000, .expectedTokens = 900, .isMovable = true}}), "few");
     EXPECT_EQ(chosen(choices, targets, service, {.demand = {.promptTokens = 3000, .expectedTokens = 10}}), "many");
 }
+
+// Load pattern: three engines of a data centre leave at once, and many relays order copies of their generations. Guards against copies from different engines that
+// meet at one destination while others are free.
+TEST(TargetBalancer, DestinationsAreDividedAmongLeavingTargets)
+{
+    for (int round = 0; round < 200; ++round) {
+        TargetTable targets({});
+        for (int index = 0; index < 8; ++index) {
+            targets.set(entry("d" + std::to_string(round * 8 + index)), Start);
+        }
+        const std::vector<std::string> sources {"a", "b", "c"};
+        std::map<std::string, std::set<std::string>> sourcesOf;
+        for (const auto &source : sources) {
+            for (uint64_t relay = 0; relay < 5; ++relay) {
+                const auto choices = balancer(12);
+                const auto choice = choices.choose({.isMove = true, .source = source, .otherSources = sources}, targets, engineService(), Start, relay);
+                sourcesOf[choice.target->entry.id].insert(source);
+            }
+        }
+        int shared = 0;
+        for (const auto &[destination, users] : sourcesOf) {
+            shared += users.size() > 1 ? 1 : 0;
+        }
+        // A source for which the agreed order leaves no destination shares one.
+        ASSERT_LE(shared, 1) << round;
+    }
+}
