Take back backups elsewhere, and try moves to the engine that has the backup

Change: a draft goes on only where its data centre is in service and the engine takes work from this relay. Trial: moves go to the engine with the backup.

--- a/Libraries/LibRelay/QuietTargets.cpp
+++ b/Libraries/LibRelay/QuietTargets.cpp
@@ -28,13 +28,18 @@
     return found != m_targets.end() && now < found->second.until ? std::optional(found->second.until) : std::nullopt;
 }
 
-bool QuietTargets::tryContinue(const std::string &target, MonotonicTime now)
+bool QuietTargets::mayContinue(const std::string &target, MonotonicTime now) const
 {
     const auto found = m_targets.find(target);
-    if (found == m_targets.end() || now >= found->second.until) {
-        return true;
+    return found == m_targets.end() || now >= found->second.until || found->second.continuations < m_options.mostContinuations;
+}
+
+void QuietTargets::noteContinuation(const std::string &target)
+{
+    const auto found = m_targets.find(target);
+    if (found != m_targets.end()) {
+        ++found->second.continuations;
     }
-    return found->second.continuations++ < m_options.mostContinuations;
 }
 
 void QuietTargets::forget(const std::string &target)
--- a/Libraries/LibRelay/QuietTargets.h
+++ b/Libraries/LibRelay/QuietTargets.h
@@ -28,8 +28,10 @@
     // Until when a target is to be left alone. Nothing if it may get work.
     std::optional<MonotonicTime> until(const std::string &target, MonotonicTime now) const;
 
-    // Whether a running generation may go on at a target, which uses up one of its continuations if the target wants to be left alone.
-    bool tryContinue(const std::string &target, MonotonicTime now);
+    // Whether a running generation may go on at a target.
+    bool mayContinue(const std::string &target, MonotonicTime now) const;
+    // A running generation is sent to a target.
+    void noteContinuation(const std::string &target);
 
     // Another target has the name now.
     void forget(const std::string &target);
--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -150,7 +150,7 @@
         return;
     }
     // The copy of a generation that has just produced its first event can start now.
-    if (m_targetLeaving && m_move == Move::None && !hadEvents && m_events.count() > 0 && !m_backup) {
+    if (m_targetLeaving && m_move == Move::None && !hadEvents && m_events.count() > 0) {
         startCopy(now);
     }
 }
@@ -285,6 +285,11 @@
 void RelaySession::continueAt(const RelayTarget &target, const std::string &memorySource, MonotonicTime now)
 {
     m_move = Move::None;
+    if (!m_hooks.mayContinue(target, now)) {
+        m_hooks.note("no_continuation", target.id);
+        giveUp(RelayOutcome::TargetFailed, {});
+        return;
+    }
     send(target, memorySource, now);
 }
 
@@ -305,8 +310,7 @@
         return;
     }
     m_targetLeaving = true;
-    // A copy that has grown with the generation takes over when the target is gone, and needs nothing of the link that others wait for.
-    if (m_move == Move::None && m_events.count() > 0 && !m_backup) {
+    if (m_move == Move::None && m_events.count() > 0) {
         startCopy(now);
     }
 }
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -199,6 +199,7 @@
     if (order.memorySource.empty()) {
         m_core.onLoadChanged(m_admission.service->engine.has_value());
     } else {
+        m_core.balancer.quiet().noteContinuation(order.target.id);
         m_core.onTurnEnded();
     }
     m_target = order.target.id;
--- a/Libraries/LibRelayServer/RelayExchangeMoves.cpp
+++ b/Libraries/LibRelayServer/RelayExchangeMoves.cpp
@@ -18,8 +18,6 @@
 constexpr int64_t OutputWeight = 10;
 // An engine that is fuller than this keeps no copies that grow with generations elsewhere, so that its own do not lose their memory.
 constexpr double MostMemoryWithBackups = 0.6;
-// A generation that is nearly done is not moved to get a new backup.
-constexpr int64_t LeastTokensForNewBackup = 200;
 // Times that a generation goes on after an engine that was not known to leave. Load pattern: a request that crashes each engine that runs it.
 constexpr int MostUnannouncedEnds = 1;
 
@@ -31,6 +29,10 @@
     if (!service.engine || !service.engine->canMove) {
         return std::nullopt;
     }
+    // Where a copy has grown with the generation, only the rest of it has to be sent.
+    if (const auto &backup = m_session->backup(); backup && !excluded.contains(backup->id) && mayContinue(*backup, now)) {
+        return backup;
+    }
     auto demand = m_admission.demand;
     demand.expectedTokens = std::max(demand.expectedTokens, m_session->eventCount() * service.engine->tokensPerEvent);
     const auto *source = m_core.targets.find(m_target);
@@ -66,7 +68,8 @@
     if (m_unannouncedEnds > MostUnannouncedEnds || m_core.crashes.verdict(m_digest, now).action == CrashVerdict::Action::Refuse) {
         return false;
     }
-    return m_core.balancer.quiet().tryContinue(holder.id, now);
+    const auto *known = m_core.targets.find(holder.id);
+    return !(known && m_core.targets.isOut(known->entry.dataCentre)) && m_core.balancer.quiet().mayContinue(holder.id, now);
 }
 
 std::optional<RelayTarget> RelayExchange::chooseBackup(const RelayTarget &target, MonotonicTime now)
@@ -75,12 +78,14 @@
     if (!m_admission.demand.isMovable || !service.engine->canBackUp) {
         return std::nullopt;
     }
+    const auto *known = m_core.targets.find(target.id);
     const TargetBalancer::Query query {.demand = m_admission.demand,
                                        .excluded = {target.id},
                                        .homeRegions = m_admission.homeRegions,
                                        .liveGateways = m_core.liveGateways(now),
                                        .isMove = true,
                                        .source = target.id,
+                                       .dataCentre = known ? known->entry.dataCentre : "",
                                        .mostMemory = MostMemoryWithBackups};
     const auto choice = m_core.balancer.choose(query, m_core.targets, service, now, m_core.random());
     return choice.target ? std::optional(RelayTarget::of(choice.target->entry)) : std::nullopt;
@@ -96,9 +101,6 @@
     const auto *known = m_core.targets.find(m_target);
     if (known && known->leavingSince) {
         queueMove();
-    } else if (m_admission.demand.expectedTokens - m_core.balancer.producedBy(m_id) > LeastTokensForNewBackup) {
-        // An engine is told of a backup only when a run begins there. The generation moves while nobody is in a hurry, and gets one at its new engine.
-        m_session->onTargetLeaving(now);
     }
 }
 
@@ -138,7 +140,8 @@
     if (kind == CopyResult::Kind::Copied) {
         return;
     }
-    m_core.balancer.dropCopy(m_id);
+    m_core.balancer.dropBackup(m_id);
+    m_session->onBackupLost();
     if (kind == CopyResult::Kind::NoRoom) {
         // Another destination may have room.
         queueMove();
@@ -150,10 +153,17 @@
 
 void RelayExchange::queueMove()
 {
-    if (m_isOver || !m_admission.demand.isMovable || m_session->backup() || m_moveTries >= MostMoveTries) {
+    if (m_isOver || !m_admission.demand.isMovable || m_moveTries >= MostMoveTries) {
         return;
     }
     ++m_moveTries;
+    if (m_session->backup()) {
+        // The link of the engine that leaves is hardly needed, so that no turn is waited for.
+        if (!startMove(monotonicNow())) {
+            retryMoveLater();
+        }
+        return;
+    }
     // The worth of a generation grows with its size, and most with its output.
     const double value = static_cast<double>(m_admission.demand.promptTokens + OutputWeight * m_admission.demand.expectedTokens);
     m_core.moves.add(m_target, m_id, value);
