--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -86,7 +86,7 @@
     metrics.count("relay_targets_left_total");
     moves.targetLeaves(target, waitForPeers(target, now), now);
     for (auto *exchange : running) {
-        exchange->onBackupLeaving(target, now);
+        exchange->onBackupLeaving(target);
         if (exchange->target() == target) {
             exchange->queueMove();
         }
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -24,7 +24,7 @@
     // The request's target leaves: puts the generation into the queue of moves, if it is one that is worth a move.
     void queueMove();
     // A target leaves that may keep a copy of the generation as it grows.
-    void onBackupLeaving(const std::string &target, MonotonicTime now);
+    void onBackupLeaving(const std::string &target);
     // The generation's turn has come. Returns false if no copy was ordered.
     bool startMove(MonotonicTime now);
     // An order to copy the generation has ended, and the generation does not move.
--- a/Libraries/LibRelayServer/RelayExchangeMoves.cpp
+++ b/Libraries/LibRelayServer/RelayExchangeMoves.cpp
@@ -91,7 +91,7 @@
     return choice.target ? std::optional(RelayTarget::of(choice.target->entry)) : std::nullopt;
 }
 
-void RelayExchange::onBackupLeaving(const std::string &target, MonotonicTime now)
+void RelayExchange::onBackupLeaving(const std::string &target)
 {
     if (m_isOver || !m_session->backup() || m_session->backup()->id != target) {
         return;
