Use backups when the engine is gone, and keep them for long drafts

Change: drafts of 300 tokens or more get a backup, in their data centre; it is used when the answer breaks off, and is given up when its engine leaves or its data centre goes out of service, so that the draft is moved on notice instead.

--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -150,7 +150,7 @@
         return;
     }
     // The copy of a generation that has just produced its first event can start now.
-    if (m_targetLeaving && m_move == Move::None && !hadEvents && m_events.count() > 0) {
+    if (m_targetLeaving && m_move == Move::None && !hadEvents && m_events.count() > 0 && !m_backup) {
         startCopy(now);
     }
 }
@@ -310,7 +310,8 @@
         return;
     }
     m_targetLeaving = true;
-    if (m_move == Move::None && m_events.count() > 0) {
+    // A copy that has grown with the generation takes over when the target is gone, and needs nothing of the link that others wait for.
+    if (m_move == Move::None && m_events.count() > 0 && !m_backup) {
         startCopy(now);
     }
 }
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -85,8 +85,8 @@
     log(entry);
     metrics.count("relay_targets_left_total");
     moves.targetLeaves(target, waitForPeers(target, now), now);
+    dropBackupsAt(target);
     for (auto *exchange : running) {
-        exchange->onBackupLeaving(target);
         if (exchange->target() == target) {
             exchange->queueMove();
         }
@@ -94,6 +94,13 @@
     runMoves();
 }
 
+void RelayCore::dropBackupsAt(const std::string &target)
+{
+    for (auto *exchange : running) {
+        exchange->onBackupLeaving(target);
+    }
+}
+
 void RelayCore::noteLeaving(const std::string &target, int64_t incarnation, std::string_view reason, MonotonicTime now)
 {
     if (targets.noteLeaving(target, incarnation, now)) {
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -64,6 +64,9 @@
     // A target leaves: its generations are queued for a copy to another one.
     void announceLeaving(const std::string &target, std::string_view reason, MonotonicTime now);
 
+    // Generations are not to rely any more on copies that grow at a target.
+    void dropBackupsAt(const std::string &target);
+
     // A target has said itself, by its report or in an answer, that it leaves.
     void noteLeaving(const std::string &target, int64_t incarnation, std::string_view reason, MonotonicTime now);
 
--- a/Libraries/LibRelayServer/RelayExchangeMoves.cpp
+++ b/Libraries/LibRelayServer/RelayExchangeMoves.cpp
@@ -18,6 +18,8 @@
 constexpr int64_t OutputWeight = 10;
 // An engine that is fuller than this keeps no copies that grow with generations elsewhere, so that its own do not lose their memory.
 constexpr double MostMemoryWithBackups = 0.6;
+// Memory for backups is scarce, and a short generation seldom sees its engine leave.
+constexpr int64_t LeastTokensForBackup = 300;
 // Times that a generation goes on after an engine that was not known to leave. Load pattern: a request that crashes each engine that runs it.
 constexpr int MostUnannouncedEnds = 1;
 
@@ -29,10 +31,6 @@
     if (!service.engine || !service.engine->canMove) {
         return std::nullopt;
     }
-    // Where a copy has grown with the generation, only the rest of it has to be sent.
-    if (const auto &backup = m_session->backup(); backup && !excluded.contains(backup->id) && mayContinue(*backup, now)) {
-        return backup;
-    }
     auto demand = m_admission.demand;
     demand.expectedTokens = std::max(demand.expectedTokens, m_session->eventCount() * service.engine->tokensPerEvent);
     const auto *source = m_core.targets.find(m_target);
@@ -75,7 +73,7 @@
 std::optional<RelayTarget> RelayExchange::chooseBackup(const RelayTarget &target, MonotonicTime now)
 {
     const auto &service = *m_admission.service;
-    if (!m_admission.demand.isMovable || !service.engine->canBackUp) {
+    if (!m_admission.demand.isMovable || !service.engine->canBackUp || m_admission.demand.expectedTokens < LeastTokensForBackup) {
         return std::nullopt;
     }
     const auto *known = m_core.targets.find(target.id);
@@ -140,8 +138,7 @@
     if (kind == CopyResult::Kind::Copied) {
         return;
     }
-    m_core.balancer.dropBackup(m_id);
-    m_session->onBackupLost();
+    m_core.balancer.dropCopy(m_id);
     if (kind == CopyResult::Kind::NoRoom) {
         // Another destination may have room.
         queueMove();
@@ -153,17 +150,10 @@
 
 void RelayExchange::queueMove()
 {
-    if (m_isOver || !m_admission.demand.isMovable || m_moveTries >= MostMoveTries) {
+    if (m_isOver || !m_admission.demand.isMovable || m_session->backup() || m_moveTries >= MostMoveTries) {
         return;
     }
     ++m_moveTries;
-    if (m_session->backup()) {
-        // The link of the engine that leaves is hardly needed, so that no turn is waited for.
-        if (!startMove(monotonicNow())) {
-            retryMoveLater();
-        }
-        return;
-    }
     // The worth of a generation grows with its size, and most with its output.
     const double value = static_cast<double>(m_admission.demand.promptTokens + OutputWeight * m_admission.demand.expectedTokens);
     m_core.moves.add(m_target, m_id, value);
--- a/Libraries/LibRelayServer/RelayTables.cpp
+++ b/Libraries/LibRelayServer/RelayTables.cpp
@@ -252,6 +252,13 @@
     auto line = m_core.line(out ? EventKind::DataCentreOut : EventKind::DataCentreIn);
     line.add("data_centre", name).add("row_version", version);
     m_core.log(line);
+    if (out) {
+        for (const auto &[id, target] : m_core.targets.targets()) {
+            if (target.entry.dataCentre == name) {
+                m_core.dropBackupsAt(id);
+            }
+        }
+    }
 }
 
 void Relay::applyDocument(const StoreRow &row)
