--- a/Libraries/LibRelay/ListFreshness.cpp
+++ b/Libraries/LibRelay/ListFreshness.cpp
@@ -18,7 +18,7 @@
 
 bool isListLost(const ListSources &sources, MonotonicTime now)
 {
-    if (now - sources.currentAt >= ListLostAge) {
+    if (now - sources.currentAt >= std::max(ListLostAge, LongestHeldRead + BeatsUntilListLost * sources.beatPause)) {
         return true;
     }
     return !sources.peerReads && !readsStore(sources, now);
--- a/Libraries/LibRelay/ListFreshness.h
+++ b/Libraries/LibRelay/ListFreshness.h
@@ -20,6 +20,8 @@
     bool peerReads = false;
     // The list holds as of this time, by this relay's reads or by those of peers.
     MonotonicTime currentAt;
+    // Pause between the heartbeats by which peers tell how old their list is.
+    std::chrono::milliseconds beatPause {0};
 };
 
 // A read that takes this many times the usual interval means that the store is silent, within these bounds. The upper one is the pause between reads, the
@@ -27,8 +29,11 @@
 constexpr int IntervalsUntilOverdue = 4;
 constexpr std::chrono::milliseconds EarliestOverdue {500};
 constexpr std::chrono::milliseconds LatestOverdue {1320};
-// Without word of any reader for this time, the list is taken as lost: a relay may be cut off from its peers.
+// Without word of any reader for this time, the list is taken as lost: a relay may be cut off from its peers. In large fleets heartbeats are rarer: the list may then
+// be as old as the longest held read and some heartbeats.
 constexpr std::chrono::milliseconds ListLostAge {1500};
+constexpr std::chrono::milliseconds LongestHeldRead {1000};
+constexpr int BeatsUntilListLost = 2;
 
 // A relay whose reads fail leaves the trying to others after this time, because the store may refuse just this one.
 constexpr std::chrono::milliseconds TryingTime {1000};
--- a/Libraries/LibRelayServer/PeerLink.h
+++ b/Libraries/LibRelayServer/PeerLink.h
@@ -34,6 +34,9 @@
     // which end before most others hear of them; only the placement of generations is told at once there.
     void tellLoadSoon(bool isGeneration);
 
+    // Pause between two regular heartbeats, by the number of relays.
+    std::chrono::milliseconds beatPause(MonotonicTime now) const;
+
 private:
     void receive();
     void onDatagram(std::string_view datagram, MonotonicTime now);
@@ -47,7 +50,6 @@
     bool isSmallFleet(MonotonicTime now) const;
     // Whether every heartbeat goes to all regions.
     bool beatsToAll(MonotonicTime now) const;
-    std::chrono::milliseconds beatPause(MonotonicTime now) const;
     // The loads for relays of other regions, in a large fleet.
     std::vector<TargetLoad> farLoads(const std::vector<TargetLoad> &own, MonotonicTime now) const;
     PeerNews news(MonotonicTime now);
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -267,6 +267,7 @@
 ListSources Relay::listSources(MonotonicTime now) const
 {
     auto sources = ownReads();
+    sources.beatPause = m_peers.beatPause(now);
     const auto peers = m_core.peers.alive(now);
     sources.peerReads = std::any_of(peers.begin(), peers.end(), [](const Peer *peer) { return peer->news.reading; });
     return sources;
--- a/Tests/LibRelay/TestListFreshness.cpp
+++ b/Tests/LibRelay/TestListFreshness.cpp
@@ -62,3 +62,14 @@
     EXPECT_TRUE(triesStore(failing, Start + 900ms));
     EXPECT_FALSE(triesStore(failing, Start + 1000ms));
 }
+
+// Load pattern: in a fleet of 195 relays heartbeats are 0.8 s apart, and the store holds reads for a second while nothing changes. Guards against some hundred
+// relays that ask their engines for their state although the list is read.
+TEST(ListFreshness, ListIsNotLostBetweenRareHeartbeats)
+{
+    ListSources sources {.peerReads = true, .currentAt = Start, .beatPause = 800ms};
+    EXPECT_FALSE(isListLost(sources, Start + 1900ms));
+    EXPECT_TRUE(isListLost(sources, Start + 2600ms));
+    sources.beatPause = 200ms;
+    EXPECT_TRUE(isListLost(sources, Start + 1500ms));
+}
