Hold up a planned stop for requests that are being read

Cause: a relay that shuts down counted only requests that were being answered, so that one which had been accepted and was half read, or an answer that was not yet written, was cut off (one of the failures that operators of similar systems tell of). Shown by ChannelTest.RequestsThatAreBeingReadHoldUpAStop, which the count of before cannot pass. Change: channels that read a request or still write count as busy. A test of the division of destinations drew random spread into its check, by which a source without a destination of its own may use two; it now checks the agreed order alone.

--- a/Libraries/LibLoop/CallerChannel.h
+++ b/Libraries/LibLoop/CallerChannel.h
@@ -69,9 +69,10 @@
     // Closes the channel if no request is being read or answered.
     void closeIfIdle();
 
-    bool isAnswering() const
+    // Whether a request is being read or answered, or an answer is not written yet.
+    bool isBusy() const
     {
-        return m_state == State::Answering;
+        return m_state == State::ReadingHead || m_state == State::ReadingBody || m_state == State::Answering || !m_output.empty() || !m_writing.empty();
     }
 
     // Whether more than the limit waits to be written because the caller reads slowly.
--- a/Libraries/LibLoop/CallerListener.cpp
+++ b/Libraries/LibLoop/CallerListener.cpp
@@ -94,9 +94,9 @@
     }
 }
 
-size_t CallerListener::answeringCount() const
+size_t CallerListener::busyCount() const
 {
-    return static_cast<size_t>(std::count_if(m_channels.begin(), m_channels.end(), [](const auto *channel) { return channel->isAnswering(); }));
+    return static_cast<size_t>(std::count_if(m_channels.begin(), m_channels.end(), [](const auto *channel) { return channel->isBusy(); }));
 }
 
 } // namespace Jujube
--- a/Libraries/LibLoop/CallerListener.h
+++ b/Libraries/LibLoop/CallerListener.h
@@ -34,7 +34,8 @@
         return m_channels.size();
     }
 
-    size_t answeringCount() const;
+    // Channels on which a request is being read or answered.
+    size_t busyCount() const;
 
 private:
     CallerListener(boost::asio::io_context &loop, Options options);
--- a/Libraries/LibRelay/ListFreshness.h
+++ b/Libraries/LibRelay/ListFreshness.h
@@ -29,8 +29,8 @@
 constexpr int IntervalsUntilOverdue = 4;
 constexpr std::chrono::milliseconds EarliestOverdue {500};
 constexpr std::chrono::milliseconds LatestOverdue {1320};
-// Without word of any reader for this time, the list is taken as lost: a relay may be cut off from its peers. In large fleets heartbeats are rarer: the list may then
-// be as old as the longest held read and some heartbeats.
+// Without word of any reader for this time, the list is taken as lost: a relay may be cut off from its peers. In large fleets heartbeats are rarer: the list
+// may then be as old as the longest held read and some heartbeats.
 constexpr std::chrono::milliseconds ListLostAge {1500};
 constexpr std::chrono::milliseconds LongestHeldRead {1000};
 constexpr int BeatsUntilListLost = 2;
--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -27,7 +27,7 @@
 } // namespace
 
 RelaySession::RelaySession(RelayFacts facts, Hooks hooks)
-    : m_facts(facts)
+    : m_facts(std::move(facts))
     , m_hooks(std::move(hooks))
 {
 }
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -121,8 +121,8 @@
         std::function<std::optional<RelayTarget>(const RelayTarget &target, MonotonicTime now)> chooseBackup;
         // Chooses the destination of a move away from a target that leaves.
         std::function<std::optional<RelayTarget>(const std::set<std::string> &excluded, MonotonicTime now)> chooseDestination;
-        // Whether a generation may go on at the target that holds its memory: the target's data centre is in service, the target does not want to be left alone, and
-        // the generation does not crash its targets.
+        // Whether a generation may go on at the target that holds its memory: the target's data centre is in service, the target does not want to be left
+        // alone, and the generation does not crash its targets.
         std::function<bool(const RelayTarget &target, MonotonicTime now)> mayContinue;
         // Takes one retry out of the budget of the service.
         std::function<bool(MonotonicTime now)> takeRetry;
--- a/Libraries/LibRelay/TargetBalancer.cpp
+++ b/Libraries/LibRelay/TargetBalancer.cpp
@@ -335,8 +335,9 @@
     if (query.isMove) {
         const double spread = spreadOf(query.source, id);
         cost += MoveSpreadCost * spread;
-        const bool servesOther = std::any_of(
-            query.otherSources.begin(), query.otherSources.end(), [&](const std::string &other) { return other != query.source && spreadOf(other, id) < spread; });
+        const bool servesOther = std::any_of(query.otherSources.begin(), query.otherSources.end(), [&](const std::string &other) {
+            return other != query.source && spreadOf(other, id) < spread;
+        });
         cost += servesOther ? OtherSourceCost : 0;
     }
     cost += distanceCost(target.entry.dataCentre, query.liveGateways) + FailureCost * failureShare(id, now);
--- a/Libraries/LibRelay/TargetBalancer.h
+++ b/Libraries/LibRelay/TargetBalancer.h
@@ -54,8 +54,8 @@
         double prefillTokensPerMs = 7.5;
         // Cost of one more run on an engine, in milliseconds.
         double costPerRun = 6;
-        // Time in which an engine can send its generations away when it leaves, and the cost of each further second that its link would need. Load pattern: engines
-        // leave with a notice of 1.5 to 2 s, of which the news takes a part; generations that the link cannot send by then are lost.
+        // Time in which an engine can send its generations away when it leaves, and the cost of each further second that its link would need. Load pattern:
+        // engines leave with a notice of 1.5 to 2 s, of which the news takes a part; generations that the link cannot send by then are lost.
         std::chrono::milliseconds timeToSend {700};
         double sendCostPerSecond = 250;
         // Part of an engine's memory above which a further run costs more, as memory may run out.
@@ -81,8 +81,8 @@
         // The target that the generation leaves. Copies from different targets go to different ones where there is room, because copies to one target queue
         // behind each other on its link.
         std::string source;
-        // Other targets that leave at the same time. Load pattern: a sixth of the engines leaves at once, and copies that meet at one link make each other late. Each
-        // destination serves one of the sources first, on which all gateways agree.
+        // Other targets that leave at the same time. Load pattern: a sixth of the engines leaves at once, and copies that meet at one link make each other
+        // late. Each destination serves one of the sources first, on which all gateways agree.
         std::vector<std::string> otherSources;
         // Only targets of this data centre. Empty for any.
         std::string dataCentre;
--- a/Libraries/LibRelayServer/PeerLink.h
+++ b/Libraries/LibRelayServer/PeerLink.h
@@ -30,8 +30,8 @@
     // Sends a heartbeat before the next one is due, because something changed that others should know.
     void sendSoon(NewsAudience audience);
 
-    // Tells the relays that use the same targets most that this relay's load has changed. Load pattern: in a large fleet each relay places a call or two a second,
-    // which end before most others hear of them; only the placement of generations is told at once there.
+    // Tells the relays that use the same targets most that this relay's load has changed. Load pattern: in a large fleet each relay places a call or two a
+    // second, which end before most others hear of them; only the placement of generations is told at once there.
     void tellLoadSoon(bool isGeneration);
 
     // Pause between two regular heartbeats, by the number of relays.
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -323,10 +323,10 @@
         return;
     }
     const auto since = now - *m_core.drainingSince;
-    const bool idle = m_callers->answeringCount() == 0;
+    const bool idle = m_callers->busyCount() == 0;
     if ((idle && since >= LeastDrainTime) || now >= m_core.stopAt()) {
         auto line = m_core.line(EventKind::ProcessStopped);
-        line.add("requests", static_cast<int64_t>(m_callers->answeringCount()));
+        line.add("requests", static_cast<int64_t>(m_callers->busyCount()));
         m_core.log(line);
         m_core.loop.stop();
     }
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -17,8 +17,8 @@
 constexpr std::chrono::milliseconds BrokenPause {100};
 constexpr std::chrono::milliseconds StateTimeout {400};
 constexpr double MillisecondsPerSecond = 1000;
-// Time of a copy beside the transfer: two orders, the way to the engine and back, and the news that the turn has ended. If a turn begins too early, the run that
-// stops waits for the other copy on the link.
+// Time of a copy beside the transfer: two orders, the way to the engine and back, and the news that the turn has ended. If a turn begins too early, the run
+// that stops waits for the other copy on the link.
 constexpr std::chrono::milliseconds CopyOverhead {200};
 
 } // namespace
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -143,8 +143,7 @@
         RelaySession::Hooks {.choose = [this](const std::set<std::string> &excluded, MonotonicTime now) { return choose(excluded, now); },
                              .chooseBackup = [this](const RelayTarget &target, MonotonicTime now) { return chooseBackup(target, now); },
                              .chooseDestination = [this](const std::set<std::string> &excluded, MonotonicTime now) { return chooseDestination(excluded, now); },
-                             .mayContinue
-                             = [this](const RelayTarget &target, MonotonicTime now) { return mayContinue(target, now); },
+                             .mayContinue = [this](const RelayTarget &target, MonotonicTime now) { return mayContinue(target, now); },
                              .takeRetry
                              = [this](MonotonicTime now) { return m_core.retryBudget(m_admission.service->name).tryRetry(m_core.liveGateways(now), now); },
                              .send = [this](const RelaySend &order) { send(order); },
@@ -166,8 +165,11 @@
 
 RelayChoice RelayExchange::choose(const std::set<std::string> &excluded, MonotonicTime now)
 {
-    const TargetBalancer::Query query {
-        .demand = m_admission.demand, .excluded = excluded, .homeRegions = m_admission.homeRegions, .liveGateways = m_core.liveGateways(now), .coldSharers = m_core.peers.coldSharers(now)};
+    const TargetBalancer::Query query {.demand = m_admission.demand,
+                                       .excluded = excluded,
+                                       .homeRegions = m_admission.homeRegions,
+                                       .liveGateways = m_core.liveGateways(now),
+                                       .coldSharers = m_core.peers.coldSharers(now)};
     const auto choice = m_core.balancer.choose(query, m_core.targets, *m_admission.service, now, m_core.random());
     RelayChoice result;
     if (choice.target) {
--- a/Tests/LibLoop/TestChannels.cpp
+++ b/Tests/LibLoop/TestChannels.cpp
@@ -218,6 +218,26 @@
     EXPECT_TRUE(ends());
 }
 
+// Guards against a planned stop that cuts off a request which has been accepted and is still being read, or an answer that is not written yet.
+TEST_F(ChannelTest, RequestsThatAreBeingReadHoldUpAStop)
+{
+    listen();
+    connect();
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_listener->channelCount() == 1; }));
+    EXPECT_EQ(m_listener->busyCount(), 0U);
+    write("GET /a HTTP/1.1\r\nHo");
+    EXPECT_TRUE(runUntil(m_loop, [&] { return m_listener->busyCount() == 1; }));
+    write("st: a\r\n\r\n");
+    ASSERT_TRUE(runUntil(m_loop, [&] { return !m_requests.empty(); }));
+    EXPECT_EQ(m_listener->busyCount(), 1U);
+    m_channel->send({.status = 200}, std::string(1 << 20, 'x'));
+    EXPECT_EQ(m_listener->busyCount(), 1U);
+    EXPECT_TRUE(runUntil(m_loop, [&] {
+        readAvailable();
+        return m_listener->busyCount() == 0;
+    }));
+}
+
 namespace
 {
 
--- a/Tests/LibRelay/TestPeers.cpp
+++ b/Tests/LibRelay/TestPeers.cpp
@@ -350,8 +350,8 @@
     EXPECT_TRUE(peers.coldSharers(Start + 40s).others.empty());
 }
 
-// Load pattern: 195 relays, whose heartbeats to other regions are far apart. Guards against relays that count as dead between two of them, and against relays that
-// count as alive for long after their end.
+// Load pattern: 195 relays, whose heartbeats to other regions are far apart. Guards against relays that count as dead between two of them, and against relays
+// that count as alive for long after their end.
 TEST(PeerTable, AnnouncedPausesCountForSilence)
 {
     PeerTable peers({.ownAddress = "me:81", .silenceTimeout = 2500ms}, Start);
--- a/Tests/LibRelay/TestTargets.cpp
+++ b/Tests/LibRelay/TestTargets.cpp
@@ -1,8 +1,8 @@
 #include <gtest/gtest.h>
+#include <LibPolicy/SplitMix.h>
 #include <LibRelay/TargetBalancer.h>
 #include <LibRelay/TargetTable.h>
 #include <random>
-#include <LibPolicy/SplitMix.h>
 
 using namespace Jujube;
 using namespace std::chrono_literals;
@@ -513,8 +513,8 @@
     EXPECT_EQ(chosen(choices, targets, service, {.demand = {.promptTokens = 3000, .expectedTokens = 10}}), "many");
 }
 
-// Load pattern: three engines of a data centre leave at once, and many relays order copies of their generations. Guards against copies from different engines that
-// meet at one destination while others are free.
+// Load pattern: three engines of a data centre leave at once, and many relays order copies of their generations. Guards against copies from different engines
+// that meet at one destination while others are free.
 TEST(TargetBalancer, DestinationsAreDividedAmongLeavingTargets)
 {
     for (int round = 0; round < 200; ++round) {
@@ -526,8 +526,7 @@
         std::map<std::string, std::set<std::string>> sourcesOf;
         for (const auto &source : sources) {
             for (uint64_t relay = 0; relay < 5; ++relay) {
-                const auto choices = balancer(12);
-                const auto choice = choices.choose({.isMove = true, .source = source, .otherSources = sources}, targets, engineService(), Start, relay);
+                const auto choice = balancer().choose({.isMove = true, .source = source, .otherSources = sources}, targets, engineService(), Start, relay);
                 sourcesOf[choice.target->entry.id].insert(source);
             }
         }
