--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -157,7 +157,8 @@
 {
     const auto *known = targets.find(target);
     const auto endpoint = known ? Endpoint::parse(known->entry.address) : std::nullopt;
-    if (!endpoint) {
+    const bool isProbe = broken.empty();
+    if (!endpoint || (isProbe && balancer.quiet().until(target, monotonicNow()))) {
         return;
     }
     auto call = dialect.stateCall();
