--- a/Libraries/LibRelay/PeerTable.cpp
+++ b/Libraries/LibRelay/PeerTable.cpp
@@ -113,8 +113,9 @@
 
 bool PeerTable::speaksForRegion(const std::string &ownNode, MonotonicTime now) const
 {
-    const auto near = aliveInRegion(now);
-    return std::all_of(near.begin(), near.end(), [&](const Peer *peer) { return ownNode < peer->news.node; });
+    return std::none_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+        return entry.first <= ownNode && isAlive(entry.second, now) && isInRegion(entry.second.news.dataCentre);
+    });
 }
 
 std::chrono::milliseconds PeerTable::silenceTimeoutOf(const PeerNews &news) const
--- a/Libraries/LibRelay/TargetTable.cpp
+++ b/Libraries/LibRelay/TargetTable.cpp
@@ -31,6 +31,16 @@
     return true;
 }
 
+bool TargetTable::markSaidLeaving(KnownTarget &target, MonotonicTime now, Source source)
+{
+    if (!target.entry.saidLeaving) {
+        target.entry.saidLeaving = true;
+        // The others learn of it, also if the list has called the target leaving already.
+        noteChange(target, now, source);
+    }
+    return markLeaving(target, now, source);
+}
+
 bool TargetTable::set(const TargetEntry &entry, MonotonicTime now, Source source)
 {
     m_digest.reset();
@@ -42,19 +52,18 @@
     const bool isNew = target.entry.id.empty() || entry.incarnation > target.entry.incarnation;
     const bool isSameLifetime = !isNew && entry.incarnation == target.entry.incarnation;
     if (isSameLifetime && entry.saidLeaving && !target.entry.saidLeaving) {
-        target.entry.saidLeaving = true;
-        return markLeaving(target, now, source);
+        return markSaidLeaving(target, now, source);
     }
     if (!isNew && (!isSameLifetime || entry.version < target.entry.version)) {
         return false;
     }
-    const bool saidLeaving = !isNew && (target.entry.saidLeaving || entry.saidLeaving);
+    const bool saidLeaving = isSameLifetime && target.entry.saidLeaving;
     if (isNew || (entry.address != target.entry.address && !saidLeaving)) {
         target = {};
         noteChange(target, now, source);
     }
     target.entry = entry;
-    target.entry.saidLeaving = target.entry.saidLeaving || saidLeaving;
+    target.entry.saidLeaving = entry.saidLeaving || saidLeaving;
     if (target.lapsedUntil) {
         target.lapsedUntil.reset();
         noteChange(target, now, source);
@@ -103,13 +112,7 @@
     if (found == m_targets.end() || found->second.entry.incarnation != incarnation) {
         return false;
     }
-    auto &target = found->second;
-    if (!target.entry.saidLeaving) {
-        target.entry.saidLeaving = true;
-        // The others learn of it, also if the list has called the target leaving already.
-        target.changedAt = now;
-    }
-    return markLeaving(target, now);
+    return markSaidLeaving(found->second, now, Source::FirstHand);
 }
 
 std::vector<TargetEntry> TargetTable::recentChanges(std::chrono::milliseconds within, MonotonicTime now) const
@@ -220,6 +223,12 @@
     return found == m_byService->end() ? none : found->second;
 }
 
+bool TargetTable::isLeaving(std::string_view id) const
+{
+    const auto *known = find(id);
+    return known && known->leavingSince;
+}
+
 bool TargetTable::isUsable(const KnownTarget &target, MonotonicTime) const
 {
     return !target.leavingSince && !isOut(target.entry.dataCentre);
--- a/Libraries/LibRelay/TargetTable.h
+++ b/Libraries/LibRelay/TargetTable.h
@@ -100,6 +100,9 @@
 
     const KnownTarget *find(std::string_view id) const;
 
+    // Whether the target is known, and leaves.
+    bool isLeaving(std::string_view id) const;
+
     // Whether the target may get new requests.
     bool isUsable(const KnownTarget &target, MonotonicTime now) const;
 
@@ -123,6 +126,7 @@
     using TargetsByService = absl::flat_hash_map<std::string, std::vector<const KnownTarget *>>;
 
     bool markLeaving(KnownTarget &target, MonotonicTime now, Source source = Source::FirstHand);
+    bool markSaidLeaving(KnownTarget &target, MonotonicTime now, Source source);
     static void noteChange(KnownTarget &target, MonotonicTime now, Source source);
     uint64_t computeDigest() const;
 
--- a/Libraries/LibRelayServer/Relay.h
+++ b/Libraries/LibRelayServer/Relay.h
@@ -11,14 +11,6 @@
 namespace Jujube
 {
 
-// Where a target's entry comes from.
-enum class EntrySource {
-    List,
-    Peer,
-};
-
-std::string_view nameOf(EntrySource source);
-
 // A relay: accepts the requests of callers on relayed routes and has them served by targets, answers which gateways callers should use, and follows the store.
 // Everything runs on one loop.
 class Relay
@@ -61,7 +53,7 @@
     size_t removeUnlisted(const absl::flat_hash_set<std::string> &listed, bool afterOutage, int64_t version, std::string_view reason, MonotonicTime now);
     void onTargetRow(const StoreRow &row, bool afterOutage, MonotonicTime now);
     std::optional<TargetEntry> decodeTarget(const StoreRow &row);
-    void takeTarget(const TargetEntry &entry, EntrySource source, MonotonicTime now);
+    void takeTarget(const TargetEntry &entry, TargetTable::Source source, MonotonicTime now);
     void logStore(EventKind kind, const std::string &table, std::string_view detail);
 
     std::vector<std::string> addressesFor(const std::string &dataCentre, const std::string &region, MonotonicTime now) const;
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -230,8 +230,7 @@
                                   }
                               }});
     armSilence();
-    const auto *known = m_core.targets.find(order.target.id);
-    if (!order.memorySource.empty() && known && known->leavingSince) {
+    if (!order.memorySource.empty() && m_core.targets.isLeaving(order.target.id)) {
         // The generation went back to the engine that it was to leave.
         retryMoveLater();
     }
@@ -280,6 +279,9 @@
         m_sendFailed = true;
         auto line = m_core.line(EventKind::RelayTargetFailed);
         line.add("request", m_id).add("target", m_target).add("status", answer.status).add("not_run", answer.notRun ? 1 : 0);
+        if (answer.quietFor) {
+            line.add("quiet_ms", answer.quietFor->count());
+        }
         m_core.log(line);
     }
     // An answer that the session does not accept ends with abortSend().
@@ -294,9 +296,6 @@
     }
     if (answer.quietFor) {
         m_core.balancer.quiet().note(m_target, *answer.quietFor, now);
-        auto line = m_core.line(EventKind::RelayTargetFailed);
-        line.add("request", m_id).add("target", m_target).add("status", answer.status).add("quiet_ms", answer.quietFor->count());
-        m_core.log(line);
         m_core.metrics.count("relay_targets_quiet_total");
     }
 }
@@ -352,8 +351,7 @@
             m_core.balancer.unreachable(m_target, now);
         } else if (!m_session->isMoving()) {
             m_core.noteBroken(m_target, m_digest);
-            const auto *known = m_core.targets.find(m_target);
-            m_unannouncedEnds += known && known->leavingSince ? 0 : 1;
+            m_unannouncedEnds += m_core.targets.isLeaving(m_target) ? 0 : 1;
         }
     }
     const auto result = end == ChannelEnd::Complete ? UpstreamResult::Complete : end == ChannelEnd::NotSent ? UpstreamResult::NotSent : UpstreamResult::Broken;
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -56,6 +56,8 @@
     std::chrono::milliseconds retryAfterFor(RelayOutcome outcome, MonotonicTime now) const;
     void createSession();
     RelayChoice choose(const std::set<std::string> &excluded, MonotonicTime now);
+    // Where a copy of the generation may go from a target: to its data centre.
+    TargetBalancer::Query copyQuery(const std::string &source, const std::set<std::string> &excluded, MonotonicTime now) const;
     std::optional<RelayTarget> chooseDestination(const std::set<std::string> &excluded, MonotonicTime now);
     bool mayContinue(const RelayTarget &holder, MonotonicTime now);
     std::optional<RelayTarget> chooseBackup(const RelayTarget &target, MonotonicTime now);
--- a/Libraries/LibRelayServer/RelayExchangeMoves.cpp
+++ b/Libraries/LibRelayServer/RelayExchangeMoves.cpp
@@ -25,23 +25,28 @@
 
 } // namespace
 
+TargetBalancer::Query RelayExchange::copyQuery(const std::string &source, const std::set<std::string> &excluded, MonotonicTime now) const
+{
+    const auto *known = m_core.targets.find(source);
+    return {.demand = m_admission.demand,
+            .excluded = excluded,
+            .homeRegions = m_admission.homeRegions,
+            .liveGateways = m_core.liveGateways(now),
+            .isMove = true,
+            .source = source,
+            .dataCentre = known ? known->entry.dataCentre : ""};
+}
+
 std::optional<RelayTarget> RelayExchange::chooseDestination(const std::set<std::string> &excluded, MonotonicTime now)
 {
     const auto &service = *m_admission.service;
     if (!service.engine || !service.engine->canMove) {
         return std::nullopt;
     }
-    auto demand = m_admission.demand;
+    auto query = copyQuery(m_target, excluded, now);
+    auto &demand = query.demand;
     demand.expectedTokens = std::max(demand.expectedTokens, m_session->eventCount() * service.engine->tokensPerEvent);
-    const auto *source = m_core.targets.find(m_target);
-    TargetBalancer::Query query {.demand = demand,
-                                 .excluded = excluded,
-                                 .homeRegions = m_admission.homeRegions,
-                                 .liveGateways = m_core.liveGateways(now),
-                                 .isMove = true,
-                                 .source = m_target,
-                                 .otherSources = m_core.targets.leavingLately(service.name, now),
-                                 .dataCentre = source ? source->entry.dataCentre : ""};
+    query.otherSources = m_core.targets.leavingLately(service.name, now);
     auto choice = m_core.balancer.choose(query, m_core.targets, service, now, m_core.random());
     const auto ownTokens = demand.promptTokens + m_core.balancer.producedBy(m_id);
     const bool isLast = m_core.balancer.loadOf(m_target).movable <= ownTokens;
@@ -76,15 +81,8 @@
     if (!m_admission.demand.isMovable || !service.engine->canBackUp || m_admission.demand.expectedTokens < LeastTokensForBackup) {
         return std::nullopt;
     }
-    const auto *known = m_core.targets.find(target.id);
-    const TargetBalancer::Query query {.demand = m_admission.demand,
-                                       .excluded = {target.id},
-                                       .homeRegions = m_admission.homeRegions,
-                                       .liveGateways = m_core.liveGateways(now),
-                                       .isMove = true,
-                                       .source = target.id,
-                                       .dataCentre = known ? known->entry.dataCentre : "",
-                                       .mostMemory = MostMemoryWithBackups};
+    auto query = copyQuery(target.id, {target.id}, now);
+    query.mostMemory = MostMemoryWithBackups;
     const auto choice = m_core.balancer.choose(query, m_core.targets, service, now, m_core.random());
     return choice.target ? std::optional(RelayTarget::of(choice.target->entry)) : std::nullopt;
 }
@@ -96,8 +94,7 @@
     }
     m_session->onBackupLost();
     m_core.balancer.dropBackup(m_id);
-    const auto *known = m_core.targets.find(m_target);
-    if (known && known->leavingSince) {
+    if (m_core.targets.isLeaving(m_target)) {
         queueMove();
     }
 }
--- a/Libraries/LibRelayServer/RelayTables.cpp
+++ b/Libraries/LibRelayServer/RelayTables.cpp
@@ -153,7 +153,7 @@
 void Relay::onPeerTargets(const PeerNews &news, MonotonicTime now)
 {
     for (const auto &entry : news.targets) {
-        takeTarget(entry, EntrySource::Peer, now);
+        takeTarget(entry, TargetTable::Source::Peer, now);
     }
     if (news.targetsDigest == m_core.targets.digest()) {
         m_differsSince.reset();
@@ -197,7 +197,7 @@
     absl::flat_hash_set<std::string> listed;
     for (const auto &entry : entries) {
         listed.insert(entry.id);
-        takeTarget(entry, EntrySource::Peer, now);
+        takeTarget(entry, TargetTable::Source::Peer, now);
     }
     removeUnlisted(listed, false, version, "not known to peer", now);
 }
@@ -301,14 +301,10 @@
     return std::nullopt;
 }
 
-std::string_view nameOf(EntrySource source)
+void Relay::takeTarget(const TargetEntry &entry, TargetTable::Source source, MonotonicTime now)
 {
-    return source == EntrySource::Peer ? "peer" : "list";
-}
-
-void Relay::takeTarget(const TargetEntry &entry, EntrySource source, MonotonicTime now)
-{
-    const bool fromPeer = source == EntrySource::Peer;
+    const bool fromPeer = source == TargetTable::Source::Peer;
+    const std::string_view sourceName = fromPeer ? "peer" : "list";
     const auto *known = m_core.targets.find(entry.id);
     const bool isNew = !known || known->entry.incarnation < entry.incarnation;
     if (isNew) {
@@ -317,7 +313,7 @@
             .add("service", entry.service)
             .add("address", entry.address)
             .add("data_centre", entry.dataCentre)
-            .add("source", nameOf(source))
+            .add("source", sourceName)
             .add("row_version", entry.version);
         m_core.log(line);
         if (const auto endpoint = Endpoint::parse(entry.address)) {
@@ -327,8 +323,8 @@
         m_core.balancer.quiet().forget(entry.id);
         m_peers.sendSoon(audienceForTarget(fromPeer, false, false));
     }
-    if (m_core.targets.set(entry, now, fromPeer ? TargetTable::Source::Peer : TargetTable::Source::FirstHand)) {
-        m_core.announceLeaving(entry.id, nameOf(source), now);
+    if (m_core.targets.set(entry, now, source)) {
+        m_core.announceLeaving(entry.id, sourceName, now);
         m_peers.sendSoon(audienceForTarget(fromPeer, true, m_core.balancer.ownLoad(entry.id).movable > 0));
     }
 }
@@ -339,7 +335,7 @@
     for (const auto &row : rows) {
         listed.insert(row.key);
         if (const auto entry = decodeTarget(row)) {
-            takeTarget(*entry, EntrySource::List, now);
+            takeTarget(*entry, TargetTable::Source::FirstHand, now);
         }
     }
     const auto missing = removeUnlisted(listed, afterOutage, m_targets->version(), "not listed", now);
@@ -372,7 +368,7 @@
         return;
     }
     if (const auto entry = decodeTarget(row)) {
-        takeTarget(*entry, EntrySource::List, now);
+        takeTarget(*entry, TargetTable::Source::FirstHand, now);
     }
 }
 
--- /dev/null
+++ b/Tests/LibRelay/TargetEntries.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <LibRelay/TargetTable.h>
+
+namespace Jujube
+{
+
+constexpr MonotonicTime Start {std::chrono::hours(1)};
+
+// An entry of the list of targets.
+inline TargetEntry entry(const std::string &id, int64_t version = 1, int64_t incarnation = 1)
+{
+    return {.id = id, .incarnation = incarnation, .service = "s", .address = id + ":1", .dataCentre = "lahore", .slots = 6, .version = version};
+}
+
+} // namespace Jujube
--- /dev/null
+++ b/Tests/LibRelay/TestTargetBalancer.cpp
@@ -0,0 +1,361 @@
+#include "TargetEntries.h"
+
+#include <gtest/gtest.h>
+#include <LibPolicy/SplitMix.h>
+#include <LibRelay/TargetBalancer.h>
+#include <random>
+
+using namespace Jujube;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+RelayService engineService()
+{
+    return {.name = "s", .engine = EngineProfile {.slots = 24, .memoryTokens = 30000, .canMove = true}};
+}
+
+TargetBalancer balancer(double spread = 0)
+{
+    return TargetBalancer({.region = "punjab", .regions = {{"lahore", "punjab"}, {"karachi", "sindh"}}, .spread = spread});
+}
+
+std::string chosen(const TargetBalancer &balancer, const TargetTable &targets, const RelayService &service, const TargetBalancer::Query &query)
+{
+    const auto choice = balancer.choose(query, targets, service, Start, 1);
+    return choice.target ? choice.target->entry.id : "";
+}
+
+} // namespace
+
+// Load pattern: long prompts arrive at several gateways at once. Guards against an engine that reads several of them while others read none.
+TEST(TargetBalancer, PromptsBeingReadElsewhereCount)
+{
+    TargetTable targets({});
+    targets.set(entry("a"), Start);
+    targets.set(entry("b"), Start);
+    auto policy = balancer();
+    policy.setPeerLoads("peer", {{.target = "a", .running = 1, .memory = 3000, .prefill = 3000}});
+    EXPECT_EQ(chosen(policy, targets, engineService(), {.demand = {.service = "s", .promptTokens = 3000}}), "b");
+    policy.dropPeer("peer");
+    policy.started("r", "b", {.service = "s", .promptTokens = 3000, .expectedTokens = 100}, Start);
+    EXPECT_EQ(chosen(policy, targets, engineService(), {.demand = {.service = "s", .promptTokens = 3000}}), "a");
+}
+
+// Guards against sums of peers' loads that drift while heartbeats replace each other.
+TEST(TargetBalancer, LoadsOfPeersAreTheirLatest)
+{
+    auto policy = balancer();
+    std::mt19937 random(1);
+    std::map<std::string, std::vector<TargetLoad>> latest;
+    for (int round = 0; round < 2000; ++round) {
+        const auto peer = std::to_string(random() % 5);
+        if (random() % 8 == 0) {
+            policy.dropPeer(peer);
+            latest.erase(peer);
+            continue;
+        }
+        std::vector<TargetLoad> loads;
+        for (const auto *target : {"a", "b", "c"}) {
+            if (random() % 2 == 0) {
+                loads.push_back({.target = target, .running = static_cast<int>(random() % 4), .memory = static_cast<int64_t>(random() % 900)});
+            }
+        }
+        policy.setPeerLoads(peer, loads);
+        latest[peer] = loads;
+        for (const auto *target : {"a", "b", "c"}) {
+            TargetLoad expected;
+            for (const auto &[node, entries] : latest) {
+                for (const auto &load : entries) {
+                    if (load.target == target) {
+                        expected.add(load);
+                    }
+                }
+            }
+            ASSERT_EQ(policy.loadOf(target).running, expected.running) << round;
+            ASSERT_EQ(policy.loadOf(target).memory, expected.memory) << round;
+        }
+    }
+}
+
+// Load pattern: an engine is nearly full of generations that still grow. Guards against a placement that makes it run out of memory.
+TEST(TargetBalancer, NearlyFullEngineIsAvoided)
+{
+    TargetTable targets({});
+    targets.set(entry("a"), Start);
+    targets.set(entry("b"), Start);
+    auto policy = balancer();
+    policy.setPeerLoads("peer", {{.target = "a", .running = 7, .memory = 28000}, {.target = "b", .running = 12, .memory = 12000}});
+    EXPECT_EQ(chosen(policy, targets, engineService(), {.demand = {.service = "s", .promptTokens = 3000, .expectedTokens = 1000}}), "b");
+}
+
+// Guards against requests that leave their home region.
+TEST(TargetBalancer, HomeRegionsBind)
+{
+    TargetTable targets({});
+    auto far = entry("far");
+    far.dataCentre = "karachi";
+    targets.set(far, Start);
+    targets.set(entry("near"), Start);
+    const auto policy = balancer();
+    EXPECT_EQ(chosen(policy, targets, engineService(), {.demand = {.service = "s"}, .homeRegions = std::vector<std::string> {"sindh"}}), "far");
+    EXPECT_EQ(chosen(policy, targets, engineService(), {.demand = {.service = "s"}, .homeRegions = std::vector<std::string> {"elsewhere"}}), "");
+    EXPECT_EQ(chosen(policy, targets, engineService(), {.demand = {.service = "s"}, .homeRegions = std::vector<std::string> {}}), "");
+}
+
+// Load pattern: a target fails part of its requests while it reports itself healthy. Guards against sending it the same share as before.
+TEST(TargetBalancer, FailingTargetIsAvoidedForAWhile)
+{
+    TargetTable targets({});
+    targets.set(entry("a"), Start);
+    targets.set(entry("b"), Start);
+    auto policy = balancer();
+    policy.started("r", "a", {.service = "s"}, Start);
+    policy.ended("r", RunEnd::Failed, Start);
+    const RelayService desk {.name = "s"};
+    EXPECT_EQ(chosen(policy, targets, desk, {.demand = {.service = "s"}}), "b");
+    EXPECT_LT(policy.failureShare("a", Start + 20s), 0.01);
+}
+
+// Load pattern: the list of targets is out of reach and a target has crashed. Guards against requests that try it again and again, and against a target that
+// is never tried again.
+TEST(TargetBalancer, UnreachableTargetIsAvoidedLongerEachTime)
+{
+    TargetTable targets({});
+    targets.set(entry("a"), Start);
+    targets.set(entry("b"), Start);
+    auto policy = balancer();
+    policy.setPeerLoads("peer", {{.target = "b", .running = 20, .memory = 29000}});
+    const TargetBalancer::Query move {.demand = {.service = "s"}, .isMove = true};
+    const auto isChosen = [&](MonotonicTime now) {
+        const auto choice = policy.choose(move, targets, engineService(), now, 1);
+        return choice.target && choice.target->entry.id == "a";
+    };
+    policy.unreachable("a", Start);
+    EXPECT_FALSE(isChosen(Start + 1400ms));
+    EXPECT_TRUE(isChosen(Start + 60s));
+    policy.unreachable("a", Start + 1600ms);
+    EXPECT_FALSE(isChosen(Start + 4500ms));
+    policy.reachable("a");
+    EXPECT_TRUE(isChosen(Start + 60s));
+}
+
+// Guards against bookkeeping that drifts: after all runs have ended, no load is left.
+TEST(TargetBalancer, LoadsReturnToZero)
+{
+    auto policy = balancer();
+    std::mt19937 random(1);
+    for (int round = 0; round < 1000; ++round) {
+        const auto request = std::to_string(random() % 20);
+        const auto target = std::string(1, static_cast<char>('a' + random() % 3));
+        switch (random() % 5) {
+        case 0:
+            policy.started(request, target, {.service = "s", .promptTokens = 100, .expectedTokens = 10, .isMovable = true}, Start);
+            break;
+        case 1:
+            policy.produced(request, 4);
+            break;
+        case 2:
+            policy.setCopy(request, target, 500);
+            break;
+        case 3:
+            policy.dropCopy(request);
+            break;
+        default:
+            policy.ended(request, RunEnd::Finished, Start);
+            break;
+        }
+    }
+    for (int request = 0; request < 20; ++request) {
+        policy.ended(std::to_string(request), RunEnd::Finished, Start);
+        policy.dropCopy(std::to_string(request));
+    }
+    EXPECT_TRUE(policy.ownLoads().empty());
+}
+
+// Load pattern: all gateways return after an outage and meet cold targets. Guards against more requests in a second than a cold target bears, over all
+// gateways, also if each sees one gateway less than there are.
+TEST(ColdRate, AllGatewaysTogetherKeepToTheBound)
+{
+    constexpr double ColdPerSecond = 41;
+    constexpr double Overrun = 1.5;
+    constexpr double Slack = 5;
+    for (const int gateways : {1, 2, 7, 8, 30}) {
+        std::vector<ColdRate> rates(static_cast<size_t>(gateways));
+        std::vector<MonotonicTime> sends;
+        for (auto now = Start; now < Start + 5s; now += 7ms) {
+            for (auto &rate : rates) {
+                const int share = ColdRate::share(ColdPerSecond, std::max(1, gateways - 1));
+                if (rate.mayTake("a", share, now)) {
+                    rate.noteTaken("a", now);
+                    sends.push_back(now);
+                }
+            }
+        }
+        for (size_t first = 0, last = 0; last < sends.size(); ++last) {
+            while (sends[last] - sends[first] > 1s) {
+                ++first;
+            }
+            ASSERT_LE(static_cast<double>(last - first + 1), ColdPerSecond * Overrun + Slack) << gateways;
+        }
+    }
+}
+
+// Guards against a placement that looks at every target of a large fleet, and against one that looks at too few to even out their loads.
+TEST(TargetBalancer, LargeFleetsAreSampled)
+{
+    constexpr int Targets = 2800;
+    constexpr int Runs = 4 * Targets;
+    TargetTable targets({});
+    for (int number = 0; number < Targets; ++number) {
+        targets.set(entry("t" + std::to_string(number)), Start);
+    }
+    auto policy = balancer(12);
+    std::mt19937_64 random(1);
+    const auto service = engineService();
+    for (int number = 0; number < Runs; ++number) {
+        const RunDemand demand {.service = "s", .promptTokens = 3000, .expectedTokens = 900};
+        const auto choice = policy.choose({.demand = demand}, targets, service, Start, random());
+        ASSERT_NE(choice.target, nullptr);
+        ASSERT_LE(choice.candidates, 64);
+        policy.started("r" + std::to_string(number), choice.target->entry.id, demand, Start);
+    }
+    int most = 0;
+    for (const auto &load : policy.ownLoads()) {
+        most = std::max(most, load.running);
+    }
+    EXPECT_LE(most, 6);
+}
+
+// Guards against a request that is refused because the few targets that it may use are not in the sample.
+TEST(TargetBalancer, SampleWithoutAUsableTargetIsExtended)
+{
+    constexpr int Targets = 2800;
+    TargetTable targets({});
+    for (int number = 0; number < Targets; ++number) {
+        auto other = entry("t" + std::to_string(number));
+        other.dataCentre = number == 1700 ? "lahore" : "karachi";
+        targets.set(other, Start);
+    }
+    const auto policy = balancer();
+    std::mt19937_64 random(1);
+    for (int number = 0; number < 20; ++number) {
+        const auto choice
+            = policy.choose({.demand = {.service = "s"}, .homeRegions = std::vector<std::string> {"punjab"}}, targets, engineService(), Start, random());
+        ASSERT_NE(choice.target, nullptr);
+        EXPECT_EQ(choice.target->entry.id, "t1700");
+    }
+}
+
+// Guards against a target that asked to be left alone and gets work from the same relay all the same, and against refusals that name an earlier time.
+TEST(TargetBalancer, QuietTargetGetsNoWork)
+{
+    TargetTable targets({});
+    targets.set(entry("a"), Start);
+    targets.set(entry("b"), Start);
+    auto choices = balancer();
+    choices.quiet().note("a", 2000ms, Start);
+    choices.quiet().note("b", 1500ms, Start);
+    EXPECT_EQ(choices.choose({}, targets, engineService(), Start, 1).target, nullptr);
+    EXPECT_EQ(choices.choose({}, targets, engineService(), Start, 1).quietUntil, Start + 1500ms);
+    EXPECT_EQ(choices.choose({.isMove = true, .source = "c"}, targets, engineService(), Start, 1).target, nullptr);
+    EXPECT_EQ(choices.choose({}, targets, engineService(), Start + 1600ms, 1).target->entry.id, "b");
+    EXPECT_TRUE(choices.quiet().mayContinue("a", Start));
+    choices.quiet().noteContinuation("a");
+    EXPECT_FALSE(choices.quiet().mayContinue("a", Start));
+    EXPECT_TRUE(choices.quiet().mayContinue("a", Start + 2100ms));
+}
+
+// Guards against a target that is never used again because of an absurd time.
+TEST(QuietTargets, TimesAreBounded)
+{
+    QuietTargets quiet({.longest = 10s});
+    quiet.note("a", std::chrono::hours(24), Start);
+    EXPECT_EQ(quiet.until("a", Start), Start + 10s);
+    quiet.note("a", 1s, Start);
+    EXPECT_EQ(quiet.until("a", Start), Start + 10s);
+    quiet.note("b", 0ms, Start);
+    EXPECT_FALSE(quiet.until("b", Start));
+}
+
+// Load pattern: one engine returns cold and is the cheapest for each of 400 relays, which start as much there as they may. Views differ: each relay has lost up
+// to half of the others lately, some relays have just started, and some are cut off and hear nobody.
+TEST(ColdRate, ColdTargetsKeepToTheBoundInLargeFleets)
+{
+    constexpr double ColdPerSecond = 19;
+    // The users' bound on starts within a second.
+    constexpr double Bound = 1.5 * ColdPerSecond + 5;
+    for (const size_t relays : {3U, 7U, 21U, 25U, 77U, 195U, 400U}) {
+        std::vector<uint64_t> names;
+        for (size_t index = 0; index < relays; ++index) {
+            names.push_back(SplitMix(index).next());
+        }
+        for (unsigned seed = 0; seed < 50; ++seed) {
+            std::mt19937 random(seed);
+            const size_t alive = seed % 2 == 0 ? relays : 1 + random() % relays;
+            const auto target = "engine-" + std::to_string(seed);
+            int starts = 0;
+            for (size_t self = 0; self < alive; ++self) {
+                // All relays that are alive are known; of those that have gone, only some are remembered.
+                std::vector<uint64_t> others;
+                for (size_t other = 0; other < relays; ++other) {
+                    if (other != self && (other < alive || random() % 2 == 0)) {
+                        others.push_back(names[other]);
+                    }
+                }
+                const bool isNew = random() % 10 == 0;
+                if (isNew) {
+                    others.resize(random() % (others.size() + 1));
+                }
+                starts += ColdRate::coldShare(ColdPerSecond, {.others = others, .self = names[self], .isSettled = !isNew}, target);
+            }
+            ASSERT_LE(starts, Bound) << relays << " relays, seed " << seed;
+            ASSERT_TRUE(starts > 0 || alive < relays || relays < 10) << relays << " relays, seed " << seed;
+        }
+    }
+}
+
+// Load pattern: engines leave with a notice of 1.5 to 2 s. Guards against an engine that gathers more generations than its link can send away by then, although
+// others have fewer; requests that are not copied do not mind.
+TEST(TargetBalancer, GenerationsAreSpreadByTheTimeToSendThem)
+{
+    TargetTable targets({});
+    targets.set(entry("few"), Start);
+    targets.set(entry("many"), Start);
+    auto service = engineService();
+    service.engine->memoryTokens = 90000;
+    service.engine->bytesPerToken = 327680;
+    service.engine->linkMbps = 47000;
+    auto choices = balancer();
+    // Five generations of 4,000 tokens need 1.1 s of the link; the other engine runs some more short requests.
+    choices.setPeerLoads("p", {{.target = "many", .running = 5, .memory = 25000, .movable = 20000}, {.target = "few", .running = 9, .memory = 20000}});
+    EXPECT_EQ(chosen(choices, targets, service, {.demand = {.promptTokens = 3000, .expectedTokens = 900, .isMovable = true}}), "few");
+    EXPECT_EQ(chosen(choices, targets, service, {.demand = {.promptTokens = 3000, .expectedTokens = 10}}), "many");
+}
+
+// Load pattern: three engines of a data centre leave at once, and many relays order copies of their generations. Guards against copies from different engines
+// that meet at one destination while others are free.
+TEST(TargetBalancer, DestinationsAreDividedAmongLeavingTargets)
+{
+    for (int round = 0; round < 200; ++round) {
+        TargetTable targets({});
+        for (int index = 0; index < 8; ++index) {
+            targets.set(entry("d" + std::to_string(round * 8 + index)), Start);
+        }
+        const std::vector<std::string> sources {"a", "b", "c"};
+        std::map<std::string, std::set<std::string>> sourcesOf;
+        for (const auto &source : sources) {
+            for (uint64_t relay = 0; relay < 5; ++relay) {
+                const auto choice = balancer().choose({.isMove = true, .source = source, .otherSources = sources}, targets, engineService(), Start, relay);
+                sourcesOf[choice.target->entry.id].insert(source);
+            }
+        }
+        int shared = 0;
+        for (const auto &[destination, users] : sourcesOf) {
+            shared += users.size() > 1 ? 1 : 0;
+        }
+        // A source for which the agreed order leaves no destination shares one.
+        ASSERT_LE(shared, 1) << round;
+    }
+}
