Log the request limits that targets name

Seen: two targets that had named limits got two to three times as many requests as allowed, and neither logs nor metrics of the relays show whether a relay read the limit. Change: target_limit_changed (4106) and target_limit_ended (4107) with the limit, the one before and who told it; relay_limited_targets and relay_limited_sends_total{target}. No decision depends on them. This distinguishes relays that do not read the limit from relays that each keep to it alone.

--- a/Libraries/LibEvents/EventKind.cpp
+++ b/Libraries/LibEvents/EventKind.cpp
@@ -71,6 +71,8 @@
     EventKindInfo {EventKind::RowUnreadable, "row_unreadable", "A row of the store could not be read; what was known before stays in force."},
     EventKindInfo {EventKind::TableReplaced, "table_replaced", "A table was read as a whole, because its history was not available or the store was away."},
     EventKindInfo {EventKind::StoreReaderChanged, "store_reader_changed", "This relay reads the store for others from now on, or leaves that to others."},
+    EventKindInfo {EventKind::TargetLimitChanged, "target_limit_changed", "A target has named a limit on the requests of all relays, or a different one."},
+    EventKindInfo {EventKind::TargetLimitEnded, "target_limit_ended", "A target no longer names a limit."},
 };
 
 }
--- a/Libraries/LibEvents/EventKind.h
+++ b/Libraries/LibEvents/EventKind.h
@@ -70,6 +70,8 @@
     RowUnreadable = 4103,
     TableReplaced = 4104,
     StoreReaderChanged = 4105,
+    TargetLimitChanged = 4106,
+    TargetLimitEnded = 4107,
 };
 
 // One line of the catalogue.
--- a/Libraries/LibEvents/LogLine.cpp
+++ b/Libraries/LibEvents/LogLine.cpp
@@ -36,6 +36,12 @@
     return *this;
 }
 
+LogLine &LogLine::addReal(std::string_view name, double value)
+{
+    absl::StrAppend(&m_text, ",\"", toAbsl(name), "\":", value);
+    return *this;
+}
+
 std::string LogLine::take()
 {
     m_text += '}';
--- a/Libraries/LibEvents/LogLine.h
+++ b/Libraries/LibEvents/LogLine.h
@@ -17,6 +17,7 @@
 
     LogLine &add(std::string_view name, std::string_view value);
     LogLine &add(std::string_view name, int64_t value);
+    LogLine &addReal(std::string_view name, double value);
 
     // The finished line.
     std::string take();
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -98,6 +98,9 @@
     bool leaving = false;
     // The cooldown that the target asked for when it rejected the request.
     std::optional<std::chrono::milliseconds> cooldown;
+    // Whether the response has a header field with a request limit, and the limit in requests per second. A field without a usable number has no limit.
+    bool hasRequestLimit = false;
+    std::optional<double> requestLimit;
     // Length of the body, if the target has declared it.
     std::optional<uint64_t> length;
 };
--- a/Libraries/LibRelay/TargetBalancer.h
+++ b/Libraries/LibRelay/TargetBalancer.h
@@ -6,6 +6,7 @@
 #include <LibRelay/RelayDocument.h>
 #include <LibRelay/TargetCooldowns.h>
 #include <LibRelay/TargetLoad.h>
+#include <LibRelay/TargetRequestLimits.h>
 #include <LibRelay/TargetTable.h>
 #include <map>
 #include <optional>
@@ -117,6 +118,11 @@
     {
         return m_cooldowns;
     }
+    // Limits on the requests of all relays that targets have named.
+    TargetRequestLimits &requestLimits()
+    {
+        return m_requestLimits;
+    }
     // A copy of a run's KV cache that is kept on a target.
     void setCopy(const std::string &request, const std::string &target, int64_t tokens);
     void dropCopy(const std::string &request);
@@ -183,6 +189,7 @@
     absl::flat_hash_map<std::string, Health> m_health;
     ColdTargetRateLimiter m_coldRateLimiter;
     TargetCooldowns m_cooldowns;
+    TargetRequestLimits m_requestLimits;
 };
 
 } // namespace Jujube
--- a/Libraries/LibRelayServer/PlatformAdapter.h
+++ b/Libraries/LibRelayServer/PlatformAdapter.h
@@ -49,6 +49,8 @@
     // Has this value in all responses of a target that is leaving.
     std::string leaving;
     std::string leavingValue;
+    // The requests per second that the target takes from all relays together, as a decimal number.
+    std::string requestLimit;
     std::string priority;
     std::string backup;
     std::string kvCacheSource;
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -109,6 +109,25 @@
     }
 }
 
+void RelayCore::recordRequestLimit(const TargetRequestLimits::Statement &statement, MonotonicTime now)
+{
+    const auto previous = balancer.requestLimits().limit(statement.target);
+    const auto change = balancer.requestLimits().record(statement, now);
+    if (change == TargetRequestLimits::Change::None) {
+        return;
+    }
+    auto entry = line(change == TargetRequestLimits::Change::Named ? EventKind::TargetLimitChanged : EventKind::TargetLimitEnded);
+    entry.add("target", statement.target).add("source", "own response");
+    if (statement.limit) {
+        entry.addReal("limit_per_s", *statement.limit);
+    }
+    if (previous) {
+        entry.addReal("previous_per_s", *previous);
+    }
+    log(entry);
+    metrics.set("relay_limited_targets", static_cast<double>(balancer.requestLimits().count()));
+}
+
 std::chrono::milliseconds RelayCore::migrationDelay(const std::string &target, MonotonicTime now) const
 {
     const auto *known = targets.find(target);
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -70,6 +70,9 @@
     // Handles a target that has reported that it is leaving, in its state or in a response.
     void recordLeaving(const std::string &target, int64_t incarnation, std::string_view reason, MonotonicTime now);
 
+    // Handles what a response says about the target's request limit.
+    void recordRequestLimit(const TargetRequestLimits::Statement &statement, MonotonicTime now);
+
     // Reads an engine's state to detect that it is leaving or has crashed. `interrupted` are digests of requests whose responses were interrupted there.
     void checkTarget(const std::string &target, const std::vector<uint64_t> &interrupted);
     // Handles an interrupted response of a target that was not known to be leaving.
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -194,6 +194,9 @@
         m_attemptFailed = false;
     }
     const auto load = m_core.balancer.loadOf(attempt.target.id);
+    if (m_core.balancer.requestLimits().limit(attempt.target.id)) {
+        m_core.metrics.count("relay_limited_sends_total", absl::StrCat("target=\"", attempt.target.id, "\""));
+    }
     m_core.balancer.dropCopy(m_id);
     m_core.balancer.onRunStarted(m_id, attempt.target.id, m_admission.demand, now);
     if (attempt.backup) {
@@ -300,6 +303,11 @@
         m_core.balancer.cooldowns().record(m_target, *response.cooldown, now);
         m_core.metrics.count("relay_targets_quiet_total");
     }
+    // A response of something else than the target, or with an unusable value, does not end a limit.
+    const bool isOwnResponse = response.sealed || response.notRun;
+    if (response.requestLimit || (isOwnResponse && !response.hasRequestLimit)) {
+        m_core.recordRequestLimit({.target = m_target, .incarnation = m_targetIncarnation, .limit = response.requestLimit}, now);
+    }
 }
 
 void RelayExchange::onBody(std::string_view bytes)
--- a/Libraries/LibRelayServer/RelayForwarding.cpp
+++ b/Libraries/LibRelayServer/RelayForwarding.cpp
@@ -40,6 +40,19 @@
     return std::chrono::milliseconds(static_cast<int64_t>(std::ceil(MillisecondsPerSecond * std::min(seconds, MaxSeconds))));
 }
 
+// Parses the request limit. The lowest of several values applies; values that are not finite or are negative are ignored.
+std::optional<double> parseRequestLimit(const MessageHead &head, std::string_view name)
+{
+    std::optional<double> lowest;
+    for (const auto &field : head.fields) {
+        double value = 0;
+        if (absl::EqualsIgnoreCase(field.name, toAbsl(name)) && absl::SimpleAtod(field.value, &value) && std::isfinite(value) && value >= 0) {
+            lowest = std::min(lowest.value_or(value), value);
+        }
+    }
+    return lowest;
+}
+
 bool isReserved(const HeaderFieldNames &names, std::string_view name)
 {
     return std::any_of(
@@ -113,6 +126,8 @@
             .isStream = head.status / 100 == 2 && absl::StartsWithIgnoreCase(toAbsl(head.value("content-type")), toAbsl(EventStreamType)),
             .leaving = head.value(names.leaving) == names.leavingValue,
             .cooldown = head.status == StatusUnavailable ? parseRetryAfter(head) : std::nullopt,
+            .hasRequestLimit = head.has(names.requestLimit),
+            .requestLimit = parseRequestLimit(head, names.requestLimit),
             .length = length};
 }
 
