--- a/Tests/Platform/TestRelay.cpp
+++ b/Tests/Platform/TestRelay.cpp
@@ -1,6 +1,7 @@
 #include "RelayTestBed.h"
 
 #include <absl/strings/match.h>
+#include <algorithm>
 #include <gtest/gtest.h>
 
 using namespace Jujube;
@@ -536,3 +537,40 @@
     ASSERT_TRUE(testBed.runUntil([&] { return response->end == ChannelEnd::Complete; }));
     EXPECT_EQ(response->body, eventsText(5));
 }
+
+// Guards against relays that together send a target more requests than the limit that it names. The bound is that of the rule LIMIT: one and a half times the
+// limit and five requests in 4 s, from 3 s after the limit was first named.
+TEST(Relay, TargetGetsNoMoreRequestsThanTheLimitThatItNames)
+{
+    RelayTestBed testBed;
+    testBed.writeDocument(1);
+    auto &limited = testBed.addTarget("i-limited", "desk");
+    auto &other = testBed.addTarget("i-other", "desk");
+    const std::vector<std::string> relays {"n1", "n2", "n3"};
+    for (const auto &relay : relays) {
+        testBed.addRelay(relay);
+    }
+    for (const auto &relay : relays) {
+        ASSERT_TRUE(testBed.waitUntilReady(relay));
+    }
+    limited.setRequestLimit("3.2");
+    std::vector<std::shared_ptr<RelayTestBed::Response>> responses;
+    std::vector<std::shared_ptr<TargetChannel>> channels;
+    const auto sendFor = [&](std::chrono::milliseconds time) {
+        for (const auto end = std::chrono::steady_clock::now() + time; std::chrono::steady_clock::now() < end;) {
+            const auto &relay = relays[responses.size() % relays.size()];
+            responses.push_back(std::make_shared<RelayTestBed::Response>());
+            channels.push_back(testBed.begin(relay, {.path = "/status/x", .id = "r" + std::to_string(responses.size())}, responses.back()));
+            testBed.runFor(20ms);
+        }
+    };
+    sendFor(3s);
+    const auto before = limited.heads().size();
+    sendFor(4s);
+    EXPECT_LE(limited.heads().size() - before, static_cast<size_t>(1.5 * 3.2 * 4 + 5));
+    EXPECT_GT(limited.heads().size(), before);
+    testBed.runFor(500ms);
+    // The requests over the limit are served by the other target.
+    EXPECT_TRUE(std::all_of(responses.begin(), responses.end(), [](const auto &response) { return response->status == 200; }));
+    EXPECT_GT(other.heads().size(), responses.size() / 2);
+}
