--- a/Libraries/LibMetrics/Metrics.cpp
+++ b/Libraries/LibMetrics/Metrics.cpp
@@ -33,6 +33,12 @@
     m_gauges[{name, labels}] = value;
 }
 
+void Metrics::removeGauges(const std::string &name)
+{
+    const std::lock_guard lock(m_mutex);
+    std::erase_if(m_gauges, [&](const auto &entry) { return entry.first.first == name; });
+}
+
 void Metrics::observe(const std::string &name, double seconds)
 {
     const std::lock_guard lock(m_mutex);
--- a/Libraries/LibMetrics/Metrics.h
+++ b/Libraries/LibMetrics/Metrics.h
@@ -18,6 +18,9 @@
     // Sets a gauge.
     void set(const std::string &name, double value, const std::string &labels = {});
 
+    // Removes a gauge with all its labels, because its subjects change.
+    void removeGauges(const std::string &name);
+
     // Adds a time in seconds to a histogram.
     void observe(const std::string &name, double seconds);
 
--- a/Libraries/LibRelay/Generated/Relay_types.cpp
+++ b/Libraries/LibRelay/Generated/Relay_types.cpp
@@ -711,6 +711,173 @@
 }
 
 
+LimitOfTarget::~LimitOfTarget() noexcept {
+}
+
+
+void LimitOfTarget::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void LimitOfTarget::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void LimitOfTarget::__set_perSecond(const double val) {
+  this->perSecond = val;
+}
+
+void LimitOfTarget::__set_ageMs(const int32_t val) {
+  this->ageMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const LimitOfTarget& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LimitOfTarget::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->perSecond);
+          this->__isset.perSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMs);
+          this->__isset.ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LimitOfTarget::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LimitOfTarget");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("perSecond", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->perSecond);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LimitOfTarget &a, LimitOfTarget &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.incarnation, b.incarnation);
+  swap(a.perSecond, b.perSecond);
+  swap(a.ageMs, b.ageMs);
+  swap(a.__isset, b.__isset);
+}
+
+LimitOfTarget::LimitOfTarget(const LimitOfTarget& other18) {
+  target = other18.target;
+  incarnation = other18.incarnation;
+  perSecond = other18.perSecond;
+  ageMs = other18.ageMs;
+  __isset = other18.__isset;
+}
+LimitOfTarget::LimitOfTarget(LimitOfTarget&& other19) noexcept {
+  target = std::move(other19.target);
+  incarnation = other19.incarnation;
+  perSecond = other19.perSecond;
+  ageMs = other19.ageMs;
+  __isset = other19.__isset;
+}
+LimitOfTarget& LimitOfTarget::operator=(const LimitOfTarget& other20) {
+  target = other20.target;
+  incarnation = other20.incarnation;
+  perSecond = other20.perSecond;
+  ageMs = other20.ageMs;
+  __isset = other20.__isset;
+  return *this;
+}
+LimitOfTarget& LimitOfTarget::operator=(LimitOfTarget&& other21) noexcept {
+  target = std::move(other21.target);
+  incarnation = other21.incarnation;
+  perSecond = other21.perSecond;
+  ageMs = other21.ageMs;
+  __isset = other21.__isset;
+  return *this;
+}
+void LimitOfTarget::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LimitOfTarget(";
+  out << "target=" << to_string(target);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "perSecond=" << to_string(perSecond);
+  out << ", " << "ageMs=" << to_string(ageMs);
+  out << ")";
+}
+
+
 RelayHeartbeat::~RelayHeartbeat() noexcept {
 }
 
@@ -790,6 +957,16 @@
 void RelayHeartbeat::__set_onlyLoads(const bool val) {
   this->onlyLoads = val;
 }
+
+void RelayHeartbeat::__set_limits(const std::vector<LimitOfTarget> & val) {
+  this->limits = val;
+__isset.limits = true;
+}
+
+void RelayHeartbeat::__set_knownRelays(const int32_t val) {
+  this->knownRelays = val;
+__isset.knownRelays = true;
+}
 std::ostream& operator<<(std::ostream& out, const RelayHeartbeat& obj)
 {
   obj.printTo(out);
@@ -886,14 +1063,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size18;
-            ::apache::thrift::protocol::TType _etype21;
-            xfer += iprot->readListBegin(_etype21, _size18);
-            this->loads.resize(_size18);
-            uint32_t _i22;
-            for (_i22 = 0; _i22 < _size18; ++_i22)
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->loads.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
             {
-              xfer += this->loads[_i22].read(iprot);
+              xfer += this->loads[_i26].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -906,14 +1083,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size23;
-            ::apache::thrift::protocol::TType _etype26;
-            xfer += iprot->readListBegin(_etype26, _size23);
-            this->targets.resize(_size23);
-            uint32_t _i27;
-            for (_i27 = 0; _i27 < _size23; ++_i27)
+            uint32_t _size27;
+            ::apache::thrift::protocol::TType _etype30;
+            xfer += iprot->readListBegin(_etype30, _size27);
+            this->targets.resize(_size27);
+            uint32_t _i31;
+            for (_i31 = 0; _i31 < _size27; ++_i31)
             {
-              xfer += this->targets[_i27].read(iprot);
+              xfer += this->targets[_i31].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -926,14 +1103,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size28;
-            ::apache::thrift::protocol::TType _etype31;
-            xfer += iprot->readListBegin(_etype31, _size28);
-            this->crashes.resize(_size28);
-            uint32_t _i32;
-            for (_i32 = 0; _i32 < _size28; ++_i32)
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->crashes.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
             {
-              xfer += this->crashes[_i32].read(iprot);
+              xfer += this->crashes[_i36].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -946,14 +1123,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size33;
-            ::apache::thrift::protocol::TType _etype36;
-            xfer += iprot->readListBegin(_etype36, _size33);
-            this->known.resize(_size33);
-            uint32_t _i37;
-            for (_i37 = 0; _i37 < _size33; ++_i37)
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _etype40;
+            xfer += iprot->readListBegin(_etype40, _size37);
+            this->known.resize(_size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
             {
-              xfer += iprot->readString(this->known[_i37]);
+              xfer += iprot->readString(this->known[_i41]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1018,6 +1195,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->limits.clear();
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->limits.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
+            {
+              xfer += this->limits[_i46].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->knownRelays);
+          this->__isset.knownRelays = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1070,10 +1275,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadOnTarget> ::const_iterator _iter38;
-    for (_iter38 = this->loads.begin(); _iter38 != this->loads.end(); ++_iter38)
+    std::vector<LoadOnTarget> ::const_iterator _iter47;
+    for (_iter47 = this->loads.begin(); _iter47 != this->loads.end(); ++_iter47)
     {
-      xfer += (*_iter38).write(oprot);
+      xfer += (*_iter47).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1082,10 +1287,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<ChangedTarget> ::const_iterator _iter39;
-    for (_iter39 = this->targets.begin(); _iter39 != this->targets.end(); ++_iter39)
+    std::vector<ChangedTarget> ::const_iterator _iter48;
+    for (_iter48 = this->targets.begin(); _iter48 != this->targets.end(); ++_iter48)
     {
-      xfer += (*_iter39).write(oprot);
+      xfer += (*_iter48).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1094,10 +1299,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<CrashOnTarget> ::const_iterator _iter40;
-    for (_iter40 = this->crashes.begin(); _iter40 != this->crashes.end(); ++_iter40)
+    std::vector<CrashOnTarget> ::const_iterator _iter49;
+    for (_iter49 = this->crashes.begin(); _iter49 != this->crashes.end(); ++_iter49)
     {
-      xfer += (*_iter40).write(oprot);
+      xfer += (*_iter49).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1106,10 +1311,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter41;
-    for (_iter41 = this->known.begin(); _iter41 != this->known.end(); ++_iter41)
+    std::vector<std::string> ::const_iterator _iter50;
+    for (_iter50 = this->known.begin(); _iter50 != this->known.end(); ++_iter50)
     {
-      xfer += oprot->writeString((*_iter41));
+      xfer += oprot->writeString((*_iter50));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1143,6 +1348,24 @@
   xfer += oprot->writeBool(this->onlyLoads);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.limits) {
+    xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 21);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
+      std::vector<LimitOfTarget> ::const_iterator _iter51;
+      for (_iter51 = this->limits.begin(); _iter51 != this->limits.end(); ++_iter51)
+      {
+        xfer += (*_iter51).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.knownRelays) {
+    xfer += oprot->writeFieldBegin("knownRelays", ::apache::thrift::protocol::T_I32, 22);
+    xfer += oprot->writeI32(this->knownRelays);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1169,97 +1392,107 @@
   swap(a.trying, b.trying);
   swap(a.beatMs, b.beatMs);
   swap(a.onlyLoads, b.onlyLoads);
+  swap(a.limits, b.limits);
+  swap(a.knownRelays, b.knownRelays);
   swap(a.__isset, b.__isset);
 }
 
-RelayHeartbeat::RelayHeartbeat(const RelayHeartbeat& other42) {
-  node = other42.node;
-  incarnation = other42.incarnation;
-  sequence = other42.sequence;
-  callers = other42.callers;
-  peers = other42.peers;
-  dataCentre = other42.dataCentre;
-  accepting = other42.accepting;
-  documentTableVersion = other42.documentTableVersion;
-  loads = other42.loads;
-  targets = other42.targets;
-  crashes = other42.crashes;
-  known = other42.known;
-  targetsDigest = other42.targetsDigest;
-  targetsVersion = other42.targetsVersion;
-  targetsAgeMs = other42.targetsAgeMs;
-  reading = other42.reading;
-  trying = other42.trying;
-  beatMs = other42.beatMs;
-  onlyLoads = other42.onlyLoads;
-  __isset = other42.__isset;
-}
-RelayHeartbeat::RelayHeartbeat(RelayHeartbeat&& other43) noexcept {
-  node = std::move(other43.node);
-  incarnation = other43.incarnation;
-  sequence = other43.sequence;
-  callers = std::move(other43.callers);
-  peers = std::move(other43.peers);
-  dataCentre = std::move(other43.dataCentre);
-  accepting = other43.accepting;
-  documentTableVersion = other43.documentTableVersion;
-  loads = std::move(other43.loads);
-  targets = std::move(other43.targets);
-  crashes = std::move(other43.crashes);
-  known = std::move(other43.known);
-  targetsDigest = other43.targetsDigest;
-  targetsVersion = other43.targetsVersion;
-  targetsAgeMs = other43.targetsAgeMs;
-  reading = other43.reading;
-  trying = other43.trying;
-  beatMs = other43.beatMs;
-  onlyLoads = other43.onlyLoads;
-  __isset = other43.__isset;
-}
-RelayHeartbeat& RelayHeartbeat::operator=(const RelayHeartbeat& other44) {
-  node = other44.node;
-  incarnation = other44.incarnation;
-  sequence = other44.sequence;
-  callers = other44.callers;
-  peers = other44.peers;
-  dataCentre = other44.dataCentre;
-  accepting = other44.accepting;
-  documentTableVersion = other44.documentTableVersion;
-  loads = other44.loads;
-  targets = other44.targets;
-  crashes = other44.crashes;
-  known = other44.known;
-  targetsDigest = other44.targetsDigest;
-  targetsVersion = other44.targetsVersion;
-  targetsAgeMs = other44.targetsAgeMs;
-  reading = other44.reading;
-  trying = other44.trying;
-  beatMs = other44.beatMs;
-  onlyLoads = other44.onlyLoads;
-  __isset = other44.__isset;
+RelayHeartbeat::RelayHeartbeat(const RelayHeartbeat& other52) {
+  node = other52.node;
+  incarnation = other52.incarnation;
+  sequence = other52.sequence;
+  callers = other52.callers;
+  peers = other52.peers;
+  dataCentre = other52.dataCentre;
+  accepting = other52.accepting;
+  documentTableVersion = other52.documentTableVersion;
+  loads = other52.loads;
+  targets = other52.targets;
+  crashes = other52.crashes;
+  known = other52.known;
+  targetsDigest = other52.targetsDigest;
+  targetsVersion = other52.targetsVersion;
+  targetsAgeMs = other52.targetsAgeMs;
+  reading = other52.reading;
+  trying = other52.trying;
+  beatMs = other52.beatMs;
+  onlyLoads = other52.onlyLoads;
+  limits = other52.limits;
+  knownRelays = other52.knownRelays;
+  __isset = other52.__isset;
+}
+RelayHeartbeat::RelayHeartbeat(RelayHeartbeat&& other53) noexcept {
+  node = std::move(other53.node);
+  incarnation = other53.incarnation;
+  sequence = other53.sequence;
+  callers = std::move(other53.callers);
+  peers = std::move(other53.peers);
+  dataCentre = std::move(other53.dataCentre);
+  accepting = other53.accepting;
+  documentTableVersion = other53.documentTableVersion;
+  loads = std::move(other53.loads);
+  targets = std::move(other53.targets);
+  crashes = std::move(other53.crashes);
+  known = std::move(other53.known);
+  targetsDigest = other53.targetsDigest;
+  targetsVersion = other53.targetsVersion;
+  targetsAgeMs = other53.targetsAgeMs;
+  reading = other53.reading;
+  trying = other53.trying;
+  beatMs = other53.beatMs;
+  onlyLoads = other53.onlyLoads;
+  limits = std::move(other53.limits);
+  knownRelays = other53.knownRelays;
+  __isset = other53.__isset;
+}
+RelayHeartbeat& RelayHeartbeat::operator=(const RelayHeartbeat& other54) {
+  node = other54.node;
+  incarnation = other54.incarnation;
+  sequence = other54.sequence;
+  callers = other54.callers;
+  peers = other54.peers;
+  dataCentre = other54.dataCentre;
+  accepting = other54.accepting;
+  documentTableVersion = other54.documentTableVersion;
+  loads = other54.loads;
+  targets = other54.targets;
+  crashes = other54.crashes;
+  known = other54.known;
+  targetsDigest = other54.targetsDigest;
+  targetsVersion = other54.targetsVersion;
+  targetsAgeMs = other54.targetsAgeMs;
+  reading = other54.reading;
+  trying = other54.trying;
+  beatMs = other54.beatMs;
+  onlyLoads = other54.onlyLoads;
+  limits = other54.limits;
+  knownRelays = other54.knownRelays;
+  __isset = other54.__isset;
   return *this;
 }
-RelayHeartbeat& RelayHeartbeat::operator=(RelayHeartbeat&& other45) noexcept {
-  node = std::move(other45.node);
-  incarnation = other45.incarnation;
-  sequence = other45.sequence;
-  callers = std::move(other45.callers);
-  peers = std::move(other45.peers);
-  dataCentre = std::move(other45.dataCentre);
-  accepting = other45.accepting;
-  documentTableVersion = other45.documentTableVersion;
-  loads = std::move(other45.loads);
-  targets = std::move(other45.targets);
-  crashes = std::move(other45.crashes);
-  known = std::move(other45.known);
-  targetsDigest = other45.targetsDigest;
-  targetsVersion = other45.targetsVersion;
-  targetsAgeMs = other45.targetsAgeMs;
-  reading = other45.reading;
-  trying = other45.trying;
-  beatMs = other45.beatMs;
-  onlyLoads = other45.onlyLoads;
-  __isset = other45.__isset;
+RelayHeartbeat& RelayHeartbeat::operator=(RelayHeartbeat&& other55) noexcept {
+  node = std::move(other55.node);
+  incarnation = other55.incarnation;
+  sequence = other55.sequence;
+  callers = std::move(other55.callers);
+  peers = std::move(other55.peers);
+  dataCentre = std::move(other55.dataCentre);
+  accepting = other55.accepting;
+  documentTableVersion = other55.documentTableVersion;
+  loads = std::move(other55.loads);
+  targets = std::move(other55.targets);
+  crashes = std::move(other55.crashes);
+  known = std::move(other55.known);
+  targetsDigest = other55.targetsDigest;
+  targetsVersion = other55.targetsVersion;
+  targetsAgeMs = other55.targetsAgeMs;
+  reading = other55.reading;
+  trying = other55.trying;
+  beatMs = other55.beatMs;
+  onlyLoads = other55.onlyLoads;
+  limits = std::move(other55.limits);
+  knownRelays = other55.knownRelays;
+  __isset = other55.__isset;
   return *this;
 }
 void RelayHeartbeat::printTo(std::ostream& out) const {
@@ -1284,6 +1517,8 @@
   out << ", " << "trying=" << to_string(trying);
   out << ", " << "beatMs=" << to_string(beatMs);
   out << ", " << "onlyLoads=" << to_string(onlyLoads);
+  out << ", " << "limits="; (__isset.limits ? (out << to_string(limits)) : (out << "<null>"));
+  out << ", " << "knownRelays="; (__isset.knownRelays ? (out << to_string(knownRelays)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibRelay/Generated/Relay_types.h
+++ b/Libraries/LibRelay/Generated/Relay_types.h
@@ -27,6 +27,8 @@
 
 class CrashOnTarget;
 
+class LimitOfTarget;
+
 class RelayHeartbeat;
 
 typedef struct _LoadOnTarget__isset {
@@ -282,8 +284,74 @@
 
 std::ostream& operator<<(std::ostream& out, const CrashOnTarget& obj);
 
+typedef struct _LimitOfTarget__isset {
+  _LimitOfTarget__isset() : target(false), incarnation(false), perSecond(false), ageMs(false) {}
+  bool target :1;
+  bool incarnation :1;
+  bool perSecond :1;
+  bool ageMs :1;
+} _LimitOfTarget__isset;
+
+class LimitOfTarget : public virtual ::apache::thrift::TBase {
+ public:
+
+  LimitOfTarget(const LimitOfTarget&);
+  LimitOfTarget(LimitOfTarget&&) noexcept;
+  LimitOfTarget& operator=(const LimitOfTarget&);
+  LimitOfTarget& operator=(LimitOfTarget&&) noexcept;
+  LimitOfTarget() noexcept
+                : target(),
+                  incarnation(0),
+                  perSecond(0),
+                  ageMs(0) {
+  }
+
+  virtual ~LimitOfTarget() noexcept;
+  std::string target;
+  int64_t incarnation;
+  double perSecond;
+  int32_t ageMs;
+
+  _LimitOfTarget__isset __isset;
+
+  void __set_target(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_perSecond(const double val);
+
+  void __set_ageMs(const int32_t val);
+
+  bool operator == (const LimitOfTarget & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(perSecond == rhs.perSecond))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    return true;
+  }
+  bool operator != (const LimitOfTarget &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LimitOfTarget & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LimitOfTarget &a, LimitOfTarget &b);
+
+std::ostream& operator<<(std::ostream& out, const LimitOfTarget& obj);
+
 typedef struct _RelayHeartbeat__isset {
-  _RelayHeartbeat__isset() : node(false), incarnation(false), sequence(false), callers(false), peers(false), dataCentre(false), accepting(false), documentTableVersion(false), loads(false), targets(false), crashes(false), known(false), targetsDigest(false), targetsVersion(false), targetsAgeMs(false), reading(false), trying(false), beatMs(false), onlyLoads(false) {}
+  _RelayHeartbeat__isset() : node(false), incarnation(false), sequence(false), callers(false), peers(false), dataCentre(false), accepting(false), documentTableVersion(false), loads(false), targets(false), crashes(false), known(false), targetsDigest(false), targetsVersion(false), targetsAgeMs(false), reading(false), trying(false), beatMs(false), onlyLoads(false), limits(false), knownRelays(false) {}
   bool node :1;
   bool incarnation :1;
   bool sequence :1;
@@ -303,6 +371,8 @@
   bool trying :1;
   bool beatMs :1;
   bool onlyLoads :1;
+  bool limits :1;
+  bool knownRelays :1;
 } _RelayHeartbeat__isset;
 
 class RelayHeartbeat : public virtual ::apache::thrift::TBase {
@@ -327,7 +397,8 @@
                    reading(0),
                    trying(0),
                    beatMs(0),
-                   onlyLoads(0) {
+                   onlyLoads(0),
+                   knownRelays(0) {
   }
 
   virtual ~RelayHeartbeat() noexcept;
@@ -350,6 +421,8 @@
   bool trying;
   int32_t beatMs;
   bool onlyLoads;
+  std::vector<LimitOfTarget>  limits;
+  int32_t knownRelays;
 
   _RelayHeartbeat__isset __isset;
 
@@ -391,6 +464,10 @@
 
   void __set_onlyLoads(const bool val);
 
+  void __set_limits(const std::vector<LimitOfTarget> & val);
+
+  void __set_knownRelays(const int32_t val);
+
   bool operator == (const RelayHeartbeat & rhs) const
   {
     if (!(node == rhs.node))
@@ -431,6 +508,14 @@
       return false;
     if (!(onlyLoads == rhs.onlyLoads))
       return false;
+    if (__isset.limits != rhs.__isset.limits)
+      return false;
+    else if (__isset.limits && !(limits == rhs.limits))
+      return false;
+    if (__isset.knownRelays != rhs.__isset.knownRelays)
+      return false;
+    else if (__isset.knownRelays && !(knownRelays == rhs.knownRelays))
+      return false;
     return true;
   }
   bool operator != (const RelayHeartbeat &rhs) const {
--- a/Libraries/LibRelay/PeerHeartbeatCodec.cpp
+++ b/Libraries/LibRelay/PeerHeartbeatCodec.cpp
@@ -66,6 +66,28 @@
             .running = crash.running};
 }
 
+// A statement that the target no longer names a limit.
+constexpr double NoLimit = -1;
+
+Wire::LimitOfTarget toWire(const TargetRequestLimits::Statement &statement)
+{
+    Wire::LimitOfTarget result;
+    result.target = statement.target;
+    result.incarnation = statement.incarnation;
+    result.perSecond = statement.limit.value_or(NoLimit);
+    result.ageMs = static_cast<int32_t>(std::min<int64_t>(statement.age.count(), std::numeric_limits<int32_t>::max()));
+    return result;
+}
+
+TargetRequestLimits::Statement statementFromWire(const Wire::LimitOfTarget &limit, const std::string &peer)
+{
+    return {.target = limit.target,
+            .incarnation = limit.incarnation,
+            .limit = limit.perSecond >= 0 ? std::optional(limit.perSecond) : std::nullopt,
+            .age = std::chrono::milliseconds(std::max(0, limit.ageMs)),
+            .peer = peer};
+}
+
 Wire::RelayHeartbeat toWire(const PeerHeartbeat &heartbeat)
 {
     Wire::RelayHeartbeat result;
@@ -102,6 +124,14 @@
         result.crashes.push_back(toWire(crash));
     }
     result.known = heartbeat.known;
+    for (const auto &statement : heartbeat.requestLimits) {
+        result.limits.push_back(toWire(statement));
+    }
+    // Optional fields that are not set take no bytes.
+    result.__isset.limits = !result.limits.empty();
+    if (heartbeat.knownRelays > 0) {
+        result.__set_knownRelays(heartbeat.knownRelays);
+    }
     return result;
 }
 
@@ -132,6 +162,10 @@
         heartbeat.crashes.push_back(crashFromWire(crash));
     }
     heartbeat.known = wire.known;
+    for (const auto &limit : wire.limits) {
+        heartbeat.requestLimits.push_back(statementFromWire(limit, wire.node));
+    }
+    heartbeat.knownRelays = wire.knownRelays;
     return heartbeat;
 }
 
@@ -146,6 +180,7 @@
                                 &RelayHeartbeat::known,
                                 &RelayHeartbeat::crashes,
                                 &RelayHeartbeat::loads,
+                                &RelayHeartbeat::limits,
                                 &RelayHeartbeat::targets);
 }
 
--- a/Libraries/LibRelay/PeerTable.cpp
+++ b/Libraries/LibRelay/PeerTable.cpp
@@ -47,6 +47,7 @@
             return Change::Stale;
         }
     }
+    m_lastHeard[hashOf(heartbeat.node)] = now;
     if (heartbeat.onlyLoads) {
         if (found == m_peers.end() || found->second.latestHeartbeat.incarnation != heartbeat.incarnation) {
             return Change::Stale;
@@ -68,10 +69,12 @@
         addAddress(known, now);
     }
     m_peers[heartbeat.node] = {.latestHeartbeat = heartbeat, .receivedAt = now};
+    m_peersKnownRelays = std::max(m_peersKnownRelays, heartbeat.knownRelays);
     if (!m_live.insert(heartbeat.node).second) {
         return Change::None;
     }
     updateColdRateParticipants(now);
+    updateRequestLimitParticipants(now);
     return Change::Joined;
 }
 
@@ -98,6 +101,12 @@
     return result;
 }
 
+std::string PeerTable::regionOf(const std::string &dataCentre) const
+{
+    const auto region = m_options.regions.find(dataCentre);
+    return region == m_options.regions.end() ? std::string() : region->second;
+}
+
 bool PeerTable::isInRegion(const std::string &dataCentre) const
 {
     const auto region = m_options.regions.find(dataCentre);
@@ -139,6 +148,7 @@
     }
     absl::erase_if(m_peers, [&](const auto &entry) { return now - entry.second.receivedAt > m_options.retention; });
     updateColdRateParticipants(now);
+    updateRequestLimitParticipants(now);
     absl::erase_if(m_addresses, [&](const auto &entry) {
         const auto &address = entry.second;
         return now - std::max(address.addedAt, address.receivedAt) > m_options.retention;
@@ -156,6 +166,32 @@
     }
 }
 
+void PeerTable::updateRequestLimitParticipants(MonotonicTime now)
+{
+    // The few relays that most others have lost may be alone, so they must not take over the parts of the others.
+    const auto silent
+        = std::count_if(m_lastHeard.begin(), m_lastHeard.end(), [&](const auto &entry) { return now - entry.second > m_options.participantRetention; });
+    const bool isMostSilent = 2 * static_cast<size_t>(silent) >= m_lastHeard.size() + 1;
+    const std::chrono::seconds retention = isMostSilent ? std::chrono::seconds(m_options.maxKnownRetention) : m_options.participantRetention;
+    absl::erase_if(m_lastHeard, [&](const auto &entry) { return now - entry.second > retention; });
+    m_liveOthers.clear();
+    m_peersKnownRelays = 0;
+    for (const auto &[node, peer] : m_peers) {
+        if (isAlive(peer, now)) {
+            m_liveOthers.push_back({.hash = hashOf(node), .region = regionOf(peer.latestHeartbeat.dataCentre)});
+            m_peersKnownRelays = std::max(m_peersKnownRelays, peer.latestHeartbeat.knownRelays);
+        }
+    }
+}
+
+RequestLimitParticipants PeerTable::requestLimitParticipants(MonotonicTime now) const
+{
+    return {.others = m_liveOthers,
+            .self = {.hash = m_ownHash, .region = m_options.region},
+            .known = static_cast<size_t>(std::max(knownRelayCount(), m_peersKnownRelays)),
+            .hasDiscoveredPeers = now - m_startedAt >= m_options.discoveryTime};
+}
+
 ColdRateParticipants PeerTable::coldRateParticipants(MonotonicTime now) const
 {
     return {.others = m_coldRateParticipants, .self = m_ownHash, .hasDiscoveredPeers = now - m_startedAt >= m_options.discoveryTime};
--- a/Libraries/LibRelay/PeerTable.h
+++ b/Libraries/LibRelay/PeerTable.h
@@ -5,6 +5,7 @@
 #include <LibPolicy/CrashSuspects.h>
 #include <LibRelay/ColdTargetRateLimiter.h>
 #include <LibRelay/TargetLoad.h>
+#include <LibRelay/TargetRequestLimits.h>
 #include <LibRelay/TargetTable.h>
 #include <map>
 #include <optional>
@@ -48,6 +49,10 @@
     std::vector<TargetCrash> crashes;
     // Addresses of further relays.
     std::vector<std::string> known;
+    // Request limits that the relay has received from targets recently.
+    std::vector<TargetRequestLimits::Statement> requestLimits;
+    // Number of relays that the relay knows, itself and those that have been silent for a while included.
+    int knownRelays = 0;
 };
 
 // Another relay, as described by its latest heartbeat. Its loads on targets are kept by the TargetBalancer.
@@ -71,6 +76,8 @@
         std::chrono::milliseconds maxSilenceTimeout {6000};
         // Relays that have been silent for longer have no share of the rate of cold targets any more.
         std::chrono::seconds participantRetention {30};
+        // Relays keep their part of request limits for this time while most relays are silent, because this relay may have lost the others.
+        std::chrono::minutes maxKnownRetention {10};
         // Time after which a started relay has discovered its peers through its seeds.
         std::chrono::milliseconds discoveryTime {2000};
         // Time after which addresses are forgotten that were never heard from or have become silent.
@@ -114,6 +121,13 @@
     int liveRelayCount(MonotonicTime now) const;
     // The relays among which the rate of a cold target is divided. Valid until the table changes.
     ColdRateParticipants coldRateParticipants(MonotonicTime now) const;
+    // The relays among which the request limits of targets are divided. Valid until the table changes.
+    RequestLimitParticipants requestLimitParticipants(MonotonicTime now) const;
+    // Number of relays that may be sending requests, as known by this relay alone.
+    int knownRelayCount() const
+    {
+        return static_cast<int>(m_lastHeard.size()) + 1;
+    }
     // Some addresses of live relays, for the next heartbeat. Different random numbers select different ones, so that all become known over time.
     std::vector<std::string> knownAddresses(size_t maxCount, MonotonicTime now, uint64_t random) const;
 
@@ -133,6 +147,8 @@
     std::chrono::milliseconds silenceTimeoutOf(const PeerHeartbeat &heartbeat) const;
     bool isAlive(const Peer &peer, MonotonicTime now) const;
     void updateColdRateParticipants(MonotonicTime now);
+    void updateRequestLimitParticipants(MonotonicTime now);
+    std::string regionOf(const std::string &dataCentre) const;
 
     const Options m_options;
     absl::flat_hash_map<std::string, Address> m_addresses;
@@ -142,6 +158,11 @@
     uint64_t m_ownHash = 0;
     // Hashes of the names of relays that were heard from recently.
     std::vector<uint64_t> m_coldRateParticipants;
+    // When each other relay was heard last, by the hash of its name.
+    absl::flat_hash_map<uint64_t, MonotonicTime> m_lastHeard;
+    std::vector<RequestLimitParticipants::Relay> m_liveOthers;
+    // Maximum number of relays that a live peer knows.
+    int m_peersKnownRelays = 0;
 };
 
 } // namespace Jujube
--- a/Libraries/LibRelay/Relay.thrift
+++ b/Libraries/LibRelay/Relay.thrift
@@ -35,6 +35,16 @@
   5: i32 running
 }
 
+// A limit that a target has named on the requests of all relays together.
+struct LimitOfTarget {
+  1: string target
+  2: i64 incarnation
+  // Requests per second. Below zero if the target no longer names a limit.
+  3: double perSecond
+  // Time since a relay received it from the target.
+  4: i32 ageMs
+}
+
 struct RelayHeartbeat {
   1: string node
   2: i64 incarnation
@@ -63,4 +73,7 @@
   19: i32 beatMs
   // Whether only the name, the numbers and the loads are set.
   20: bool onlyLoads
+  21: optional list<LimitOfTarget> limits
+  // Number of relays that the sender knows, itself and those that have been silent for a while included.
+  22: optional i32 knownRelays
 }
--- a/Libraries/LibRelay/RelayOutcome.h
+++ b/Libraries/LibRelay/RelayOutcome.h
@@ -15,6 +15,8 @@
     Malformed,
     // No target may get the request now.
     NoTarget,
+    // The request limits of all targets that may get the request are used up.
+    OverRequestLimit,
     // The relay shuts down before the request could end.
     Draining,
     // The request crashes the targets that run it.
--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -37,6 +37,13 @@
     startRun(now);
 }
 
+void RelaySession::onWaitOver(MonotonicTime now)
+{
+    if (!m_isOver && !m_target) {
+        startRun(now);
+    }
+}
+
 void RelaySession::startRun(MonotonicTime now)
 {
     if (now >= m_request.deadline) {
@@ -44,6 +51,10 @@
         return;
     }
     const auto choice = m_hooks.choose(m_excluded, now);
+    if (!choice.target && choice.waitUntil) {
+        m_hooks.wait(*choice.waitUntil);
+        return;
+    }
     if (!choice.target) {
         fail(m_mayHaveRun ? RelayOutcome::TargetFailed : choice.rejection, choice.retryAfter);
         return;
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -61,6 +61,8 @@
 // The choice of a target, or why there is none.
 struct TargetChoice {
     std::optional<RelayTarget> target;
+    // Without a target: the request waits until then, and a target is chosen again.
+    std::optional<MonotonicTime> waitUntil;
     RelayOutcome rejection = RelayOutcome::NoTarget;
     std::chrono::milliseconds retryAfter {500};
 };
@@ -118,7 +120,7 @@
 {
 public:
     struct Hooks {
-        // Chooses a target. `excluded` are targets that must not be chosen.
+        // Chooses a target. `excluded` are targets that must not be chosen. Only a request that was sent to no target yet may be made to wait.
         std::function<TargetChoice(const std::set<std::string> &excluded, MonotonicTime now)> choose;
         // Chooses an engine that keeps a backup of the generation on the target. Nothing if no engine is worth the memory that it takes.
         std::function<std::optional<RelayTarget>(const RelayTarget &target, MonotonicTime now)> chooseBackup;
@@ -130,6 +132,8 @@
         // Takes one retry from the budget of the service. Returns false if none is left.
         std::function<bool(MonotonicTime now)> tryTakeRetry;
         std::function<void(const RelayAttempt &send)> sendAttempt;
+        // Calls onWaitOver() at a time.
+        std::function<void(MonotonicTime until)> wait;
         // Ends the current exchange with a target by closing its connection.
         std::function<void()> abortAttempt;
         // Orders the engine that runs the generation to copy it; the result is passed to onCopied().
@@ -149,6 +153,8 @@
     RelaySession(RequestProperties request, Hooks hooks);
 
     void start(MonotonicTime now);
+    // The time for which the request had to wait is over.
+    void onWaitOver(MonotonicTime now);
 
     // The header section of a response to the current attempt. Returns false if the response is not to be read any further; the driver then closes the
     // connection.
--- a/Libraries/LibRelay/TargetBalancer.cpp
+++ b/Libraries/LibRelay/TargetBalancer.cpp
@@ -47,6 +47,7 @@
 TargetBalancer::TargetBalancer(Options options)
     : m_options(std::move(options))
     , m_cooldowns(m_options.cooldowns)
+    , m_requestLimits(m_options.requestLimits)
 {
 }
 
@@ -384,6 +385,15 @@
         if (!known) {
             continue;
         }
+        if (target.entry.id != query.reservedTarget && !m_requestLimits.maySend(target.entry.id, now)) {
+            best.isHeldBack = true;
+            const auto next = m_requestLimits.nextSendTime(target.entry.id, now);
+            if (next && (!best.nextLimited || *next < best.nextLimitedAt)) {
+                best.nextLimited = &target;
+                best.nextLimitedAt = *next;
+            }
+            continue;
+        }
         const double cost = *known + m_options.costJitter * draws.unit();
         if (!best.target || cost < bestCost) {
             best.target = &target;
--- a/Libraries/LibRelay/TargetBalancer.h
+++ b/Libraries/LibRelay/TargetBalancer.h
@@ -69,6 +69,7 @@
         std::chrono::milliseconds unreachableTime {1500};
         std::chrono::milliseconds maxUnreachableTime {12000};
         TargetCooldowns::Options cooldowns;
+        TargetRequestLimits::Options requestLimits;
     };
 
     struct Query {
@@ -78,6 +79,8 @@
         std::optional<std::vector<std::string>> homeRegions;
         int liveRelays = 1;
         ColdRateParticipants coldRateParticipants;
+        // A target for whose request limit this request has a reservation that is due.
+        std::string reservedTarget;
         // For the copy of a running generation: no run is started, so the cold rate limit does not apply.
         bool isMigration = false;
         // The source of a migration. Copies from different sources go to different destinations where there is capacity, because copies to one target queue
@@ -98,6 +101,11 @@
         int candidates = 0;
         // When the first cooldown of the examined targets ends. Nothing if none has a cooldown.
         std::optional<MonotonicTime> cooldownUntil;
+        // Whether a target was left out because of its request limit.
+        bool isHeldBack = false;
+        // The target at which this relay may send the next request within the limit. Nothing if this relay has no share of any limit.
+        const KnownTarget *nextLimited = nullptr;
+        MonotonicTime nextLimitedAt;
     };
 
     explicit TargetBalancer(Options options);
--- a/Libraries/LibRelayServer/PeerLink.cpp
+++ b/Libraries/LibRelayServer/PeerLink.cpp
@@ -19,6 +19,8 @@
 constexpr std::chrono::milliseconds HeartbeatIntervalPerRelay {5};
 // A change is repeated in several heartbeats, because a datagram may be lost.
 constexpr std::chrono::milliseconds ChangeRepeatTime {1500};
+// A limit that a target has named to this relay is reported for longer than the interval between heartbeats to other regions.
+constexpr std::chrono::milliseconds LimitReportTime {3000};
 // Delay before a heartbeat that is sent early.
 constexpr std::chrono::milliseconds EarlyHeartbeatDelay {20};
 // Up to this number of relays, all are notified of each change of load and receive complete heartbeats.
@@ -97,6 +99,9 @@
         return;
     }
     m_hooks.onTargetState(*heartbeat, now);
+    for (const auto &statement : heartbeat->requestLimits) {
+        m_core.recordRequestLimit(statement, now);
+    }
     for (const auto &crash : heartbeat->crashes) {
         m_core.crashSuspects.merge(crash, now);
     }
@@ -116,6 +121,7 @@
         return;
     }
     auto introduction = buildHeartbeat(now);
+    introduction.requestLimits = m_core.balancer.requestLimits().allStatements(now);
     introduction.known = m_core.peers.knownAddresses(MaxIntroductionAddresses, now, m_core.random());
     LoopError ignored;
     m_socket.send_to(boost::asio::buffer(encodePeerHeartbeat(introduction)), endpoint->udp(), 0, ignored);
@@ -263,7 +269,9 @@
                           .accepting = m_core.routes != nullptr && !m_core.isDraining(),
                           .loads = m_core.balancer.ownLoads(),
                           .crashes = m_core.crashSuspects.reports(MaxCrashReports, now),
-                          .known = m_core.peers.knownAddresses(MaxKnownAddresses, now, m_core.random())};
+                          .known = m_core.peers.knownAddresses(MaxKnownAddresses, now, m_core.random()),
+                          .requestLimits = m_core.balancer.requestLimits().recentStatements(LimitReportTime, now),
+                          .knownRelays = m_core.peers.knownRelayCount()};
     result.targets = m_core.targets.recentChanges(ChangeRepeatTime, now);
     m_hooks.addTableState(result, now);
     return result;
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -72,6 +72,7 @@
     auto relay = std::unique_ptr<Relay>(new Relay(loop, std::move(options), std::move(adapter), lines, std::move(settings)));
     relay->followStore();
     relay->m_core.onMigrationEnded = [raw = relay.get()] { raw->m_peers.scheduleHeartbeat(NotificationScope::All); };
+    relay->m_core.onRequestLimitLowered = [raw = relay.get()] { raw->m_peers.scheduleHeartbeat(NotificationScope::All); };
     relay->m_core.onLoadChanged = [raw = relay.get()](bool isGeneration) { raw->m_peers.scheduleLoadUpdate(isGeneration); };
     if (auto status = relay->listen(); !status.ok()) {
         return status;
@@ -219,7 +220,10 @@
     if (m_ticks % TicksPerSettingsCheck == 0 && m_settings.haveChanged()) {
         reloadSettings();
     }
+    m_core.updateRequestLimits(now);
     if (m_ticks % TicksPerExpiry == 0) {
+        m_core.exportRequestLimits(now);
+        m_core.balancer.requestLimits().expire([this](const std::string &target) { return m_core.targets.find(target) != nullptr; }, now);
         m_core.channels.expire(now);
         m_core.client.expire(now);
         m_core.balancer.expire(now);
@@ -299,6 +303,7 @@
     auto line = m_core.line(EventKind::ProcessWasFrozen);
     line.add("for_ms", std::chrono::duration_cast<std::chrono::milliseconds>(frozen).count());
     m_core.log(line);
+    m_core.balancer.requestLimits().onFrozen(frozen);
     m_core.channels.clear();
     m_core.client.closeIdle();
     m_documents->readNow();
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -1,5 +1,6 @@
 #include <LibRelayServer/RelayCore.h>
 
+#include <absl/strings/str_cat.h>
 #include <LibRelayServer/RelayExchange.h>
 #include <tuple>
 #include <vector>
@@ -17,6 +18,8 @@
 constexpr std::chrono::milliseconds CrashGroupingTime {100};
 constexpr std::chrono::milliseconds StateTimeout {400};
 constexpr double MillisecondsPerSecond = 1000;
+// A limit that falls below this part of the previous one is reported to peers at once.
+constexpr double SignificantReduction = 0.8;
 // Time of a migration in addition to the transfer: two copy commands, the way to the engine and back, and the heartbeat that the relay has finished. If the
 // next relay begins too early, the run that stops waits on the link for the other copy.
 constexpr std::chrono::milliseconds CopyOverhead {200};
@@ -111,13 +114,18 @@
 
 void RelayCore::recordRequestLimit(const TargetRequestLimits::Statement &statement, MonotonicTime now)
 {
-    const auto previous = balancer.requestLimits().limit(statement.target);
-    const auto change = balancer.requestLimits().record(statement, now);
+    auto &limits = balancer.requestLimits();
+    const auto previous = limits.limit(statement.target);
+    const auto change = limits.record(statement, now);
     if (change == TargetRequestLimits::Change::None) {
         return;
     }
+    updateRequestLimits(now);
     auto entry = line(change == TargetRequestLimits::Change::Named ? EventKind::TargetLimitChanged : EventKind::TargetLimitEnded);
-    entry.add("target", statement.target).add("source", "own response");
+    entry.add("target", statement.target)
+        .add("source", statement.peer.empty() ? "own response" : statement.peer)
+        .add("age_ms", statement.age.count())
+        .addReal("share_per_s", limits.share(statement.target));
     if (statement.limit) {
         entry.addReal("limit_per_s", *statement.limit);
     }
@@ -125,7 +133,35 @@
         entry.addReal("previous_per_s", *previous);
     }
     log(entry);
-    metrics.set("relay_limited_targets", static_cast<double>(balancer.requestLimits().count()));
+    const bool isLower = statement.limit && (!previous || *statement.limit < SignificantReduction * *previous);
+    if (isLower && statement.peer.empty()) {
+        onRequestLimitLowered();
+    }
+}
+
+void RelayCore::updateRequestLimits(MonotonicTime now)
+{
+    const auto regionOf = [this](const std::string &target) {
+        const auto *known = targets.find(target);
+        const auto region = known ? options.regions.find(known->entry.dataCentre) : options.regions.end();
+        return region == options.regions.end() ? std::string() : region->second;
+    };
+    balancer.requestLimits().update(peers.requestLimitParticipants(now), regionOf, now);
+}
+
+void RelayCore::exportRequestLimits(MonotonicTime now)
+{
+    const auto states = balancer.requestLimits().states(now);
+    metrics.set("relay_limited_targets", static_cast<double>(states.size()));
+    for (const std::string_view name : {"relay_target_limit", "relay_target_limit_share", "relay_target_limit_age_seconds"}) {
+        metrics.removeGauges(std::string(name));
+    }
+    for (const auto &state : states) {
+        const auto labels = absl::StrCat("target=\"", state.target, "\",source=\"", state.peer.empty() ? "own response" : state.peer, "\"");
+        metrics.set("relay_target_limit", state.limit, labels);
+        metrics.set("relay_target_limit_share", state.share, labels);
+        metrics.set("relay_target_limit_age_seconds", std::chrono::duration<double>(state.age).count(), labels);
+    }
 }
 
 std::chrono::milliseconds RelayCore::migrationDelay(const std::string &target, MonotonicTime now) const
@@ -177,9 +213,11 @@
     const auto *known = targets.find(target);
     const auto endpoint = known ? Endpoint::parse(known->entry.address) : std::nullopt;
     const bool isStateCheck = interrupted.empty();
-    if (!endpoint || (isStateCheck && balancer.cooldowns().until(target, monotonicNow()))) {
+    const auto startedAt = monotonicNow();
+    if (!endpoint || (isStateCheck && (balancer.cooldowns().until(target, startedAt) || !balancer.requestLimits().maySend(target, startedAt)))) {
         return;
     }
+    balancer.requestLimits().recordSend(target, startedAt);
     auto call = adapter.buildStateCall();
     call.timeout = StateTimeout;
     call.freshConnection = true;
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -70,8 +70,12 @@
     // Handles a target that has reported that it is leaving, in its state or in a response.
     void recordLeaving(const std::string &target, int64_t incarnation, std::string_view reason, MonotonicTime now);
 
-    // Handles what a response says about the target's request limit.
+    // Handles what a response says about the target's request limit, received by this relay or reported by a peer.
     void recordRequestLimit(const TargetRequestLimits::Statement &statement, MonotonicTime now);
+    // Computes the shares of all request limits, because time has passed or the live relays have changed.
+    void updateRequestLimits(MonotonicTime now);
+    // Sets the metrics of the request limits in force.
+    void exportRequestLimits(MonotonicTime now);
 
     // Reads an engine's state to detect that it is leaving or has crashed. `interrupted` are digests of requests whose responses were interrupted there.
     void checkTarget(const std::string &target, const std::vector<uint64_t> &interrupted);
@@ -80,6 +84,8 @@
 
     // Called when this relay has placed a request, so that peers are notified of the load.
     std::function<void(bool isGeneration)> onLoadChanged = [](bool) {};
+    // Called when a target has named to this relay a limit that peers do not know, or a lower one.
+    std::function<void()> onRequestLimitLowered = [] {};
     // Called when a generation has left a target that is leaving, because another relay may be waiting for that.
     std::function<void()> onMigrationEnded = [] {};
 
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -25,6 +25,8 @@
 constexpr std::chrono::milliseconds DefaultRetryAfter {500};
 // Another relay can accept the request at once.
 constexpr std::chrono::milliseconds OtherRelayRetryAfter {50};
+// Time for which a request waits until a request limit allows it. Callers give up a stream after two seconds without an event.
+constexpr std::chrono::milliseconds MaxWaitForRequestLimit {1000};
 constexpr int FirstServerError = 500;
 
 std::chrono::milliseconds wholeMilliseconds(MonotonicTime::duration time)
@@ -40,6 +42,7 @@
     , m_request(std::move(request))
     , m_routes(core.routes)
     , m_id(m_request.head.value(core.adapter.fields.requestId))
+    , m_waitTimer(core.loop)
     , m_deadlineTimer(core.loop)
     , m_silenceTimer(core.loop)
     , m_migrationTimer(core.loop)
@@ -148,6 +151,7 @@
                              .tryTakeRetry
                              = [this](MonotonicTime now) { return m_core.retryBudget(m_admission.service->name).tryRetry(m_core.liveRelays(now), now); },
                              .sendAttempt = [this](const RelayAttempt &attempt) { send(attempt); },
+                             .wait = [this](MonotonicTime until) { armWaitTimer(until); },
                              .abortAttempt = [this] { abortAttempt(); },
                              .startCopy = [this](const RelayTarget &source, const RelayTarget &destination, bool stop) { copy(source, destination, stop); },
                              .beginResponse = [this](std::optional<uint64_t> length) { beginResponse(length); },
@@ -170,17 +174,55 @@
                                        .excluded = excluded,
                                        .homeRegions = m_admission.homeRegions,
                                        .liveRelays = m_core.liveRelays(now),
-                                       .coldRateParticipants = m_core.peers.coldRateParticipants(now)};
+                                       .coldRateParticipants = m_core.peers.coldRateParticipants(now),
+                                       .reservedTarget = reservedTarget(now)};
     const auto choice = m_core.balancer.choose(query, m_core.targets, *m_admission.service, now, m_core.random());
     TargetChoice result;
     if (choice.target) {
         result.target = RelayTarget::of(choice.target->entry);
+        if (choice.isHeldBack) {
+            m_core.metrics.count("relay_limit_held_back_total", "action=\"sent_elsewhere\"");
+        }
+    } else if (choice.isHeldBack) {
+        result = holdBack(choice, now);
     } else if (choice.cooldownUntil) {
         result.retryAfter = std::max(DefaultRetryAfter, std::chrono::ceil<std::chrono::milliseconds>(*choice.cooldownUntil - now));
     }
     return result;
 }
 
+TargetChoice RelayExchange::holdBack(const TargetBalancer::Choice &choice, MonotonicTime now)
+{
+    const auto latest = std::min(m_request.arrivedAt + MaxWaitForRequestLimit, m_request.arrivedAt + (m_admission.deadline - m_request.arrivedAt) / 2);
+    if (choice.nextLimited && m_session->attemptCount() == 0) {
+        m_reservation = m_core.balancer.requestLimits().reserve(choice.nextLimited->entry.id, latest, now);
+        if (m_reservation) {
+            record("queue", m_reservation->target);
+            m_core.metrics.count("relay_limit_held_back_total", "action=\"queued\"");
+            return {.waitUntil = m_reservation->sendAt};
+        }
+    }
+    m_core.metrics.count("relay_limit_held_back_total", "action=\"rejected\"");
+    // Without a share of its own, the relay does not know when another one may send a request.
+    const auto nextAt = choice.nextLimited ? choice.nextLimitedAt : now + DefaultRetryAfter;
+    return {.rejection = RelayOutcome::OverRequestLimit,
+            .retryAfter = std::max(OtherRelayRetryAfter, std::chrono::ceil<std::chrono::milliseconds>(nextAt - now))};
+}
+
+std::string RelayExchange::reservedTarget(MonotonicTime now) const
+{
+    return m_reservation && m_core.balancer.requestLimits().isValid(*m_reservation, now) ? m_reservation->target : std::string();
+}
+
+void RelayExchange::useRequestLimit(const std::string &target, MonotonicTime now)
+{
+    const bool isReserved = reservedTarget(now) == target;
+    m_reservation.reset();
+    if (!isReserved) {
+        m_core.balancer.requestLimits().recordSend(target, now);
+    }
+}
+
 void RelayExchange::send(const RelayAttempt &attempt)
 {
     const auto now = monotonicNow();
@@ -194,7 +236,8 @@
         m_attemptFailed = false;
     }
     const auto load = m_core.balancer.loadOf(attempt.target.id);
-    if (m_core.balancer.requestLimits().limit(attempt.target.id)) {
+    useRequestLimit(attempt.target.id, now);
+    if (m_core.balancer.requestLimits().isLimited(attempt.target.id)) {
         m_core.metrics.count("relay_limited_sends_total", absl::StrCat("target=\"", attempt.target.id, "\""));
     }
     m_core.balancer.dropCopy(m_id);
@@ -454,6 +497,16 @@
     });
 }
 
+void RelayExchange::armWaitTimer(MonotonicTime until)
+{
+    m_waitTimer.expires_at(until);
+    m_waitTimer.async_wait([weak = weak_from_this()](const LoopError &error) {
+        if (const auto self = weak.lock(); self && !error && !self->m_isFinished) {
+            self->m_session->onWaitOver(monotonicNow());
+        }
+    });
+}
+
 std::optional<std::chrono::milliseconds> RelayExchange::silenceTimeout() const
 {
     if (m_session->isAwaitingMigratedRun()) {
@@ -499,6 +552,7 @@
     m_core.balancer.dropCopy(m_id);
     m_core.running.erase(this);
     m_core.migrations.remove(m_id);
+    m_waitTimer.cancel();
     m_deadlineTimer.cancel();
     m_silenceTimer.cancel();
     m_migrationTimer.cancel();
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -56,6 +56,12 @@
     std::chrono::milliseconds retryAfterFor(RelayOutcome outcome, MonotonicTime now) const;
     void createSession();
     TargetChoice choose(const std::set<std::string> &excluded, MonotonicTime now);
+    // Makes the request wait for the next request that a limit allows, or returns when the caller may come back.
+    TargetChoice holdBack(const TargetBalancer::Choice &choice, MonotonicTime now);
+    // The target for whose request limit this request has a valid reservation. Empty for none.
+    std::string reservedTarget(MonotonicTime now) const;
+    // Counts a request that is sent to a target against the target's limit.
+    void useRequestLimit(const std::string &target, MonotonicTime now);
     // Query for a target that may receive a copy of the generation. Only targets in the source's data centre match.
     TargetBalancer::Query copyQuery(const std::string &source, const std::set<std::string> &excluded, MonotonicTime now) const;
     std::optional<RelayTarget> chooseDestination(const std::set<std::string> &excluded, MonotonicTime now);
@@ -77,6 +83,7 @@
     void cut(RelayOutcome outcome);
     void record(std::string_view decision, std::string_view reason);
     void armDeadlineTimer();
+    void armWaitTimer(MonotonicTime until);
     // Maximum time for which a healthy target would be silent. Nothing where only the deadline applies.
     std::optional<std::chrono::milliseconds> silenceTimeout() const;
     void armSilenceTimer();
@@ -111,6 +118,8 @@
     // Interrupted responses of targets that were not known to be leaving.
     int m_unexpectedFailures = 0;
     bool m_isFinished = false;
+    std::optional<TargetRequestLimits::Reservation> m_reservation;
+    boost::asio::steady_timer m_waitTimer;
     boost::asio::steady_timer m_deadlineTimer;
     boost::asio::steady_timer m_silenceTimer;
     boost::asio::steady_timer m_migrationTimer;
--- a/Libraries/LibRelayServer/RelayExchangeMigration.cpp
+++ b/Libraries/LibRelayServer/RelayExchangeMigration.cpp
@@ -59,6 +59,8 @@
         return std::nullopt;
     }
     const auto &entry = choice.target->entry;
+    // The generation continues at the destination as soon as the copy is complete.
+    m_reservation = m_core.balancer.requestLimits().reserve(entry.id, now, now);
     // The copy occupies KV cache from now on.
     m_core.balancer.setCopy(m_id, entry.id, demand.promptTokens + demand.expectedTokens);
     m_core.onLoadChanged(true);
@@ -72,7 +74,8 @@
         return false;
     }
     const auto *known = m_core.targets.find(holder.id);
-    return !(known && m_core.targets.isOutOfService(known->entry.dataCentre)) && m_core.balancer.cooldowns().mayContinue(holder.id, now);
+    return !(known && m_core.targets.isOutOfService(known->entry.dataCentre)) && m_core.balancer.cooldowns().mayContinue(holder.id, now)
+        && (reservedTarget(now) == holder.id || m_core.balancer.requestLimits().mayContinue(holder.id, now));
 }
 
 std::optional<RelayTarget> RelayExchange::chooseBackup(const RelayTarget &target, MonotonicTime now)
@@ -106,6 +109,8 @@
     call.timeout = CopyTimeout;
     call.freshConnection = true;
     const auto orderedAt = monotonicNow();
+    // Orders to copy use up the limit but do not wait for it, because the generation is lost with its engine.
+    m_core.balancer.requestLimits().recordSend(source.id, orderedAt);
     m_core.client.call(*endpoint, call, [self = shared_from_this(), source, destination, stop, orderedAt](const LoopAnswer &response) {
         const auto now = monotonicNow();
         const auto result = self->m_core.adapter.decodeCopy(response);
--- a/Libraries/LibRelayServer/RelayTables.cpp
+++ b/Libraries/LibRelayServer/RelayTables.cpp
@@ -322,7 +322,7 @@
         }
         m_core.balancer.markReachable(entry.id);
         m_core.balancer.cooldowns().forget(entry.id);
-        m_core.balancer.requestLimits().forget(entry.id);
+        m_core.balancer.requestLimits().forgetBefore(entry.id, entry.incarnation);
         m_peers.scheduleHeartbeat(notificationScopeForTarget(fromPeer, false, false));
     }
     if (m_core.targets.set(entry, now, source)) {
--- /dev/null
+++ b/Tests/LibRelay/RequestLimitFleet.cpp
@@ -0,0 +1,216 @@
+#include "RequestLimitFleet.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Jujube
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds Step {10};
+constexpr std::chrono::milliseconds ResponseTime {60};
+constexpr std::chrono::milliseconds HeartbeatInterval {800};
+constexpr std::chrono::milliseconds UpdateInterval {100};
+constexpr std::chrono::milliseconds LimitReportTime {3000};
+constexpr std::chrono::milliseconds RuleWindow {4000};
+constexpr std::chrono::milliseconds NoticeTime {1000};
+constexpr double RuleFactor = 1.5;
+constexpr double RuleSlack = 5;
+const std::string Target = "target";
+
+std::string regionName(int region)
+{
+    return "region-" + std::to_string(region);
+}
+
+} // namespace
+
+RequestLimitFleet::RequestLimitFleet(Options options)
+    : m_options(options)
+    , m_random(options.seed)
+{
+    for (int index = 0; index < m_options.relays; ++index) {
+        addRelay();
+    }
+}
+
+void RequestLimitFleet::start(Node &node)
+{
+    std::map<std::string, std::string> regions;
+    for (int region = 0; region < m_options.regions; ++region) {
+        regions[regionName(region)] = regionName(region);
+    }
+    node.peers = std::make_unique<PeerTable>(
+        PeerTable::Options {.ownAddress = node.name + ":1", .ownName = node.name, .region = node.dataCentre, .regions = regions}, m_now);
+    node.limits = TargetRequestLimits({});
+    node.nextHeartbeat = m_now + std::chrono::milliseconds(m_random.below(static_cast<uint32_t>(HeartbeatInterval.count())));
+    node.isNew = true;
+}
+
+void RequestLimitFleet::addRelay()
+{
+    auto node = std::make_unique<Node>();
+    node->name = "relay-" + std::to_string(m_relaysStarted);
+    node->dataCentre = regionName(m_relaysStarted % m_options.regions);
+    ++m_relaysStarted;
+    start(*node);
+    m_relays.push_back(std::move(node));
+}
+
+void RequestLimitFleet::removeRelay(size_t index)
+{
+    m_relays.erase(m_relays.begin() + static_cast<std::ptrdiff_t>(index));
+}
+
+void RequestLimitFleet::restartRelay(size_t index)
+{
+    auto &node = *m_relays.at(index);
+    ++node.incarnation;
+    node.sequence = 0;
+    start(node);
+}
+
+void RequestLimitFleet::setGroup(size_t index, int group)
+{
+    m_relays.at(index)->group = group;
+}
+
+void RequestLimitFleet::setLimit(std::optional<double> limit)
+{
+    m_limit = limit;
+    m_namedLimits.emplace_back(m_now, limit);
+}
+
+void RequestLimitFleet::sendHeartbeats(Node &node)
+{
+    node.peers->expire(m_now);
+    PeerHeartbeat heartbeat {.node = node.name,
+                             .incarnation = node.incarnation,
+                             .sequence = ++node.sequence,
+                             .callers = node.name + ":0",
+                             .peers = node.name + ":1",
+                             .dataCentre = node.dataCentre,
+                             .accepting = true,
+                             .heartbeatInterval = HeartbeatInterval,
+                             .requestLimits = node.isNew ? node.limits.allStatements(m_now) : node.limits.recentStatements(LimitReportTime, m_now),
+                             .knownRelays = node.peers->knownRelayCount()};
+    for (auto &statement : heartbeat.requestLimits) {
+        statement.peer = node.name;
+    }
+    for (const auto &other : m_relays) {
+        if (other.get() == &node || other->group != node.group) {
+            continue;
+        }
+        if (other->peers->handleHeartbeat(heartbeat, m_now) == PeerTable::Change::Joined) {
+            // Relays send what they know to a relay that is new to them.
+            for (auto statement : other->limits.allStatements(m_now)) {
+                statement.peer = other->name;
+                node.limits.record(statement, m_now);
+            }
+        }
+        for (const auto &statement : heartbeat.requestLimits) {
+            other->limits.record(statement, m_now);
+        }
+    }
+    node.isNew = false;
+}
+
+void RequestLimitFleet::updateShare(Node &node)
+{
+    node.nextUpdate = m_now + UpdateInterval;
+    node.limits.update(
+        node.peers->requestLimitParticipants(m_now), [](const std::string &) { return regionName(0); }, m_now);
+}
+
+void RequestLimitFleet::deliverResponses()
+{
+    while (!m_responses.empty() && m_responses.front().receivedAt <= m_now) {
+        const auto response = m_responses.front();
+        m_responses.pop_front();
+        for (const auto &node : m_relays) {
+            if (node->name == response.relay && node->incarnation == response.incarnation) {
+                if (node->limits.record({.target = Target, .incarnation = 1, .limit = response.limit}, m_now) != TargetRequestLimits::Change::None) {
+                    updateShare(*node);
+                }
+            }
+        }
+    }
+}
+
+void RequestLimitFleet::step()
+{
+    m_now += Step;
+    deliverResponses();
+    for (const auto &node : m_relays) {
+        if (m_now >= node->nextHeartbeat) {
+            node->nextHeartbeat += HeartbeatInterval;
+            sendHeartbeats(*node);
+        }
+        if (m_now >= node->nextUpdate) {
+            updateShare(*node);
+        }
+    }
+    // Each relay gets requests at the same rate, at random times.
+    const double perRelay = m_options.demand * std::chrono::duration<double>(Step).count() / static_cast<double>(m_relays.size());
+    for (const auto &node : m_relays) {
+        if (m_random.unit() >= perRelay || !node->limits.maySend(Target, m_now)) {
+            continue;
+        }
+        node->limits.recordSend(Target, m_now);
+        m_arrivals.push_back(m_now);
+        m_responses.push_back({.receivedAt = m_now + ResponseTime, .relay = node->name, .incarnation = node->incarnation, .limit = m_limit});
+    }
+}
+
+void RequestLimitFleet::runFor(std::chrono::milliseconds time)
+{
+    for (const auto end = m_now + time; m_now < end;) {
+        step();
+    }
+}
+
+size_t RequestLimitFleet::arrivalsWithin(std::chrono::milliseconds span) const
+{
+    return static_cast<size_t>(std::count_if(m_arrivals.begin(), m_arrivals.end(), [&](MonotonicTime time) { return time > m_now - span; }));
+}
+
+std::optional<double> RequestLimitFleet::highestLimitBetween(MonotonicTime from, MonotonicTime until) const
+{
+    std::optional<double> highest;
+    for (size_t index = 0; index < m_namedLimits.size(); ++index) {
+        const auto endsAt = index + 1 < m_namedLimits.size() ? m_namedLimits[index + 1].first : m_now;
+        if (m_namedLimits[index].first > until || endsAt < from) {
+            continue;
+        }
+        if (!m_namedLimits[index].second) {
+            return std::nullopt;
+        }
+        highest = std::max(highest.value_or(0), *m_namedLimits[index].second);
+    }
+    return highest;
+}
+
+double RequestLimitFleet::worstExcess(MonotonicTime since) const
+{
+    double worst = 0;
+    size_t last = 0;
+    for (size_t first = 0; first < m_arrivals.size(); ++first) {
+        const auto from = m_arrivals[first];
+        if (from < since) {
+            continue;
+        }
+        last = std::max(last, first);
+        while (last < m_arrivals.size() && m_arrivals[last] < from + RuleWindow) {
+            ++last;
+        }
+        if (const auto limit = highestLimitBetween(from - NoticeTime, from + RuleWindow)) {
+            const double allowed = RuleFactor * *limit * std::chrono::duration<double>(RuleWindow).count() + RuleSlack;
+            worst = std::max(worst, static_cast<double>(last - first) / std::floor(allowed));
+        }
+    }
+    return worst;
+}
+
+} // namespace Jujube
