Let the soak name limits, and check the rule from what targets see

Cause: neither the stand-ins nor the soak named limits, so that no run could show that relays ignore them. Change: fault limit-target, drawn from a random sequence of its own, so that the other faults of a seed stay as they were; RequestLimitCheck, used by the soak and by the simulated fleets of TestLibRelay. TestFaultPlan expects 15 kinds instead of 14, because there is one more.

--- a/Tests/LibRelay/RequestLimitFleet.cpp
+++ b/Tests/LibRelay/RequestLimitFleet.cpp
@@ -1,7 +1,6 @@
 #include "RequestLimitFleet.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace Jujube
 {
@@ -14,10 +13,6 @@
 constexpr std::chrono::milliseconds HeartbeatInterval {800};
 constexpr std::chrono::milliseconds UpdateInterval {100};
 constexpr std::chrono::milliseconds LimitReportTime {3000};
-constexpr std::chrono::milliseconds RuleWindow {4000};
-constexpr std::chrono::milliseconds NoticeTime {1000};
-constexpr double RuleFactor = 1.5;
-constexpr double RuleSlack = 5;
 const std::string Target = "target";
 
 std::string regionName(int region)
@@ -80,7 +75,7 @@
 void RequestLimitFleet::setLimit(std::optional<double> limit)
 {
     m_limit = limit;
-    m_namedLimits.emplace_back(m_now, limit);
+    m_check.nameLimit(limit, m_now);
 }
 
 void RequestLimitFleet::sendHeartbeats(Node &node)
@@ -160,6 +155,7 @@
         }
         node->limits.recordSend(Target, m_now);
         m_arrivals.push_back(m_now);
+        m_check.recordArrival(m_now);
         m_responses.push_back({.receivedAt = m_now + ResponseTime, .relay = node->name, .incarnation = node->incarnation, .limit = m_limit});
     }
 }
@@ -176,41 +172,4 @@
     return static_cast<size_t>(std::count_if(m_arrivals.begin(), m_arrivals.end(), [&](MonotonicTime time) { return time > m_now - span; }));
 }
 
-std::optional<double> RequestLimitFleet::highestLimitBetween(MonotonicTime from, MonotonicTime until) const
-{
-    std::optional<double> highest;
-    for (size_t index = 0; index < m_namedLimits.size(); ++index) {
-        const auto endsAt = index + 1 < m_namedLimits.size() ? m_namedLimits[index + 1].first : m_now;
-        if (m_namedLimits[index].first > until || endsAt < from) {
-            continue;
-        }
-        if (!m_namedLimits[index].second) {
-            return std::nullopt;
-        }
-        highest = std::max(highest.value_or(0), *m_namedLimits[index].second);
-    }
-    return highest;
-}
-
-double RequestLimitFleet::worstExcess(MonotonicTime since) const
-{
-    double worst = 0;
-    size_t last = 0;
-    for (size_t first = 0; first < m_arrivals.size(); ++first) {
-        const auto from = m_arrivals[first];
-        if (from < since) {
-            continue;
-        }
-        last = std::max(last, first);
-        while (last < m_arrivals.size() && m_arrivals[last] < from + RuleWindow) {
-            ++last;
-        }
-        if (const auto limit = highestLimitBetween(from - NoticeTime, from + RuleWindow)) {
-            const double allowed = RuleFactor * *limit * std::chrono::duration<double>(RuleWindow).count() + RuleSlack;
-            worst = std::max(worst, static_cast<double>(last - first) / std::floor(allowed));
-        }
-    }
-    return worst;
-}
-
 } // namespace Jujube
--- a/Tests/LibRelay/RequestLimitFleet.h
+++ b/Tests/LibRelay/RequestLimitFleet.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "../Support/RequestLimitCheck.h"
+
 #include <deque>
 #include <LibPolicy/SplitMix.h>
 #include <LibRelay/PeerTable.h>
@@ -44,9 +46,11 @@
 
     // Requests that the target got in the last span of time.
     size_t arrivalsWithin(std::chrono::milliseconds span) const;
-    // Maximum number of requests in any 4 s since a time, over the number that the rule LIMIT allows: one and a half times the limit and five requests. The
-    // highest limit that the target named in these 4 s, or in the second before, applies. Zero if no limit was named.
-    double worstExcess(MonotonicTime since) const;
+    // The 4 s with the most requests against those that the rule LIMIT allows.
+    std::optional<RequestLimitCheck::Result> worst() const
+    {
+        return m_check.worst();
+    }
     MonotonicTime now() const
     {
         return m_now;
@@ -78,7 +82,6 @@
     void sendHeartbeats(Node &node);
     void updateShare(Node &node);
     void deliverResponses();
-    std::optional<double> highestLimitBetween(MonotonicTime from, MonotonicTime until) const;
 
     const Options m_options;
     SplitMix m_random;
@@ -86,7 +89,7 @@
     std::vector<std::unique_ptr<Node>> m_relays;
     int m_relaysStarted = 0;
     std::optional<double> m_limit;
-    std::vector<std::pair<MonotonicTime, std::optional<double>>> m_namedLimits;
+    RequestLimitCheck m_check;
     std::deque<MonotonicTime> m_arrivals;
     std::deque<Response> m_responses;
 };
--- a/Tests/LibRelay/TestTargetRequestLimits.cpp
+++ b/Tests/LibRelay/TestTargetRequestLimits.cpp
@@ -11,9 +11,6 @@
 
 // Relays discover each other within this time.
 constexpr auto Discovery = 4s;
-// Time for which the rule LIMIT does not bind after a limit was first named.
-constexpr auto ContactTime = 3s;
-
 // Requests per second that each relay gets, as on the users' deployments.
 constexpr double RequestsPerRelay = 6;
 
@@ -21,6 +18,15 @@
 
 constexpr MonotonicTime Start {std::chrono::hours(1)};
 
+testing::AssertionResult keepsLimit(const RequestLimitFleet &fleet)
+{
+    const auto worst = fleet.worst();
+    if (!worst || worst->isBroken()) {
+        return testing::AssertionFailure() << (worst ? worst->requests : 0) << " requests in 4 s, allowed " << (worst ? worst->allowed : 0);
+    }
+    return testing::AssertionSuccess();
+}
+
 TargetRequestLimits limitsOfOneRelay(double limit)
 {
     TargetRequestLimits limits({});
@@ -40,9 +46,8 @@
             RequestLimitFleet fleet({.relays = relays, .demand = std::max(3 * limit, RequestsPerRelay * relays), .seed = static_cast<uint64_t>(relays)});
             fleet.runFor(Discovery);
             fleet.setLimit(limit);
-            const auto bindsFrom = fleet.now() + ContactTime;
             fleet.runFor(30s);
-            EXPECT_LE(fleet.worstExcess(bindsFrom), 1) << relays << " relays, limit " << limit;
+            EXPECT_TRUE(keepsLimit(fleet)) << relays << " relays, limit " << limit;
             // Users are served as far as the limit allows. Waiting for random requests at each holder costs a part.
             EXPECT_GE(static_cast<double>(fleet.arrivalsWithin(20s)), 0.5 * limit * 20 - 1) << relays << " relays, limit " << limit;
         }
@@ -56,7 +61,6 @@
         RequestLimitFleet fleet({.relays = relays, .demand = 200, .seed = 5});
         fleet.runFor(Discovery);
         fleet.setLimit(40);
-        const auto bindsFrom = fleet.now() + ContactTime;
         fleet.runFor(10s);
         fleet.setLimit(4);
         fleet.runFor(15s);
@@ -69,7 +73,7 @@
         fleet.setLimit(std::nullopt);
         fleet.runFor(15s);
         EXPECT_GE(fleet.arrivalsWithin(5s), 800U) << relays;
-        EXPECT_LE(fleet.worstExcess(bindsFrom), 1) << relays;
+        EXPECT_TRUE(keepsLimit(fleet)) << relays;
     }
 }
 
@@ -80,7 +84,6 @@
         RequestLimitFleet fleet({.relays = relays, .demand = 120, .seed = 9});
         fleet.runFor(Discovery);
         fleet.setLimit(5.2);
-        const auto bindsFrom = fleet.now() + ContactTime;
         fleet.runFor(6s);
         for (int index = 0; index < relays / 2; ++index) {
             fleet.addRelay();
@@ -96,7 +99,7 @@
             fleet.removeRelay(0);
         }
         fleet.runFor(60s);
-        EXPECT_LE(fleet.worstExcess(bindsFrom), 1) << relays;
+        EXPECT_TRUE(keepsLimit(fleet)) << relays;
         EXPECT_GE(fleet.arrivalsWithin(20s), 20U) << relays;
     }
 }
@@ -109,7 +112,6 @@
             RequestLimitFleet fleet({.relays = relays, .demand = 120, .seed = 3});
             fleet.runFor(Discovery);
             fleet.setLimit(5.2);
-            const auto bindsFrom = fleet.now() + ContactTime;
             fleet.runFor(6s);
             for (size_t index = 0; index < fleet.relayCount(); ++index) {
                 fleet.setGroup(index, static_cast<int>(index) % groups);
@@ -120,7 +122,7 @@
                 fleet.setGroup(index, 0);
             }
             fleet.runFor(20s);
-            EXPECT_LE(fleet.worstExcess(bindsFrom), 1) << relays << " relays, " << groups << " groups";
+            EXPECT_TRUE(keepsLimit(fleet)) << relays << " relays, " << groups << " groups";
         }
     }
 }
--- a/Tests/Soak/Harness/FaultPlan.cpp
+++ b/Tests/Soak/Harness/FaultPlan.cpp
@@ -21,6 +21,7 @@
     unsigned mostMs;
 };
 
+// Kinds of weight zero have a plan of their own, so that the other faults of a seed stay the same.
 constexpr std::array Kinds {KindEntry {FaultKind::KillRelay, "kill-relay", 3, 1500},
                             KindEntry {FaultKind::PauseRelay, "pause-relay", 3, 3000},
                             KindEntry {FaultKind::TerminateRelay, "terminate-relay", 3, 8000},
@@ -34,7 +35,8 @@
                             KindEntry {FaultKind::CrashTarget, "crash-target", 2, 2000},
                             KindEntry {FaultKind::DrainTarget, "drain-target", 2, 5000},
                             KindEntry {FaultKind::ChangeDocument, "change-document", 2, 1},
-                            KindEntry {FaultKind::Evacuate, "evacuate", 1, 6000}};
+                            KindEntry {FaultKind::Evacuate, "evacuate", 1, 6000},
+                            KindEntry {FaultKind::LimitTarget, "limit-target", 0, 9000}};
 
 const KindEntry &entryOf(FaultKind kind)
 {
@@ -56,6 +58,31 @@
     }
 }
 
+// Limits that targets name. The rule binds only some seconds after a limit was first named, so limits are long, and those of one target follow each other.
+void addLimits(std::vector<Fault> &plan, const FaultPlanOptions &options)
+{
+    constexpr unsigned LeastMs = 3000;
+    constexpr unsigned Variants = 1U << 16;
+    constexpr uint64_t SeedOffset = 0x11;
+    std::mt19937_64 random(options.seed + (SeedOffset << 32));
+    const auto below = [&random](uint64_t bound) { return std::uniform_int_distribution<uint64_t>(0, bound - 1)(random); };
+    const auto mostMs = entryOf(FaultKind::LimitTarget).mostMs;
+    for (size_t subject = 0; subject < options.targets; ++subject) {
+        // Every second target names limits.
+        if (below(2) == 0) {
+            continue;
+        }
+        auto at = std::chrono::milliseconds(below(LeastMs));
+        for (auto duration = std::chrono::milliseconds(LeastMs + below(mostMs - LeastMs)); at + duration < options.length;
+             duration = std::chrono::milliseconds(LeastMs + below(mostMs - LeastMs))) {
+            plan.push_back(
+                {.at = at, .duration = duration, .kind = FaultKind::LimitTarget, .subject = subject, .variant = static_cast<unsigned>(below(Variants))});
+            // The next limit begins before the end of this one, or a while after.
+            at += duration / 2 + std::chrono::milliseconds(below(LeastMs));
+        }
+    }
+}
+
 } // namespace
 
 std::string_view nameOf(FaultKind kind)
@@ -102,6 +129,7 @@
             at += std::chrono::milliseconds(below(MostPauseMs)) + duration / (1 + static_cast<int>(below(2)));
         }
     }
+    addLimits(plan, options);
     std::stable_sort(plan.begin(), plan.end(), [](const Fault &a, const Fault &b) { return a.at < b.at; });
     return plan;
 }
--- a/Tests/Soak/Harness/FaultPlan.h
+++ b/Tests/Soak/Harness/FaultPlan.h
@@ -29,6 +29,8 @@
     DrainTarget,
     ChangeDocument,
     Evacuate,
+    // The target names a limit on the requests of all relays.
+    LimitTarget,
 };
 
 std::string_view nameOf(FaultKind kind);
--- a/Tests/Soak/Harness/SoakCaller.cpp
+++ b/Tests/Soak/Harness/SoakCaller.cpp
@@ -201,6 +201,7 @@
     answer.status = head.status;
     answer.echoedId = std::string(head.value("X-Attempt-Id"));
     answer.seal = std::string(head.value("X-Server-Seal"));
+    answer.namesLimit = head.has("Server-Limit");
     double seconds = 0;
     if (absl::SimpleAtod(toAbsl(head.value("Retry-After")), &seconds)) {
         m_exchange->retryAfter = std::chrono::milliseconds(static_cast<int64_t>(seconds * 1000));
--- a/Tests/Soak/Harness/SoakFaults.cpp
+++ b/Tests/Soak/Harness/SoakFaults.cpp
@@ -18,6 +18,9 @@
                                  StandInTarget::Behaviour::WrongResponse,
                                  StandInTarget::Behaviour::Hang};
 
+// Requests per second.
+constexpr std::array RequestLimits {"0", "0.5", "1.5", "3.2", "5.2", "12", "40"};
+
 // Every second variant of a fault takes the rarer of two forms.
 bool isOdd(unsigned variant)
 {
@@ -75,6 +78,9 @@
     case FaultKind::DrainTarget:
         strikeTarget(fault, *m_targets[fault.subject]);
         return;
+    case FaultKind::LimitTarget:
+        limitTarget(fault, *m_targets[fault.subject]);
+        return;
     case FaultKind::ChangeDocument:
         changeDocument(fault.variant);
         return;
@@ -198,6 +204,22 @@
     });
 }
 
+void SoakWorld::limitTarget(const Fault &fault, Target &target)
+{
+    const auto setLimit = [this, &target](const std::string &limit) {
+        // A target that is down names nothing, and begins without a limit.
+        if (!target.isDown) {
+            target.server->setRequestLimit(limit);
+            m_ledger.onLimitNamed(monotonicNow(), target.id, limit.empty() ? std::nullopt : std::optional(std::stod(limit)));
+        }
+    };
+    strike(
+        fault,
+        "limit of " + target.service + target.address.toText(),
+        [&] { setLimit(RequestLimits[fault.variant % RequestLimits.size()]); },
+        [setLimit] { setLimit({}); });
+}
+
 void SoakWorld::drainTarget(const Fault &fault, Target &target)
 {
     // Some targets never say that they leave: their entry goes, and they serve on for a while.
--- a/Tests/Soak/Harness/SoakLedger.cpp
+++ b/Tests/Soak/Harness/SoakLedger.cpp
@@ -67,6 +67,23 @@
     end = std::max(end, until);
 }
 
+void SoakLedger::excuseFromLimits(const std::string &relay, MonotonicTime until)
+{
+    auto &end = m_excusedUntil[relay];
+    end = std::max(end, until);
+}
+
+void SoakLedger::onLimitNamed(MonotonicTime now, const std::string &target, std::optional<double> limit)
+{
+    m_limits[target].nameLimit(limit, now);
+}
+
+void SoakLedger::onTargetEnded(MonotonicTime now, const std::string &target)
+{
+    onLimitNamed(now, target, std::nullopt);
+    std::erase_if(m_limitPassedOnAt, [&](const auto &entry) { return entry.first.first == target; });
+}
+
 void SoakLedger::disturbTarget(const std::string &target, MonotonicTime until)
 {
     auto &end = m_targetDisturbedUntil[target];
@@ -118,6 +135,11 @@
     if (head.value("X-Expect-Instance") == target) {
         checkForbidden(now, id, request, target);
     }
+    const auto passedOn = m_limitPassedOnAt.find({target, request.sent.relay});
+    if (passedOn != m_limitPassedOnAt.end() && now >= passedOn->second + SoakBounds::AfterNamedLimit
+        && !wasDisturbed(m_excusedUntil, request.sent.relay, now)) {
+        m_limits[target].recordArrival(now);
+    }
     if (request.leftAt && now > *request.leftAt + SoakBounds::AfterLeaving && isInTouch(request.sent.relay, now)) {
         m_passedAfterLeaving.push_back(id);
     }
@@ -199,6 +221,9 @@
     if (answer.status == 0) {
         return;
     }
+    if (answer.namesLimit) {
+        m_limitPassedOnAt.try_emplace({request.lastTarget, request.sent.relay}, now);
+    }
     if (!answer.echoedId.empty() && answer.echoedId != id) {
         report("mixed", absl::StrCat(id, " got the answer to ", answer.echoedId));
     }
@@ -284,6 +309,17 @@
                     absl::StrCat(m_passedAfterLeaving.size(), " requests reached a target after their callers had left, first ", m_passedAfterLeaving[0]));
     }
     checkRetries();
+    checkLimits();
+}
+
+void SoakLedger::checkLimits()
+{
+    for (const auto &[target, check] : m_limits) {
+        if (const auto worst = check.worst(); worst && worst->isBroken()) {
+            report("limit",
+                   absl::StrCat(target, " got ", worst->requests, " requests in 4 s from relays that it had told its limit, allowed are ", worst->allowed));
+        }
+    }
 }
 
 void SoakLedger::checkRetries()
--- a/Tests/Soak/Harness/SoakLedger.h
+++ b/Tests/Soak/Harness/SoakLedger.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "../../Support/RequestLimitCheck.h"
+
 #include <LibCore/Time.h>
 #include <LibLoop/MessageHead.h>
 #include <map>
@@ -28,6 +30,8 @@
 constexpr double RetryRatio = 0.2;
 // Requests that may still reach a target after their caller has left.
 constexpr size_t FewRequests = 3;
+// A relay is bound by a target's limit from this time after it has passed on an answer that names it.
+constexpr std::chrono::milliseconds AfterNamedLimit {500};
 // A request that has crashed this many targets has to be known to all nodes in touch, and reaches targets in a few more tries at most.
 constexpr int CrashesUntilKnown = 3;
 constexpr size_t FewFatalRequests = 3;
@@ -92,6 +96,8 @@
         std::string seal;
         std::string body;
         bool complete = false;
+        // Whether the answer names the target's limit.
+        bool namesLimit = false;
     };
 
     explicit SoakLedger(Options options);
@@ -100,6 +106,8 @@
     void disturb(const std::string &relay, MonotonicTime until);
     // A graceful shutdown, which must not cut any request.
     void disturbAsPlanned(const std::string &relay, MonotonicTime until);
+    // A restart or freeze of a relay, for which the limits of targets do not bind it.
+    void excuseFromLimits(const std::string &relay, MonotonicTime until);
     // The same for a target and its link.
     void disturbTarget(const std::string &target, MonotonicTime until);
     bool isInTouch(const std::string &relay, MonotonicTime now) const;
@@ -107,6 +115,10 @@
     void onSent(MonotonicTime now, const std::string &id, Sent sent);
     void onArrival(MonotonicTime now, const std::string &target, const std::string &service, const MessageHead &head, StandInTarget::Arrival arrival);
     void onAnswer(MonotonicTime now, const std::string &id, const Answer &answer);
+    // A target names a limit in its answers from now on, or none.
+    void onLimitNamed(MonotonicTime now, const std::string &target, std::optional<double> limit);
+    // The lifetime of a target has ended. A new one begins without a limit.
+    void onTargetEnded(MonotonicTime now, const std::string &target);
     // The caller has closed its connection before the end.
     void onLeft(MonotonicTime now, const std::string &id);
     // Checks some time after a caller left that no target works on its request.
@@ -160,6 +172,7 @@
     // A request that crashes targets, which has reached one more.
     void checkFatal(MonotonicTime now, const Request &request, StandInTarget::Arrival arrival);
     void checkRetries();
+    void checkLimits();
 
     const Options m_options;
     std::map<std::string, Request> m_requests;
@@ -167,6 +180,10 @@
     // Without planned shutdowns.
     std::map<std::string, MonotonicTime> m_unplannedUntil;
     std::map<std::string, MonotonicTime> m_targetDisturbedUntil;
+    // For limits of targets: excused relays, and when a relay first passed on an answer of a target that names its limit.
+    std::map<std::string, MonotonicTime> m_excusedUntil;
+    std::map<std::pair<std::string, std::string>, MonotonicTime> m_limitPassedOnAt;
+    std::map<std::string, RequestLimitCheck> m_limits;
     // By target and promise.
     std::map<std::pair<std::string, std::string>, MonotonicTime> m_forbiddenFrom;
     // By service, in the order of time.
--- a/Tests/Soak/Harness/SoakWorld.cpp
+++ b/Tests/Soak/Harness/SoakWorld.cpp
@@ -169,6 +169,7 @@
         return;
     }
     m_ledger.disturbTarget(target.id, monotonicNow());
+    m_ledger.onTargetEnded(monotonicNow(), target.id);
     target.server->crash();
     target.link->setListening(false);
     target.isDown = true;
@@ -305,6 +306,9 @@
         const bool linksAreHarmed = m_active["callers of " + name] > 0 || m_active["store of " + name] > 0;
         const bool isPlanned = relay->state() == SoakRelay::State::Ending;
         const bool isCut = relay->state() == SoakRelay::State::Paused || relay->state() == SoakRelay::State::Down;
+        if (isCut || isPlanned) {
+            m_ledger.excuseFromLimits(name, now);
+        }
         if (storeIsDisturbed || linksAreHarmed || isCut) {
             m_ledger.disturb(name, now);
         } else if (isPlanned) {
--- a/Tests/Soak/Harness/SoakWorld.h
+++ b/Tests/Soak/Harness/SoakWorld.h
@@ -86,6 +86,7 @@
     void strikeLink(const Fault &fault, LoopbackProxy &link, const std::string &name);
     void strikeStore(const Fault &fault);
     void resetLinks(const Fault &fault, SoakRelay &relay);
+    void limitTarget(const Fault &fault, Target &target);
     void drainTarget(const Fault &fault, Target &target);
     void evacuate(const Fault &fault);
     void changeDocument(unsigned variant);
--- a/Tests/Soak/TestFaultPlan.cpp
+++ b/Tests/Soak/TestFaultPlan.cpp
@@ -38,6 +38,6 @@
         EXPECT_LT(plan[index].at + plan[index].duration, Options.length);
         overlaps += index > 0 && plan[index].at < plan[index - 1].at + plan[index - 1].duration ? 1 : 0;
     }
-    EXPECT_EQ(kinds.size(), 14U);
+    EXPECT_EQ(kinds.size(), 15U);
     EXPECT_GT(overlaps, plan.size() / 10);
 }
--- a/Tests/Soak/TestSoakLedger.cpp
+++ b/Tests/Soak/TestSoakLedger.cpp
@@ -221,3 +221,32 @@
     ASSERT_EQ(ledger.violations().size(), 1U);
     EXPECT_TRUE(absl::StartsWith(ledger.violations()[0], "crash:"));
 }
+
+// Guards against a target that gets more requests than the limit that it names, which is not noticed.
+TEST(SoakLedger, FindsRequestsOverALimit)
+{
+    const auto run = [](std::chrono::milliseconds interval, bool isTold, bool isExcused) {
+        World world(SoakKind::Repeatable);
+        world.ledger.onLimitNamed(Start, "i-1", 2.0);
+        world.arrive();
+        auto answer = world.success();
+        answer.namesLimit = isTold;
+        world.ledger.onAnswer(Start, world.id, answer);
+        for (auto now = Start; now < Start + 7s; now += interval) {
+            world.id = "c1-" + std::to_string(now.time_since_epoch().count());
+            world.send(SoakKind::Repeatable);
+            if (isExcused) {
+                world.ledger.excuseFromLimits("n1", now);
+            }
+            world.arrive(now);
+        }
+        EXPECT_TRUE(world.breaksOnly(""));
+        world.ledger.finish();
+        return world.breaksOnly("limit");
+    };
+    // 17 requests in 4 s are allowed.
+    EXPECT_FALSE(run(250ms, true, false));
+    EXPECT_TRUE(run(200ms, true, false));
+    EXPECT_FALSE(run(200ms, false, false));
+    EXPECT_FALSE(run(200ms, true, true));
+}
