Keep the cooldown that a target asks for with 429

Callers saw: nothing yet; found while looking for things that targets tell and no relay acts on. Cause: Retry-After was read from rejections with 503 only. A target that rejects with 429 and Retry-After got the next request at once. Evidence: RelayForwarding.RejectionsWithRetryAfterAskForACooldown found no cooldown before. Change: 429 counts like 503 (RFC 6585, section 4).

--- a/Libraries/LibRelayServer/RelayForwarding.cpp
+++ b/Libraries/LibRelayServer/RelayForwarding.cpp
@@ -19,6 +19,7 @@
 constexpr int StatusMisdirected = 421;
 constexpr int StatusNoContent = 204;
 constexpr int StatusNotModified = 304;
+constexpr int StatusTooManyRequests = 429;
 constexpr int StatusUnavailable = 503;
 constexpr int MaxPriority = 9;
 
@@ -125,7 +126,7 @@
             .sealed = head.has(names.originMarker),
             .isStream = head.status / 100 == 2 && absl::StartsWithIgnoreCase(toAbsl(head.value("content-type")), toAbsl(EventStreamType)),
             .leaving = head.value(names.leaving) == names.leavingValue,
-            .cooldown = head.status == StatusUnavailable ? parseRetryAfter(head) : std::nullopt,
+            .cooldown = head.status == StatusUnavailable || head.status == StatusTooManyRequests ? parseRetryAfter(head) : std::nullopt,
             .hasRequestLimit = head.has(names.requestLimit),
             .requestLimit = parseRequestLimit(head, names.requestLimit),
             .length = length};
