Divide the retry slack among all relays, silent ones included

Cause: the slack of a service's retry budget was divided by the number of live relays. Relays that lose each other then use it once in each group. Change: the number of relays that may be sending requests, silent ones included. Why it works: the parts of all relays add up to the slack, whoever sees whom, until most of the relays are known to be gone for half a minute.

--- a/Libraries/LibRelay/PeerTable.cpp
+++ b/Libraries/LibRelay/PeerTable.cpp
@@ -188,7 +188,7 @@
 {
     return {.others = m_liveOthers,
             .self = {.hash = m_ownHash, .region = m_options.region},
-            .known = static_cast<size_t>(std::max(knownRelayCount(), m_peersKnownRelays)),
+            .known = static_cast<size_t>(sharingRelayCount()),
             .hasDiscoveredPeers = now - m_startedAt >= m_options.discoveryTime};
 }
 
--- a/Libraries/LibRelay/PeerTable.h
+++ b/Libraries/LibRelay/PeerTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
+#include <algorithm>
 #include <LibCore/Time.h>
 #include <LibPolicy/CrashSuspects.h>
 #include <LibRelay/ColdTargetRateLimiter.h>
@@ -123,11 +124,17 @@
     ColdRateParticipants coldRateParticipants(MonotonicTime now) const;
     // The relays among which the request limits of targets are divided. Valid until the table changes.
     RequestLimitParticipants requestLimitParticipants(MonotonicTime now) const;
-    // Number of relays that may be sending requests, as known by this relay alone.
+    // Number of relays that may be sending requests, this one and those that have been silent for a while included, as known by this relay alone.
     int knownRelayCount() const
     {
         return static_cast<int>(m_lastHeard.size()) + 1;
     }
+    // The same, as known by this relay and its live peers. Budgets of all relays together are divided by it, because the part of a relay that loses its
+    // connections must not grow.
+    int sharingRelayCount() const
+    {
+        return std::max(knownRelayCount(), m_peersKnownRelays);
+    }
     // Some addresses of live relays, for the next heartbeat. Different random numbers select different ones, so that all become known over time.
     std::vector<std::string> knownAddresses(size_t maxCount, MonotonicTime now, uint64_t random) const;
 
--- a/Tests/LibRelay/TestBudgetsAndMigrations.cpp
+++ b/Tests/LibRelay/TestBudgetsAndMigrations.cpp
@@ -1,7 +1,9 @@
 #include <gtest/gtest.h>
 #include <LibRelay/DrainAdmission.h>
 #include <LibRelay/MigrationSchedule.h>
+#include <LibRelay/PeerTable.h>
 #include <LibRelay/ServiceRetryBudget.h>
+#include <memory>
 #include <random>
 
 using namespace Jujube;
@@ -43,6 +45,42 @@
     }
 }
 
+// Guards against relays that lose each other and then together use the slack of a service several times.
+TEST(ServiceRetryBudget, RelaysThatLoseEachOtherShareTheSlack)
+{
+    constexpr int Relays = 7;
+    constexpr double Slack = 54;
+    std::vector<std::unique_ptr<PeerTable>> tables;
+    for (int index = 0; index < Relays; ++index) {
+        const auto name = std::to_string(index);
+        tables.push_back(std::make_unique<PeerTable>(PeerTable::Options {.ownAddress = name + ":1", .ownName = name}, Start));
+    }
+    for (int second = 0; second < 20; ++second) {
+        const auto now = Start + std::chrono::seconds(second);
+        // From the fifth second on, three relays do not reach the four others.
+        const auto reaches = [&](int from, int to) { return second < 5 || (from < 3) == (to < 3); };
+        for (int from = 0; from < Relays; ++from) {
+            tables[from]->expire(now);
+            const auto name = std::to_string(from);
+            const PeerHeartbeat heartbeat {
+                .node = name, .incarnation = 1, .sequence = second + 1, .peers = name + ":1", .knownRelays = tables[from]->knownRelayCount()};
+            for (int to = 0; to < Relays; ++to) {
+                if (from != to && reaches(from, to)) {
+                    tables[to]->handleHeartbeat(heartbeat, now);
+                }
+            }
+        }
+    }
+    int retries = 0;
+    for (const auto &table : tables) {
+        ServiceRetryBudget budget({.ratio = 0.2, .slack = Slack, .window = 10s});
+        while (budget.tryRetry(table->sharingRelayCount(), Start + 20s)) {
+            ++retries;
+        }
+    }
+    EXPECT_LE(retries, Slack);
+}
+
 // Guards against a relay that cannot retry at all after a time without requests.
 TEST(ServiceRetryBudget, SlackAllowsRetriesWithoutRequests)
 {
