Keep a request that waits for a request limit until its turn

Callers saw: a request that was queued because all targets were limited got no response; its connection stayed open. Cause: while it waits, no connection to a target holds the exchange, and the timer held it weakly, so that it was destroyed. Evidence: Relay.RequestsOverTheOnlyLimitAreQueuedOrRejected, found while reading the diff: requests without a response before; all are served or rejected with Retry-After now. A test for relays that all start at once comes along.

--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -500,8 +500,9 @@
 void RelayExchange::armWaitTimer(MonotonicTime until)
 {
     m_waitTimer.expires_at(until);
-    m_waitTimer.async_wait([weak = weak_from_this()](const LoopError &error) {
-        if (const auto self = weak.lock(); self && !error && !self->m_isFinished) {
+    // While the request waits, no connection to a target keeps the exchange alive.
+    m_waitTimer.async_wait([self = shared_from_this()](const LoopError &error) {
+        if (!error && !self->m_isFinished) {
             self->m_session->onWaitOver(monotonicNow());
         }
     });
--- a/Tests/LibRelay/TestTargetRequestLimits.cpp
+++ b/Tests/LibRelay/TestTargetRequestLimits.cpp
@@ -104,6 +104,18 @@
     }
 }
 
+// Guards against relays that start together and each take a large part because they have not heard of the others yet.
+TEST(RequestLimitFleet, LimitIsKeptAfterAllRelaysStartAtOnce)
+{
+    for (const int relays : FleetSizes) {
+        RequestLimitFleet fleet({.relays = relays, .demand = RequestsPerRelay * relays, .seed = 11});
+        fleet.setLimit(5.2);
+        fleet.runFor(20s);
+        EXPECT_TRUE(keepsLimit(fleet)) << relays;
+        EXPECT_GE(fleet.arrivalsWithin(10s), 26U) << relays;
+    }
+}
+
 // Guards against relays that lose the others and then each use the whole limit.
 TEST(RequestLimitFleet, LimitIsKeptByRelaysThatLoseEachOther)
 {
--- a/Tests/Platform/TestRelay.cpp
+++ b/Tests/Platform/TestRelay.cpp
@@ -574,3 +574,38 @@
     EXPECT_TRUE(std::all_of(responses.begin(), responses.end(), [](const auto &response) { return response->status == 200; }));
     EXPECT_GT(other.heads().size(), responses.size() / 2);
 }
+
+// Guards against requests over the limit of the only target that get no response, or wait although they cannot be served.
+TEST(Relay, RequestsOverTheOnlyLimitAreQueuedOrRejected)
+{
+    RelayTestBed testBed;
+    testBed.writeDocument(1);
+    auto &desk = testBed.addTarget("i-1", "desk");
+    testBed.addRelay("n1");
+    ASSERT_TRUE(testBed.waitUntilReady("n1"));
+    // The relay has no share before it has discovered its peers.
+    testBed.runFor(2s);
+    desk.setRequestLimit("2");
+    EXPECT_EQ(testBed.call("n1", {.path = "/status/x", .id = "first"}).status, 200);
+    std::vector<std::shared_ptr<RelayTestBed::Response>> responses;
+    std::vector<std::shared_ptr<TargetChannel>> channels;
+    for (int count = 0; count < 60; ++count) {
+        responses.push_back(std::make_shared<RelayTestBed::Response>());
+        channels.push_back(testBed.begin("n1", {.path = "/status/x", .id = "r" + std::to_string(count)}, responses.back()));
+        testBed.runFor(50ms);
+    }
+    testBed.runFor(1500ms);
+    size_t served = 0;
+    for (const auto &response : responses) {
+        ASSERT_NE(response->status, 0);
+        served += response->status == 200 ? 1 : 0;
+        if (response->status != 200) {
+            EXPECT_EQ(response->status, 503);
+            EXPECT_GT(std::stod(std::string(response->head.value("Retry-After"))), 0);
+        }
+    }
+    EXPECT_EQ(desk.heads().size(), served + 1);
+    // Two a second in 3 s, and those that were queued at the end.
+    EXPECT_GE(served, 4U);
+    EXPECT_LE(served, 11U);
+}
