Divide the start rate of warm targets among all relays, silent ones included

Cause: a warm target may turn cold unnoticed, so that its starts are limited as well, but each relay's share was computed from the live relays. Relays that lose each other, for seconds of a cut, each start more; the rule counts relays that are out of touch too. The shares of targets that are known to be cold have counted silent relays all along. Evidence: TargetBalancer.SilentRelaysKeepTheirShareOfWarmTargets, one relay that has lost six others and a rate of ten starts a second: it started a second request at once before.

--- a/Libraries/LibRelay/TargetBalancer.cpp
+++ b/Libraries/LibRelay/TargetBalancer.cpp
@@ -357,8 +357,10 @@
     const auto health = m_health.find(id);
     // An unreachable target may have been restarted.
     const bool mayBeCold = now < target.coldUntil || (health != m_health.end() && health->second.unreachableStreak > 0);
+    // Relays that are silent may still be sending requests.
+    const int relays = std::max(query.liveRelays, static_cast<int>(query.coldRateParticipants.others.size()) + 1);
     const int share = mayBeCold ? ColdTargetRateLimiter::coldShare(service.coldPerSecond, query.coldRateParticipants, id)
-                                : ColdTargetRateLimiter::share(service.coldPerSecond, query.liveRelays);
+                                : ColdTargetRateLimiter::share(service.coldPerSecond, relays);
     return m_coldRateLimiter.isWithinShare(id, share, now);
 }
 
--- a/Tests/LibRelay/TestTargetBalancer.cpp
+++ b/Tests/LibRelay/TestTargetBalancer.cpp
@@ -359,3 +359,18 @@
         ASSERT_LE(shared, 1) << round;
     }
 }
+
+// Guards against relays that lose the others and each send more to a target that may turn cold unnoticed.
+TEST(TargetBalancer, SilentRelaysKeepTheirShareOfWarmTargets)
+{
+    TargetTable targets({});
+    targets.set(entry("a"), Start);
+    auto service = engineService();
+    service.coldPerSecond = 10;
+    auto balancer = makeBalancer();
+    const std::vector<uint64_t> others {1, 2, 3, 4, 5, 6};
+    const TargetBalancer::Query query {.demand = {.service = "s"}, .liveRelays = 1, .coldRateParticipants = {.others = others}};
+    EXPECT_EQ(chosenTarget(balancer, targets, service, query), "a");
+    balancer.onRunStarted("r", "a", query.demand, Start);
+    EXPECT_EQ(chosenTarget(balancer, targets, service, query), "");
+}
