Report only changes of a request limit that matter

Callers saw: nothing; found while reading the diff. Cause: a target may compute its limit anew for each response. Each relay would log each response of such a target, and recompute all shares. Test: TargetRequestLimits.MinorChangesApplyAndAreNotReported.

--- a/Libraries/LibRelay/TargetRequestLimits.cpp
+++ b/Libraries/LibRelay/TargetRequestLimits.cpp
@@ -60,11 +60,15 @@
         entry.peer = statement.peer;
         return Change::Ended;
     }
-    const bool isSame = isKnown && !entry.endedAt && entry.limit == *statement.limit;
+    const bool isMinor = isKnown && !entry.endedAt && std::abs(*statement.limit - entry.reportedLimit) <= m_options.minorChange * entry.reportedLimit;
     entry.limit = *statement.limit;
     entry.peer = statement.peer;
     entry.endedAt.reset();
-    return isSame ? Change::None : Change::Named;
+    if (isMinor) {
+        return Change::None;
+    }
+    entry.reportedLimit = entry.limit;
+    return Change::Named;
 }
 
 bool TargetRequestLimits::isOver(const Entry &entry, MonotonicTime now) const
--- a/Libraries/LibRelay/TargetRequestLimits.h
+++ b/Libraries/LibRelay/TargetRequestLimits.h
@@ -54,6 +54,8 @@
         double minLimit = 0.1;
         // Limit from which the ramp after the end begins at least.
         double minRampLimit = 1;
+        // Part of a limit by which it may change without being reported as a change.
+        double minorChange = 0.1;
         // Maximum time for which requests that were sent beyond the share delay later ones.
         std::chrono::seconds maxDelay {30};
     };
@@ -73,7 +75,7 @@
     // The effect of a statement.
     enum class Change {
         None,
-        // The target has named its first limit, or a different one.
+        // The target has named its first limit, or one that differs from the one reported last by more than a minor change.
         Named,
         Ended,
     };
@@ -145,6 +147,8 @@
     struct Entry {
         int64_t incarnation = 0;
         double limit = 0;
+        // The limit at the last change that was reported to the caller of record().
+        double reportedLimit = 0;
         // When a relay received the newest statement.
         MonotonicTime observedAt;
         // When the target first responded without a limit.
--- a/Tests/LibRelay/TestTargetRequestLimits.cpp
+++ b/Tests/LibRelay/TestTargetRequestLimits.cpp
@@ -190,3 +190,13 @@
         {}, [](const std::string &) { return std::string(); }, Start + 4s);
     EXPECT_FALSE(limits.isLimited("t"));
 }
+
+// Guards against a log line and an early heartbeat for each response of a target whose limit varies a little, and against a slow change that is never reported.
+TEST(TargetRequestLimits, MinorChangesApplyAndAreNotReported)
+{
+    auto limits = limitsOfOneRelay(10);
+    EXPECT_EQ(limits.record({.target = "t", .incarnation = 1, .limit = 9.5}, Start + 1s), TargetRequestLimits::Change::None);
+    EXPECT_EQ(limits.limit("t"), 9.5);
+    EXPECT_EQ(limits.record({.target = "t", .incarnation = 1, .limit = 8.9}, Start + 2s), TargetRequestLimits::Change::Named);
+    EXPECT_EQ(limits.record({.target = "t", .incarnation = 1, .limit = 8.9}, Start + 3s), TargetRequestLimits::Change::None);
+}
