Migrate all drafts of a relay when their engine leaves

Callers saw: drafts that broke off with an engine whose leaving was known. It was found while writing the test for the limit on orders to copy: of seven drafts of one relay, one was migrated. Cause: drafts migrate one after the other, and the turn of the next one began only if the copy of the one before ended after its stream. Usually the stream ends later; then nothing began the next. Change: the end of a migration, or of its request, begins the next turn.

--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -267,6 +267,15 @@
     return nullptr;
 }
 
+void RelayCore::finishMigration(const std::string &request)
+{
+    migrations.remove(request);
+    if (migrations.nextDueTime()) {
+        // The caller may be in the middle of a decision about its own request.
+        boost::asio::post(loop, [this] { runMigrations(); });
+    }
+}
+
 void RelayCore::runMigrations()
 {
     const auto now = monotonicNow();
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -94,6 +94,8 @@
 
     // Starts the migrations that are due and schedules the later ones.
     void runMigrations();
+    // Ends the turn of a request's generation, so that the next one on its engine can migrate.
+    void finishMigration(const std::string &request);
 
 private:
     std::chrono::milliseconds migrationDelay(const std::string &target, MonotonicTime now) const;
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -254,7 +254,7 @@
     m_target = attempt.target.id;
     m_targetIncarnation = attempt.target.incarnation;
     m_core.running.insert(this);
-    m_core.migrations.remove(m_id);
+    m_core.finishMigration(m_id);
     logAttempt(attempt, load);
     const auto number = ++m_attemptNumber;
     const auto self = shared_from_this();
@@ -552,7 +552,7 @@
     m_core.balancer.onRunEnded(m_id, end, monotonicNow());
     m_core.balancer.dropCopy(m_id);
     m_core.running.erase(this);
-    m_core.migrations.remove(m_id);
+    m_core.finishMigration(m_id);
     m_waitTimer.cancel();
     m_deadlineTimer.cancel();
     m_silenceTimer.cancel();
--- a/Tests/Platform/TestRelay.cpp
+++ b/Tests/Platform/TestRelay.cpp
@@ -609,3 +609,102 @@
     EXPECT_GE(served, 4U);
     EXPECT_LE(served, 11U);
 }
+
+// Guards against drafts that stay on an engine that is leaving, because only the first of a relay's drafts there is migrated.
+TEST(Relay, AllDraftsOfARelayMigrateWhenTheirEngineLeaves)
+{
+    constexpr int Events = 250;
+    constexpr int Drafts = 4;
+    RelayTestBed testBed;
+    testBed.writeDocument(1);
+    testBed.addTarget("i-1", "engine", Events);
+    testBed.addRelay("n1");
+    ASSERT_TRUE(testBed.waitUntilReady("n1"));
+    std::vector<std::shared_ptr<RelayTestBed::Response>> responses;
+    std::vector<std::shared_ptr<TargetChannel>> channels;
+    for (int count = 0; count < Drafts; ++count) {
+        responses.push_back(std::make_shared<RelayTestBed::Response>());
+        channels.push_back(testBed.begin("n1", {.path = "/draft/x", .id = "r" + std::to_string(count)}, responses.back()));
+        ASSERT_TRUE(testBed.runUntil([&] { return responses.back()->body.size() > MinStreamBytes; }));
+    }
+    auto &second = testBed.addTarget("i-2", "engine", Events);
+    testBed.runFor(300ms);
+    testBed.registerTarget("i-1", "draining");
+    testBed.runUntil([&] { return second.continuations() == Drafts; }, 1500ms);
+    EXPECT_EQ(second.continuations(), Drafts);
+}
+
+// Guards against orders to copy that exceed the limit of the engine that is leaving.
+TEST(Relay, OrdersToCopyKeepTheLimitOfTheirTarget)
+{
+    constexpr int Events = 280;
+    constexpr int Drafts = 6;
+    RelayTestBed testBed;
+    testBed.writeDocument(1);
+    auto &engine = testBed.addTarget("i-1", "engine", Events);
+    testBed.addRelay("n1");
+    ASSERT_TRUE(testBed.waitUntilReady("n1"));
+    testBed.runFor(2s);
+    std::vector<std::shared_ptr<RelayTestBed::Response>> responses;
+    std::vector<std::shared_ptr<TargetChannel>> channels;
+    const auto start = [&] {
+        responses.push_back(std::make_shared<RelayTestBed::Response>());
+        channels.push_back(testBed.begin("n1", {.path = "/draft/x", .id = "r" + std::to_string(responses.size())}, responses.back()));
+        testBed.runUntil([&] { return responses.back()->body.size() > MinStreamBytes; });
+    };
+    for (int count = 0; count < Drafts; ++count) {
+        start();
+    }
+    engine.setRequestLimit("0.5");
+    start();
+    testBed.addTarget("i-2", "engine", Events);
+    testBed.runFor(300ms);
+    testBed.registerTarget("i-1", "draining");
+    testBed.runFor(2s);
+    EXPECT_GT(engine.copyOrders(), 0);
+    // One and a half times the limit and five requests in 4 s.
+    EXPECT_LE(engine.copyOrders(), 8);
+}
+
+// Guards against a relay that sends to a target although a peer has been told that the target takes no more.
+TEST(Relay, LimitsAreLearntFromPeers)
+{
+    RelayTestBed testBed;
+    testBed.writeDocument(1);
+    auto &desk = testBed.addTarget("i-1", "desk");
+    testBed.addRelay("n1");
+    testBed.addRelay("n2");
+    ASSERT_TRUE(testBed.waitUntilReady("n1"));
+    ASSERT_TRUE(testBed.waitUntilReady("n2"));
+    testBed.runFor(2s);
+    desk.setRequestLimit("0");
+    EXPECT_EQ(testBed.call("n1", {.path = "/status/x", .id = "told"}).status, 200);
+    testBed.runFor(500ms);
+    for (int count = 0; count < 20; ++count) {
+        const auto response = testBed.call("n2", {.path = "/status/x", .id = "r" + std::to_string(count)});
+        EXPECT_EQ(response.status, 503);
+        EXPECT_TRUE(response.head.has("Retry-After"));
+    }
+    EXPECT_EQ(desk.heads().size(), 1U);
+}
+
+// Guards against a Retry-After that sends callers away for longer than it takes until a target has room again.
+TEST(Relay, RetryAfterIsTheEndOfACooldownBeforeTheNextTurn)
+{
+    RelayTestBed testBed;
+    testBed.writeDocument(1);
+    auto &limited = testBed.addTarget("i-1", "desk");
+    auto &full = testBed.addTarget("i-2", "desk");
+    full.setBehaviour(StandInTarget::Behaviour::Full);
+    full.setRetryAfter("2");
+    testBed.addRelay("n1");
+    ASSERT_TRUE(testBed.waitUntilReady("n1"));
+    testBed.runFor(2s);
+    limited.setRequestLimit("0");
+    RelayTestBed::Response response;
+    for (int count = 0; limited.heads().empty() || full.heads().empty() || response.status != 503; ++count) {
+        ASSERT_LT(count, 50);
+        response = testBed.call("n1", {.path = "/status/x", .id = "r" + std::to_string(count)});
+    }
+    EXPECT_LE(std::stod(std::string(response.head.value("Retry-After"))), 2.0);
+}
