Give the end of a cooldown as Retry-After if it comes before the next turn

Callers saw: nothing yet; found while reading the diff. If one target of a service was limited and another had asked for a cooldown, Retry-After was the time until the limit's next turn, up to ten seconds, although the other target had room again sooner. Evidence: Relay.RetryAfterIsTheEndOfACooldownBeforeTheNextTurn, 9.92 s before, at most 2 s now. Change: the earlier of the two.

--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -204,7 +204,10 @@
     }
     m_core.metrics.count("relay_limit_held_back_total", "action=\"rejected\"");
     // Without a share of its own, the relay does not know when another one may send a request.
-    const auto nextAt = choice.nextLimited ? choice.nextLimitedAt : now + DefaultRetryAfter;
+    auto nextAt = choice.nextLimited ? choice.nextLimitedAt : now + DefaultRetryAfter;
+    if (choice.cooldownUntil) {
+        nextAt = std::min(nextAt, *choice.cooldownUntil);
+    }
     return {.rejection = RelayOutcome::OverRequestLimit,
             .retryAfter = std::max(OtherRelayRetryAfter, std::chrono::ceil<std::chrono::milliseconds>(nextAt - now))};
 }
