Let orders to copy and checks of targets keep the request limit

Callers saw: nothing yet; found while reading the diff. Orders to copy used up a limit but did not wait for it, on relays without a part of it they did not even count, and neither did the check of a target whose response was interrupted. Change: an order to copy, and such a check, wait for this relay's turn. The limit of a target that is leaving gets no new requests, so it is divided among the relays that have generations there. The number of relays that share a budget is a type of its own, so that the test of the retry slack cannot pass with another number.

--- a/Libraries/LibRelay/PeerTable.cpp
+++ b/Libraries/LibRelay/PeerTable.cpp
@@ -168,7 +168,7 @@
 
 void PeerTable::updateRequestLimitParticipants(MonotonicTime now)
 {
-    // The few relays that most others have lost may be alone, so they must not take over the parts of the others.
+    // While half or more of the relays are silent, this relay may be cut off from relays that are still running.
     const auto silent
         = std::count_if(m_lastHeard.begin(), m_lastHeard.end(), [&](const auto &entry) { return now - entry.second > m_options.participantRetention; });
     const bool isMostSilent = 2 * static_cast<size_t>(silent) >= m_lastHeard.size() + 1;
@@ -178,7 +178,7 @@
     m_peersKnownRelays = 0;
     for (const auto &[node, peer] : m_peers) {
         if (isAlive(peer, now)) {
-            m_liveOthers.push_back({.hash = hashOf(node), .region = regionOf(peer.latestHeartbeat.dataCentre)});
+            m_liveOthers.push_back({.node = node, .hash = hashOf(node), .region = regionOf(peer.latestHeartbeat.dataCentre)});
             m_peersKnownRelays = std::max(m_peersKnownRelays, peer.latestHeartbeat.knownRelays);
         }
     }
@@ -187,8 +187,8 @@
 RequestLimitParticipants PeerTable::requestLimitParticipants(MonotonicTime now) const
 {
     return {.others = m_liveOthers,
-            .self = {.hash = m_ownHash, .region = m_options.region},
-            .known = static_cast<size_t>(sharingRelayCount()),
+            .self = {.node = m_options.ownName, .hash = m_ownHash, .region = m_options.region},
+            .known = static_cast<size_t>(sharingRelays().count),
             .hasDiscoveredPeers = now - m_startedAt >= m_options.discoveryTime};
 }
 
--- a/Libraries/LibRelay/PeerTable.h
+++ b/Libraries/LibRelay/PeerTable.h
@@ -5,6 +5,7 @@
 #include <LibCore/Time.h>
 #include <LibPolicy/CrashSuspects.h>
 #include <LibRelay/ColdTargetRateLimiter.h>
+#include <LibRelay/ServiceRetryBudget.h>
 #include <LibRelay/TargetLoad.h>
 #include <LibRelay/TargetRequestLimits.h>
 #include <LibRelay/TargetTable.h>
@@ -77,7 +78,7 @@
         std::chrono::milliseconds maxSilenceTimeout {6000};
         // Relays that have been silent for longer have no share of the rate of cold targets any more.
         std::chrono::seconds participantRetention {30};
-        // Relays keep their part of request limits for this time while most relays are silent, because this relay may have lost the others.
+        // The same for budgets of all relays while half or more of the relays are silent, because they may still be running where this relay cannot hear them.
         std::chrono::minutes maxKnownRetention {10};
         // Time after which a started relay has discovered its peers through its seeds.
         std::chrono::milliseconds discoveryTime {2000};
@@ -122,18 +123,17 @@
     int liveRelayCount(MonotonicTime now) const;
     // The relays among which the rate of a cold target is divided. Valid until the table changes.
     ColdRateParticipants coldRateParticipants(MonotonicTime now) const;
-    // The relays among which the request limits of targets are divided. Valid until the table changes.
+    // The relays among which request limits are divided, without the properties of a target. Valid until the table changes.
     RequestLimitParticipants requestLimitParticipants(MonotonicTime now) const;
     // Number of relays that may be sending requests, this one and those that have been silent for a while included, as known by this relay alone.
     int knownRelayCount() const
     {
         return static_cast<int>(m_lastHeard.size()) + 1;
     }
-    // The same, as known by this relay and its live peers. Budgets of all relays together are divided by it, because the part of a relay that loses its
-    // connections must not grow.
-    int sharingRelayCount() const
+    // The same, as known by this relay and its live peers, because the part of a relay that loses its connections must not grow.
+    SharingRelays sharingRelays() const
     {
-        return std::max(knownRelayCount(), m_peersKnownRelays);
+        return {.count = std::max(knownRelayCount(), m_peersKnownRelays)};
     }
     // Some addresses of live relays, for the next heartbeat. Different random numbers select different ones, so that all become known over time.
     std::vector<std::string> knownAddresses(size_t maxCount, MonotonicTime now, uint64_t random) const;
--- a/Libraries/LibRelay/ServiceRetryBudget.cpp
+++ b/Libraries/LibRelay/ServiceRetryBudget.cpp
@@ -27,10 +27,10 @@
     m_requests.push_back(now);
 }
 
-bool ServiceRetryBudget::tryRetry(int relays, MonotonicTime now)
+bool ServiceRetryBudget::tryRetry(SharingRelays relays, MonotonicTime now)
 {
     expire(now);
-    const double bound = m_options.ratio * static_cast<double>(m_requests.size()) + relayShare(m_options.slack, relays);
+    const double bound = m_options.ratio * static_cast<double>(m_requests.size()) + relayShare(m_options.slack, relays.count);
     if (static_cast<double>(m_retries.size() + 1) > m_options.usedFraction * bound) {
         return false;
     }
--- a/Libraries/LibRelay/ServiceRetryBudget.h
+++ b/Libraries/LibRelay/ServiceRetryBudget.h
@@ -6,6 +6,12 @@
 namespace Jujube
 {
 
+// Number of relays among which a budget of all relays together is divided: those that may be sending requests, silent ones included. A type of its own, so that
+// the number of live relays cannot be taken for it.
+struct SharingRelays {
+    int count = 1;
+};
+
 // Limits the retries of one service, that is, the attempts after the first one of each request, in any window of the given length. Every relay keeps to its
 // part of the limit, so that relays need no coordination: the ratio applies to the relay's own requests, and the slack is divided by the number of relays.
 class ServiceRetryBudget
@@ -24,8 +30,8 @@
     explicit ServiceRetryBudget(Options options);
 
     void recordRequest(MonotonicTime now);
-    // Takes one retry from the budget. `relays` is the number of relays that may be sending requests, silent ones included. Returns false if none is left.
-    bool tryRetry(int relays, MonotonicTime now);
+    // Takes one retry from the budget. Returns false if none is left.
+    bool tryRetry(SharingRelays relays, MonotonicTime now);
 
 private:
     void expire(MonotonicTime now);
--- a/Libraries/LibRelay/TargetRequestLimits.cpp
+++ b/Libraries/LibRelay/TargetRequestLimits.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-// A relay with a smaller share than this many requests per second sends none in practice. It keeps intervals within the range of the clock's type.
+// Minimum share, in requests per second, for which an interval is computed. Longer intervals would not fit the clock's type.
 constexpr double MinShare = 1e-6;
 // Holders of a limit, in addition to one for each request per second. A single holder may have no requests for the target.
 constexpr size_t MinHolders = 2;
@@ -85,19 +85,20 @@
     return std::max(entry.limit, m_options.minRampLimit) * std::exp2(std::max(0.0, intervals));
 }
 
-double TargetRequestLimits::shareOf(
-    double limit, const RequestLimitParticipants &participants, std::string_view target, std::string_view region, bool isDividedAmongAll)
+double TargetRequestLimits::shareOf(double limit, const RequestLimitParticipants &participants, std::string_view target)
 {
     if (!participants.hasDiscoveredPeers) {
         return 0;
     }
     const size_t live = participants.others.size() + 1;
     const double part = limit * static_cast<double>(live) / static_cast<double>(std::max(participants.known, live));
-    const size_t holders = isDividedAmongAll || part >= static_cast<double>(live) ? live : std::min(live, MinHolders + static_cast<size_t>(part));
+    const bool areAllHolders = participants.areAllHolders || part >= static_cast<double>(live);
+    const size_t holders = areAllHolders ? live : std::min(live, MinHolders + static_cast<size_t>(part));
     if (holders < live) {
         const auto salt = saltOf(target);
-        const auto order
-            = [&](const RequestLimitParticipants::Relay &relay) { return std::make_tuple(relay.region != region, orderOf(relay.hash, salt), relay.hash); };
+        const auto order = [&](const RequestLimitParticipants::Relay &relay) {
+            return std::make_tuple(relay.region != participants.targetRegion, orderOf(relay.hash, salt), relay.hash);
+        };
         const auto own = order(participants.self);
         const auto before = std::count_if(participants.others.begin(), participants.others.end(), [&](const auto &other) { return order(other) < own; });
         if (static_cast<size_t>(before) >= holders) {
@@ -107,15 +108,15 @@
     return part / static_cast<double>(holders);
 }
 
-void TargetRequestLimits::update(const RequestLimitParticipants &participants,
-                                 const std::function<std::string(const std::string &target)> &regionOf,
-                                 MonotonicTime now)
+void TargetRequestLimits::update(const std::function<RequestLimitParticipants(const std::string &target)> &participantsOf, MonotonicTime now)
 {
     absl::erase_if(m_targets, [&](const auto &item) { return isOver(item.second, now); });
     for (auto &[target, entry] : m_targets) {
+        auto participants = participantsOf(target);
         const bool isStale = !entry.endedAt && now - entry.observedAt >= m_options.staleAfter;
-        const double share = shareOf(currentLimit(entry, now), participants, target, regionOf(target), isStale);
-        setShare(entry, share, SplitMix(orderOf(participants.self.hash, saltOf(target))).unit(), now);
+        participants.areAllHolders = participants.areAllHolders || isStale;
+        const auto phase = SplitMix(orderOf(participants.self.hash, saltOf(target))).unit();
+        setShare(entry, shareOf(currentLimit(entry, now), participants, target), phase, now);
     }
 }
 
@@ -186,13 +187,23 @@
     return mayProceed(target, m_options.continuationBurstTime, now);
 }
 
-std::optional<MonotonicTime> TargetRequestLimits::nextSendTime(const std::string &target, MonotonicTime now) const
+std::optional<MonotonicTime> TargetRequestLimits::nextTime(const std::string &target, std::chrono::milliseconds burstTime, MonotonicTime now) const
 {
     const auto found = m_targets.find(target);
     if (found == m_targets.end() || found->second.share <= 0) {
         return std::nullopt;
     }
-    return std::max(now, found->second.dueAt - m_options.burstTime);
+    return std::max(now, found->second.dueAt - burstTime);
+}
+
+std::optional<MonotonicTime> TargetRequestLimits::nextSendTime(const std::string &target, MonotonicTime now) const
+{
+    return nextTime(target, m_options.burstTime, now);
+}
+
+std::optional<MonotonicTime> TargetRequestLimits::nextContinueTime(const std::string &target, MonotonicTime now) const
+{
+    return nextTime(target, m_options.continuationBurstTime, now);
 }
 
 void TargetRequestLimits::advance(Entry &entry, MonotonicTime now) const
--- a/Libraries/LibRelay/TargetRequestLimits.h
+++ b/Libraries/LibRelay/TargetRequestLimits.h
@@ -13,9 +13,10 @@
 namespace Jujube
 {
 
-// The relays among which request limits are divided.
+// The relays among which the request limit of a target is divided.
 struct RequestLimitParticipants {
     struct Relay {
+        std::string node;
         // Hash of the relay's name.
         uint64_t hash = 0;
         std::string region;
@@ -28,6 +29,10 @@
     size_t known = 1;
     // Whether this relay has run for long enough to have received heartbeats of its peers.
     bool hasDiscoveredPeers = true;
+    // Region of the target. Its relays are the first holders.
+    std::string targetRegion;
+    // Whether all live relays are holders.
+    bool areAllHolders = false;
 };
 
 // Limits on the requests per second of all relays together that targets name in their responses, and this relay's shares of them.
@@ -43,7 +48,7 @@
     struct Options {
         // How much earlier than at the constant rate a request may be sent after a time without requests.
         std::chrono::milliseconds burstTime {250};
-        // The same for the continuation of a running generation, whose KV cache is nowhere else.
+        // The same for what saves a running generation, because its KV cache is nowhere else.
         std::chrono::milliseconds continuationBurstTime {1000};
         // A limit that no response has confirmed for this time is divided among all relays, so that one of them learns whether it still holds.
         std::chrono::seconds staleAfter {30};
@@ -52,7 +57,7 @@
         std::chrono::milliseconds rampTime {6000};
         // Requests per second that a target gets in any case, because only its responses tell when a limit rises or ends.
         double minLimit = 0.1;
-        // Limit from which the ramp after the end begins at least.
+        // Minimum limit at the start of the ramp.
         double minRampLimit = 1;
         // Part of a limit by which it may change without being reported as a change.
         double minorChange = 0.1;
@@ -104,13 +109,16 @@
     // Applies a statement, unless a newer one about the target is known. The share is zero until the next update().
     Change record(const Statement &statement, MonotonicTime now);
 
-    // Computes this relay's shares. `regionOf` returns the region of a target, or an empty string if it is not known.
-    void update(const RequestLimitParticipants &participants, const std::function<std::string(const std::string &target)> &regionOf, MonotonicTime now);
+    // Computes this relay's shares. `participantsOf` returns the relays among which the limit of a target is divided.
+    void update(const std::function<RequestLimitParticipants(const std::string &target)> &participantsOf, MonotonicTime now);
 
-    // The share of one relay in a limit, in requests per second. With `isDividedAmongAll`, every live relay is a holder.
-    static double
-    shareOf(double limit, const RequestLimitParticipants &participants, std::string_view target, std::string_view region, bool isDividedAmongAll = false);
+    // The share of one relay in a limit, in requests per second.
+    static double shareOf(double limit, const RequestLimitParticipants &participants, std::string_view target);
 
+    bool hasLimits() const
+    {
+        return !m_targets.empty();
+    }
     bool isLimited(const std::string &target) const;
     // The limit that a target has named last. Nothing if it has none, or none any more.
     std::optional<double> limit(const std::string &target) const;
@@ -120,10 +128,12 @@
 
     // Whether a request may be sent to a target now.
     bool maySend(const std::string &target, MonotonicTime now) const;
-    // Whether a running generation may continue at a target now.
+    // Whether something may be sent to a target now that saves a running generation: its continuation, or an order to copy it.
     bool mayContinue(const std::string &target, MonotonicTime now) const;
     // When this relay may send the next request to a limited target. Nothing if it has no share.
     std::optional<MonotonicTime> nextSendTime(const std::string &target, MonotonicTime now) const;
+    // The same for what saves a running generation.
+    std::optional<MonotonicTime> nextContinueTime(const std::string &target, MonotonicTime now) const;
     // Reserves the next request to a target. Nothing if that is later than `latest`, or if this relay has no share.
     std::optional<Reservation> reserve(const std::string &target, MonotonicTime latest, MonotonicTime now);
     bool isValid(const Reservation &reservation, MonotonicTime now) const;
@@ -167,6 +177,7 @@
     static MonotonicTime::duration intervalOf(double share);
     void advance(Entry &entry, MonotonicTime now) const;
     bool mayProceed(const std::string &target, std::chrono::milliseconds burstTime, MonotonicTime now) const;
+    std::optional<MonotonicTime> nextTime(const std::string &target, std::chrono::milliseconds burstTime, MonotonicTime now) const;
     static Statement statementOf(const std::string &target, const Entry &entry, MonotonicTime now);
 
     Options m_options;
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds ShutdownMargin {600};
 // Responses of one target that are interrupted within this time are attributed to one crash.
 constexpr std::chrono::milliseconds CrashGroupingTime {100};
+// A target is not checked any more if its request limit has not allowed that for this time.
+constexpr std::chrono::milliseconds MaxCheckDelay {1000};
 constexpr std::chrono::milliseconds StateTimeout {400};
 constexpr double MillisecondsPerSecond = 1000;
 // A limit that falls below this part of the previous one is reported to peers at once.
@@ -87,6 +89,7 @@
     entry.add("target", target).add("reason", reason);
     log(entry);
     metrics.count("relay_targets_left_total");
+    updateRequestLimits(now);
     migrations.addLeavingTarget(target, migrationDelay(target, now), now);
     dropBackupsAt(target);
     for (auto *exchange : running) {
@@ -139,14 +142,32 @@
     }
 }
 
+RequestLimitParticipants RelayCore::requestLimitParticipants(const std::string &target, MonotonicTime now)
+{
+    auto result = peers.requestLimitParticipants(now);
+    const auto *known = targets.find(target);
+    const auto region = known ? options.regions.find(known->entry.dataCentre) : options.regions.end();
+    result.targetRegion = region == options.regions.end() ? std::string() : region->second;
+    if (!targets.isLeaving(target)) {
+        return result;
+    }
+    // A target that is leaving gets no new requests, so the limit is left to the relays that still have generations there.
+    const auto silent = result.known - std::min(result.known, result.others.size() + 1);
+    m_limitSharers.clear();
+    for (const auto &relay : result.others) {
+        if (balancer.peerLoad(relay.node, target).movable > 0) {
+            m_limitSharers.push_back(relay);
+        }
+    }
+    result.others = m_limitSharers;
+    result.known = m_limitSharers.size() + 1 + silent;
+    result.areAllHolders = true;
+    return result;
+}
+
 void RelayCore::updateRequestLimits(MonotonicTime now)
 {
-    const auto regionOf = [this](const std::string &target) {
-        const auto *known = targets.find(target);
-        const auto region = known ? options.regions.find(known->entry.dataCentre) : options.regions.end();
-        return region == options.regions.end() ? std::string() : region->second;
-    };
-    balancer.requestLimits().update(peers.requestLimitParticipants(now), regionOf, now);
+    balancer.requestLimits().update([this, now](const std::string &target) { return requestLimitParticipants(target, now); }, now);
 }
 
 void RelayCore::exportRequestLimits(MonotonicTime now)
@@ -192,22 +213,37 @@
         return;
     }
     const bool isFirst = m_interrupted.empty();
-    m_interrupted[target].push_back(digest);
-    if (!isFirst) {
-        return;
+    m_interrupted.try_emplace(target, Interruption {.since = monotonicNow()}).first->second.digests.push_back(digest);
+    if (isFirst) {
+        // Other requests on the target are interrupted at the same time.
+        armInterruptedTimer();
     }
-    // Other requests on the target are interrupted at the same time.
+}
+
+void RelayCore::armInterruptedTimer()
+{
     m_interruptedTimer.expires_after(CrashGroupingTime);
     m_interruptedTimer.async_wait([this](const LoopError &error) {
-        if (error) {
-            return;
-        }
-        for (const auto &[interrupted, digests] : std::exchange(m_interrupted, {})) {
-            checkTarget(interrupted, digests);
+        if (!error) {
+            checkInterruptedTargets(monotonicNow());
         }
     });
 }
 
+void RelayCore::checkInterruptedTargets(MonotonicTime now)
+{
+    for (auto &[target, interruption] : std::exchange(m_interrupted, {})) {
+        if (balancer.requestLimits().mayContinue(target, now)) {
+            checkTarget(target, interruption.digests);
+        } else if (now - interruption.since < MaxCheckDelay) {
+            m_interrupted.emplace(target, std::move(interruption));
+        }
+    }
+    if (!m_interrupted.empty()) {
+        armInterruptedTimer();
+    }
+}
+
 void RelayCore::checkTarget(const std::string &target, const std::vector<uint64_t> &interrupted)
 {
     const auto *known = targets.find(target);
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -99,12 +99,23 @@
 
 private:
     std::chrono::milliseconds migrationDelay(const std::string &target, MonotonicTime now) const;
+    RequestLimitParticipants requestLimitParticipants(const std::string &target, MonotonicTime now);
+    void armInterruptedTimer();
+    // Checks targets whose responses were interrupted, as far as their request limits allow it.
+    void checkInterruptedTargets(MonotonicTime now);
     std::shared_ptr<RelayExchange> findRunning(const std::string &request) const;
 
     LineWriter &m_lines;
     std::mt19937_64 m_random;
-    // Digests of recently interrupted requests, by target, until the target has been checked.
-    absl::flat_hash_map<std::string, std::vector<uint64_t>> m_interrupted;
+    struct Interruption {
+        MonotonicTime since;
+        // Digests of the interrupted requests.
+        std::vector<uint64_t> digests;
+    };
+    // Recently interrupted requests, by target, until the target has been checked.
+    absl::flat_hash_map<std::string, Interruption> m_interrupted;
+    // The relays among which the limit of the target is divided that was asked for last.
+    std::vector<RequestLimitParticipants::Relay> m_limitSharers;
     boost::asio::steady_timer m_interruptedTimer;
     boost::asio::steady_timer m_migrationTimer;
     absl::flat_hash_map<std::string, std::unique_ptr<ServiceRetryBudget>> m_retryBudgets;
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -144,28 +144,28 @@
                                    .deadline = m_admission.deadline - DeadlineMargin};
     m_session = std::make_unique<RelaySession>(
         facts,
-        RelaySession::Hooks {
-            .choose = [this](const std::set<std::string> &excluded, MonotonicTime now) { return choose(excluded, now); },
-            .chooseBackup = [this](const RelayTarget &target, MonotonicTime now) { return chooseBackup(target, now); },
-            .chooseDestination = [this](const std::set<std::string> &excluded, MonotonicTime now) { return chooseDestination(excluded, now); },
-            .mayContinue = [this](const RelayTarget &target, MonotonicTime now) { return mayContinue(target, now); },
-            .tryTakeRetry = [this](MonotonicTime now) { return m_core.retryBudget(m_admission.service->name).tryRetry(m_core.peers.sharingRelayCount(), now); },
-            .sendAttempt = [this](const RelayAttempt &attempt) { send(attempt); },
-            .wait = [this](MonotonicTime until) { armWaitTimer(until); },
-            .abortAttempt = [this] { abortAttempt(); },
-            .startCopy = [this](const RelayTarget &source, const RelayTarget &destination, bool stop) { copy(source, destination, stop); },
-            .beginResponse = [this](std::optional<uint64_t> length) { beginResponse(length); },
-            .write =
-                [this](std::string_view bytes) {
-                    m_caller->write(bytes);
-                    if (m_targetConnection && m_caller->isCongested()) {
-                        m_targetConnection->pause();
-                    }
-                },
-            .finishResponse = [this] { finishResponse(); },
-            .respond = [this](RelayOutcome outcome, std::chrono::milliseconds retryAfter) { answer(outcome, retryAfter); },
-            .cutResponse = [this](RelayOutcome outcome) { cut(outcome); },
-            .record = [this](std::string_view decision, std::string_view reason) { record(decision, reason); }});
+        RelaySession::Hooks {.choose = [this](const std::set<std::string> &excluded, MonotonicTime now) { return choose(excluded, now); },
+                             .chooseBackup = [this](const RelayTarget &target, MonotonicTime now) { return chooseBackup(target, now); },
+                             .chooseDestination = [this](const std::set<std::string> &excluded, MonotonicTime now) { return chooseDestination(excluded, now); },
+                             .mayContinue = [this](const RelayTarget &target, MonotonicTime now) { return mayContinue(target, now); },
+                             .tryTakeRetry
+                             = [this](MonotonicTime now) { return m_core.retryBudget(m_admission.service->name).tryRetry(m_core.peers.sharingRelays(), now); },
+                             .sendAttempt = [this](const RelayAttempt &attempt) { send(attempt); },
+                             .wait = [this](MonotonicTime until) { armWaitTimer(until); },
+                             .abortAttempt = [this] { abortAttempt(); },
+                             .startCopy = [this](const RelayTarget &source, const RelayTarget &destination, bool stop) { copy(source, destination, stop); },
+                             .beginResponse = [this](std::optional<uint64_t> length) { beginResponse(length); },
+                             .write =
+                                 [this](std::string_view bytes) {
+                                     m_caller->write(bytes);
+                                     if (m_targetConnection && m_caller->isCongested()) {
+                                         m_targetConnection->pause();
+                                     }
+                                 },
+                             .finishResponse = [this] { finishResponse(); },
+                             .respond = [this](RelayOutcome outcome, std::chrono::milliseconds retryAfter) { answer(outcome, retryAfter); },
+                             .cutResponse = [this](RelayOutcome outcome) { cut(outcome); },
+                             .record = [this](std::string_view decision, std::string_view reason) { record(decision, reason); }});
 }
 
 TargetChoice RelayExchange::choose(const std::set<std::string> &excluded, MonotonicTime now)
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -77,6 +77,9 @@
     void onEnd(ChannelEnd end, const std::string &error);
     void abortAttempt();
     void copy(const RelayTarget &source, const RelayTarget &destination, bool stop);
+    // Orders the copy once the request limit of the source allows it, or gives it up.
+    void waitForCopy(const RelayTarget &source, const RelayTarget &destination, bool stop, MonotonicTime now);
+    void handleCopied(const CopyResult &result, MonotonicTime now);
     void beginResponse(std::optional<uint64_t> length);
     void answer(RelayOutcome outcome, std::chrono::milliseconds retryAfter);
     void finishResponse();
--- a/Libraries/LibRelayServer/RelayExchangeMigration.cpp
+++ b/Libraries/LibRelayServer/RelayExchangeMigration.cpp
@@ -14,6 +14,8 @@
 // Maximum number of attempts to migrate one generation away from targets that are leaving.
 constexpr int MaxMigrationAttempts = 12;
 constexpr std::chrono::milliseconds MigrationRetryDelay {150};
+// Maximum time for which a migration that has begun waits until the request limit of its source allows the next order to copy.
+constexpr std::chrono::milliseconds MaxWaitForCopy {1000};
 // Weight of an output token relative to a prompt token in the value of a generation.
 constexpr int64_t OutputWeight = 10;
 // Engines above this fraction of their KV cache keep no backups of generations elsewhere, so that their own generations are not evicted.
@@ -104,13 +106,17 @@
 
 void RelayExchange::copy(const RelayTarget &source, const RelayTarget &destination, bool stop)
 {
+    const auto orderedAt = monotonicNow();
+    auto &limits = m_core.balancer.requestLimits();
+    if (!limits.mayContinue(source.id, orderedAt)) {
+        waitForCopy(source, destination, stop, orderedAt);
+        return;
+    }
+    limits.recordSend(source.id, orderedAt);
     const auto endpoint = Endpoint::parse(source.address);
     auto call = m_core.adapter.buildCopyCall(m_id, destination.address, stop);
     call.timeout = CopyTimeout;
     call.freshConnection = true;
-    const auto orderedAt = monotonicNow();
-    // Orders to copy use up the limit but do not wait for it, because the generation is lost with its engine.
-    m_core.balancer.requestLimits().recordSend(source.id, orderedAt);
     m_core.client.call(*endpoint, call, [self = shared_from_this(), source, destination, stop, orderedAt](const LoopAnswer &response) {
         const auto now = monotonicNow();
         const auto result = self->m_core.adapter.decodeCopy(response);
@@ -123,14 +129,38 @@
             .add("events_made", result.eventsProduced)
             .add("took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - orderedAt).count());
         self->m_core.log(line);
-        if (self->m_isFinished) {
+        self->handleCopied(result, now);
+    });
+}
+
+void RelayExchange::handleCopied(const CopyResult &result, MonotonicTime now)
+{
+    if (m_isFinished) {
+        return;
+    }
+    m_session->onCopied(result, now);
+    if (!m_isFinished && !m_session->isMigrating()) {
+        m_core.migrations.remove(m_id);
+        retryMigrationAfter(result.kind);
+        m_core.runMigrations();
+    }
+}
+
+void RelayExchange::waitForCopy(const RelayTarget &source, const RelayTarget &destination, bool stop, MonotonicTime now)
+{
+    const auto next = m_core.balancer.requestLimits().nextContinueTime(source.id, now);
+    // The engine is gone by then, and others may migrate in the meantime.
+    const bool isTooLate = !next || *next - now > MaxWaitForCopy;
+    m_migrationTimer.expires_at(isTooLate ? now : *next);
+    // The source's stream may end while the order waits, and then nothing else keeps the exchange alive.
+    m_migrationTimer.async_wait([self = shared_from_this(), source, destination, stop, isTooLate](const LoopError &error) {
+        if (error || self->m_isFinished) {
             return;
         }
-        self->m_session->onCopied(result, now);
-        if (!self->m_isFinished && !self->m_session->isMigrating()) {
-            self->m_core.migrations.remove(self->m_id);
-            self->retryMigrationAfter(result.kind);
-            self->m_core.runMigrations();
+        if (isTooLate) {
+            self->handleCopied({.kind = CopyResult::Kind::Busy}, monotonicNow());
+        } else {
+            self->copy(source, destination, stop);
         }
     });
 }
@@ -164,7 +194,7 @@
 
 bool RelayExchange::startMigration(MonotonicTime now)
 {
-    if (m_isFinished) {
+    if (m_isFinished || !m_core.balancer.requestLimits().mayContinue(m_target, now)) {
         return false;
     }
     m_session->onTargetLeaving(now);
--- a/Tests/LibRelay/RequestLimitFleet.cpp
+++ b/Tests/LibRelay/RequestLimitFleet.cpp
@@ -38,7 +38,7 @@
         regions[regionName(region)] = regionName(region);
     }
     node.peers = std::make_unique<PeerTable>(
-        PeerTable::Options {.ownAddress = node.name + ":1", .ownName = node.name, .region = node.dataCentre, .regions = regions}, m_now);
+        PeerTable::Options {.ownAddress = node.name + ":1", .ownName = node.name, .region = node.dataCentre, .regions = regions}, timeOf(node));
     node.limits = TargetRequestLimits({});
     node.nextHeartbeat = m_now + std::chrono::milliseconds(m_random.below(static_cast<uint32_t>(HeartbeatInterval.count())));
     node.isNew = true;
@@ -67,6 +67,19 @@
     start(node);
 }
 
+void RequestLimitFleet::freezeRelay(size_t index)
+{
+    m_relays.at(index)->frozenSince = m_now;
+}
+
+void RequestLimitFleet::wakeRelay(size_t index)
+{
+    auto &node = *m_relays.at(index);
+    const auto time = m_now - *std::exchange(node.frozenSince, std::nullopt);
+    node.frozenTime += time;
+    node.undetectedFreeze += time;
+}
+
 void RequestLimitFleet::setGroup(size_t index, int group)
 {
     m_relays.at(index)->group = group;
@@ -80,7 +93,8 @@
 
 void RequestLimitFleet::sendHeartbeats(Node &node)
 {
-    node.peers->expire(m_now);
+    const auto now = timeOf(node);
+    node.peers->expire(now);
     PeerHeartbeat heartbeat {.node = node.name,
                              .incarnation = node.incarnation,
                              .sequence = ++node.sequence,
@@ -89,24 +103,24 @@
                              .dataCentre = node.dataCentre,
                              .accepting = true,
                              .heartbeatInterval = HeartbeatInterval,
-                             .requestLimits = node.isNew ? node.limits.allStatements(m_now) : node.limits.recentStatements(LimitReportTime, m_now),
+                             .requestLimits = node.isNew ? node.limits.allStatements(now) : node.limits.recentStatements(LimitReportTime, now),
                              .knownRelays = node.peers->knownRelayCount()};
     for (auto &statement : heartbeat.requestLimits) {
         statement.peer = node.name;
     }
     for (const auto &other : m_relays) {
-        if (other.get() == &node || other->group != node.group) {
+        if (other.get() == &node || other->group != node.group || other->frozenSince) {
             continue;
         }
-        if (other->peers->handleHeartbeat(heartbeat, m_now) == PeerTable::Change::Joined) {
+        if (other->peers->handleHeartbeat(heartbeat, timeOf(*other)) == PeerTable::Change::Joined) {
             // Relays send what they know to a relay that is new to them.
-            for (auto statement : other->limits.allStatements(m_now)) {
+            for (auto statement : other->limits.allStatements(timeOf(*other))) {
                 statement.peer = other->name;
-                node.limits.record(statement, m_now);
+                node.limits.record(statement, now);
             }
         }
         for (const auto &statement : heartbeat.requestLimits) {
-            other->limits.record(statement, m_now);
+            other->limits.record(statement, timeOf(*other));
         }
     }
     node.isNew = false;
@@ -115,23 +129,55 @@
 void RequestLimitFleet::updateShare(Node &node)
 {
     node.nextUpdate = m_now + UpdateInterval;
-    node.limits.update(
-        node.peers->requestLimitParticipants(m_now), [](const std::string &) { return regionName(0); }, m_now);
+    auto participants = node.peers->requestLimitParticipants(timeOf(node));
+    participants.targetRegion = regionName(0);
+    node.limits.update([&](const std::string &) { return participants; }, timeOf(node));
 }
 
 void RequestLimitFleet::deliverResponses()
 {
+    std::deque<Response> unread;
     while (!m_responses.empty() && m_responses.front().receivedAt <= m_now) {
         const auto response = m_responses.front();
         m_responses.pop_front();
-        for (const auto &node : m_relays) {
-            if (node->name == response.relay && node->incarnation == response.incarnation) {
-                if (node->limits.record({.target = Target, .incarnation = 1, .limit = response.limit}, m_now) != TargetRequestLimits::Change::None) {
-                    updateShare(*node);
-                }
-            }
+        const auto found = std::find_if(m_relays.begin(), m_relays.end(), [&](const auto &node) { return node->name == response.relay; });
+        if (found == m_relays.end() || (*found)->incarnation != response.incarnation) {
+            continue;
+        }
+        auto &node = **found;
+        if (node.frozenSince) {
+            unread.push_back(response);
+        } else if (node.limits.record({.target = Target, .incarnation = 1, .limit = response.limit}, timeOf(node)) != TargetRequestLimits::Change::None) {
+            updateShare(node);
         }
     }
+    m_responses.insert(m_responses.begin(), unread.begin(), unread.end());
+}
+
+void RequestLimitFleet::runNode(Node &node)
+{
+    if (node.frozenSince) {
+        return;
+    }
+    if (node.undetectedFreeze.count() > 0) {
+        node.limits.onFrozen(std::exchange(node.undetectedFreeze, {}));
+    }
+    if (m_now >= node.nextHeartbeat) {
+        node.nextHeartbeat = m_now + HeartbeatInterval;
+        sendHeartbeats(node);
+    }
+    if (m_now >= node.nextUpdate) {
+        updateShare(node);
+    }
+    // Each relay gets requests at the same rate, at random times.
+    const double probability = m_options.demand * std::chrono::duration<double>(Step).count() / static_cast<double>(m_relays.size());
+    if (m_random.unit() >= probability || !node.limits.maySend(Target, timeOf(node))) {
+        return;
+    }
+    node.limits.recordSend(Target, timeOf(node));
+    m_arrivals.push_back(m_now);
+    m_check.recordArrival(m_now);
+    m_responses.push_back({.receivedAt = m_now + ResponseTime, .relay = node.name, .incarnation = node.incarnation, .limit = m_limit});
 }
 
 void RequestLimitFleet::step()
@@ -139,24 +185,7 @@
     m_now += Step;
     deliverResponses();
     for (const auto &node : m_relays) {
-        if (m_now >= node->nextHeartbeat) {
-            node->nextHeartbeat += HeartbeatInterval;
-            sendHeartbeats(*node);
-        }
-        if (m_now >= node->nextUpdate) {
-            updateShare(*node);
-        }
-    }
-    // Each relay gets requests at the same rate, at random times.
-    const double perRelay = m_options.demand * std::chrono::duration<double>(Step).count() / static_cast<double>(m_relays.size());
-    for (const auto &node : m_relays) {
-        if (m_random.unit() >= perRelay || !node->limits.maySend(Target, m_now)) {
-            continue;
-        }
-        node->limits.recordSend(Target, m_now);
-        m_arrivals.push_back(m_now);
-        m_check.recordArrival(m_now);
-        m_responses.push_back({.receivedAt = m_now + ResponseTime, .relay = node->name, .incarnation = node->incarnation, .limit = m_limit});
+        runNode(*node);
     }
 }
 
--- a/Tests/LibRelay/RequestLimitFleet.h
+++ b/Tests/LibRelay/RequestLimitFleet.h
@@ -37,6 +37,9 @@
     // Ends a relay without notice.
     void removeRelay(size_t index);
     void restartRelay(size_t index);
+    // Suspends a relay with its machine: its monotonic clock stands still, heartbeats to it are lost, and it reads responses when it wakes.
+    void freezeRelay(size_t index);
+    void wakeRelay(size_t index);
     // Relays of different groups do not receive each other's heartbeats.
     void setGroup(size_t index, int group);
     size_t relayCount() const
@@ -61,6 +64,11 @@
         std::string name;
         std::string dataCentre;
         int group = 0;
+        std::optional<MonotonicTime> frozenSince;
+        // Time for which the relay was frozen, by which its clock is behind.
+        MonotonicTime::duration frozenTime {0};
+        // The part of that time which the relay has not detected yet.
+        MonotonicTime::duration undetectedFreeze {0};
         int64_t incarnation = 1;
         int64_t sequence = 0;
         std::unique_ptr<PeerTable> peers;
@@ -78,7 +86,12 @@
     };
 
     void start(Node &node);
+    MonotonicTime timeOf(const Node &node) const
+    {
+        return m_now - node.frozenTime;
+    }
     void step();
+    void runNode(Node &node);
     void sendHeartbeats(Node &node);
     void updateShare(Node &node);
     void deliverResponses();
--- a/Tests/LibRelay/TestBudgetsAndMigrations.cpp
+++ b/Tests/LibRelay/TestBudgetsAndMigrations.cpp
@@ -31,7 +31,7 @@
             budget.recordRequest(now);
             requests.push_back(now);
             for (int attempt = 0; attempt < 3; ++attempt) {
-                if (budget.tryRetry(std::max(1, gateways - 1), now)) {
+                if (budget.tryRetry({.count = std::max(1, gateways - 1)}, now)) {
                     retries.push_back(now);
                 }
             }
@@ -74,7 +74,7 @@
     int retries = 0;
     for (const auto &table : tables) {
         ServiceRetryBudget budget({.ratio = 0.2, .slack = Slack, .window = 10s});
-        while (budget.tryRetry(table->sharingRelayCount(), Start + 20s)) {
+        while (budget.tryRetry(table->sharingRelays(), Start + 20s)) {
             ++retries;
         }
     }
@@ -85,7 +85,7 @@
 TEST(ServiceRetryBudget, SlackAllowsRetriesWithoutRequests)
 {
     ServiceRetryBudget budget({.ratio = 0.2, .slack = 50, .window = 10s});
-    EXPECT_TRUE(budget.tryRetry(7, Start));
+    EXPECT_TRUE(budget.tryRetry({.count = 7}, Start));
 }
 
 // Guards against copies that queue behind each other on the link of an engine that leaves within two seconds with several drafts.
--- a/Tests/LibRelay/TestPeers.cpp
+++ b/Tests/LibRelay/TestPeers.cpp
@@ -401,3 +401,21 @@
     EXPECT_FALSE(targets.recordLeaving("t", 1, Start + 2s));
     EXPECT_EQ(targets.recentChanges(1s, Start + 2s).size(), 1U);
 }
+
+// Guards against limits, and numbers of relays, that are lost or changed on the way to a peer.
+TEST(PeerHeartbeatCodec, RequestLimitsArriveAsTheyWereSent)
+{
+    auto heartbeat = heartbeatMessage("a", 1);
+    heartbeat.requestLimits = {{.target = "t", .incarnation = 7, .limit = 5.25, .age = 1200ms}, {.target = "u", .incarnation = 8, .age = 30ms}};
+    heartbeat.knownRelays = 195;
+    const auto received = decodePeerHeartbeat(encodePeerHeartbeat(heartbeat));
+    ASSERT_TRUE(received);
+    EXPECT_EQ(received->knownRelays, 195);
+    ASSERT_EQ(received->requestLimits.size(), 2U);
+    EXPECT_EQ(received->requestLimits[0].target, "t");
+    EXPECT_EQ(received->requestLimits[0].incarnation, 7);
+    EXPECT_EQ(received->requestLimits[0].limit, 5.25);
+    EXPECT_EQ(received->requestLimits[0].age, 1200ms);
+    EXPECT_EQ(received->requestLimits[0].peer, "a");
+    EXPECT_FALSE(received->requestLimits[1].limit);
+}
