Send nothing to limited targets until limits are learnt again after a freeze

Callers saw: nothing yet; found by a simulation that was added while reading the diff. Relays that wake go on by the limits that they knew; if one has fallen meanwhile, they send too much at once. Change: a relay notices that it did not run before it decides about a limited target, and then waits 2 s, in which peers report their limits.

--- a/Libraries/LibRelay/TargetRequestLimits.cpp
+++ b/Libraries/LibRelay/TargetRequestLimits.cpp
@@ -174,7 +174,7 @@
     if (found == m_targets.end() || isOver(found->second, now)) {
         return true;
     }
-    return found->second.share > 0 && found->second.dueAt - burstTime <= now;
+    return found->second.share > 0 && now >= m_outdatedUntil && found->second.dueAt - burstTime <= now;
 }
 
 bool TargetRequestLimits::maySend(const std::string &target, MonotonicTime now) const
@@ -193,7 +193,7 @@
     if (found == m_targets.end() || found->second.share <= 0) {
         return std::nullopt;
     }
-    return std::max(now, found->second.dueAt - burstTime);
+    return std::max({now, m_outdatedUntil, found->second.dueAt - burstTime});
 }
 
 std::optional<MonotonicTime> TargetRequestLimits::nextSendTime(const std::string &target, MonotonicTime now) const
@@ -229,7 +229,7 @@
 bool TargetRequestLimits::isValid(const Reservation &reservation, MonotonicTime now) const
 {
     const auto found = m_targets.find(reservation.target);
-    return now >= reservation.sendAt && (found == m_targets.end() || found->second.reductions == reservation.reductions);
+    return now >= std::max(reservation.sendAt, m_outdatedUntil) && (found == m_targets.end() || found->second.reductions == reservation.reductions);
 }
 
 void TargetRequestLimits::recordSend(const std::string &target, MonotonicTime now)
@@ -266,12 +266,13 @@
     return result;
 }
 
-void TargetRequestLimits::onFrozen(std::chrono::nanoseconds time)
+void TargetRequestLimits::onFrozen(std::chrono::nanoseconds suspended, MonotonicTime now)
 {
+    m_outdatedUntil = now + m_options.relearningTime;
     for (auto &[target, entry] : m_targets) {
-        entry.observedAt -= time;
+        entry.observedAt -= suspended;
         if (entry.endedAt) {
-            *entry.endedAt -= time;
+            *entry.endedAt -= suspended;
         }
     }
 }
--- a/Libraries/LibRelay/TargetRequestLimits.h
+++ b/Libraries/LibRelay/TargetRequestLimits.h
@@ -59,6 +59,8 @@
         double minLimit = 0.1;
         // Minimum limit at the start of the ramp.
         double minRampLimit = 1;
+        // Time after a freeze in which peers report the limits that have changed.
+        std::chrono::milliseconds relearningTime {2000};
         // Part of a limit by which it may change without being reported as a change.
         double minorChange = 0.1;
         // Maximum time for which requests that were sent beyond the share delay later ones.
@@ -145,8 +147,9 @@
     // All statements that are known, for a relay that has just started.
     std::vector<Statement> allStatements(MonotonicTime now) const;
 
-    // Corrects the ages of all statements after a time in which the monotonic clock did not run.
-    void onFrozen(std::chrono::nanoseconds time);
+    // Handles that the process did not run for a while. Limits may have changed meanwhile, so limited targets get nothing until peers have reported theirs.
+    // `suspended` is the part of that time for which the monotonic clock did not run, by which all statements are older.
+    void onFrozen(std::chrono::nanoseconds suspended, MonotonicTime now);
 
     // Removes the limit of an earlier lifetime of a target.
     void forgetBefore(const std::string &target, int64_t incarnation);
@@ -182,6 +185,8 @@
 
     Options m_options;
     absl::flat_hash_map<std::string, Entry> m_targets;
+    // The end of the time after a freeze in which limits may be outdated.
+    MonotonicTime m_outdatedUntil;
 };
 
 } // namespace Jujube
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -6,6 +6,7 @@
 #include <ctime>
 #include <LibCore/AbslView.h>
 #include <LibRelayServer/RelayExchange.h>
+#include <utility>
 
 namespace Jujube
 {
@@ -61,6 +62,7 @@
                    },
                .isReading = [this] { return m_readers.isReading(); }})
     , m_timer(loop)
+    , m_lastRunAt(monotonicNow())
     , m_lastSuspendedTime(suspendedTime())
     , m_readers({.node = m_core.options.node})
 {
@@ -72,6 +74,7 @@
     auto relay = std::unique_ptr<Relay>(new Relay(loop, std::move(options), std::move(adapter), lines, std::move(settings)));
     relay->followStore();
     relay->m_core.onMigrationEnded = [raw = relay.get()] { raw->m_peers.scheduleHeartbeat(NotificationScope::All); };
+    relay->m_core.detectFreeze = [raw = relay.get()](MonotonicTime now) { raw->detectFreeze(now); };
     relay->m_core.onRequestLimitLowered = [raw = relay.get()] { raw->m_peers.scheduleHeartbeat(NotificationScope::All); };
     relay->m_core.onLoadChanged = [raw = relay.get()](bool isGeneration) { raw->m_peers.scheduleLoadUpdate(isGeneration); };
     if (auto status = relay->listen(); !status.ok()) {
@@ -210,7 +213,7 @@
 {
     const auto now = monotonicNow();
     ++m_ticks;
-    detectFreeze();
+    detectFreeze(now);
     for (const auto &target : m_core.targets.tick(now)) {
         m_core.handleTargetLeaving(target, "entry expired", now);
     }
@@ -292,18 +295,21 @@
     }
 }
 
-void Relay::detectFreeze()
+void Relay::detectFreeze(MonotonicTime now)
 {
     const auto suspended = suspendedTime();
-    const auto frozen = suspended - m_lastSuspendedTime;
-    m_lastSuspendedTime = suspended;
+    const auto frozen = suspended - std::exchange(m_lastSuspendedTime, suspended);
+    // The clock goes on while only the process is stopped.
+    const auto stopped = now - std::exchange(m_lastRunAt, now) - TickInterval;
+    if (frozen >= MinFreezeTime || stopped >= MinFreezeTime) {
+        m_core.balancer.requestLimits().onFrozen(frozen, now);
+    }
     if (frozen < MinFreezeTime) {
         return;
     }
     auto line = m_core.line(EventKind::ProcessWasFrozen);
     line.add("for_ms", std::chrono::duration_cast<std::chrono::milliseconds>(frozen).count());
     m_core.log(line);
-    m_core.balancer.requestLimits().onFrozen(frozen);
     m_core.channels.clear();
     m_core.client.closeIdle();
     m_documents->readNow();
--- a/Libraries/LibRelayServer/Relay.h
+++ b/Libraries/LibRelayServer/Relay.h
@@ -76,7 +76,7 @@
     // Notifies all relays at once when this relay's reads begin to succeed or to fail.
     void notifyReadingChange(MonotonicTime now);
     void checkDrain(MonotonicTime now);
-    void detectFreeze();
+    void detectFreeze(MonotonicTime now);
 
     RelayCore m_core;
     const SettingsHooks m_settings;
@@ -89,6 +89,7 @@
     std::unique_ptr<TableFollower> m_documents;
     std::unique_ptr<TableFollower> m_targets;
     boost::asio::steady_timer m_timer;
+    MonotonicTime m_lastRunAt;
     std::chrono::nanoseconds m_lastSuspendedTime {0};
     uint64_t m_ticks = 0;
     bool m_wasReading = false;
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -170,6 +170,9 @@
 
 TargetChoice RelayExchange::choose(const std::set<std::string> &excluded, MonotonicTime now)
 {
+    if (m_core.balancer.requestLimits().hasLimits()) {
+        m_core.detectFreeze(now);
+    }
     const TargetBalancer::Query query {.demand = m_admission.demand,
                                        .excluded = excluded,
                                        .homeRegions = m_admission.homeRegions,
--- a/Libraries/LibRelayServer/RelayExchangeMigration.cpp
+++ b/Libraries/LibRelayServer/RelayExchangeMigration.cpp
@@ -71,6 +71,9 @@
 
 bool RelayExchange::mayContinue(const RelayTarget &holder, MonotonicTime now)
 {
+    if (m_core.balancer.requestLimits().hasLimits()) {
+        m_core.detectFreeze(now);
+    }
     // A generation that crashes the engines that run it must not continue on another one.
     if (m_unexpectedFailures > MaxUnexpectedFailures || m_core.crashSuspects.verdict(m_digest, now).action == CrashVerdict::Action::Reject) {
         return false;
--- a/Tests/LibRelay/RequestLimitFleet.cpp
+++ b/Tests/LibRelay/RequestLimitFleet.cpp
@@ -160,7 +160,7 @@
         return;
     }
     if (node.undetectedFreeze.count() > 0) {
-        node.limits.onFrozen(std::exchange(node.undetectedFreeze, {}));
+        node.limits.onFrozen(std::exchange(node.undetectedFreeze, {}), timeOf(node));
     }
     if (m_now >= node.nextHeartbeat) {
         node.nextHeartbeat = m_now + HeartbeatInterval;
--- a/Tests/LibRelay/TestTargetRequestLimits.cpp
+++ b/Tests/LibRelay/TestTargetRequestLimits.cpp
@@ -169,6 +169,30 @@
     }
 }
 
+// Guards against a relay that wakes with an old limit and spreads it.
+TEST_P(RequestLimitFleets, KeepALimitWhileRelaysFreeze)
+{
+    RequestLimitFleet fleet({.relays = GetParam(), .demand = RequestsPerRelay * GetParam(), .seed = 13});
+    fleet.runFor(Discovery);
+    fleet.setLimit(40);
+    fleet.runFor(6s);
+    for (size_t first = 0; first < 2; ++first) {
+        for (size_t index = first; index < fleet.relayCount(); index += 2) {
+            fleet.freezeRelay(index);
+        }
+        fleet.runFor(100ms);
+        fleet.setLimit(4);
+        fleet.runFor(6s);
+        for (size_t index = first; index < fleet.relayCount(); index += 2) {
+            fleet.wakeRelay(index);
+        }
+        fleet.runFor(6s);
+        fleet.setLimit(40);
+        fleet.runFor(6s);
+    }
+    EXPECT_TRUE(keepsLimit(fleet));
+}
+
 // Guards against a limit that is kept for ever because no relay with a share has requests for the target.
 TEST(TargetRequestLimits, UnconfirmedLimitIsDividedAmongAll)
 {
@@ -224,7 +248,7 @@
     EXPECT_EQ(limits.record({.target = "t", .incarnation = 1}, Start + 3s), TargetRequestLimits::Change::Ended);
     EXPECT_FALSE(limits.limit("t"));
     EXPECT_TRUE(limits.isLimited("t"));
-    limits.onFrozen(5s);
+    limits.onFrozen(5s, Start + 3s);
     EXPECT_EQ(limits.allStatements(Start + 3s)[0].age, 5s);
     updateAlone(limits, Start + 3s);
     EXPECT_TRUE(limits.isLimited("t"));
@@ -241,3 +265,19 @@
     EXPECT_EQ(limits.record({.target = "t", .incarnation = 1, .limit = 8.9}, Start + 2s), TargetRequestLimits::Change::Named);
     EXPECT_EQ(limits.record({.target = "t", .incarnation = 1, .limit = 8.9}, Start + 3s), TargetRequestLimits::Change::None);
 }
+
+// Guards against a relay that wakes and sends by a limit that has fallen meanwhile.
+TEST(TargetRequestLimits, NothingIsSentUntilLimitsAreLearntAgainAfterAFreeze)
+{
+    auto limits = limitsOfOneRelay(100);
+    const auto reservation = limits.reserve("t", Start + 1s, Start);
+    ASSERT_TRUE(reservation);
+    EXPECT_TRUE(limits.maySend("t", Start + 1s));
+    limits.onFrozen(0s, Start + 1s);
+    EXPECT_FALSE(limits.maySend("t", Start + 1s));
+    EXPECT_FALSE(limits.mayContinue("t", Start + 1s));
+    EXPECT_FALSE(limits.isValid(*reservation, Start + 1s));
+    EXPECT_EQ(limits.nextSendTime("t", Start + 1s), Start + 3s);
+    EXPECT_TRUE(limits.maySend("t", Start + 3s));
+    EXPECT_TRUE(limits.maySend("unlimited", Start + 1s));
+}
