--- a/Libraries/LibEvents/EventKind.cpp
+++ b/Libraries/LibEvents/EventKind.cpp
@@ -73,6 +73,8 @@
     EventKindInfo {EventKind::StoreReaderChanged, "store_reader_changed", "This relay reads the store for others from now on, or leaves that to others."},
     EventKindInfo {EventKind::TargetLimitChanged, "target_limit_changed", "A target has named a limit on the requests of all relays, or a different one."},
     EventKindInfo {EventKind::TargetLimitEnded, "target_limit_ended", "A target no longer names a limit."},
+    EventKindInfo {EventKind::TableBehind, "table_behind", "Peers have had newer rows of a table for a while, and this relay has not."},
+    EventKindInfo {EventKind::PeerReadFailed, "peer_read_failed", "A peer that was asked for the rows of a table did not deliver them."},
 };
 
 }
--- a/Libraries/LibEvents/EventKind.h
+++ b/Libraries/LibEvents/EventKind.h
@@ -72,6 +72,8 @@
     StoreReaderChanged = 4105,
     TargetLimitChanged = 4106,
     TargetLimitEnded = 4107,
+    TableBehind = 4108,
+    PeerReadFailed = 4109,
 };
 
 // One line of the catalogue.
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -226,6 +226,7 @@
     m_core.updateRequestLimits(now);
     if (m_ticks % TicksPerExpiry == 0) {
         m_core.exportRequestLimits(now);
+        exportTables(now);
         m_core.balancer.requestLimits().expire([this](const std::string &target) { return m_core.targets.find(target) != nullptr; }, now);
         m_core.channels.expire(now);
         m_core.client.expire(now);
@@ -236,6 +237,8 @@
         m_core.metrics.set("relay_requests_running", static_cast<double>(m_core.running.size()));
     }
     notifyReadingChange(now);
+    reportLag(m_documentLag, *m_documents, m_core.adapter.documentTable, now);
+    reportLag(m_targetsLag, *m_targets, m_core.adapter.targetTable, now);
     if (m_ticks % TicksPerEngineCheck == 0 && isTargetListStale(listSources(now), now)) {
         checkRunningEngines();
     }
--- a/Libraries/LibRelayServer/Relay.h
+++ b/Libraries/LibRelayServer/Relay.h
@@ -2,6 +2,7 @@
 
 #include <LibLoop/CallerListener.h>
 #include <LibRelay/StoreReaderElection.h>
+#include <LibRelay/TableLag.h>
 #include <LibRelay/TargetListFreshness.h>
 #include <LibRelayServer/PeerLink.h>
 #include <LibRelayServer/RelayCore.h>
@@ -56,6 +57,11 @@
     std::optional<TargetEntry> decodeTarget(const StoreRow &row);
     void applyTarget(const TargetEntry &entry, TargetTable::Source source, MonotonicTime now);
     void logStore(EventKind kind, const std::string &table, std::string_view detail);
+    void logPeerReadFailure(const std::string &table, const std::string &peer, const LoopAnswer &response, MonotonicTime::duration took);
+    // Measures the lag that ends if this relay has caught up.
+    void updateLag(TableLag &lag, const std::string &table, bool hasCaughtUp, MonotonicTime now);
+    void reportLag(TableLag &lag, const TableFollower &follower, const std::string &table, MonotonicTime now);
+    void exportTables(MonotonicTime now);
 
     std::vector<std::string> addressesFor(const std::string &dataCentre, const std::string &region, MonotonicTime now) const;
     void requestDocumentFromPeer(TableFollower &follower, const std::string &table, const std::string &address);
@@ -96,6 +102,8 @@
     bool m_isRequestingDocument = false;
     bool m_isRequestingTargets = false;
     StoreReaderElection m_readers;
+    TableLag m_documentLag;
+    TableLag m_targetsLag;
     // Since when the target list of a peer that reads the store has differed from this relay's.
     std::optional<MonotonicTime> m_targetListDiffersSince;
 };
--- a/Libraries/LibRelayServer/RelayTables.cpp
+++ b/Libraries/LibRelayServer/RelayTables.cpp
@@ -51,6 +51,11 @@
     return rows;
 }
 
+std::string_view sourceOf(const TableFollower &follower)
+{
+    return follower.source().empty() ? std::string_view("store") : std::string_view(follower.source());
+}
+
 } // namespace
 
 void Relay::followStore()
@@ -96,6 +101,54 @@
     m_core.metrics.count("relay_store_changes_total", absl::StrCat("event=\"", toAbsl(nameOf(kind)), "\""));
 }
 
+void Relay::logPeerReadFailure(const std::string &table, const std::string &peer, const LoopAnswer &response, MonotonicTime::duration took)
+{
+    auto line = m_core.line(EventKind::PeerReadFailed);
+    line.add("table", table)
+        .add("peer", peer)
+        .add("status", response.status)
+        .add("reason", response.error)
+        .add("after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(took).count());
+    m_core.log(line);
+    m_core.metrics.count("relay_peer_read_failures_total", absl::StrCat("table=\"", table, "\""));
+}
+
+void Relay::updateLag(TableLag &lag, const std::string &table, bool hasCaughtUp, MonotonicTime now)
+{
+    if (const auto lasted = hasCaughtUp ? lag.recordCaughtUp(now) : std::nullopt) {
+        m_core.metrics.observe(absl::StrCat("relay_table_lag_seconds_", table), std::chrono::duration<double>(*lasted).count());
+    }
+}
+
+void Relay::reportLag(TableLag &lag, const TableFollower &follower, const std::string &table, MonotonicTime now)
+{
+    if (!lag.takeReport(now)) {
+        return;
+    }
+    auto line = m_core.line(EventKind::TableBehind);
+    line.add("table", table)
+        .add("version", follower.version())
+        .add("peer", lag.peer())
+        .add("peer_version", lag.version())
+        .add("for_ms", lag.duration(now).count())
+        .add("age_ms", follower.age(now).count());
+    m_core.log(line);
+}
+
+void Relay::exportTables(MonotonicTime now)
+{
+    const auto exportTable = [&](const TableFollower &follower, const std::string &table, const TableLag &lag) {
+        const auto label = absl::StrCat("table=\"", table, "\"");
+        m_core.metrics.set("relay_table_version", static_cast<double>(follower.version()), label);
+        m_core.metrics.set("relay_table_age_seconds", std::chrono::duration<double>(follower.age(now)).count(), label);
+        m_core.metrics.set("relay_table_behind_seconds", std::chrono::duration<double>(lag.duration(now)).count(), label);
+    };
+    exportTable(*m_documents, m_core.adapter.documentTable, m_documentLag);
+    exportTable(*m_targets, m_core.adapter.targetTable, m_targetsLag);
+    m_core.metrics.set("relay_document_version", m_core.routes ? static_cast<double>(m_core.routes->document().version) : 0);
+    m_core.metrics.set("relay_reads_store", m_readers.isReading() ? 1 : 0);
+}
+
 void Relay::onPeerRequest(CallerChannel &channel, const CallerRequest &request)
 {
     const auto &target = request.head.target;
@@ -135,11 +188,15 @@
     }
     m_isRequestingDocument = true;
     const LoopCall call {.target = absl::StrCat(toAbsl(SnapshotPath), table), .timeout = PeerReadTimeout, .freshConnection = true};
-    m_core.client.call(*endpoint, call, [this, &follower, table, address](const LoopAnswer &response) {
+    m_core.client.call(*endpoint, call, [this, &follower, table, address, requestedAt = monotonicNow()](const LoopAnswer &response) {
         m_isRequestingDocument = false;
+        const auto now = monotonicNow();
         const auto rows = response.isSuccess() ? decodeSnapshot(response.body) : std::nullopt;
-        if (rows && follower.replaceIfNewer(*rows, monotonicNow())) {
+        if (!rows) {
+            logPeerReadFailure(table, address, response, now - requestedAt);
+        } else if (follower.replaceIfNewer(*rows, address, now)) {
             logStore(EventKind::TableReplaced, table, absl::StrCat("from peer ", address, " as of ", rows->version));
+            updateLag(m_documentLag, table, follower.changeVersion() >= m_documentLag.version(), now);
         }
     });
 }
@@ -147,6 +204,7 @@
 void Relay::onPeerDocument(const PeerHeartbeat &heartbeat)
 {
     if (heartbeat.documentTableVersion > m_documents->changeVersion()) {
+        m_documentLag.recordBehind(heartbeat.node, heartbeat.documentTableVersion, monotonicNow());
         requestDocumentFromPeer(*m_documents, m_core.adapter.documentTable, heartbeat.peers);
     }
 }
@@ -156,7 +214,13 @@
     for (const auto &entry : heartbeat.targets) {
         applyTarget(entry, TargetTable::Source::Peer, now);
     }
-    if (heartbeat.targetsDigest == m_core.targets.digest()) {
+    const bool isEqual = heartbeat.targetsDigest == m_core.targets.digest();
+    if (heartbeat.reading && !isEqual && heartbeat.targetsVersion > m_targets->version()) {
+        m_targetsLag.recordBehind(heartbeat.node, heartbeat.targetsVersion, now);
+    } else if (heartbeat.reading && isEqual) {
+        updateLag(m_targetsLag, m_core.adapter.targetTable, true, now);
+    }
+    if (isEqual) {
         m_targetListDiffersSince.reset();
         if (m_targets->hasRows()) {
             m_targets->noteCurrent(heartbeat.targetsVersion, heartbeat.targetsAge, now);
@@ -183,10 +247,12 @@
     }
     m_isRequestingTargets = true;
     const LoopCall call {.target = std::string(TargetsPath), .timeout = PeerReadTimeout, .freshConnection = true};
-    m_core.client.call(*endpoint, call, [this, node = heartbeat.node](const LoopAnswer &response) {
+    m_core.client.call(*endpoint, call, [this, node = heartbeat.node, requestedAt = monotonicNow()](const LoopAnswer &response) {
         m_isRequestingTargets = false;
         const auto peer = response.isSuccess() ? decodePeerHeartbeat(response.body) : std::nullopt;
-        if (peer) {
+        if (!peer) {
+            logPeerReadFailure(m_core.adapter.targetTable, node, response, monotonicNow() - requestedAt);
+        } else {
             logStore(EventKind::TableReplaced, m_core.adapter.targetTable, absl::StrCat("from peer ", node, " as of ", peer->targetsVersion));
             applyPeerTargets(peer->targets, peer->targetsVersion, monotonicNow());
         }
@@ -251,7 +317,10 @@
         return;
     }
     auto line = m_core.line(out ? EventKind::DataCentreOut : EventKind::DataCentreIn);
-    line.add("data_centre", name).add("row_version", version);
+    line.add("data_centre", name)
+        .add("row_version", version)
+        .add("source", sourceOf(*m_documents))
+        .add("behind_ms", m_documentLag.duration(monotonicNow()).count());
     m_core.log(line);
     if (out) {
         for (const auto &[id, target] : m_core.targets.targets()) {
@@ -282,7 +351,9 @@
     line.add("version", document->version)
         .add("row_version", row.version)
         .add("routes", static_cast<int64_t>(document->routes.size()))
-        .add("workspaces", static_cast<int64_t>(document->workspaces.size()));
+        .add("workspaces", static_cast<int64_t>(document->workspaces.size()))
+        .add("source", sourceOf(*m_documents))
+        .add("behind_ms", m_documentLag.duration(monotonicNow()).count());
     m_core.log(line);
     m_core.routes = std::make_shared<const RouteTable>(*std::move(document));
     m_peers.scheduleHeartbeat(m_readers.isReading() ? NotificationScope::All : NotificationScope::Region);
--- a/Libraries/LibRelayServer/TableFollower.cpp
+++ b/Libraries/LibRelayServer/TableFollower.cpp
@@ -114,6 +114,7 @@
         onFailure(std::string(rows.status().message()), now);
         return;
     }
+    m_source.clear();
     if (!isWholeTable) {
         onSuccess(now);
         applyChanges(*rows, now);
@@ -198,11 +199,12 @@
     }
 }
 
-bool TableFollower::replaceIfNewer(const StoreRows &rows, MonotonicTime now)
+bool TableFollower::replaceIfNewer(const StoreRows &rows, const std::string &peer, MonotonicTime now)
 {
     if (rows.version <= m_version) {
         return false;
     }
+    m_source = peer;
     const bool wasFailing = m_failingSince.has_value();
     applyTable(rows, now);
     m_changeVersion = std::max(m_changeVersion, rows.changeVersion);
--- a/Libraries/LibRelayServer/TableFollower.h
+++ b/Libraries/LibRelayServer/TableFollower.h
@@ -54,7 +54,7 @@
     void noteCurrent(int64_t version, std::chrono::milliseconds age, MonotonicTime now);
 
     // Replaces the rows by those of a peer if these are newer. Returns whether it did.
-    bool replaceIfNewer(const StoreRows &rows, MonotonicTime now);
+    bool replaceIfNewer(const StoreRows &rows, const std::string &peer, MonotonicTime now);
 
     // The current rows, for peers.
     StoreRows snapshot() const;
@@ -108,6 +108,12 @@
         return m_isUnavailable;
     }
 
+    // Where the rows that were applied last came from: empty for the store, else the peer.
+    const std::string &source() const
+    {
+        return m_source;
+    }
+
 private:
     void readTable(const std::string &fromKey);
     void readChanges();
@@ -126,6 +132,7 @@
     const Hooks m_hooks;
     boost::asio::steady_timer m_timer;
     std::map<std::string, StoreRow> m_rows;
+    std::string m_source;
     // Pages of a read of the whole table that is in progress.
     std::vector<StoreRow> m_pages;
     int64_t m_version = 0;
