--- a/Tests/Platform/RelayTestBed.h
+++ b/Tests/Platform/RelayTestBed.h
@@ -29,6 +29,11 @@
     bool runUntil(const std::function<bool()> &condition, std::chrono::milliseconds timeout = std::chrono::seconds(8));
     void runFor(std::chrono::milliseconds time);
 
+    const RelayOptions &options(const std::string &node) const
+    {
+        return m_nodes.at(node).options;
+    }
+
     // Waits until a relay is ready.
     bool waitUntilReady(const std::string &node);
 
--- /dev/null
+++ b/Tests/Platform/ScriptedPeer.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <LibLoop/CallerListener.h>
+#include <LibRelay/PeerTable.h>
+#include <map>
+
+namespace Jujube
+{
+
+// A relay whose heartbeats and responses to other relays are set by a test.
+class ScriptedPeer
+{
+public:
+    ScriptedPeer(boost::asio::io_context &loop, const std::string &node, Endpoint relay);
+
+    // Sends the heartbeat to the relay every 100 ms, with its name, address and numbers filled in.
+    void setHeartbeat(PeerHeartbeat heartbeat);
+
+    // The response to requests for a path. Requests for other paths get no response.
+    void setResponse(const std::string &path, std::string body);
+
+    // The newest heartbeat that the relay has sent to this peer.
+    const std::optional<PeerHeartbeat> &received() const
+    {
+        return m_received;
+    }
+
+    int requestCount() const
+    {
+        return m_requestCount;
+    }
+
+private:
+    void onRequest(const std::shared_ptr<CallerChannel> &channel, const CallerRequest &request);
+    void send();
+    void receive();
+
+    const Endpoint m_address;
+    const Endpoint m_relay;
+    Udp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    std::unique_ptr<CallerListener> m_listener;
+    PeerHeartbeat m_heartbeat;
+    std::map<std::string, std::string> m_responses;
+    std::vector<std::shared_ptr<CallerChannel>> m_unanswered;
+    std::array<char, 2048> m_buffer {};
+    Udp::endpoint m_sender;
+    std::optional<PeerHeartbeat> m_received;
+    int m_requestCount = 0;
+};
+
+} // namespace Jujube
