Let the soak change the store's tables in series and strike the relays that read it

A change is checked at its bound also if another one follows, and each relay gets a request after a target or data centre has gone. Contact, drain and document bounds are those that the users state for sites of 60 machines and more (5, 4 and 4 s) in fleets of that size, and 3, 2.5 and 2.5 s as before in smaller ones.

--- a/Tests/Soak/Harness/FaultPlan.cpp
+++ b/Tests/Soak/Harness/FaultPlan.cpp
@@ -36,7 +36,9 @@
                             KindEntry {FaultKind::DrainTarget, "drain-target", 2, 5000},
                             KindEntry {FaultKind::ChangeDocument, "change-document", 2, 1},
                             KindEntry {FaultKind::Evacuate, "evacuate", 1, 6000},
-                            KindEntry {FaultKind::LimitTarget, "limit-target", 0, 9000}};
+                            KindEntry {FaultKind::LimitTarget, "limit-target", 0, 9000},
+                            KindEntry {FaultKind::StoreReader, "store-reader", 0, 4000},
+                            KindEntry {FaultKind::GrowDocument, "grow-document", 0, 1}};
 
 const KindEntry &entryOf(FaultKind kind)
 {
@@ -83,6 +85,36 @@
     }
 }
 
+// Changes of the store's tables, beside faults of the relays that read them. They have draws of their own, so that the other faults of a seed stay the same.
+void addTableChanges(std::vector<Fault> &plan, const FaultPlanOptions &options)
+{
+    constexpr std::array Drawn {FaultKind::ChangeDocument,
+                                FaultKind::ChangeDocument,
+                                FaultKind::GrowDocument,
+                                FaultKind::DrainTarget,
+                                FaultKind::DrainTarget,
+                                FaultKind::Evacuate,
+                                FaultKind::StoreReader,
+                                FaultKind::StoreReader};
+    constexpr unsigned Variants = 1U << 16;
+    constexpr uint64_t SeedOffset = 0x12;
+    constexpr unsigned LeastMs = 50;
+    constexpr double MillisecondsPerSecond = 1000;
+    std::mt19937_64 random(options.seed + (SeedOffset << 32));
+    const auto below = [&random](uint64_t bound) { return std::uniform_int_distribution<uint64_t>(0, bound - 1)(random); };
+    const auto count = static_cast<size_t>(options.tableChanges * static_cast<double>(options.length.count()) / MillisecondsPerSecond);
+    for (size_t number = 0; number < count; ++number) {
+        const auto kind = Drawn[below(Drawn.size())];
+        const auto mostMs = entryOf(kind).mostMs;
+        const auto subject = below(subjectCount(options, kind));
+        const auto at = std::chrono::milliseconds(below(static_cast<uint64_t>(options.length.count())));
+        const auto duration = std::chrono::milliseconds(std::min<uint64_t>(mostMs, LeastMs + below(mostMs)));
+        if (at + duration < options.length) {
+            plan.push_back({.at = at, .duration = duration, .kind = kind, .subject = subject, .variant = static_cast<unsigned>(below(Variants))});
+        }
+    }
+}
+
 } // namespace
 
 std::string_view nameOf(FaultKind kind)
@@ -130,6 +162,7 @@
         }
     }
     addLimits(plan, options);
+    addTableChanges(plan, options);
     std::stable_sort(plan.begin(), plan.end(), [](const Fault &a, const Fault &b) { return a.at < b.at; });
     return plan;
 }
--- a/Tests/Soak/Harness/FaultPlan.h
+++ b/Tests/Soak/Harness/FaultPlan.h
@@ -31,6 +31,10 @@
     Evacuate,
     // The target names a limit on the requests of all relays.
     LimitTarget,
+    // A relay that reads the store is killed or paused, or its link to the store fails.
+    StoreReader,
+    // The document grows by many routes.
+    GrowDocument,
 };
 
 std::string_view nameOf(FaultKind kind);
@@ -57,6 +61,8 @@
     std::chrono::milliseconds length {15000};
     // Faults for each second, each of them possibly a series.
     double rate = 1;
+    // Changes of the store's tables and faults of the relays that read them, for each second.
+    double tableChanges = 0;
 };
 
 // The faults of a run, by time. Faults come in series on the same subject and overlap. The plan depends on the options only.
--- a/Tests/Soak/Harness/LoopbackProxy.cpp
+++ b/Tests/Soak/Harness/LoopbackProxy.cpp
@@ -92,6 +92,9 @@
                 self->reset();
                 return;
             }
+            if (forward) {
+                self->m_proxy.m_usedAt = monotonicNow();
+            }
             self->deliver(from, to, forward, bytes);
         });
     }
--- a/Tests/Soak/Harness/LoopbackProxy.h
+++ b/Tests/Soak/Harness/LoopbackProxy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Time.h>
 #include <LibLoop/Endpoint.h>
 #include <memory>
 #include <string>
@@ -39,6 +40,12 @@
     // Whether anybody listens at the address. A program that is down refuses connections.
     void setListening(bool isListening);
 
+    // When bytes arrived last from a side that connected.
+    MonotonicTime usedAt() const
+    {
+        return m_usedAt;
+    }
+
     const Endpoint &address() const
     {
         return m_listen;
@@ -57,6 +64,7 @@
     const Endpoint m_target;
     Tcp::acceptor m_acceptor;
     LinkFault m_fault = LinkFault::None;
+    MonotonicTime m_usedAt;
     std::vector<std::shared_ptr<Connection>> m_connections;
 };
 
--- a/Tests/Soak/Harness/SoakFaults.cpp
+++ b/Tests/Soak/Harness/SoakFaults.cpp
@@ -21,6 +21,9 @@
 // Requests per second.
 constexpr std::array RequestLimits {"0", "0.5", "1.5", "3.2", "5.2", "12", "40"};
 
+// Requests are sent this long after the end of a bound.
+constexpr std::chrono::milliseconds ProbeDelay {50};
+
 // Every second variant of a fault takes the rarer of two forms.
 bool isOdd(unsigned variant)
 {
@@ -87,6 +90,38 @@
     case FaultKind::Evacuate:
         evacuate(fault);
         return;
+    case FaultKind::StoreReader:
+        strikeReader(fault);
+        return;
+    case FaultKind::GrowDocument:
+        growDocument(fault.variant);
+        return;
+    }
+}
+
+void SoakWorld::strikeReader(Fault fault)
+{
+    // Readers call the store at least this often, other relays seldom.
+    constexpr std::chrono::milliseconds MaxReadInterval {1300};
+    constexpr std::array Forms {FaultKind::KillRelay, FaultKind::PauseRelay, FaultKind::StoreLink};
+    std::vector<size_t> readers;
+    for (size_t index = 0; index < m_relays.size(); ++index) {
+        if (m_relays[index]->state() == SoakRelay::State::Running && monotonicNow() - m_relays[index]->storeLink.usedAt() < MaxReadInterval) {
+            readers.push_back(index);
+        }
+    }
+    if (readers.empty()) {
+        return;
+    }
+    fault.kind = Forms[fault.variant % Forms.size()];
+    fault.variant /= Forms.size();
+    // Both readers at once in every second case.
+    const size_t count = isOdd(fault.variant) ? std::min<size_t>(2, readers.size()) : 1;
+    fault.variant /= 2;
+    for (size_t number = 0; number < count; ++number) {
+        fault.subject = readers[(fault.variant + number) % readers.size()];
+        log(absl::StrCat("reader ", m_relays[fault.subject]->options().name, " of ", readers.size(), ": ", toAbsl(nameOf(fault.kind))));
+        strikeSubject(fault);
     }
 }
 
@@ -233,9 +268,10 @@
         registerTarget(target, "draining");
     }
     if (m_active["store"] == 0) {
-        m_ledger.forbidTarget(target.id, "drain", monotonicNow() + SoakBounds::Drain);
+        m_ledger.forbidTarget(target.id, "drain", monotonicNow() + m_bounds.drain);
+        after(m_bounds.drain + ProbeDelay, [this] { probeTargets(); });
     }
-    after(SoakBounds::Drain + fault.duration, [this, &target, name] {
+    after(m_bounds.drain + fault.duration, [this, &target, name] {
         --m_active[name];
         m_store->remove("servers", target.id);
         crashTarget(target);
@@ -258,6 +294,9 @@
             }
         }
     };
+    if (m_active["store"] == 0) {
+        after(SoakBounds::Evacuation + ProbeDelay, [this] { probeTargets(); });
+    }
     strike(fault, row, begin, [this, dataCentre, row] {
         m_store->remove("op", row);
         m_evacuatedSince.erase(dataCentre);
@@ -282,22 +321,59 @@
         route = absl::StrCat("added-", m_document.version);
         m_document.addedRoutes.push_back(route);
     }
+    writeDocument(route, !removes);
+}
+
+void SoakWorld::growDocument(unsigned variant)
+{
+    constexpr unsigned MaxRoutes = 400;
+    ++m_document.version;
+    const auto count = 1 + variant % MaxRoutes;
+    for (unsigned number = 0; number < count; ++number) {
+        m_document.addedRoutes.push_back(absl::StrCat("added-", m_document.version, "-", number));
+    }
+    writeDocument(m_document.addedRoutes.back(), true);
+}
+
+void SoakWorld::writeDocument(const std::string &route, bool isThere)
+{
     m_store->put("op", "config", m_document.toText());
     if (m_active["store"] == 0) {
-        after(SoakBounds::Document, [this, version = m_document.version, route, isThere = !removes] { probeDocument(version, route, isThere); });
+        after(m_bounds.document, [this, route, isThere] { probeDocument(route, isThere); });
     }
 }
 
-void SoakWorld::probeDocument(int64_t version, const std::string &route, bool isThere)
+void SoakWorld::probeDocument(const std::string &route, bool isThere)
 {
+    const auto &routes = m_document.addedRoutes;
+    const bool isStillThere = std::find(routes.begin(), routes.end(), route) != routes.end();
+    if (isStillThere != isThere) {
+        return;
+    }
     const auto now = monotonicNow();
     for (const auto &relay : m_relays) {
-        if (version == m_document.version && m_ledger.isInTouch(relay->options().name, now) && relay->state() == SoakRelay::State::Running) {
+        if (m_ledger.isInTouch(relay->options().name, now) && relay->state() == SoakRelay::State::Running) {
             probe(*relay, route, isThere);
         }
     }
 }
 
+void SoakWorld::probeTargets()
+{
+    // Most relays get few requests otherwise.
+    for (const auto &relay : m_relays) {
+        if (relay->state() == SoakRelay::State::Running) {
+            const SoakLedger::Sent sent {.relay = relay->options().name,
+                                         .kind = SoakKind::Repeatable,
+                                         .method = "GET",
+                                         .target = "/status/x",
+                                         .proper = true,
+                                         .deadline = std::chrono::milliseconds(3000)};
+            ask(*relay, sent, [](int) {});
+        }
+    }
+}
+
 void SoakWorld::probe(SoakRelay &relay, const std::string &route, bool isThere)
 {
     constexpr int StatusNotFound = 404;
--- a/Tests/Soak/Harness/SoakLedger.cpp
+++ b/Tests/Soak/Harness/SoakLedger.cpp
@@ -93,7 +93,7 @@
 bool SoakLedger::wasDisturbed(const std::map<std::string, MonotonicTime> &until, const std::string &name, MonotonicTime now) const
 {
     const auto found = until.find(name);
-    return found != until.end() && now < found->second + SoakBounds::Contact;
+    return found != until.end() && now < found->second + m_options.bounds.contact;
 }
 
 bool SoakLedger::isInTouch(const std::string &relay, MonotonicTime now) const
@@ -188,7 +188,7 @@
 
 void SoakLedger::checkFatal(MonotonicTime now, const Request &request, StandInTarget::Arrival arrival)
 {
-    if (m_fatalKnownAt && now > *m_fatalKnownAt + SoakBounds::Contact && isInTouch(request.sent.relay, now)
+    if (m_fatalKnownAt && now > *m_fatalKnownAt + m_options.bounds.contact && isInTouch(request.sent.relay, now)
         && ++m_fatalPassed == SoakBounds::FewFatalRequests + 1) {
         reportTimed("crash", absl::StrCat(request.sent.relay, " passed on a request that has crashed ", m_crashes, " targets"));
     }
--- a/Tests/Soak/Harness/SoakLedger.h
+++ b/Tests/Soak/Harness/SoakLedger.h
@@ -17,9 +17,6 @@
 // Bounds that the users state for their deployments, all for nodes that are in touch.
 namespace SoakBounds
 {
-constexpr std::chrono::milliseconds Contact {3000};
-constexpr std::chrono::milliseconds Drain {2500};
-constexpr std::chrono::milliseconds Document {2500};
 constexpr std::chrono::milliseconds Evacuation {5000};
 constexpr std::chrono::milliseconds AfterLeaving {500};
 constexpr std::chrono::milliseconds AfterTimeout {500};
@@ -37,6 +34,22 @@
 constexpr size_t FewFatalRequests = 3;
 } // namespace SoakBounds
 
+// Bounds that grow with the size of a deployment.
+struct FleetBounds {
+    std::chrono::milliseconds contact {3000};
+    std::chrono::milliseconds drain {2500};
+    std::chrono::milliseconds document {2500};
+};
+
+constexpr FleetBounds fleetBounds(size_t relays)
+{
+    constexpr size_t LargeFleet = 60;
+    if (relays < LargeFleet) {
+        return {};
+    }
+    return {.contact = std::chrono::milliseconds(5000), .drain = std::chrono::milliseconds(4000), .document = std::chrono::milliseconds(4000)};
+}
+
 enum class SoakKind {
     OneTime,
     Repeatable,
@@ -73,6 +86,7 @@
         // Events of each complete generation.
         int events = 0;
         double retrySlack = 0;
+        FleetBounds bounds;
         // Whether promises with a time bound are checked. They hold only while the machine keeps up.
         bool timed = true;
     };
--- a/Tests/Soak/Harness/SoakRelay.cpp
+++ b/Tests/Soak/Harness/SoakRelay.cpp
@@ -53,6 +53,9 @@
         = std::make_unique<ChildProcess>("jujube-relay",
                                          std::vector<std::string> {"--settings-file", absl::StrCat(m_options.directory, "/", m_options.name, ".settings")},
                                          absl::StrCat(m_options.directory, "/", m_options.name, ".log"));
+    if (m_options.processors > 0) {
+        m_process->confine(m_options.processors);
+    }
     m_state = State::Running;
     m_startedAt = monotonicNow();
 }
--- a/Tests/Soak/Harness/SoakRelay.h
+++ b/Tests/Soak/Harness/SoakRelay.h
@@ -26,6 +26,8 @@
         // Settings files and logs go here.
         std::string directory;
         double retrySlack = 0;
+        // Number of processors on which the process may run. Zero for all.
+        int processors = 0;
     };
 
     enum class State {
--- a/Tests/Soak/Harness/SoakWorld.cpp
+++ b/Tests/Soak/Harness/SoakWorld.cpp
@@ -37,9 +37,10 @@
 
 SoakWorld::SoakWorld(SoakOptions options)
     : m_options(std::move(options))
+    , m_bounds(fleetBounds(m_options.relays))
     , m_startedAt(monotonicNow())
     , m_log(m_options.directory + "/faults.log")
-    , m_ledger({.events = EventsOfGeneration, .retrySlack = RetrySlack, .timed = m_options.timed})
+    , m_ledger({.events = EventsOfGeneration, .retrySlack = RetrySlack, .bounds = m_bounds, .timed = m_options.timed})
     , m_storeAddress(ownLoopbackEndpoint())
     , m_store(std::make_unique<StandInStore>(m_loop, m_storeAddress))
     , m_client(m_loop)
@@ -54,6 +55,9 @@
 
 SoakResult SoakWorld::run()
 {
+    for (size_t number = 0; number < m_options.routes; ++number) {
+        m_document.addedRoutes.push_back(absl::StrCat("idle-", number));
+    }
     m_store->put("op", "config", m_document.toText());
     startTargets();
     startRelays();
@@ -68,7 +72,8 @@
                                      .targets = m_targets.size(),
                                      .dataCentres = Places.size(),
                                      .length = m_options.length,
-                                     .rate = m_options.faultRate});
+                                     .rate = m_options.faultRate,
+                                     .tableChanges = m_options.tableChanges});
     for (const auto &fault : plan) {
         after(fault.at, [this, fault] { apply(fault); });
     }
@@ -195,7 +200,8 @@
                                                                            .store = m_storeAddress,
                                                                            .seeds = seeds,
                                                                            .directory = m_options.directory,
-                                                                           .retrySlack = RetrySlack}));
+                                                                           .retrySlack = RetrySlack,
+                                                                           .processors = m_options.processors}));
         if (seeds.size() < MostSeeds) {
             seeds.push_back(m_relays.back()->peers.toText());
         }
@@ -248,7 +254,7 @@
 
 void SoakWorld::checkDirectory(const std::string &name, const std::vector<std::string> &addresses)
 {
-    constexpr auto Unlisted = SoakBounds::Contact + std::chrono::milliseconds(3000);
+    const auto Unlisted = m_bounds.contact + std::chrono::milliseconds(3000);
     const auto now = monotonicNow();
     for (const auto &relay : m_relays) {
         const bool isListed = std::find(addresses.begin(), addresses.end(), relay->callers.toText()) != addresses.end();
--- a/Tests/Soak/Harness/SoakWorld.h
+++ b/Tests/Soak/Harness/SoakWorld.h
@@ -23,6 +23,12 @@
     // Time with faults.
     std::chrono::milliseconds length {15000};
     double faultRate = 1;
+    // Changes of the document, of targets and of data centres a second, and faults of the relays that read the store.
+    double tableChanges = 0;
+    // Routes of the document beside those that callers use.
+    size_t routes = 0;
+    // Processors for all relays together. Zero for all that the machine has.
+    int processors = 0;
     // Whether promises with a time bound are checked, and a full recovery is awaited.
     bool timed = true;
     // Settings and logs of the relays and the log of faults are written here.
@@ -90,7 +96,14 @@
     void drainTarget(const Fault &fault, Target &target);
     void evacuate(const Fault &fault);
     void changeDocument(unsigned variant);
-    void probeDocument(int64_t version, const std::string &route, bool isThere);
+    void growDocument(unsigned variant);
+    // Writes the document, in which a route was added or removed, and checks later that it is in force.
+    void writeDocument(const std::string &route, bool isThere);
+    void probeDocument(const std::string &route, bool isThere);
+    // Sends a request to each relay, because a target or a data centre may get none any more.
+    void probeTargets();
+    // Kills or pauses relays that read the store, or harms their links to it.
+    void strikeReader(Fault fault);
     void probe(SoakRelay &relay, const std::string &route, bool isThere);
     // Sends a request straight to a relay, and tells the status of its answer.
     void ask(SoakRelay &relay, SoakLedger::Sent sent, std::function<void(int status)> onStatus);
@@ -107,6 +120,7 @@
     void logViolations();
 
     const SoakOptions m_options;
+    const FleetBounds m_bounds;
     boost::asio::io_context m_loop;
     MonotonicTime m_startedAt;
     std::ofstream m_log;
--- a/Tests/Soak/Program/main.cpp
+++ b/Tests/Soak/Program/main.cpp
@@ -48,6 +48,9 @@
             .targets = arguments["targets"].as<size_t>(),
             .length = std::chrono::seconds(arguments["seconds"].as<int>()),
             .faultRate = arguments["rate"].as<double>(),
+            .tableChanges = arguments["table-changes"].as<double>(),
+            .routes = arguments["routes"].as<size_t>(),
+            .processors = arguments["processors"].as<int>(),
             .timed = !arguments["untimed"].as<bool>(),
             .directory = arguments["out"].as<std::string>()};
 }
@@ -113,6 +116,9 @@
     add("targets", "Targets of each of the two services", cxxopts::value<size_t>()->default_value("4"));
     add("seconds", "Time with faults", cxxopts::value<int>()->default_value("18"));
     add("rate", "Faults a second, each of them possibly a series", cxxopts::value<double>()->default_value("3"));
+    add("table-changes", "Changes of the store's tables a second, and faults of the relays that read it", cxxopts::value<double>()->default_value("0"));
+    add("routes", "Routes of the document beside those that callers use", cxxopts::value<size_t>()->default_value("0"));
+    add("processors", "Processors for all relays together; 0 for all", cxxopts::value<int>()->default_value("0"));
     add("untimed", "Leave promises with a time bound out");
     add("out", "Directory for settings and logs, which are kept of runs that break a promise", cxxopts::value<std::string>()->default_value("soak-runs"));
     add("help", "Print this help");
--- a/Tests/Support/ChildProcess.cpp
+++ b/Tests/Support/ChildProcess.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <sched.h>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -86,6 +87,16 @@
     }
 }
 
+void ChildProcess::confine(int processors) const
+{
+    cpu_set_t set;
+    CPU_ZERO(&set);
+    for (int number = 0; number < processors; ++number) {
+        CPU_SET(number, &set);
+    }
+    sched_setaffinity(m_pid, sizeof(set), &set);
+}
+
 void ChildProcess::kill()
 {
     signal(SIGKILL);
--- a/Tests/Support/ChildProcess.h
+++ b/Tests/Support/ChildProcess.h
@@ -29,6 +29,9 @@
 
     void signal(int number) const;
 
+    // Lets the process run on the first processors only.
+    void confine(int processors) const;
+
     // Kills the process and waits for its end.
     void kill();
 
