Let a long answer take its time while it keeps arriving

A short call has one timeout for the whole answer. A table of the store with a document of 1,700 routes is 0.5 MB as it is sent; on a link of 20 Mbit/s, or beside 194 other relays on shared processors, it does not arrive within 900 ms, is given up and requested again, which keeps the link busy. With LoopCall::onProgress the timeout starts anew with each part of the answer.

--- a/Libraries/LibLoop/LoopClient.cpp
+++ b/Libraries/LibLoop/LoopClient.cpp
@@ -20,8 +20,28 @@
     LoopAnswer answer;
     LoopClient::AnswerHook onAnswer;
     size_t mostAnswerBytes = 0;
+    std::chrono::milliseconds timeout {0};
+    std::function<void()> onProgress;
     bool over = false;
 
+    static void armTimer(const std::shared_ptr<PendingCall> &call)
+    {
+        call->timer.expires_after(call->timeout);
+        call->timer.async_wait([call](const LoopError &error) {
+            if (!error && !call->over) {
+                call->fail("timeout");
+            }
+        });
+    }
+
+    static void reportProgress(const std::shared_ptr<PendingCall> &call)
+    {
+        if (call->onProgress && !call->over) {
+            call->onProgress();
+            armTimer(call);
+        }
+    }
+
     void fail(const std::string &error)
     {
         channel->abort();
@@ -38,6 +58,7 @@
         }
         over = true;
         timer.cancel();
+        onProgress = nullptr;
         const auto hook = std::move(onAnswer);
         hook(answer);
     }
@@ -68,13 +89,9 @@
     pending->channel = call.freshConnection ? m_pool.fresh(address) : m_pool.acquire(address, monotonicNow());
     pending->onAnswer = std::move(onAnswer);
     pending->mostAnswerBytes = call.mostAnswerBytes;
-    pending->timer.expires_after(call.timeout);
-    pending->timer.async_wait([pending](const LoopError &error) {
-        if (error || pending->over) {
-            return;
-        }
-        pending->fail("timeout");
-    });
+    pending->timeout = call.timeout;
+    pending->onProgress = call.onProgress;
+    PendingCall::armTimer(pending);
     pending->channel->exchange(textOf(address, call),
                                call.method == "HEAD",
                                call.timeout,
@@ -89,6 +106,7 @@
                                         if (pending->answer.body.size() > pending->mostAnswerBytes) {
                                             pending->fail("answer too long");
                                         }
+                                        PendingCall::reportProgress(pending);
                                     },
                                 .onEnd =
                                     [this, pending](ChannelEnd end, const std::string &error) {
--- a/Libraries/LibLoop/LoopClient.h
+++ b/Libraries/LibLoop/LoopClient.h
@@ -12,6 +12,8 @@
     std::vector<HeaderField> fields;
     std::string body;
     std::chrono::milliseconds timeout {1000};
+    // Called for each part of the answer. If it is set, the timeout starts anew with each part, so that a long answer may take its time on a slow link.
+    std::function<void()> onProgress;
     // A longer answer ends the call as Broken.
     size_t mostAnswerBytes = 16 << 20;
     // Uses a connection of its own, so that a connection that has gone silent cannot affect the call.
