--- a/Libraries/LibRelay/Generated/Relay_types.cpp
+++ b/Libraries/LibRelay/Generated/Relay_types.cpp
@@ -967,6 +967,21 @@
   this->knownRelays = val;
 __isset.knownRelays = true;
 }
+
+void RelayHeartbeat::__set_documentVersion(const int64_t val) {
+  this->documentVersion = val;
+__isset.documentVersion = true;
+}
+
+void RelayHeartbeat::__set_documentHistoryFrom(const int64_t val) {
+  this->documentHistoryFrom = val;
+__isset.documentHistoryFrom = true;
+}
+
+void RelayHeartbeat::__set_documentAgeMs(const int32_t val) {
+  this->documentAgeMs = val;
+__isset.documentAgeMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const RelayHeartbeat& obj)
 {
   obj.printTo(out);
@@ -1223,6 +1238,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->documentVersion);
+          this->__isset.documentVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->documentHistoryFrom);
+          this->__isset.documentHistoryFrom = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->documentAgeMs);
+          this->__isset.documentAgeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1366,6 +1405,21 @@
     xfer += oprot->writeI32(this->knownRelays);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.documentVersion) {
+    xfer += oprot->writeFieldBegin("documentVersion", ::apache::thrift::protocol::T_I64, 23);
+    xfer += oprot->writeI64(this->documentVersion);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.documentHistoryFrom) {
+    xfer += oprot->writeFieldBegin("documentHistoryFrom", ::apache::thrift::protocol::T_I64, 24);
+    xfer += oprot->writeI64(this->documentHistoryFrom);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.documentAgeMs) {
+    xfer += oprot->writeFieldBegin("documentAgeMs", ::apache::thrift::protocol::T_I32, 25);
+    xfer += oprot->writeI32(this->documentAgeMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1394,6 +1448,9 @@
   swap(a.onlyLoads, b.onlyLoads);
   swap(a.limits, b.limits);
   swap(a.knownRelays, b.knownRelays);
+  swap(a.documentVersion, b.documentVersion);
+  swap(a.documentHistoryFrom, b.documentHistoryFrom);
+  swap(a.documentAgeMs, b.documentAgeMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -1419,6 +1476,9 @@
   onlyLoads = other52.onlyLoads;
   limits = other52.limits;
   knownRelays = other52.knownRelays;
+  documentVersion = other52.documentVersion;
+  documentHistoryFrom = other52.documentHistoryFrom;
+  documentAgeMs = other52.documentAgeMs;
   __isset = other52.__isset;
 }
 RelayHeartbeat::RelayHeartbeat(RelayHeartbeat&& other53) noexcept {
@@ -1443,6 +1503,9 @@
   onlyLoads = other53.onlyLoads;
   limits = std::move(other53.limits);
   knownRelays = other53.knownRelays;
+  documentVersion = other53.documentVersion;
+  documentHistoryFrom = other53.documentHistoryFrom;
+  documentAgeMs = other53.documentAgeMs;
   __isset = other53.__isset;
 }
 RelayHeartbeat& RelayHeartbeat::operator=(const RelayHeartbeat& other54) {
@@ -1467,6 +1530,9 @@
   onlyLoads = other54.onlyLoads;
   limits = other54.limits;
   knownRelays = other54.knownRelays;
+  documentVersion = other54.documentVersion;
+  documentHistoryFrom = other54.documentHistoryFrom;
+  documentAgeMs = other54.documentAgeMs;
   __isset = other54.__isset;
   return *this;
 }
@@ -1492,6 +1558,9 @@
   onlyLoads = other55.onlyLoads;
   limits = std::move(other55.limits);
   knownRelays = other55.knownRelays;
+  documentVersion = other55.documentVersion;
+  documentHistoryFrom = other55.documentHistoryFrom;
+  documentAgeMs = other55.documentAgeMs;
   __isset = other55.__isset;
   return *this;
 }
@@ -1519,6 +1588,9 @@
   out << ", " << "onlyLoads=" << to_string(onlyLoads);
   out << ", " << "limits="; (__isset.limits ? (out << to_string(limits)) : (out << "<null>"));
   out << ", " << "knownRelays="; (__isset.knownRelays ? (out << to_string(knownRelays)) : (out << "<null>"));
+  out << ", " << "documentVersion="; (__isset.documentVersion ? (out << to_string(documentVersion)) : (out << "<null>"));
+  out << ", " << "documentHistoryFrom="; (__isset.documentHistoryFrom ? (out << to_string(documentHistoryFrom)) : (out << "<null>"));
+  out << ", " << "documentAgeMs="; (__isset.documentAgeMs ? (out << to_string(documentAgeMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibRelay/Generated/Relay_types.h
+++ b/Libraries/LibRelay/Generated/Relay_types.h
@@ -351,7 +351,7 @@
 std::ostream& operator<<(std::ostream& out, const LimitOfTarget& obj);
 
 typedef struct _RelayHeartbeat__isset {
-  _RelayHeartbeat__isset() : node(false), incarnation(false), sequence(false), callers(false), peers(false), dataCentre(false), accepting(false), documentTableVersion(false), loads(false), targets(false), crashes(false), known(false), targetsDigest(false), targetsVersion(false), targetsAgeMs(false), reading(false), trying(false), beatMs(false), onlyLoads(false), limits(false), knownRelays(false) {}
+  _RelayHeartbeat__isset() : node(false), incarnation(false), sequence(false), callers(false), peers(false), dataCentre(false), accepting(false), documentTableVersion(false), loads(false), targets(false), crashes(false), known(false), targetsDigest(false), targetsVersion(false), targetsAgeMs(false), reading(false), trying(false), beatMs(false), onlyLoads(false), limits(false), knownRelays(false), documentVersion(false), documentHistoryFrom(false), documentAgeMs(false) {}
   bool node :1;
   bool incarnation :1;
   bool sequence :1;
@@ -373,6 +373,9 @@
   bool onlyLoads :1;
   bool limits :1;
   bool knownRelays :1;
+  bool documentVersion :1;
+  bool documentHistoryFrom :1;
+  bool documentAgeMs :1;
 } _RelayHeartbeat__isset;
 
 class RelayHeartbeat : public virtual ::apache::thrift::TBase {
@@ -398,7 +401,10 @@
                    trying(0),
                    beatMs(0),
                    onlyLoads(0),
-                   knownRelays(0) {
+                   knownRelays(0),
+                   documentVersion(0),
+                   documentHistoryFrom(0),
+                   documentAgeMs(0) {
   }
 
   virtual ~RelayHeartbeat() noexcept;
@@ -423,6 +429,9 @@
   bool onlyLoads;
   std::vector<LimitOfTarget>  limits;
   int32_t knownRelays;
+  int64_t documentVersion;
+  int64_t documentHistoryFrom;
+  int32_t documentAgeMs;
 
   _RelayHeartbeat__isset __isset;
 
@@ -468,6 +477,12 @@
 
   void __set_knownRelays(const int32_t val);
 
+  void __set_documentVersion(const int64_t val);
+
+  void __set_documentHistoryFrom(const int64_t val);
+
+  void __set_documentAgeMs(const int32_t val);
+
   bool operator == (const RelayHeartbeat & rhs) const
   {
     if (!(node == rhs.node))
@@ -516,6 +531,18 @@
       return false;
     else if (__isset.knownRelays && !(knownRelays == rhs.knownRelays))
       return false;
+    if (__isset.documentVersion != rhs.__isset.documentVersion)
+      return false;
+    else if (__isset.documentVersion && !(documentVersion == rhs.documentVersion))
+      return false;
+    if (__isset.documentHistoryFrom != rhs.__isset.documentHistoryFrom)
+      return false;
+    else if (__isset.documentHistoryFrom && !(documentHistoryFrom == rhs.documentHistoryFrom))
+      return false;
+    if (__isset.documentAgeMs != rhs.__isset.documentAgeMs)
+      return false;
+    else if (__isset.documentAgeMs && !(documentAgeMs == rhs.documentAgeMs))
+      return false;
     return true;
   }
   bool operator != (const RelayHeartbeat &rhs) const {
--- a/Libraries/LibRelay/PeerHeartbeatCodec.cpp
+++ b/Libraries/LibRelay/PeerHeartbeatCodec.cpp
@@ -129,6 +129,11 @@
     }
     // Optional fields that are not set take no bytes.
     result.__isset.limits = !result.limits.empty();
+    if (heartbeat.documentAge) {
+        result.__set_documentVersion(heartbeat.documentVersion);
+        result.__set_documentHistoryFrom(heartbeat.documentHistoryFrom);
+        result.__set_documentAgeMs(static_cast<int32_t>(std::min<int64_t>(heartbeat.documentAge->count(), std::numeric_limits<int32_t>::max())));
+    }
     if (heartbeat.knownRelays > 0) {
         result.__set_knownRelays(heartbeat.knownRelays);
     }
@@ -166,6 +171,11 @@
         heartbeat.requestLimits.push_back(statementFromWire(limit, wire.node));
     }
     heartbeat.knownRelays = wire.knownRelays;
+    if (wire.__isset.documentAgeMs) {
+        heartbeat.documentVersion = wire.documentVersion;
+        heartbeat.documentHistoryFrom = wire.documentHistoryFrom;
+        heartbeat.documentAge = std::chrono::milliseconds(std::max(0, wire.documentAgeMs));
+    }
     return heartbeat;
 }
 
--- a/Libraries/LibRelay/PeerTable.h
+++ b/Libraries/LibRelay/PeerTable.h
@@ -31,8 +31,13 @@
     std::string dataCentre;
     // Whether callers may be sent to the relay.
     bool accepting = false;
-    // Version of the newest change in the document's table.
+    // Version of the newest known change in the document's table.
     int64_t documentTableVersion = 0;
+    // All changes of it up to this version of the store are known, those after documentHistoryFrom one by one.
+    int64_t documentVersion = 0;
+    int64_t documentHistoryFrom = 0;
+    // Time since its rows were last known to be current. Nothing if that is unknown.
+    std::optional<std::chrono::milliseconds> documentAge;
     // Digest of the targets that the relay knows, the store's version that it corresponds to, and the time since that version was read.
     uint64_t targetsDigest = 0;
     int64_t targetsVersion = 0;
--- a/Libraries/LibRelay/Relay.thrift
+++ b/Libraries/LibRelay/Relay.thrift
@@ -54,7 +54,7 @@
   5: string peers
   6: string dataCentre
   7: bool accepting
-  // Version of the newest change in the table of the document.
+  // Version of the newest known change in the table of the document.
   9: i64 documentTableVersion
   10: list<LoadOnTarget> loads
   11: list<ChangedTarget> targets
@@ -76,4 +76,10 @@
   21: optional list<LimitOfTarget> limits
   // Number of relays that the sender knows, itself and those that have been silent for a while included.
   22: optional i32 knownRelays
+  // All changes of the document's table up to this version of the store are known.
+  23: optional i64 documentVersion
+  // All changes of it after this version are known one by one.
+  24: optional i64 documentHistoryFrom
+  // Time since its rows were last known to be current.
+  25: optional i32 documentAgeMs
 }
--- a/Libraries/LibRelayServer/PeerLink.cpp
+++ b/Libraries/LibRelayServer/PeerLink.cpp
@@ -16,6 +16,7 @@
 // time and traffic stays bounded.
 constexpr std::chrono::milliseconds MinHeartbeatInterval {200};
 constexpr std::chrono::milliseconds MaxHeartbeatInterval {800};
+constexpr std::chrono::milliseconds MaxReaderHeartbeatInterval {400};
 constexpr std::chrono::milliseconds HeartbeatIntervalPerRelay {5};
 // A change is repeated in several heartbeats, because a datagram may be lost.
 constexpr std::chrono::milliseconds ChangeRepeatTime {1500};
@@ -83,6 +84,8 @@
 void PeerLink::onDatagram(std::string_view datagram, MonotonicTime now)
 {
     m_core.metrics.count("relay_heartbeats_received_total");
+    // Datagrams that arrived during a freeze are older than they seem.
+    m_core.detectFreeze(now);
     auto heartbeat = decodePeerHeartbeat(datagram);
     if (!heartbeat) {
         m_core.metrics.count("relay_peer_datagrams_malformed_total");
@@ -189,9 +192,17 @@
 
 std::chrono::milliseconds PeerLink::heartbeatInterval(MonotonicTime now) const
 {
+    if (m_hooks.isReading()) {
+        return readerHeartbeatInterval(now);
+    }
     return std::clamp(HeartbeatIntervalPerRelay * m_core.peers.liveRelayCount(now), MinHeartbeatInterval, MaxHeartbeatInterval);
 }
 
+std::chrono::milliseconds PeerLink::readerHeartbeatInterval(MonotonicTime now) const
+{
+    return std::clamp(HeartbeatIntervalPerRelay * m_core.peers.liveRelayCount(now), MinHeartbeatInterval, MaxReaderHeartbeatInterval);
+}
+
 bool PeerLink::shouldSendToAllRegions(MonotonicTime now) const
 {
     // Relays of other regions seldom use the targets here, and traffic between regions has a price. All relays depend on those that read the store and those
@@ -219,8 +230,7 @@
 {
     auto heartbeat = buildHeartbeat(now);
     heartbeat.heartbeatInterval = heartbeatInterval(now);
-    auto datagram = encodePeerHeartbeat(heartbeat);
-    sendTo(PeerTable::RecipientScope::Region, datagram, now);
+    sendTo(PeerTable::RecipientScope::Region, encodePeerHeartbeat(heartbeat), now);
     if (scope == NotificationScope::Region) {
         return;
     }
@@ -229,9 +239,8 @@
     }
     if (!isSmallFleet(now)) {
         heartbeat.loads = otherRegionLoads(heartbeat.loads, now);
-        datagram = encodePeerHeartbeat(heartbeat);
     }
-    sendTo(PeerTable::RecipientScope::OutsideRegion, datagram, now);
+    sendTo(PeerTable::RecipientScope::OutsideRegion, encodePeerHeartbeat(heartbeat), now);
 }
 
 void PeerLink::sendTo(PeerTable::RecipientScope scope, const std::string &datagram, MonotonicTime now)
--- a/Libraries/LibRelayServer/PeerLink.h
+++ b/Libraries/LibRelayServer/PeerLink.h
@@ -37,6 +37,9 @@
     // Interval between regular heartbeats, by the number of relays.
     std::chrono::milliseconds heartbeatInterval(MonotonicTime now) const;
 
+    // The same for relays that read the store for all. Others learn from their heartbeats whether they miss a change.
+    std::chrono::milliseconds readerHeartbeatInterval(MonotonicTime now) const;
+
 private:
     void receive();
     void onDatagram(std::string_view datagram, MonotonicTime now);
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -29,6 +29,7 @@
 constexpr std::chrono::milliseconds MinFreezeTime {400};
 // Number of ticks between reads from a peer whose target list differs, while the store is unavailable.
 constexpr uint64_t TicksPerPeerRead = 3;
+constexpr uint64_t MaxOwnReadDelayMs = 100;
 constexpr uint64_t TicksPerExpiry = 10;
 constexpr uint64_t TicksPerSettingsCheck = 20;
 constexpr uint64_t TicksPerEngineCheck = 3;
@@ -53,12 +54,16 @@
                .onTargetState = [this](const PeerHeartbeat &heartbeat, MonotonicTime now) { onPeerTargets(heartbeat, now); },
                .addTableState =
                    [this](PeerHeartbeat &heartbeat, MonotonicTime now) {
-                       heartbeat.documentTableVersion = m_documents->changeVersion();
+                       const auto document = m_documents->state(now);
+                       heartbeat.documentTableVersion = document.changeVersion;
+                       heartbeat.documentVersion = document.version;
+                       heartbeat.documentHistoryFrom = document.historyFrom;
+                       heartbeat.documentAge = document.age;
                        heartbeat.targetsDigest = m_core.targets.digest();
                        heartbeat.targetsVersion = m_targets->version();
                        heartbeat.targetsAge = m_targets->age(now);
                        heartbeat.reading = isReadingSuccessfully(now);
-                       heartbeat.trying = isTryingStore(ownReadState(), now);
+                       heartbeat.trying = isTryingStore(readStateOf(*m_targets), now) && isTryingStore(readStateOf(*m_documents), now);
                    },
                .isReading = [this] { return m_readers.isReading(); }})
     , m_timer(loop)
@@ -72,6 +77,7 @@
 Relay::start(boost::asio::io_context &loop, RelayOptions options, PlatformAdapter adapter, LineWriter &lines, SettingsHooks settings)
 {
     auto relay = std::unique_ptr<Relay>(new Relay(loop, std::move(options), std::move(adapter), lines, std::move(settings)));
+    relay->m_ownReadDelay = std::chrono::milliseconds(static_cast<int64_t>(relay->m_core.random() % MaxOwnReadDelayMs));
     relay->followStore();
     relay->m_core.onMigrationEnded = [raw = relay.get()] { raw->m_peers.scheduleHeartbeat(NotificationScope::All); };
     relay->m_core.detectFreeze = [raw = relay.get()](MonotonicTime now) { raw->detectFreeze(now); };
@@ -217,6 +223,9 @@
     for (const auto &target : m_core.targets.tick(now)) {
         m_core.handleTargetLeaving(target, "entry expired", now);
     }
+    m_documents->check(now);
+    m_targets->check(now);
+    requestDocumentIfUnavailable(now);
     if (m_ticks % TicksPerPeerRead == 0) {
         requestTargetsIfUnavailable(now);
     }
@@ -253,7 +262,7 @@
 
 bool Relay::isReadingSuccessfully(MonotonicTime now) const
 {
-    return hasRecentStoreRead(ownReadState(), now) && !m_documents->failingSince();
+    return hasRecentStoreRead(readStateOf(*m_targets), now) && hasRecentStoreRead(readStateOf(*m_documents), now);
 }
 
 void Relay::notifyReadingChange(MonotonicTime now)
@@ -265,18 +274,18 @@
     }
 }
 
-TargetListState Relay::ownReadState() const
+TargetListState Relay::readStateOf(const TableFollower &follower) const
 {
     return {.isReading = m_readers.isReading(),
-            .failingSince = m_targets->failingSince(),
-            .readAt = m_targets->readAt(),
-            .readInterval = m_targets->readInterval(),
-            .currentAt = m_targets->currentAt()};
+            .failingSince = follower.failingSince(),
+            .readAt = follower.readAt(),
+            .readInterval = follower.readInterval(),
+            .currentAt = follower.currentAt()};
 }
 
 TargetListState Relay::listSources(MonotonicTime now) const
 {
-    auto sources = ownReadState();
+    auto sources = readStateOf(*m_targets);
     sources.heartbeatInterval = m_peers.heartbeatInterval(now);
     const auto peers = m_core.peers.livePeers(now);
     sources.hasReadingPeer = std::any_of(peers.begin(), peers.end(), [](const Peer *peer) { return peer->latestHeartbeat.reading; });
@@ -304,9 +313,12 @@
     const auto frozen = suspended - std::exchange(m_lastSuspendedTime, suspended);
     // The clock goes on while only the process is stopped.
     const auto stopped = now - std::exchange(m_lastRunAt, now) - TickInterval;
-    if (frozen >= MinFreezeTime || stopped >= MinFreezeTime) {
-        m_core.balancer.requestLimits().onFrozen(frozen, now);
+    if (frozen < MinFreezeTime && stopped < MinFreezeTime) {
+        return;
     }
+    m_core.balancer.requestLimits().onFrozen(frozen, now);
+    m_documents->readNow();
+    m_targets->readNow();
     if (frozen < MinFreezeTime) {
         return;
     }
@@ -315,8 +327,6 @@
     m_core.log(line);
     m_core.channels.clear();
     m_core.client.closeIdle();
-    m_documents->readNow();
-    m_targets->readNow();
 }
 
 void Relay::drain()
--- a/Libraries/LibRelayServer/Relay.h
+++ b/Libraries/LibRelayServer/Relay.h
@@ -46,11 +46,10 @@
     void onPeerRequest(CallerChannel &channel, const CallerRequest &request);
 
     // The store's tables (RelayTables.cpp).
-    void onDocumentTable(const std::vector<StoreRow> &rows);
     void onDocumentRow(const StoreRow &row);
     void setDataCentreOut(const std::string &name, bool out, int64_t version);
     void applyDocument(const StoreRow &row);
-    void onTargetTable(const std::vector<StoreRow> &rows, bool afterOutage, MonotonicTime now);
+    void onTargetTable(const StoreRows &rows, bool afterOutage, MonotonicTime now);
     // Removes the targets that a complete target list does not contain. Returns their number.
     size_t removeUnlisted(const absl::flat_hash_set<std::string> &listed, bool afterOutage, int64_t version, std::string_view reason, MonotonicTime now);
     void onTargetRow(const StoreRow &row, bool afterOutage, MonotonicTime now);
@@ -64,7 +63,13 @@
     void exportTables(MonotonicTime now);
 
     std::vector<std::string> addressesFor(const std::string &dataCentre, const std::string &region, MonotonicTime now) const;
-    void requestDocumentFromPeer(TableFollower &follower, const std::string &table, const std::string &address);
+    // Requests the document from a peer that has a newer one, while this relay cannot read the store.
+    void requestDocumentIfUnavailable(MonotonicTime now);
+    void requestDocumentFromPeer(const std::string &address);
+    // Delay before this relay reads a change of the document that a peer has reported.
+    std::chrono::milliseconds catchUpDelay(MonotonicTime now);
+    // Time since the last confirmation of a table after which this relay reads the store itself.
+    std::chrono::milliseconds maxTableAge(MonotonicTime now) const;
     void requestTargetsIfUnavailable(MonotonicTime now);
     void onPeerDocument(const PeerHeartbeat &heartbeat);
     void onPeerTargets(const PeerHeartbeat &heartbeat, MonotonicTime now);
@@ -74,8 +79,8 @@
     void tick();
     // While no relay reads the target list, reads the state of the engines that run migratable generations, to detect engines that are leaving.
     void checkRunningEngines();
-    // State of this relay's own reads of the target list, without the reports of peers. Every heartbeat includes it.
-    TargetListState ownReadState() const;
+    // State of this relay's own reads of a table, without the reports of peers.
+    TargetListState readStateOf(const TableFollower &follower) const;
     TargetListState listSources(MonotonicTime now) const;
     // Whether this relay reads all tables successfully, so that other relays can rely on it.
     bool isReadingSuccessfully(MonotonicTime now) const;
@@ -104,8 +109,8 @@
     StoreReaderElection m_readers;
     TableLag m_documentLag;
     TableLag m_targetsLag;
-    // Since when the target list of a peer that reads the store has differed from this relay's.
-    std::optional<MonotonicTime> m_targetListDiffersSince;
+    // Different on each relay, so that not all read the store in the same moment.
+    std::chrono::milliseconds m_ownReadDelay {0};
 };
 
 } // namespace Jujube
--- a/Libraries/LibRelayServer/RelayTables.cpp
+++ b/Libraries/LibRelayServer/RelayTables.cpp
@@ -18,23 +18,38 @@
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
 
-// Maximum time for which the store may hold a read of the document.
-constexpr std::chrono::milliseconds MaxDocumentHold {3000};
-// If the target list of a peer that reads the store differs for this time, the whole list is requested from it.
-constexpr std::chrono::milliseconds MaxDifferenceTime {700};
+// Maximum time between two reads by a relay that reads the store all the time: the time for which the store holds a read, the delay between two reads, and the
+// way there and back.
+constexpr std::chrono::milliseconds MaxReadInterval {1150};
+// Heartbeats of such a relay that may be lost or late before others read the store themselves.
+constexpr int HeartbeatsUntilOwnRead = 2;
+// Maximum delay before a relay reads a change of which a peer has notified it. All relays are notified at the same moment.
+constexpr uint64_t MaxCatchUpDelayMs = 200;
+// A relay that reads the store all the time is about to receive the change anyway.
+constexpr std::chrono::milliseconds ReaderCatchUpDelay {150};
 constexpr std::chrono::milliseconds PeerReadTimeout {500};
 
 // Encoding of rows between peers.
-std::string encodeSnapshot(const StoreRows &rows)
+std::string encodeSnapshot(const StoreRows &rows, std::optional<std::chrono::milliseconds> age)
 {
     nlohmann::json list = nlohmann::json::array();
     for (const auto &row : rows.rows) {
         list.push_back({{"key", absl::Base64Escape(row.key)}, {"value", absl::Base64Escape(row.value)}, {"version", row.version}});
     }
-    return nlohmann::json {{"version", rows.version}, {"change", rows.changeVersion}, {"rows", std::move(list)}}.dump();
+    nlohmann::json snapshot {{"version", rows.version}, {"change", rows.changeVersion}, {"rows", std::move(list)}};
+    if (age) {
+        snapshot["age_ms"] = age->count();
+    }
+    return snapshot.dump();
 }
 
-std::optional<StoreRows> decodeSnapshot(std::string_view text)
+struct Snapshot {
+    StoreRows rows;
+    // Time since the rows were last known to be current, if the peer knows it.
+    std::optional<std::chrono::milliseconds> age;
+};
+
+std::optional<Snapshot> decodeSnapshot(std::string_view text)
 {
     const auto json = parseJson(text);
     if (!json.ok() || !json->is_object() || !json->contains("rows")) {
@@ -48,7 +63,11 @@
         }
         rows.rows.push_back(std::move(row));
     }
-    return rows;
+    Snapshot snapshot {.rows = std::move(rows)};
+    if (json->contains("age_ms")) {
+        snapshot.age = std::chrono::milliseconds(json->value("age_ms", int64_t {0}));
+    }
+    return snapshot;
 }
 
 std::string_view sourceOf(const TableFollower &follower)
@@ -58,25 +77,33 @@
 
 } // namespace
 
+std::chrono::milliseconds Relay::maxTableAge(MonotonicTime now) const
+{
+    return MaxReadInterval + HeartbeatsUntilOwnRead * m_peers.readerHeartbeatInterval(now) + m_ownReadDelay;
+}
+
 void Relay::followStore()
 {
     const auto &adapter = m_core.adapter;
+    const auto optionsFor = [this](const std::string &table) {
+        return TableFollower::Options {.table = table,
+                                       .shouldRead = [this](MonotonicTime now) { return shouldRead(now); },
+                                       .isReading = [this] { return m_readers.isReading(); },
+                                       .maxAge = [this](MonotonicTime now) { return maxTableAge(now); },
+                                       .liveRelays = [this] { return m_core.liveRelays(monotonicNow()); }};
+    };
     const auto onUnavailable
         = [this](const std::string &table) { return [this, table](const std::string &error) { logStore(EventKind::PlatformLost, table, error); }; };
     const auto onAvailable = [this](const std::string &table) {
         return [this, table](std::chrono::milliseconds outage) { logStore(EventKind::PlatformRegained, table, absl::StrCat("after ", outage.count(), " ms")); };
     };
-    // Changes of the document are rare and urgent, so the store holds the read until there is one.
     m_documents = std::make_unique<TableFollower>(m_core.loop,
                                                   m_core.client,
                                                   adapter,
                                                   m_core.options.store,
-                                                  TableFollower::Options {.table = adapter.documentTable,
-                                                                          .wait = MaxDocumentHold,
-                                                                          .shouldRead = [this](MonotonicTime now) { return shouldRead(now); },
-                                                                          .liveRelays = [this] { return m_core.liveRelays(monotonicNow()); }},
-                                                  TableFollower::Hooks {.onTable = [this](const std::vector<StoreRow> &rows, bool) { onDocumentTable(rows); },
-                                                                        .onChange = [this](const StoreRow &row, bool) { onDocumentRow(row); },
+                                                  optionsFor(adapter.documentTable),
+                                                  TableFollower::Hooks {.onChange = [this](const StoreRow &row, bool) { onDocumentRow(row); },
+                                                                        .onTable = [](const StoreRows &, bool) {},
                                                                         .onUnavailable = onUnavailable(adapter.documentTable),
                                                                         .onAvailable = onAvailable(adapter.documentTable)});
     m_targets = std::make_unique<TableFollower>(
@@ -84,11 +111,9 @@
         m_core.client,
         adapter,
         m_core.options.store,
-        TableFollower::Options {.table = adapter.targetTable,
-                                .shouldRead = [this](MonotonicTime now) { return shouldRead(now); },
-                                .liveRelays = [this] { return m_core.liveRelays(monotonicNow()); }},
-        TableFollower::Hooks {.onTable = [this](const std::vector<StoreRow> &rows, bool afterOutage) { onTargetTable(rows, afterOutage, monotonicNow()); },
-                              .onChange = [this](const StoreRow &row, bool afterOutage) { onTargetRow(row, afterOutage, monotonicNow()); },
+        optionsFor(adapter.targetTable),
+        TableFollower::Hooks {.onChange = [this](const StoreRow &row, bool afterOutage) { onTargetRow(row, afterOutage, monotonicNow()); },
+                              .onTable = [this](const StoreRows &rows, bool afterOutage) { onTargetTable(rows, afterOutage, monotonicNow()); },
                               .onUnavailable = onUnavailable(adapter.targetTable),
                               .onAvailable = onAvailable(adapter.targetTable)});
 }
@@ -154,7 +179,7 @@
     const auto &target = request.head.target;
     const auto matches = [&](const std::string &table) { return target == absl::StrCat(toAbsl(SnapshotPath), table); };
     if (matches(m_core.adapter.documentTable) && m_documents->hasRows()) {
-        channel.send({.status = StatusOk}, encodeSnapshot(m_documents->snapshot()));
+        channel.send({.status = StatusOk}, encodeSnapshot(m_documents->snapshot(), m_documents->state(monotonicNow()).age));
     } else if (target == TargetsPath && m_core.targets.size() > 0) {
         const PeerHeartbeat heartbeat {.node = m_core.options.node, .targetsVersion = m_targets->version(), .targets = m_core.targets.allEntries()};
         channel.send({.status = StatusOk}, encodePeerHeartbeat(heartbeat, MaxPeerResponseBytes));
@@ -165,7 +190,7 @@
 
 void Relay::requestTargetsIfUnavailable(MonotonicTime now)
 {
-    // Documents are requested from any peer that reports a newer one. Targets are requested while the store cannot be read and a peer has a newer list.
+    // Targets are requested while the store cannot be read and a peer has a newer list.
     if (m_targets->hasRows() && !m_targets->isUnavailable()) {
         return;
     }
@@ -180,33 +205,73 @@
     }
 }
 
-void Relay::requestDocumentFromPeer(TableFollower &follower, const std::string &table, const std::string &address)
+void Relay::requestDocumentIfUnavailable(MonotonicTime now)
+{
+    if (m_isRequestingDocument || (m_documents->hasRows() && !m_documents->failingSince())) {
+        return;
+    }
+    // A different peer each time, so that one that does not respond is not asked again and again.
+    std::vector<const Peer *> newer;
+    for (const auto *peer : m_core.peers.livePeers(now)) {
+        if (peer->latestHeartbeat.documentTableVersion > m_documents->version()) {
+            newer.push_back(peer);
+        }
+    }
+    if (!newer.empty()) {
+        requestDocumentFromPeer(newer[m_core.random() % newer.size()]->latestHeartbeat.peers);
+    }
+}
+
+void Relay::requestDocumentFromPeer(const std::string &address)
 {
     const auto endpoint = Endpoint::parse(address);
-    if (!endpoint || m_isRequestingDocument) {
+    if (!endpoint) {
         return;
     }
     m_isRequestingDocument = true;
-    const LoopCall call {.target = absl::StrCat(toAbsl(SnapshotPath), table), .timeout = PeerReadTimeout, .freshConnection = true};
-    m_core.client.call(*endpoint, call, [this, &follower, table, address, requestedAt = monotonicNow()](const LoopAnswer &response) {
+    const auto &table = m_core.adapter.documentTable;
+    const LoopCall call {.target = absl::StrCat(toAbsl(SnapshotPath), table), .timeout = PeerReadTimeout, .onProgress = [] {}, .freshConnection = true};
+    m_core.client.call(*endpoint, call, [this, table, address, requestedAt = monotonicNow()](const LoopAnswer &response) {
         m_isRequestingDocument = false;
         const auto now = monotonicNow();
-        const auto rows = response.isSuccess() ? decodeSnapshot(response.body) : std::nullopt;
-        if (!rows) {
+        const auto snapshot = response.isSuccess() ? decodeSnapshot(response.body) : std::nullopt;
+        if (!snapshot) {
             logPeerReadFailure(table, address, response, now - requestedAt);
-        } else if (follower.replaceIfNewer(*rows, address, now)) {
-            logStore(EventKind::TableReplaced, table, absl::StrCat("from peer ", address, " as of ", rows->version));
-            updateLag(m_documentLag, table, follower.changeVersion() >= m_documentLag.version(), now);
+            return;
+        }
+        const auto currentAt = snapshot->age ? std::optional(requestedAt - *snapshot->age) : std::nullopt;
+        if (m_documents->merge(snapshot->rows, address, currentAt)) {
+            logStore(EventKind::TableReplaced, table, absl::StrCat("from peer ", address, " as of ", snapshot->rows.version));
         }
     });
 }
 
 void Relay::onPeerDocument(const PeerHeartbeat &heartbeat)
 {
-    if (heartbeat.documentTableVersion > m_documents->changeVersion()) {
-        m_documentLag.recordBehind(heartbeat.node, heartbeat.documentTableVersion, monotonicNow());
-        requestDocumentFromPeer(*m_documents, m_core.adapter.documentTable, heartbeat.peers);
+    const auto now = monotonicNow();
+    if (heartbeat.documentTableVersion > m_documents->version()) {
+        m_documentLag.recordBehind(heartbeat.node, heartbeat.documentTableVersion, now);
+        if (m_documents->hasRows()) {
+            m_documents->readSoon(catchUpDelay(now));
+        } else {
+            requestDocumentIfUnavailable(now);
+        }
+        return;
+    }
+    m_documents->noteState({.version = heartbeat.documentVersion,
+                            .changeVersion = heartbeat.documentTableVersion,
+                            .historyFrom = heartbeat.documentHistoryFrom,
+                            .age = heartbeat.documentAge},
+                           now);
+}
+
+std::chrono::milliseconds Relay::catchUpDelay(MonotonicTime now)
+{
+    if (m_readers.isReading()) {
+        return ReaderCatchUpDelay;
     }
+    const auto maxDelayMs = std::min(MaxCatchUpDelayMs, static_cast<uint64_t>(m_core.liveRelays(now)));
+    return std::chrono::milliseconds(static_cast<int64_t>(m_core.random() % maxDelayMs));
 }
 
 void Relay::onPeerTargets(const PeerHeartbeat &heartbeat, MonotonicTime now)
@@ -220,22 +285,9 @@
     } else if (heartbeat.reading && isEqual) {
         updateLag(m_targetsLag, m_core.adapter.targetTable, true, now);
     }
+    // While the lists differ, this relay's one is not confirmed, and it reads the store itself before long.
     if (isEqual) {
-        m_targetListDiffersSince.reset();
-        if (m_targets->hasRows()) {
-            m_targets->noteCurrent(heartbeat.targetsVersion, heartbeat.targetsAge, now);
-        }
-        return;
-    }
-    if (!heartbeat.reading || heartbeat.targetsVersion <= m_targets->version()) {
-        return;
-    }
-    // Heartbeats repeat every change for a while. A difference that persists means that some changes were missed.
-    if (!m_targetListDiffersSince) {
-        m_targetListDiffersSince = now;
-    } else if (now - *m_targetListDiffersSince >= MaxDifferenceTime) {
-        m_targetListDiffersSince = now;
-        requestTargetsFromPeer(heartbeat);
+        m_targets->noteCurrent(heartbeat.targetsVersion, heartbeat.targetsAge, now);
     }
 }
 
@@ -288,20 +340,6 @@
     return reads;
 }
 
-void Relay::onDocumentTable(const std::vector<StoreRow> &rows)
-{
-    absl::flat_hash_set<std::string> back = m_core.targets.dataCentresOut();
-    for (const auto &row : rows) {
-        if (const auto dataCentre = m_core.adapter.decodeOutOfServiceDataCentre(row.key)) {
-            back.erase(*dataCentre);
-        }
-        onDocumentRow(row);
-    }
-    for (const auto &dataCentre : back) {
-        setDataCentreOut(dataCentre, false, m_documents->version());
-    }
-}
-
 void Relay::onDocumentRow(const StoreRow &row)
 {
     if (row.key == m_core.adapter.documentKey) {
@@ -309,6 +347,10 @@
     } else if (const auto dataCentre = m_core.adapter.decodeOutOfServiceDataCentre(row.key)) {
         setDataCentreOut(*dataCentre, !row.removed, row.version);
     }
+    updateLag(m_documentLag, m_core.adapter.documentTable, row.version >= m_documentLag.version(), monotonicNow());
+    if (m_readers.isReading()) {
+        m_peers.scheduleHeartbeat(NotificationScope::All);
+    }
 }
 
 void Relay::setDataCentreOut(const std::string &name, bool out, int64_t version)
@@ -356,7 +398,6 @@
         .add("behind_ms", m_documentLag.duration(monotonicNow()).count());
     m_core.log(line);
     m_core.routes = std::make_shared<const RouteTable>(*std::move(document));
-    m_peers.scheduleHeartbeat(m_readers.isReading() ? NotificationScope::All : NotificationScope::Region);
 }
 
 std::optional<TargetEntry> Relay::decodeTarget(const StoreRow &row)
@@ -402,17 +443,17 @@
     }
 }
 
-void Relay::onTargetTable(const std::vector<StoreRow> &rows, bool afterOutage, MonotonicTime now)
+void Relay::onTargetTable(const StoreRows &rows, bool afterOutage, MonotonicTime now)
 {
     absl::flat_hash_set<std::string> listed;
-    for (const auto &row : rows) {
+    for (const auto &row : rows.rows) {
         listed.insert(row.key);
         if (const auto entry = decodeTarget(row)) {
             applyTarget(*entry, TargetTable::Source::Direct, now);
         }
     }
-    const auto missing = removeUnlisted(listed, afterOutage, m_targets->version(), "not listed", now);
-    logStore(EventKind::TableReplaced, m_core.adapter.targetTable, absl::StrCat(rows.size(), " rows, ", missing, " missing"));
+    const auto missing = removeUnlisted(listed, afterOutage, rows.version, "not listed", now);
+    logStore(EventKind::TableReplaced, m_core.adapter.targetTable, absl::StrCat(rows.rows.size(), " rows, ", missing, " missing"));
 }
 
 size_t Relay::removeUnlisted(const absl::flat_hash_set<std::string> &listed, bool afterOutage, int64_t version, std::string_view reason, MonotonicTime now)
--- a/Libraries/LibRelayServer/TableFollower.cpp
+++ b/Libraries/LibRelayServer/TableFollower.cpp
@@ -1,5 +1,6 @@
 #include <LibRelayServer/TableFollower.h>
 
+#include <absl/container/flat_hash_set.h>
 #include <algorithm>
 
 namespace Jujube
@@ -10,6 +11,10 @@
 
 // Number of relays up to which the maximum delay after failed reads is not increased.
 constexpr int RelaysForMaxRetryDelay = 10;
+// The store may hold a read only while the rows are known to be newer than this. A held read tells nothing until it ends.
+constexpr std::chrono::milliseconds MaxAgeForHeldRead {300};
+// Number of removed rows that are kept.
+constexpr size_t MaxRemovedRows = 1000;
 
 } // namespace
 
@@ -20,35 +25,71 @@
     , m_options(std::move(options))
     , m_hooks(std::move(hooks))
     , m_timer(loop)
+    , m_catchUpTimer(loop)
     , m_retryDelay(m_options.retryDelay)
+    , m_hedgeDelay(m_options.hedgeDelay)
 {
 }
 
 void TableFollower::start()
 {
     m_currentAt = monotonicNow();
-    startRead();
+    startRead({});
+}
+
+void TableFollower::check(MonotonicTime now)
+{
+    if (age(now) < m_options.maxAge(now)) {
+        m_hedgeDelay = m_options.hedgeDelay;
+        return;
+    }
+    const bool isWaiting = m_readActiveAt && !m_isReadHeld;
+    if (m_isRetryScheduled || (isWaiting && now - *m_readActiveAt < m_hedgeDelay)) {
+        return;
+    }
+    if (isWaiting) {
+        m_hedgeDelay = std::min(2 * m_hedgeDelay, std::max(m_options.hedgeDelay, maxRetryDelay()));
+    }
+    m_freshConnection = true;
+    startRead({});
 }
 
 void TableFollower::readNow()
 {
-    if (m_isReadingNow) {
+    if (m_readActiveAt && !m_isReadHeld) {
         return;
     }
-    m_isReadingNow = true;
     m_freshConnection = true;
-    startRead();
+    startRead({});
+}
+
+void TableFollower::readSoon(std::chrono::milliseconds delay)
+{
+    if (m_isCatchingUp) {
+        return;
+    }
+    m_isCatchingUp = true;
+    m_catchUpTimer.expires_after(delay);
+    m_catchUpTimer.async_wait([this](const LoopError &error) {
+        if (!error) {
+            m_freshConnection = true;
+            startRead({});
+        }
+    });
 }
 
-void TableFollower::startRead()
+void TableFollower::startRead(std::chrono::milliseconds hold)
 {
-    ++m_readNumber;
+    const auto read = std::make_shared<Read>(Read {.number = ++m_readNumber, .sentAt = monotonicNow(), .hold = hold, .isOfWholeTable = m_needsTable});
+    read->freshConnection = std::exchange(m_freshConnection, false);
     m_timer.cancel();
+    m_isRetryScheduled = false;
+    m_readActiveAt = read->sentAt;
+    m_isReadHeld = !m_needsTable && hold.count() > 0;
     if (m_needsTable) {
-        m_pages.clear();
-        readTable({});
+        requestPage(read);
     } else {
-        readChanges();
+        requestChanges(read);
     }
 }
 
@@ -59,114 +100,211 @@
         if (error) {
             return;
         }
-        if (!m_needsTable && !m_failingSince && !m_options.shouldRead(monotonicNow())) {
+        const auto now = monotonicNow();
+        const bool isOld = age(now) >= m_options.maxAge(now);
+        if (!m_needsTable && !isOld && !m_options.shouldRead(now)) {
+            m_isRetryScheduled = false;
             schedule(m_options.idleInterval);
             return;
         }
-        startRead();
+        startRead(age(now) < MaxAgeForHeldRead ? m_options.wait : std::chrono::milliseconds {0});
     });
 }
 
-void TableFollower::noteCurrent(int64_t version, std::chrono::milliseconds age, MonotonicTime now)
+void TableFollower::request(const ReadPointer &read, LoopCall call)
 {
-    m_version = std::max(m_version, version);
-    m_currentAt = std::max(m_currentAt, now - age);
+    call.timeout = read->hold + m_options.responseTimeout;
+    call.freshConnection = read->freshConnection;
+    call.onProgress = [this, read] {
+        if (read->number == m_readNumber) {
+            m_readActiveAt = monotonicNow();
+            m_isReadHeld = false;
+        }
+    };
+    m_client.call(m_store, call, [this, read](const LoopAnswer &response) { onResponse(read, response, monotonicNow()); });
 }
 
-void TableFollower::readTable(const std::string &fromKey)
+void TableFollower::requestPage(const ReadPointer &read)
 {
-    auto call = m_adapter.buildRowsCall(m_options.table, fromKey);
-    call.timeout = m_options.responseTimeout;
-    call.freshConnection = std::exchange(m_freshConnection, false);
-    m_client.call(m_store, call, [this, read = m_readNumber](const LoopAnswer &response) {
-        if (read == m_readNumber) {
-            onRows(response, true, monotonicNow());
-        }
-    });
+    // The range includes its start key, so the next page starts at the last key with a byte appended.
+    request(read, m_adapter.buildRowsCall(m_options.table, read->rows.empty() ? std::string() : read->rows.back().key + '\x01'));
 }
 
-void TableFollower::readChanges()
+void TableFollower::requestChanges(const ReadPointer &read)
 {
-    auto call = m_adapter.buildChangesCall(m_options.table, m_version, m_options.wait);
-    call.timeout = m_options.wait + m_options.responseTimeout;
-    call.freshConnection = std::exchange(m_freshConnection, false);
-    m_client.call(m_store, call, [this, read = m_readNumber](const LoopAnswer &response) {
-        if (read == m_readNumber) {
-            onRows(response, false, monotonicNow());
-        }
-    });
+    request(read, m_adapter.buildChangesCall(m_options.table, m_version, read->hold));
 }
 
-void TableFollower::onRows(const LoopAnswer &response, bool isWholeTable, MonotonicTime now)
+void TableFollower::onResponse(const ReadPointer &read, const LoopAnswer &response, MonotonicTime now)
 {
-    if (!isWholeTable && response.end == ChannelEnd::Complete && response.status == m_adapter.changesUnavailableStatus) {
-        m_needsTable = true;
-        onSuccess(now);
-        startRead();
+    if (!read->isOfWholeTable && response.end == ChannelEnd::Complete && response.status == m_adapter.changesUnavailableStatus) {
+        if (read->number == m_readNumber) {
+            m_needsTable = true;
+            onSuccess(now);
+            startRead({});
+        }
         return;
     }
     if (!response.isSuccess()) {
-        onFailure(response.error.empty() ? "status " + std::to_string(response.status) : response.error, now);
+        onFailure(*read, response.error.empty() ? "status " + std::to_string(response.status) : response.error, now);
         return;
     }
     auto rows = m_adapter.decodeRows(response.body);
     if (!rows.ok()) {
-        onFailure(std::string(rows.status().message()), now);
+        onFailure(*read, std::string(rows.status().message()), now);
         return;
     }
-    m_source.clear();
-    if (!isWholeTable) {
-        onSuccess(now);
-        applyChanges(*rows, now);
-        schedule(m_options.changesDelay);
-        return;
+    if (read->isOfWholeTable) {
+        onTablePage(read, *std::move(rows), now);
+    } else {
+        onChanges(*read, *rows, now);
     }
-    std::move(rows->rows.begin(), rows->rows.end(), std::back_inserter(m_pages));
-    if (rows->hasMore && !m_pages.empty()) {
-        // The range includes its start key, so the next page starts at the last key with a byte appended.
-        readTable(m_pages.back().key + '\x01');
+}
+
+void TableFollower::onTablePage(const ReadPointer &read, StoreRows page, MonotonicTime now)
+{
+    std::move(page.rows.begin(), page.rows.end(), std::back_inserter(read->rows));
+    // The changes since the first page are read later, because they may affect rows of any page.
+    read->version = read->version.value_or(page.version);
+    if (page.hasMore && !read->rows.empty()) {
+        requestPage(read);
         return;
     }
+    m_source.clear();
     onSuccess(now);
-    applyTable({.rows = std::exchange(m_pages, {}), .version = rows->version}, now);
-    schedule(m_options.changesDelay);
+    mergeTable({.rows = std::exchange(read->rows, {}), .version = *read->version});
+    confirm(read->sentAt);
+    onReadEnded(*read);
 }
 
-void TableFollower::applyTable(const StoreRows &rows, MonotonicTime now)
+void TableFollower::onChanges(const Read &read, const StoreRows &changes, MonotonicTime now)
 {
-    m_rows.clear();
-    for (const auto &row : rows.rows) {
-        m_rows[row.key] = row;
+    m_source.clear();
+    onSuccess(now);
+    for (const auto &row : changes.rows) {
+        if (mergeRow(row)) {
+            m_hooks.onChange(row, m_afterOutage);
+        }
     }
-    m_version = rows.version;
+    m_version = std::max(m_version, changes.version);
+    m_afterOutage = false;
+    // A read without changes ended when the store had held it for the whole time.
+    const bool wasHeldToTheEnd = changes.rows.empty() && now - read.sentAt >= read.hold;
+    confirm(wasHeldToTheEnd ? read.sentAt + read.hold : read.sentAt);
+    onReadEnded(read);
+}
+
+void TableFollower::onReadEnded(const Read &read)
+{
+    if (read.number == m_readNumber) {
+        m_readActiveAt.reset();
+        m_isCatchingUp = false;
+        schedule(m_options.changesDelay);
+    }
+}
+
+bool TableFollower::mergeRow(const StoreRow &row)
+{
+    const auto known = m_rows.find(row.key);
+    if (known != m_rows.end() && row.version <= known->second.version) {
+        return false;
+    }
+    m_rows[row.key] = row;
+    m_changeVersion = std::max(m_changeVersion, row.version);
+    return true;
+}
+
+void TableFollower::mergeTable(const StoreRows &rows)
+{
+    absl::flat_hash_set<std::string> listed;
     for (const auto &row : rows.rows) {
-        m_changeVersion = std::max(m_changeVersion, row.version);
+        listed.insert(row.key);
+        if (mergeRow(row)) {
+            m_hooks.onChange(row, m_afterOutage);
+        }
     }
+    std::vector<StoreRow> removed;
+    for (const auto &[key, row] : m_rows) {
+        if (!row.removed && !listed.contains(key) && row.version < rows.version) {
+            removed.push_back({.key = key, .version = rows.version, .removed = true});
+        }
+    }
+    for (const auto &row : removed) {
+        mergeRow(row);
+        m_hooks.onChange(row, m_afterOutage);
+    }
+    m_version = std::max(m_version, rows.version);
+    m_historyFrom = std::max(m_historyFrom, rows.version);
     m_hasRows = true;
     m_needsTable = false;
-    m_currentAt = now;
-    m_hooks.onTable(rows.rows, m_afterOutage);
+    forgetRemovedRows();
+    m_hooks.onTable(rows, m_afterOutage);
     m_afterOutage = false;
 }
 
-void TableFollower::applyChanges(const StoreRows &rows, MonotonicTime now)
+void TableFollower::forgetRemovedRows()
 {
-    for (const auto &row : rows.rows) {
+    std::vector<int64_t> versions;
+    for (const auto &[key, row] : m_rows) {
         if (row.removed) {
-            m_rows.erase(row.key);
-        } else {
-            m_rows[row.key] = row;
+            versions.push_back(row.version);
         }
-        m_changeVersion = std::max(m_changeVersion, row.version);
-        m_hooks.onChange(row, m_afterOutage);
     }
-    m_version = std::max(m_version, rows.version);
-    m_currentAt = now;
-    m_afterOutage = false;
+    if (versions.size() <= MaxRemovedRows) {
+        return;
+    }
+    const auto middle = versions.begin() + static_cast<ptrdiff_t>(versions.size() / 2);
+    std::nth_element(versions.begin(), middle, versions.end());
+    std::erase_if(m_rows, [&](const auto &entry) { return entry.second.removed && entry.second.version < *middle; });
+}
+
+void TableFollower::confirm(MonotonicTime currentAt)
+{
+    m_currentAt = std::max(m_currentAt, currentAt);
+}
+
+void TableFollower::noteState(const TableState &peer, MonotonicTime now)
+{
+    if (!peer.age || std::max(peer.changeVersion, peer.historyFrom) > m_version) {
+        return;
+    }
+    noteCurrent(peer.version, *peer.age, now);
+}
+
+void TableFollower::noteCurrent(int64_t version, std::chrono::milliseconds age, MonotonicTime now)
+{
+    if (!m_hasRows) {
+        return;
+    }
+    m_version = std::max(m_version, version);
+    confirm(now - age);
+    if (m_failingSince && !m_options.isReading() && this->age(now) < m_options.maxAge(now)) {
+        endFailure(now);
+    }
 }
 
-void TableFollower::onFailure(const std::string &error, MonotonicTime now)
+bool TableFollower::merge(const StoreRows &rows, const std::string &peer, std::optional<MonotonicTime> currentAt)
 {
+    if (rows.version <= m_version) {
+        return false;
+    }
+    const bool wasFailing = m_failingSince.has_value();
+    m_source = peer;
+    mergeTable(rows);
+    m_changeVersion = std::max(m_changeVersion, rows.changeVersion);
+    if (currentAt) {
+        confirm(*currentAt);
+    }
+    // The next read of the store requests the changes since then.
+    m_afterOutage = wasFailing;
+    return true;
+}
+
+void TableFollower::onFailure(const Read &read, const std::string &error, MonotonicTime now)
+{
+    if (read.number != m_readNumber) {
+        return;
+    }
     if (!m_failingSince) {
         m_failingSince = now;
     }
@@ -174,12 +312,17 @@
         m_isUnavailable = true;
         m_hooks.onUnavailable(error);
     }
-    m_isReadingNow = false;
+    m_readActiveAt.reset();
+    m_isCatchingUp = false;
     m_freshConnection = true;
-    m_pages.clear();
+    m_isRetryScheduled = true;
     schedule(m_retryDelay);
-    const auto maxDelay = m_options.maxRetryDelay * std::max(1, m_options.liveRelays() / RelaysForMaxRetryDelay);
-    m_retryDelay = std::min(2 * m_retryDelay, maxDelay);
+    m_retryDelay = std::min(2 * m_retryDelay, maxRetryDelay());
+}
+
+std::chrono::milliseconds TableFollower::maxRetryDelay() const
+{
+    return m_options.maxRetryDelay * std::max(1, m_options.liveRelays() / RelaysForMaxRetryDelay);
 }
 
 void TableFollower::onSuccess(MonotonicTime now)
@@ -190,27 +333,17 @@
         m_readInterval += (now - *m_readAt - m_readInterval) / SmoothedReads;
     }
     m_readAt = now;
-    m_isReadingNow = false;
     m_retryDelay = m_options.retryDelay;
-    const auto failingSince = std::exchange(m_failingSince, std::nullopt);
-    m_afterOutage = m_afterOutage || failingSince;
-    if (std::exchange(m_isUnavailable, false) && failingSince) {
-        m_hooks.onAvailable(std::chrono::duration_cast<std::chrono::milliseconds>(now - *failingSince));
-    }
+    m_afterOutage = m_afterOutage || m_failingSince;
+    endFailure(now);
 }
 
-bool TableFollower::replaceIfNewer(const StoreRows &rows, const std::string &peer, MonotonicTime now)
+void TableFollower::endFailure(MonotonicTime now)
 {
-    if (rows.version <= m_version) {
-        return false;
+    const auto failingSince = std::exchange(m_failingSince, std::nullopt);
+    if (std::exchange(m_isUnavailable, false) && failingSince) {
+        m_hooks.onAvailable(std::chrono::duration_cast<std::chrono::milliseconds>(now - *failingSince));
     }
-    m_source = peer;
-    const bool wasFailing = m_failingSince.has_value();
-    applyTable(rows, now);
-    m_changeVersion = std::max(m_changeVersion, rows.changeVersion);
-    // The next read of the store requests the changes since then.
-    m_afterOutage = wasFailing;
-    return true;
 }
 
 StoreRows TableFollower::snapshot() const
@@ -218,11 +351,18 @@
     StoreRows result {.version = m_version, .changeVersion = m_changeVersion};
     result.rows.reserve(m_rows.size());
     for (const auto &[key, row] : m_rows) {
-        result.rows.push_back(row);
+        if (!row.removed) {
+            result.rows.push_back(row);
+        }
     }
     return result;
 }
 
+TableState TableFollower::state(MonotonicTime now) const
+{
+    return {.version = m_version, .changeVersion = m_changeVersion, .historyFrom = m_historyFrom, .age = m_hasRows ? std::optional(age(now)) : std::nullopt};
+}
+
 std::chrono::milliseconds TableFollower::age(MonotonicTime now) const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(now - m_currentAt);
--- a/Libraries/LibRelayServer/TableFollower.h
+++ b/Libraries/LibRelayServer/TableFollower.h
@@ -9,8 +9,23 @@
 namespace Jujube
 {
 
-// Follows one table of the store: reads it completely, and then its changes. Reads are limited in rate because each call has a price. While the store does not
-// respond, the last known rows stay in force, and newer ones may be taken from a peer.
+// What a relay knows of a table. Relays report it to each other, so that those that do not read the store learn whether they miss a change.
+struct TableState {
+    // All changes up to this version of the store are known.
+    int64_t version = 0;
+    // Version of the newest known change.
+    int64_t changeVersion = 0;
+    // All changes after this version are known one by one. Of earlier ones, only what was left of them when the whole table was read.
+    int64_t historyFrom = 0;
+    // Time since the rows were last known to be current. Nothing if that is unknown.
+    std::optional<std::chrono::milliseconds> age;
+};
+
+// Follows one table of the store: reads it completely, and then its changes. Some relays do so all the time and report to the others up to which version they
+// know the table, and since when. A relay that hears of a change, or has not heard for a while that its rows are current, reads the changes itself, so that it
+// depends on no other relay. While the store does not respond, the last known rows stay in force, and newer ones may be taken from a peer.
+//
+// Rows are merged by their versions: the order in which responses arrive does not matter.
 class TableFollower
 {
 public:
@@ -20,14 +35,20 @@
         std::chrono::milliseconds changesDelay {120};
         // Maximum time for which the store may hold a read until something changes.
         std::chrono::milliseconds wait {1000};
-        // Whether this relay reads changes at present. If not, peers notify it of them.
+        // Whether this relay reads changes all the time at present. If not, peers notify it of them.
         std::function<bool(MonotonicTime now)> shouldRead;
+        // Whether shouldRead() returned true last.
+        std::function<bool()> isReading;
         // Interval between calls of shouldRead() while it returns false.
         std::chrono::milliseconds idleInterval {250};
+        // The store is read if the rows have not been known to be current for this time.
+        std::function<std::chrono::milliseconds(MonotonicTime now)> maxAge;
         // Number of live relays. The maximum delay after failed reads grows with it, because all relays retry.
         std::function<int()> liveRelays;
-        // Timeout for a response, in addition to the hold time.
+        // Timeout for each part of a response, in addition to the hold time.
         std::chrono::milliseconds responseTimeout {900};
+        // Time without any part of a response after which the changes are read over another connection, if the rows are too old.
+        std::chrono::milliseconds hedgeDelay {300};
         // Delay after a failed read. It doubles with each further failure, up to the maximum.
         std::chrono::milliseconds retryDelay {100};
         std::chrono::milliseconds maxRetryDelay {500};
@@ -36,9 +57,10 @@
     };
 
     struct Hooks {
-        // The whole table has been read. `afterOutage` is set if the store was unavailable before.
-        std::function<void(const std::vector<StoreRow> &rows, bool afterOutage)> onTable;
+        // A row was added, changed or removed. `afterOutage` is set if the store was unavailable before.
         std::function<void(const StoreRow &row, bool afterOutage)> onChange;
+        // The whole table has been read, as of a version. Called after onChange for each row that is new.
+        std::function<void(const StoreRows &rows, bool afterOutage)> onTable;
         std::function<void(const std::string &error)> onUnavailable;
         std::function<void(std::chrono::milliseconds outage)> onAvailable;
     };
@@ -47,29 +69,35 @@
 
     void start();
 
-    // Reads at once over a new connection, unless such a read is in progress. Used when a peer has newer rows or the process was frozen.
+    // Reads the store if the rows are too old and no read is under way that may change that. Called at short intervals.
+    void check(MonotonicTime now);
+
+    // Reads at once over a new connection, unless such a read is in progress. Used when the process was frozen.
     void readNow();
 
-    // Notes that a peer with the same rows read them at this version, `age` ago.
+    // Reads the changes after a delay, because a peer has some that this relay lacks. Does nothing while such a read is planned or in progress.
+    void readSoon(std::chrono::milliseconds delay);
+
+    // Takes note of what a peer knows. Nothing comes of it if the peer's rows may differ from those of this relay.
+    void noteState(const TableState &peer, MonotonicTime now);
+
+    // Notes that a peer with the same rows knows the table up to this version, and that they were current `age` ago.
     void noteCurrent(int64_t version, std::chrono::milliseconds age, MonotonicTime now);
 
-    // Replaces the rows by those of a peer if these are newer. Returns whether it did.
-    bool replaceIfNewer(const StoreRows &rows, const std::string &peer, MonotonicTime now);
+    // Merges the table that a peer has sent, and that was current at the given time. Returns whether it is newer than the own rows.
+    bool merge(const StoreRows &rows, const std::string &peer, std::optional<MonotonicTime> currentAt);
 
     // The current rows, for peers.
     StoreRows snapshot() const;
 
+    TableState state(MonotonicTime now) const;
+
+    // Version of the store up to which all changes are known.
     int64_t version() const
     {
         return m_version;
     }
 
-    // Version of the newest change that was read.
-    int64_t changeVersion() const
-    {
-        return m_changeVersion;
-    }
-
     // Whether rows have been read, from the store or from a peer.
     bool hasRows() const
     {
@@ -115,15 +143,39 @@
     }
 
 private:
-    void readTable(const std::string &fromKey);
-    void readChanges();
-    void onRows(const LoopAnswer &response, bool isWholeTable, MonotonicTime now);
-    void applyTable(const StoreRows &rows, MonotonicTime now);
-    void applyChanges(const StoreRows &rows, MonotonicTime now);
-    void onFailure(const std::string &error, MonotonicTime now);
+    // One read of the store: of changes, or of the whole table in pages.
+    struct Read {
+        uint64_t number = 0;
+        MonotonicTime sentAt;
+        std::chrono::milliseconds hold {0};
+        bool isOfWholeTable = false;
+        bool freshConnection = false;
+        // Rows of the pages so far, and the version of the first page. Later pages may contain newer rows.
+        std::vector<StoreRow> rows;
+        std::optional<int64_t> version;
+    };
+    using ReadPointer = std::shared_ptr<Read>;
+
+    void startRead(std::chrono::milliseconds hold);
+    void request(const ReadPointer &read, LoopCall call);
+    void requestPage(const ReadPointer &read);
+    void requestChanges(const ReadPointer &read);
+    void onResponse(const ReadPointer &read, const LoopAnswer &response, MonotonicTime now);
+    void onTablePage(const ReadPointer &read, StoreRows page, MonotonicTime now);
+    void onChanges(const Read &read, const StoreRows &changes, MonotonicTime now);
+    // Schedules the next read after the newest one.
+    void onReadEnded(const Read &read);
+    void mergeTable(const StoreRows &rows);
+    // Takes a row over if it is newer than the known one. Returns whether it is.
+    bool mergeRow(const StoreRow &row);
+    // Bounds the memory for removed rows.
+    void forgetRemovedRows();
+    void confirm(MonotonicTime currentAt);
+    void onFailure(const Read &read, const std::string &error, MonotonicTime now);
     void onSuccess(MonotonicTime now);
+    void endFailure(MonotonicTime now);
     void schedule(std::chrono::milliseconds delay);
-    void startRead();
+    std::chrono::milliseconds maxRetryDelay() const;
 
     LoopClient &m_client;
     const PlatformAdapter &m_adapter;
@@ -131,23 +183,30 @@
     const Options m_options;
     const Hooks m_hooks;
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_catchUpTimer;
+    // Removed rows are kept, so that an older response does not bring them back.
     std::map<std::string, StoreRow> m_rows;
     std::string m_source;
-    // Pages of a read of the whole table that is in progress.
-    std::vector<StoreRow> m_pages;
     int64_t m_version = 0;
     int64_t m_changeVersion = 0;
-    bool m_isReadingNow = false;
+    int64_t m_historyFrom = 0;
     bool m_hasRows = false;
+    bool m_needsTable = true;
     std::optional<MonotonicTime> m_readAt;
     MonotonicTime::duration m_readInterval {0};
-    bool m_needsTable = true;
     bool m_isUnavailable = false;
     bool m_afterOutage = false;
     bool m_freshConnection = false;
-    // Number of the current read. Responses to earlier reads are ignored.
+    // Number of the newest read. Its end decides when the next one follows.
     uint64_t m_readNumber = 0;
+    // When the newest read was sent or the last part of its response arrived, if it is in progress, and whether the store may hold it.
+    std::optional<MonotonicTime> m_readActiveAt;
+    bool m_isReadHeld = false;
+    // Whether the next read after a failed one is scheduled.
+    bool m_isRetryScheduled = false;
+    bool m_isCatchingUp = false;
     std::chrono::milliseconds m_retryDelay;
+    std::chrono::milliseconds m_hedgeDelay;
     MonotonicTime m_currentAt;
     std::optional<MonotonicTime> m_failingSince;
 };
--- a/Tests/Platform/ScriptedPeer.cpp
+++ b/Tests/Platform/ScriptedPeer.cpp
@@ -38,6 +38,7 @@
     heartbeat.node = m_heartbeat.node;
     heartbeat.sequence = m_heartbeat.sequence;
     m_heartbeat = std::move(heartbeat);
+    m_heartbeatSetAt = monotonicNow();
     send();
 }
 
@@ -63,6 +64,9 @@
     ++m_heartbeat.sequence;
     m_heartbeat.peers = m_address.toText();
     m_heartbeat.heartbeatInterval = HeartbeatInterval;
+    if (!m_heartbeat.reading) {
+        m_heartbeat.targetsAge = std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - m_heartbeatSetAt);
+    }
     LoopError ignored;
     m_socket.send_to(boost::asio::buffer(encodePeerHeartbeat(m_heartbeat)), m_relay.udp(), 0, ignored);
     m_timer.expires_after(HeartbeatInterval);
@@ -80,6 +84,9 @@
             return;
         }
         if (auto heartbeat = decodePeerHeartbeat({m_buffer.data(), bytes}); heartbeat && !heartbeat->onlyLoads) {
+            for (const auto &target : heartbeat->targets) {
+                m_reportedTargets.insert(target.id);
+            }
             m_received = std::move(heartbeat);
         }
         receive();
--- a/Tests/Platform/ScriptedPeer.h
+++ b/Tests/Platform/ScriptedPeer.h
@@ -3,6 +3,7 @@
 #include <LibLoop/CallerListener.h>
 #include <LibRelay/PeerTable.h>
 #include <map>
+#include <set>
 
 namespace Jujube
 {
@@ -13,7 +14,8 @@
 public:
     ScriptedPeer(boost::asio::io_context &loop, const std::string &node, Endpoint relay);
 
-    // Sends the heartbeat to the relay every 100 ms, with its name, address and numbers filled in.
+    // Sends the heartbeat to the relay every 100 ms, with its name, address and numbers filled in. The list of a peer that does not read the store grows older
+    // from one heartbeat to the next.
     void setHeartbeat(PeerHeartbeat heartbeat);
 
     // The response to requests for a path. Requests for other paths get no response.
@@ -25,6 +27,12 @@
         return m_received;
     }
 
+    // Ids of the targets that the relay has reported as changed.
+    const std::set<std::string> &reportedTargets() const
+    {
+        return m_reportedTargets;
+    }
+
     int requestCount() const
     {
         return m_requestCount;
@@ -41,11 +49,13 @@
     boost::asio::steady_timer m_timer;
     std::unique_ptr<CallerListener> m_listener;
     PeerHeartbeat m_heartbeat;
+    MonotonicTime m_heartbeatSetAt;
     std::map<std::string, std::string> m_responses;
     std::vector<std::shared_ptr<CallerChannel>> m_unanswered;
     std::array<char, 2048> m_buffer {};
     Udp::endpoint m_sender;
     std::optional<PeerHeartbeat> m_received;
+    std::set<std::string> m_reportedTargets;
     int m_requestCount = 0;
 };
 
--- a/Tests/Platform/TestRelay.cpp
+++ b/Tests/Platform/TestRelay.cpp
@@ -408,7 +408,7 @@
     testBed.runFor(3000ms);
     const int before = testBed.store->calls();
     testBed.runFor(3000ms);
-    // Two readers with a held read of 1 s and one of 3 s each make about eight calls in 3 s.
+    // Two readers, each with held reads of 1 s for two tables.
     EXPECT_LE(testBed.store->calls() - before, 12);
     auto &added = testBed.addTarget("i-2", "desk");
     testBed.registerTarget("i-1", "draining");
--- /dev/null
+++ b/Tests/Platform/TestTableFollower.cpp
@@ -0,0 +1,219 @@
+#include "../Support/LoopbackEndpoint.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
+#include <gtest/gtest.h>
+#include <LibLoop/CallerListener.h>
+#include <LibRelayServer/TableFollower.h>
+#include <nlohmann/json.hpp>
+#include <platform/PlatformAdapter.h>
+
+using namespace Jujube;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto MaxAge = 300ms;
+
+// A store that responds to each read when the test says so, with a follower of its table "op".
+class TableReads : public testing::Test
+{
+protected:
+    TableReads()
+        : m_address(ownLoopbackEndpoint())
+        , m_client(loop)
+        , m_adapter(createPlatformAdapter())
+        , follower(loop,
+                   m_client,
+                   m_adapter,
+                   m_address,
+                   {.table = "op",
+                    .shouldRead = [this](MonotonicTime) { return isReader; },
+                    .isReading = [this] { return isReader; },
+                    .maxAge = [](MonotonicTime) { return MaxAge; },
+                    .liveRelays = [] { return 3; }},
+                   {.onChange = [this](const StoreRow &row,
+                                       bool) { changes.push_back(absl::StrCat(row.key, "=", row.removed ? "removed" : row.value, "@", row.version)); },
+                    .onTable = [](const StoreRows &, bool) {},
+                    .onUnavailable = [](const std::string &) {},
+                    .onAvailable = [](std::chrono::milliseconds) {}})
+    {
+        auto listener = CallerListener::start(
+            loop,
+            {.address = m_address,
+             .hooks = {.onRequest = [this](const std::shared_ptr<CallerChannel> &channel,
+                                           const CallerRequest &request) { m_reads.push_back({.channel = channel, .target = request.head.target}); },
+                       .limits = [] { return CallerLimits {}; },
+                       .isClosing = [] { return false; },
+                       .onRejected = [](int) {}}});
+        m_listener = *std::move(listener);
+    }
+
+    void runFor(std::chrono::milliseconds time)
+    {
+        loop.restart();
+        loop.run_for(time);
+    }
+
+    // The request of the read with this number, from 0. Waits until it has arrived; empty if it does not.
+    std::string read(size_t number)
+    {
+        const auto end = monotonicNow() + 2s;
+        while (m_reads.size() <= number && monotonicNow() < end) {
+            runFor(2ms);
+        }
+        return number < m_reads.size() ? m_reads[number].target : std::string();
+    }
+
+    size_t readCount() const
+    {
+        return m_reads.size();
+    }
+
+    void respond(size_t number, const std::vector<StoreRow> &rows, int64_t version, bool hasMore = false)
+    {
+        nlohmann::json list = nlohmann::json::array();
+        for (const auto &row : rows) {
+            nlohmann::json item {{"key", row.key}, {"ver", row.version}};
+            if (row.removed) {
+                item["deleted"] = true;
+            } else {
+                item["value"] = absl::Base64Escape(row.value);
+            }
+            list.push_back(item);
+        }
+        m_reads.at(number).channel->send({.status = 200}, nlohmann::json {{"rows", list}, {"has_more", hasMore}, {"ver", version}, {"now_ms", 0}}.dump());
+        runFor(20ms);
+    }
+
+    // Reads the table for the first time.
+    void readTable(const std::vector<StoreRow> &rows, int64_t version)
+    {
+        follower.start();
+        ASSERT_NE(read(0), "");
+        respond(0, rows, version);
+        changes.clear();
+    }
+
+    boost::asio::io_context loop;
+    bool isReader = false;
+    std::vector<std::string> changes;
+
+private:
+    struct PendingRead {
+        std::shared_ptr<CallerChannel> channel;
+        std::string target;
+    };
+
+    const Endpoint m_address;
+    LoopClient m_client;
+    const PlatformAdapter m_adapter;
+    std::unique_ptr<CallerListener> m_listener;
+    std::vector<PendingRead> m_reads;
+
+protected:
+    TableFollower follower;
+};
+
+} // namespace
+
+// Guards against a response of the store that arrives late and replaces rows that a peer has delivered since.
+TEST_F(TableReads, LateTableDoesNotReplaceNewerRows)
+{
+    follower.start();
+    ASSERT_NE(read(0), "");
+    EXPECT_TRUE(follower.merge({.rows = {{.key = "config", .value = "new", .version = 20}}, .version = 20, .changeVersion = 20}, "peer", std::nullopt));
+    respond(0, {{.key = "config", .value = "old", .version = 5}, {.key = "evacuate/a", .value = "{}", .version = 6}}, 10);
+    EXPECT_EQ(changes, (std::vector<std::string> {"config=new@20", "evacuate/a={}@6"}));
+    EXPECT_EQ(follower.version(), 20);
+}
+
+// Guards against the same for a response with changes, and for a row that was removed in between.
+TEST_F(TableReads, LateChangesDoNotReplaceNewerRows)
+{
+    readTable({{.key = "config", .value = "a", .version = 1}, {.key = "evacuate/a", .value = "{}", .version = 2}}, 2);
+    follower.readNow();
+    ASSERT_NE(read(1), "");
+    EXPECT_TRUE(follower.merge({.rows = {{.key = "config", .value = "c", .version = 9}}, .version = 10, .changeVersion = 10}, "peer", std::nullopt));
+    EXPECT_EQ(changes, (std::vector<std::string> {"config=c@9", "evacuate/a=removed@10"}));
+    respond(1, {{.key = "config", .value = "b", .version = 5}, {.key = "evacuate/a", .value = "{}", .version = 6}}, 6);
+    EXPECT_EQ(changes.size(), 2U);
+    EXPECT_EQ(follower.version(), 10);
+}
+
+// Guards against rows of an earlier page that change while later pages are read.
+TEST_F(TableReads, ChangesSinceTheFirstPageAreRead)
+{
+    isReader = true;
+    follower.start();
+    ASSERT_NE(read(0), "");
+    respond(0, {{.key = "a", .value = "1", .version = 1}}, 10, true);
+    ASSERT_NE(read(1), "");
+    respond(1, {{.key = "b", .value = "1", .version = 2}}, 12);
+    EXPECT_NE(read(2).find("after=10&"), std::string::npos) << read(2);
+}
+
+// Guards against requests that bring nothing: the peer's newest change was the removal of a row, of which a table that was read later has no trace.
+TEST_F(TableReads, RemovedRowsAreNoMissingChange)
+{
+    readTable({{.key = "config", .value = "a", .version = 1}}, 30);
+    EXPECT_GE(follower.version(), 25);
+    follower.noteState({.version = 40, .changeVersion = 25, .historyFrom = 3, .age = 0ms}, monotonicNow());
+    EXPECT_EQ(follower.version(), 40);
+}
+
+// Guards against a relay that takes its rows for complete because a peer, which read the whole table after a row was removed, knows no newer change.
+TEST_F(TableReads, PeerWithoutHistoryConfirmsNothing)
+{
+    readTable({{.key = "config", .value = "a", .version = 1}, {.key = "evacuate/a", .value = "{}", .version = 2}}, 10);
+    runFor(50ms);
+    const auto currentAt = follower.currentAt();
+    follower.noteState({.version = 20, .changeVersion = 1, .historyFrom = 20, .age = 0ms}, monotonicNow());
+    EXPECT_EQ(follower.version(), 10);
+    EXPECT_EQ(follower.currentAt(), currentAt);
+}
+
+// Guards against rows that count as current from the time of a response although the store held it back: a change may have been made after it was sent off.
+TEST_F(TableReads, ReadConfirmsRowsAsOfItsRequest)
+{
+    follower.start();
+    ASSERT_NE(read(0), "");
+    runFor(200ms);
+    respond(0, {}, 10);
+    EXPECT_GE(follower.age(monotonicNow()), 200ms);
+}
+
+// Guards against a read without a response that keeps a relay from reading until its timeout.
+TEST_F(TableReads, HangingReadIsFollowedByAnother)
+{
+    isReader = true;
+    readTable({{.key = "config", .value = "a", .version = 1}}, 10);
+    ASSERT_NE(read(1), "");
+    const auto sentAt = monotonicNow();
+    while (readCount() < 4 && monotonicNow() < sentAt + 2s) {
+        runFor(20ms);
+        follower.check(monotonicNow());
+    }
+    ASSERT_GE(readCount(), 4U);
+    respond(3, {{.key = "config", .value = "b", .version = 11}}, 11);
+    EXPECT_EQ(changes, std::vector<std::string> {"config=b@11"});
+    // The response to the earlier read is used as well when it comes.
+    respond(2, {{.key = "config", .value = "c", .version = 12}}, 12);
+    EXPECT_EQ(changes.back(), "config=c@12");
+}
+
+// Guards against relays that rely on others for ever: one whose rows nobody confirms reads the store, also if it leaves that to others.
+TEST_F(TableReads, UnconfirmedRowsAreReadAgain)
+{
+    readTable({{.key = "config", .value = "a", .version = 1}}, 10);
+    for (int count = 0; count < 10; ++count) {
+        follower.noteState({.version = 10, .changeVersion = 1, .historyFrom = 1, .age = 0ms}, monotonicNow());
+        runFor(50ms);
+        follower.check(monotonicNow());
+    }
+    EXPECT_EQ(readCount(), 1U);
+    runFor(MaxAge);
+    follower.check(monotonicNow());
+    EXPECT_NE(read(1), "");
+}
