Report all targets that change at once, in several datagrams

A heartbeat that did not fit into 1,400 bytes left out some of the targets that had changed, always the same ones, because they are listed in the order of a hash table. When 40 targets change together, as in a release of a service or after an outage of the store, peers heard of some 13 of them in heartbeats. Heartbeats report at most 10 targets, and further ones follow. TableHeartbeats.AllTargetsThatChangeAtOnceAreReported failed before.

--- a/Libraries/LibRelayServer/PeerLink.cpp
+++ b/Libraries/LibRelayServer/PeerLink.cpp
@@ -32,6 +32,8 @@
 // Number of addresses sent to a relay whose first heartbeat was received.
 constexpr size_t MaxIntroductionAddresses = 40;
 constexpr size_t MaxCrashReports = 8;
+// Number of changed targets in one datagram, so that none is left out for lack of space.
+constexpr size_t MaxTargetsPerDatagram = 10;
 
 } // namespace
 
@@ -218,7 +220,7 @@
                                .peers = m_core.options.peers.toText(),
                                .onlyLoads = true,
                                .loads = m_core.balancer.ownLoads()};
-    sendTo(PeerTable::RecipientScope::Region, encodePeerHeartbeat(loads), now);
+    sendDatagram(PeerTable::RecipientScope::Region, encodePeerHeartbeat(loads), now);
 }
 
 bool PeerLink::isSmallFleet(MonotonicTime now) const
@@ -230,7 +232,7 @@
 {
     auto heartbeat = buildHeartbeat(now);
     heartbeat.heartbeatInterval = heartbeatInterval(now);
-    sendTo(PeerTable::RecipientScope::Region, encodePeerHeartbeat(heartbeat), now);
+    sendTo(PeerTable::RecipientScope::Region, heartbeat, now);
     if (scope == NotificationScope::Region) {
         return;
     }
@@ -240,10 +242,24 @@
     if (!isSmallFleet(now)) {
         heartbeat.loads = otherRegionLoads(heartbeat.loads, now);
     }
-    sendTo(PeerTable::RecipientScope::OutsideRegion, encodePeerHeartbeat(heartbeat), now);
+    sendTo(PeerTable::RecipientScope::OutsideRegion, std::move(heartbeat), now);
 }
 
-void PeerLink::sendTo(PeerTable::RecipientScope scope, const std::string &datagram, MonotonicTime now)
+void PeerLink::sendTo(PeerTable::RecipientScope scope, PeerHeartbeat heartbeat, MonotonicTime now)
+{
+    const auto targets = std::exchange(heartbeat.targets, {});
+    size_t sent = 0;
+    do {
+        const auto count = std::min(MaxTargetsPerDatagram, targets.size() - sent);
+        const auto first = targets.begin() + static_cast<ptrdiff_t>(sent);
+        heartbeat.targets.assign(first, first + static_cast<ptrdiff_t>(count));
+        heartbeat.sequence = ++m_sequence;
+        sendDatagram(scope, encodePeerHeartbeat(heartbeat), now);
+        sent += count;
+    } while (sent < targets.size());
+}
+
+void PeerLink::sendDatagram(PeerTable::RecipientScope scope, const std::string &datagram, MonotonicTime now)
 {
     for (const auto &address : m_core.peers.recipients(scope, now)) {
         if (const auto endpoint = Endpoint::parse(address)) {
--- a/Libraries/LibRelayServer/PeerLink.h
+++ b/Libraries/LibRelayServer/PeerLink.h
@@ -49,7 +49,9 @@
     void sendHeartbeat(NotificationScope scope, MonotonicTime now);
     // Sends a short message with only the loads.
     void sendLoads(MonotonicTime now);
-    void sendTo(PeerTable::RecipientScope scope, const std::string &datagram, MonotonicTime now);
+    // Sends a heartbeat, in several datagrams if it reports many changed targets.
+    void sendTo(PeerTable::RecipientScope scope, PeerHeartbeat heartbeat, MonotonicTime now);
+    void sendDatagram(PeerTable::RecipientScope scope, const std::string &datagram, MonotonicTime now);
     bool isSmallFleet(MonotonicTime now) const;
     // Whether every heartbeat is sent to all regions.
     bool shouldSendToAllRegions(MonotonicTime now) const;
--- a/Tests/Platform/TestTables.cpp
+++ b/Tests/Platform/TestTables.cpp
@@ -137,3 +137,22 @@
     testBed.runFor(MaxPropagationTime);
     EXPECT_EQ(runsOnLeavingTarget(), 0);
 }
+
+// Guards against changes that are left out of heartbeats, always the same ones, when more targets change than fit into a datagram.
+TEST(TableHeartbeats, AllTargetsThatChangeAtOnceAreReported)
+{
+    constexpr size_t TargetCount = 40;
+    RelayTestBed testBed;
+    testBed.writeDocument(1);
+    testBed.addRelay("n1");
+    ASSERT_TRUE(testBed.waitUntilReady("n1"));
+    ScriptedPeer peer(testBed.loop, "z1", testBed.options("n1").peers);
+    peer.setHeartbeat({});
+    testBed.runFor(500ms);
+    for (size_t number = 0; number < TargetCount; ++number) {
+        const auto id = "i-" + std::to_string(number);
+        const StandInTargetRow row {.service = "desk", .address = "127.0.0.1:" + std::to_string(9000 + number), .dataCentre = "lahore"};
+        testBed.store->put("servers", id, row.toText());
+    }
+    EXPECT_TRUE(testBed.runUntil([&] { return peer.reportedTargets().size() == TargetCount; }, MaxPropagationTime));
+}
