Do not turn requests away for good by an old document

A relay that has lost the store and its peers cannot know whether a newer document allows a request. After 2.5 s without a confirmation of its document, the shortest time in which users expect a change to be in force, it responds 503 with Retry-After (outcome document_too_old) where it would respond 404 or 401; the caller asks another relay. Requests that the document allows are served as before.

DocumentAge.RequestsThatANewerDocumentMayAllowAreRejectedForNow failed before (404, 401).

--- a/Libraries/LibRelay/RelayOutcome.cpp
+++ b/Libraries/LibRelay/RelayOutcome.cpp
@@ -11,6 +11,7 @@
 // The statuses 408, 421, 429 and 503 say that the request has not run and never will, so no outcome after a possible run has one of them.
 constexpr std::array OutcomeTable {
     RelayOutcomeInfo {RelayOutcome::NoDocument, "no_document", 503, RanState::No, true},
+    RelayOutcomeInfo {RelayOutcome::DocumentTooOld, "document_too_old", 503, RanState::No, true},
     RelayOutcomeInfo {RelayOutcome::NoRoute, "no_route", 404, RanState::No, false},
     RelayOutcomeInfo {RelayOutcome::UnknownKey, "unknown_key", 401, RanState::No, false},
     RelayOutcomeInfo {RelayOutcome::Malformed, "malformed", 400, RanState::No, false},
--- a/Libraries/LibRelay/RelayOutcome.h
+++ b/Libraries/LibRelay/RelayOutcome.h
@@ -10,6 +10,8 @@
 enum class RelayOutcome {
     // The relay has no document in force.
     NoDocument,
+    // The document does not allow the request, and a newer one may.
+    DocumentTooOld,
     NoRoute,
     UnknownKey,
     Malformed,
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -80,6 +80,7 @@
     relay->m_ownReadDelay = std::chrono::milliseconds(static_cast<int64_t>(relay->m_core.random() % MaxOwnReadDelayMs));
     relay->followStore();
     relay->m_core.onMigrationEnded = [raw = relay.get()] { raw->m_peers.scheduleHeartbeat(NotificationScope::All); };
+    relay->m_core.documentAge = [raw = relay.get()](MonotonicTime now) { return raw->m_documents->age(now); };
     relay->m_core.detectFreeze = [raw = relay.get()](MonotonicTime now) { raw->detectFreeze(now); };
     relay->m_core.onRequestLimitLowered = [raw = relay.get()] { raw->m_peers.scheduleHeartbeat(NotificationScope::All); };
     relay->m_core.onLoadChanged = [raw = relay.get()](bool isGeneration) { raw->m_peers.scheduleLoadUpdate(isGeneration); };
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -84,6 +84,8 @@
 
     // Called when this relay has placed a request, so that peers are notified of the load.
     std::function<void(bool isGeneration)> onLoadChanged = [](bool) {};
+    // Time since the document was last known to be current.
+    std::function<std::chrono::milliseconds(MonotonicTime now)> documentAge = [](MonotonicTime) { return std::chrono::milliseconds {0}; };
     // Called before limits of targets decide, because the process may have been frozen since they were learnt.
     std::function<void(MonotonicTime now)> detectFreeze = [](MonotonicTime) {};
     // Called when a target has named to this relay a limit that peers do not know, or a lower one.
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -27,6 +27,8 @@
 constexpr std::chrono::milliseconds OtherRelayRetryAfter {50};
 // Time for which a request waits until a request limit allows it. Callers give up a stream after two seconds without an event.
 constexpr std::chrono::milliseconds MaxWaitForRequestLimit {1000};
+// A relay that has not known its document to be current for this time does not turn requests away for good, because a newer document may allow them.
+constexpr std::chrono::milliseconds MaxDocumentAgeForDenial {2500};
 constexpr int FirstServerError = 500;
 
 std::chrono::milliseconds wholeMilliseconds(MonotonicTime::duration time)
@@ -94,7 +96,8 @@
 {
     m_admission = admitRequest(m_routes.get(), parseRequestClaims(m_request.head, m_core.adapter.fields), m_core.randomUnit(), now);
     if (m_admission.rejection) {
-        return m_admission.rejection;
+        const bool isDenial = m_admission.rejection == RelayOutcome::NoRoute || m_admission.rejection == RelayOutcome::UnknownKey;
+        return isDenial && m_core.documentAge(now) >= MaxDocumentAgeForDenial ? RelayOutcome::DocumentTooOld : *m_admission.rejection;
     }
     m_digest = CrashSuspects::fingerprint(m_admission.workspace ? m_admission.workspace->name : "", m_request.head.target, m_request.body);
     const auto verdict = m_core.crashSuspects.verdict(m_digest, now).action;
--- a/Tests/Platform/TestTables.cpp
+++ b/Tests/Platform/TestTables.cpp
@@ -138,6 +138,26 @@
     EXPECT_EQ(runsOnLeavingTarget(), 0);
 }
 
+// Guards against a relay that has lost the store and its peers, and turns away for good what a newer document allows.
+TEST(DocumentAge, RequestsThatANewerDocumentMayAllowAreRejectedForNow)
+{
+    constexpr auto OldDocument = 3000ms;
+    RelayTestBed testBed;
+    testBed.writeDocument(1);
+    testBed.addTarget("i-1", "desk");
+    testBed.addRelay("n1");
+    ASSERT_TRUE(testBed.waitUntilReady("n1"));
+    EXPECT_EQ(testBed.call("n1", {.path = "/added/x"}).status, 404);
+    EXPECT_EQ(testBed.call("n1", {.path = "/commit/x", .key = "key-2"}).status, 401);
+    testBed.store->setFault(StandInStore::Fault::Silent);
+    testBed.runFor(OldDocument);
+    const auto response = testBed.call("n1", {.path = "/added/x"});
+    EXPECT_EQ(response.status, 503);
+    EXPECT_TRUE(response.head.has("retry-after"));
+    EXPECT_EQ(testBed.call("n1", {.path = "/commit/x", .key = "key-2"}).status, 503);
+    EXPECT_EQ(testBed.call("n1", {.path = "/commit/x", .id = "r2"}).status, 200);
+}
+
 // Guards against changes that are left out of heartbeats, always the same ones, when more targets change than fit into a datagram.
 TEST(TableHeartbeats, AllTargetsThatChangeAtOnceAreReported)
 {
