--- a/Tests/Soak/Harness/FaultPlan.cpp
+++ b/Tests/Soak/Harness/FaultPlan.cpp
@@ -38,7 +38,10 @@
                             KindEntry {FaultKind::Evacuate, "evacuate", 1, 6000},
                             KindEntry {FaultKind::LimitTarget, "limit-target", 0, 9000},
                             KindEntry {FaultKind::StoreReader, "store-reader", 0, 4000},
-                            KindEntry {FaultKind::GrowDocument, "grow-document", 0, 1}};
+                            KindEntry {FaultKind::GrowDocument, "grow-document", 0, 1},
+                            KindEntry {FaultKind::DrainSeries, "drain-series", 0, 3000},
+                            KindEntry {FaultKind::StrikeDataCentre, "strike-data-centre", 0, 3000},
+                            KindEntry {FaultKind::SlowRelay, "slow-relay", 0, 4000}};
 
 const KindEntry &entryOf(FaultKind kind)
 {
@@ -52,8 +55,10 @@
     case FaultKind::TargetBehaviour:
     case FaultKind::CrashTarget:
     case FaultKind::DrainTarget:
+    case FaultKind::DrainSeries:
         return options.targets;
     case FaultKind::Evacuate:
+    case FaultKind::StrikeDataCentre:
         return options.dataCentres;
     default:
         return options.relays;
@@ -90,28 +95,54 @@
 {
     constexpr std::array Drawn {FaultKind::ChangeDocument,
                                 FaultKind::ChangeDocument,
-                                FaultKind::GrowDocument,
+                                FaultKind::ChangeDocument,
                                 FaultKind::DrainTarget,
                                 FaultKind::DrainTarget,
+                                FaultKind::DrainSeries,
+                                FaultKind::Evacuate,
                                 FaultKind::Evacuate,
                                 FaultKind::StoreReader,
-                                FaultKind::StoreReader};
+                                FaultKind::StoreReader,
+                                FaultKind::StoreReader,
+                                FaultKind::SlowRelay};
     constexpr unsigned Variants = 1U << 16;
     constexpr uint64_t SeedOffset = 0x12;
-    constexpr unsigned LeastMs = 50;
+    constexpr unsigned LeastMs = 300;
+    constexpr unsigned MostInSeries = 3;
+    constexpr unsigned MostPauseMs = 1500;
     constexpr double MillisecondsPerSecond = 1000;
     std::mt19937_64 random(options.seed + (SeedOffset << 32));
     const auto below = [&random](uint64_t bound) { return std::uniform_int_distribution<uint64_t>(0, bound - 1)(random); };
-    const auto count = static_cast<size_t>(options.tableChanges * static_cast<double>(options.length.count()) / MillisecondsPerSecond);
-    for (size_t number = 0; number < count; ++number) {
-        const auto kind = Drawn[below(Drawn.size())];
+    const auto add = [&](FaultKind kind, size_t subject, std::chrono::milliseconds at) {
         const auto mostMs = entryOf(kind).mostMs;
-        const auto subject = below(subjectCount(options, kind));
-        const auto at = std::chrono::milliseconds(below(static_cast<uint64_t>(options.length.count())));
         const auto duration = std::chrono::milliseconds(std::min<uint64_t>(mostMs, LeastMs + below(mostMs)));
+        const auto variant = static_cast<unsigned>(below(Variants));
         if (at + duration < options.length) {
-            plan.push_back({.at = at, .duration = duration, .kind = kind, .subject = subject, .variant = static_cast<unsigned>(below(Variants))});
+            plan.push_back({.at = at, .duration = duration, .kind = kind, .subject = subject, .variant = variant});
         }
+        return duration;
+    };
+    const auto length = static_cast<uint64_t>(options.length.count());
+    const auto count = static_cast<size_t>(options.tableChanges * static_cast<double>(length) / MillisecondsPerSecond);
+    if (count == 0) {
+        return;
+    }
+    for (size_t number = 0; number < count; ++number) {
+        const auto kind = Drawn[below(Drawn.size())];
+        const auto subject = below(subjectCount(options, kind));
+        auto at = std::chrono::milliseconds(below(length));
+        const auto series = below(2) == 0 ? 1 : 1 + below(MostInSeries);
+        for (uint64_t turn = 0; turn < series; ++turn) {
+            at += add(kind, subject, at) / (1 + static_cast<int>(below(2))) + std::chrono::milliseconds(below(MostPauseMs));
+        }
+    }
+    // The document grows once or twice, while most of its changes are still to come.
+    const auto growths = 1 + below(2);
+    for (uint64_t number = 0; number < growths; ++number) {
+        add(FaultKind::GrowDocument, growths, std::chrono::milliseconds(below(length / 2)));
+    }
+    if (below(2) == 0) {
+        add(FaultKind::StrikeDataCentre, below(options.dataCentres), std::chrono::milliseconds(below(length)));
     }
 }
 
--- a/Tests/Soak/Harness/FaultPlan.h
+++ b/Tests/Soak/Harness/FaultPlan.h
@@ -35,6 +35,12 @@
     StoreReader,
     // The document grows by many routes.
     GrowDocument,
+    // Several targets of a service leave one after the other.
+    DrainSeries,
+    // All relays of a data centre are killed or paused, or lose the store.
+    StrikeDataCentre,
+    // The relay gets little processor time.
+    SlowRelay,
 };
 
 std::string_view nameOf(FaultKind kind);
--- a/Tests/Soak/Harness/LoopbackProxy.cpp
+++ b/Tests/Soak/Harness/LoopbackProxy.cpp
@@ -8,6 +8,7 @@
 
 // One way, enough to exceed what a healthy link adds to a request several times.
 constexpr std::chrono::milliseconds LinkDelay {150};
+constexpr size_t BufferBytes = 65536;
 
 } // namespace
 
@@ -76,7 +77,7 @@
 
         Tcp::socket socket;
         boost::asio::steady_timer timer;
-        std::array<char, 16384> buffer {};
+        std::vector<char> buffer;
         bool busy = false;
         bool ended = false;
     };
@@ -87,15 +88,32 @@
             return;
         }
         from.busy = true;
+        from.buffer.resize(BufferBytes);
         from.socket.async_read_some(boost::asio::buffer(from.buffer), [self = shared_from_this(), &from, &to, forward](const LoopError &error, size_t bytes) {
             if (error && error != boost::asio::error::eof) {
                 self->reset();
                 return;
             }
             if (forward) {
-                self->m_proxy.m_usedAt = monotonicNow();
+                self->m_proxy.m_hooks.onForward({from.buffer.data(), bytes});
+            }
+            self->pace(from, to, forward, bytes);
+        });
+    }
+
+    // Waits until the bytes that were read have passed a link of limited rate.
+    void pace(Side &from, Side &to, bool forward, size_t bytes)
+    {
+        const auto time = m_proxy.passageTime(forward, bytes);
+        if (time <= std::chrono::nanoseconds(0)) {
+            deliver(from, to, forward, bytes);
+            return;
+        }
+        from.timer.expires_after(time);
+        from.timer.async_wait([self = shared_from_this(), &from, &to, forward, bytes](const LoopError &error) {
+            if (!error) {
+                self->deliver(from, to, forward, bytes);
             }
-            self->deliver(from, to, forward, bytes);
         });
     }
 
@@ -153,30 +171,43 @@
     bool m_closed = false;
 };
 
-LoopbackProxy::LoopbackProxy(boost::asio::io_context &loop, Endpoint listen, const Endpoint &target)
+LoopbackProxy::LoopbackProxy(boost::asio::io_context &loop, Endpoint listen, const Endpoint &target, LoopbackProxyHooks hooks)
     : m_loop(loop)
     , m_listen(std::move(listen))
     , m_target(target)
+    , m_hooks(std::move(hooks))
     , m_acceptor(loop)
 {
-    open();
+    m_hooks.run([this] { open(); });
 }
 
 LoopbackProxy::~LoopbackProxy()
 {
-    resetAll();
+    m_hooks.run([this] { resetConnections(); });
 }
 
 void LoopbackProxy::setFault(LinkFault fault)
 {
-    m_fault = fault;
-    const auto connections = m_connections;
-    for (const auto &connection : connections) {
-        connection->resume();
-    }
+    m_hooks.run([this, fault] {
+        m_fault = fault;
+        const auto connections = m_connections;
+        for (const auto &connection : connections) {
+            connection->resume();
+        }
+    });
+}
+
+void LoopbackProxy::setRate(size_t bytesPerSecond)
+{
+    m_hooks.run([this, bytesPerSecond] { m_bytesPerSecond = bytesPerSecond; });
 }
 
 void LoopbackProxy::resetAll()
+{
+    m_hooks.run([this] { resetConnections(); });
+}
+
+void LoopbackProxy::resetConnections()
 {
     for (const auto &connection : std::exchange(m_connections, {})) {
         connection->reset();
@@ -185,15 +216,17 @@
 
 void LoopbackProxy::setListening(bool isListening)
 {
-    if (isListening == m_acceptor.is_open()) {
-        return;
-    }
-    if (isListening) {
-        open();
-        return;
-    }
-    m_acceptor.close();
-    resetAll();
+    m_hooks.run([this, isListening] {
+        if (isListening == m_acceptor.is_open()) {
+            return;
+        }
+        if (isListening) {
+            open();
+            return;
+        }
+        m_acceptor.close();
+        resetConnections();
+    });
 }
 
 void LoopbackProxy::open()
@@ -222,6 +255,18 @@
     });
 }
 
+std::chrono::nanoseconds LoopbackProxy::passageTime(bool forward, size_t bytes)
+{
+    if (m_bytesPerSecond == 0) {
+        return std::chrono::nanoseconds(0);
+    }
+    const auto now = monotonicNow();
+    auto &passedAt = forward ? m_forwardPassedAt : m_backwardPassedAt;
+    passedAt
+        = std::max(passedAt, now) + std::chrono::nanoseconds(std::chrono::seconds(1)) * static_cast<int64_t>(bytes) / static_cast<int64_t>(m_bytesPerSecond);
+    return passedAt - now;
+}
+
 bool LoopbackProxy::passes(bool forward) const
 {
     return m_fault != LinkFault::Silence && m_fault != (forward ? LinkFault::CutForward : LinkFault::CutBackward);
--- a/Tests/Soak/Harness/LoopbackProxy.h
+++ b/Tests/Soak/Harness/LoopbackProxy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <LibCore/Time.h>
 #include <LibLoop/Endpoint.h>
 #include <memory>
@@ -24,11 +25,18 @@
     Refuse,
 };
 
+struct LoopbackProxyHooks {
+    // Runs a function on the thread of the proxy's loop. It is set if the functions of the proxy are called on another one.
+    std::function<void(const std::function<void()> &)> run = [](const std::function<void()> &function) { function(); };
+    // Bytes have arrived from a side that connected. Called on the loop's thread.
+    std::function<void(std::string_view bytes)> onForward = [](std::string_view) {};
+};
+
 // Forwards TCP connections between a listening address and a program on the loopback interface, and injects faults of the network.
 class LoopbackProxy
 {
 public:
-    LoopbackProxy(boost::asio::io_context &loop, Endpoint listen, const Endpoint &target);
+    LoopbackProxy(boost::asio::io_context &loop, Endpoint listen, const Endpoint &target, LoopbackProxyHooks hooks = {});
     ~LoopbackProxy();
     LoopbackProxy(const LoopbackProxy &) = delete;
     LoopbackProxy &operator=(const LoopbackProxy &) = delete;
@@ -40,11 +48,8 @@
     // Whether anybody listens at the address. A program that is down refuses connections.
     void setListening(bool isListening);
 
-    // When bytes arrived last from a side that connected.
-    MonotonicTime usedAt() const
-    {
-        return m_usedAt;
-    }
+    // Bytes a second that pass in each direction over all connections. Zero for no bound.
+    void setRate(size_t bytesPerSecond);
 
     const Endpoint &address() const
     {
@@ -55,16 +60,23 @@
     class Connection;
 
     void open();
+    void resetConnections();
     void accept();
     // Whether bytes may pass in a direction.
     bool passes(bool forward) const;
+    // How long bytes take to pass, those before them included.
+    std::chrono::nanoseconds passageTime(bool forward, size_t bytes);
 
     boost::asio::io_context &m_loop;
     const Endpoint m_listen;
     const Endpoint m_target;
+    const LoopbackProxyHooks m_hooks;
     Tcp::acceptor m_acceptor;
     LinkFault m_fault = LinkFault::None;
-    MonotonicTime m_usedAt;
+    size_t m_bytesPerSecond = 0;
+    // When all bytes of a direction so far have passed.
+    MonotonicTime m_forwardPassedAt;
+    MonotonicTime m_backwardPassedAt;
     std::vector<std::shared_ptr<Connection>> m_connections;
 };
 
--- a/Tests/Soak/Harness/SoakCaller.cpp
+++ b/Tests/Soak/Harness/SoakCaller.cpp
@@ -227,9 +227,10 @@
 void SoakCaller::leave(bool givesUp)
 {
     constexpr uint64_t MostPauseMs = 300;
-    const auto exchange = *std::exchange(m_exchange, std::nullopt);
+    auto exchange = *std::exchange(m_exchange, std::nullopt);
     exchange.channel->abort();
     if (givesUp) {
+        exchange.answer.gaveUp = true;
         m_ledger.onAnswer(monotonicNow(), exchange.id, exchange.answer);
         std::erase(m_addresses, exchange.relayAddress);
     }
--- a/Tests/Soak/Harness/SoakFaults.cpp
+++ b/Tests/Soak/Harness/SoakFaults.cpp
@@ -94,19 +94,28 @@
         strikeReader(fault);
         return;
     case FaultKind::GrowDocument:
-        growDocument(fault.variant);
+        growDocument(fault);
+        return;
+    case FaultKind::DrainSeries:
+        drainSeries(fault);
+        return;
+    case FaultKind::StrikeDataCentre:
+        strikeDataCentre(fault);
+        return;
+    case FaultKind::SlowRelay:
+        strikeRelay(fault, *m_relays[fault.subject]);
         return;
     }
 }
 
 void SoakWorld::strikeReader(Fault fault)
 {
-    // Readers call the store at least this often, other relays seldom.
-    constexpr std::chrono::milliseconds MaxReadInterval {1300};
-    constexpr std::array Forms {FaultKind::KillRelay, FaultKind::PauseRelay, FaultKind::StoreLink};
+    // Readers ask the store to hold a read at least this often.
+    constexpr std::chrono::milliseconds MaxReadInterval {2500};
+    constexpr std::array Forms {FaultKind::KillRelay, FaultKind::PauseRelay, FaultKind::SlowRelay, FaultKind::StoreLink, FaultKind::StoreLink};
     std::vector<size_t> readers;
     for (size_t index = 0; index < m_relays.size(); ++index) {
-        if (m_relays[index]->state() == SoakRelay::State::Running && monotonicNow() - m_relays[index]->storeLink.usedAt() < MaxReadInterval) {
+        if (m_relays[index]->state() == SoakRelay::State::Running && monotonicNow() - m_relays[index]->heldReadAt() < MaxReadInterval) {
             readers.push_back(index);
         }
     }
@@ -136,6 +145,10 @@
         strike(
             fault, "pause of " + relay.options().name, [&] { relay.pause(); }, [&relay] { relay.resume(); });
         return;
+    case FaultKind::SlowRelay:
+        strike(
+            fault, "slowness of " + relay.options().name, [&] { relay.setSlow(true); }, [&relay] { relay.setSlow(false); });
+        return;
     case FaultKind::TerminateRelay:
         if (relay.state() == SoakRelay::State::Running) {
             relay.terminate(now);
@@ -269,7 +282,7 @@
     }
     if (m_active["store"] == 0) {
         m_ledger.forbidTarget(target.id, "drain", monotonicNow() + m_bounds.drain);
-        after(m_bounds.drain + ProbeDelay, [this] { probeTargets(); });
+        after(m_bounds.drain + ProbeDelay, [this] { probeRelays(std::nullopt); });
     }
     after(m_bounds.drain + fault.duration, [this, &target, name] {
         --m_active[name];
@@ -295,7 +308,7 @@
         }
     };
     if (m_active["store"] == 0) {
-        after(SoakBounds::Evacuation + ProbeDelay, [this] { probeTargets(); });
+        after(SoakBounds::Evacuation + ProbeDelay, [this] { probeRelays(std::nullopt); });
     }
     strike(fault, row, begin, [this, dataCentre, row] {
         m_store->remove("op", row);
@@ -308,86 +321,185 @@
     });
 }
 
+void SoakWorld::drainSeries(const Fault &fault)
+{
+    constexpr unsigned MaxTargets = 8;
+    constexpr unsigned MaxPauseMs = 300;
+    // Every second series at once.
+    const std::chrono::milliseconds pause(isOdd(fault.variant) ? (fault.variant / 2) % MaxPauseMs : 0);
+    // At least half of a service's targets stay.
+    const auto count = std::min<size_t>(2 + fault.variant / 4 % MaxTargets, std::max<size_t>(1, m_options.targets / 2));
+    auto drain = fault;
+    drain.kind = FaultKind::DrainTarget;
+    const auto first = fault.subject - fault.subject % m_options.targets;
+    for (size_t number = 0; number < count; ++number) {
+        drain.subject = first + (fault.subject + number) % m_options.targets;
+        ++drain.variant;
+        after(pause * number, [this, drain] { apply(drain); });
+    }
+}
+
+void SoakWorld::strikeDataCentre(const Fault &fault)
+{
+    constexpr std::array Forms {FaultKind::KillRelay, FaultKind::PauseRelay, FaultKind::StoreLink};
+    auto strike = fault;
+    strike.kind = Forms[fault.variant % Forms.size()];
+    strike.variant /= Forms.size();
+    std::vector<size_t> subjects;
+    for (size_t index = 0; index < m_relays.size(); ++index) {
+        if (m_relays[index]->options().dataCentre == m_relays[fault.subject]->options().dataCentre && m_relays[index]->wasStarted()) {
+            subjects.push_back(index);
+        }
+    }
+    if (strike.kind == FaultKind::KillRelay) {
+        for (const auto index : subjects) {
+            m_relays[index]->beginKill();
+        }
+    }
+    for (const auto index : subjects) {
+        strike.subject = index;
+        strikeSubject(strike);
+    }
+}
+
+std::string SoakWorld::addRoute(const std::string &name)
+{
+    m_document.addedRoutes.push_back(name);
+    return name;
+}
+
+std::string SoakWorld::dropRoute(size_t index)
+{
+    const auto route = m_document.addedRoutes[index];
+    m_document.addedRoutes.erase(m_document.addedRoutes.begin() + static_cast<ptrdiff_t>(index));
+    m_document.movedRoutes.erase(route);
+    return route;
+}
+
 void SoakWorld::changeDocument(unsigned variant)
 {
     constexpr unsigned MostStep = 5;
+    enum class Change {
+        AddRoute,
+        DropRoute,
+        MoveRoute,
+        AddKey,
+        DropKey,
+    };
+    constexpr unsigned Changes = 5;
     m_document.version += 1 + variant % MostStep;
-    const bool removes = isOdd(variant / MostStep) && !m_document.addedRoutes.empty();
-    std::string route;
-    if (removes) {
-        route = m_document.addedRoutes.front();
-        m_document.addedRoutes.erase(m_document.addedRoutes.begin());
-    } else {
-        route = absl::StrCat("added-", m_document.version);
-        m_document.addedRoutes.push_back(route);
+    const auto drawn = variant / MostStep;
+    auto &routes = m_document.addedRoutes;
+    auto &keys = m_document.keys;
+    // Without changes in series, the document changes in its routes only.
+    auto change = static_cast<Change>(m_options.tableChanges > 0 ? drawn % Changes : drawn % 2);
+    if ((routes.empty() && change != Change::AddKey && change != Change::DropKey) || (keys.size() == 1 && change == Change::DropKey)) {
+        change = Change::AddRoute;
+    }
+    const auto picked = routes.empty() || m_options.tableChanges == 0 ? 0 : drawn / Changes % routes.size();
+    DocumentHistory::Subject subject {.route = "status", .key = keys.front()};
+    switch (change) {
+    case Change::AddRoute:
+        subject.route = addRoute(absl::StrCat("added-", m_document.version));
+        break;
+    case Change::DropRoute:
+        subject.route = dropRoute(picked);
+        break;
+    case Change::MoveRoute:
+        subject.route = routes[picked];
+        if (m_document.movedRoutes.erase(subject.route) == 0) {
+            m_document.movedRoutes[subject.route] = m_document.addedServices.front();
+        }
+        break;
+    case Change::AddKey:
+        subject.key = absl::StrCat("key-of-", m_document.version);
+        keys.push_back(subject.key);
+        break;
+    case Change::DropKey:
+        subject.key = keys.back();
+        keys.pop_back();
+        break;
     }
-    writeDocument(route, !removes);
+    writeDocument(subject);
 }
 
-void SoakWorld::growDocument(unsigned variant)
+void SoakWorld::growDocument(const Fault &fault)
 {
-    constexpr unsigned MaxRoutes = 400;
+    // All growths of a run together.
+    constexpr size_t MaxRoutes = 1400;
     ++m_document.version;
-    const auto count = 1 + variant % MaxRoutes;
-    for (unsigned number = 0; number < count; ++number) {
-        m_document.addedRoutes.push_back(absl::StrCat("added-", m_document.version, "-", number));
+    const auto growths = std::max<size_t>(1, fault.subject);
+    const auto count = MaxRoutes / growths / 2 + fault.variant % (MaxRoutes / growths / 2);
+    std::string route;
+    for (size_t number = 0; number <= count; ++number) {
+        route = addRoute(absl::StrCat("added-", m_document.version, "-", number));
     }
-    writeDocument(m_document.addedRoutes.back(), true);
+    writeDocument({.route = route, .key = m_document.keys.front()});
 }
 
-void SoakWorld::writeDocument(const std::string &route, bool isThere)
+void SoakWorld::confirmDocument()
 {
-    m_store->put("op", "config", m_document.toText());
-    if (m_active["store"] == 0) {
-        after(m_bounds.document, [this, route, isThere] { probeDocument(route, isThere); });
+    const auto text = m_document.toText();
+    m_documentBytes = std::max(m_documentBytes, text.size());
+    m_store->put("op", "config", text);
+    DocumentHistory::Document document {.routes = {{"draft", "engine"}, {"hint", "engine"}, {"commit", "desk"}, {"status", "desk"}}};
+    for (const auto &route : m_document.addedRoutes) {
+        document.routes.emplace(route, m_document.serviceOf(route));
     }
+    document.keys.insert(m_document.keys.begin(), m_document.keys.end());
+    const auto now = monotonicNow();
+    m_ledger.onDocument(now, std::move(document));
+    m_writes.push_back({.version = m_document.version, .at = now, .wallMs = wallMsNow()});
 }
 
-void SoakWorld::probeDocument(const std::string &route, bool isThere)
+void SoakWorld::writeDocument(const DocumentHistory::Subject &subject)
 {
-    const auto &routes = m_document.addedRoutes;
-    const bool isStillThere = std::find(routes.begin(), routes.end(), route) != routes.end();
-    if (isStillThere != isThere) {
-        return;
-    }
-    const auto now = monotonicNow();
-    for (const auto &relay : m_relays) {
-        if (m_ledger.isInTouch(relay->options().name, now) && relay->state() == SoakRelay::State::Running) {
-            probe(*relay, route, isThere);
-        }
-    }
+    confirmDocument();
+    log(absl::StrCat("document ", m_document.version, " with ", m_document.addedRoutes.size(), " routes changes /", subject.route, " with ", subject.key));
+    m_subjects.push_back(subject);
+    after(m_bounds.document + ProbeDelay, [this, subject] { probeRelays(subject); });
 }
 
-void SoakWorld::probeTargets()
+void SoakWorld::probeRelays(const std::optional<DocumentHistory::Subject> &subject)
 {
-    // Most relays get few requests otherwise.
-    for (const auto &relay : m_relays) {
-        if (relay->state() == SoakRelay::State::Running) {
-            const SoakLedger::Sent sent {.relay = relay->options().name,
-                                         .kind = SoakKind::Repeatable,
-                                         .method = "GET",
-                                         .target = "/status/x",
-                                         .proper = true,
-                                         .deadline = std::chrono::milliseconds(3000)};
-            ask(*relay, sent, [](int) {});
-        }
+    // Relays, targets and the soak itself get the requests one after the other.
+    constexpr std::chrono::milliseconds ProbePause {2};
+    for (size_t index = 0; index < m_relays.size(); ++index) {
+        after(ProbePause * index, [this, index, subject] { probe(*m_relays[index], subject); });
     }
 }
 
-void SoakWorld::probe(SoakRelay &relay, const std::string &route, bool isThere)
+void SoakWorld::probe(SoakRelay &relay, const std::optional<DocumentHistory::Subject> &subject)
 {
-    constexpr int StatusNotFound = 404;
+    if (relay.state() != SoakRelay::State::Running) {
+        return;
+    }
     const SoakLedger::Sent sent {.relay = relay.options().name,
                                  .kind = SoakKind::Repeatable,
                                  .method = "GET",
-                                 .target = absl::StrCat("/", route, "/x"),
-                                 .proper = isThere,
+                                 .target = subject ? absl::StrCat("/", subject->route, "/x") : "/status/x",
+                                 .proper = !subject,
+                                 .subject = subject,
                                  .deadline = std::chrono::milliseconds(3000)};
-    ask(relay, sent, [this, name = sent.relay, isThere, route](int status) {
-        if ((status == StatusNotFound) == isThere && m_ledger.isInTouch(name, monotonicNow())) {
-            m_ledger.reportTimed("document", absl::StrCat(name, " answers ", status, " on the route ", route, isThere ? ", added" : ", removed"));
-        }
-    });
+    ask(relay, sent, [](int) {});
+}
+
+void SoakWorld::probeNext()
+{
+    // Each relay gets a request in this time.
+    constexpr std::chrono::milliseconds Round {1000};
+    constexpr uint64_t Forms = 3;
+    if (!m_isProbing) {
+        return;
+    }
+    std::optional<DocumentHistory::Subject> subject;
+    const auto form = m_random() % Forms;
+    if (form > 0 && !m_subjects.empty()) {
+        // Half of the requests are about the newest change.
+        subject = form == 1 ? m_subjects.back() : m_subjects[m_random() % m_subjects.size()];
+    }
+    probe(*m_relays[m_probedRelay++ % m_relays.size()], subject);
+    after(std::max(std::chrono::milliseconds(1), Round / static_cast<int>(m_relays.size())), [this] { probeNext(); });
 }
 
 void SoakWorld::sendFatalRequests(MonotonicTime until)
@@ -409,23 +521,52 @@
 
 void SoakWorld::ask(SoakRelay &relay, SoakLedger::Sent sent, std::function<void(int status)> onStatus)
 {
+    // A caller waits this much longer than its deadline for the network.
+    constexpr std::chrono::milliseconds DeadlineSlack {1000};
     const auto id = absl::StrCat("probe-", ++m_probes);
     MessageHead head {.method = sent.method, .target = sent.target};
     head.set("Host", "shop.example");
     head.set("X-Attempt-Id", id);
     head.set("X-Deadline-Ms", absl::StrCat(sent.deadline.count()));
     head.set("X-Own", "kept");
-    head.set("Authorization", "Bearer key-1");
+    head.set("Authorization", absl::StrCat("Bearer ", sent.subject ? sent.subject->key : "key-1"));
+    const auto deadline = sent.deadline;
+    const bool isFatal = sent.isFatal;
     m_ledger.onSent(monotonicNow(), id, std::move(sent));
     const auto channel = std::make_shared<TargetChannel>(m_loop, relay.callers);
-    const auto onHead = [onStatus = std::move(onStatus)](const MessageHead &answer, const std::optional<uint64_t> &) {
-        onStatus(answer.status);
+    const auto answer = std::make_shared<SoakLedger::Answer>();
+    const auto hasEnded = std::make_shared<bool>(false);
+    const auto onEnd = [this, id, answer, hasEnded, isFatal, onStatus = std::move(onStatus)](bool isComplete) {
+        if (std::exchange(*hasEnded, true)) {
+            return;
+        }
+        answer->complete = isComplete;
+        // The request that crashes targets breaks other promises while it does so.
+        if (!isFatal) {
+            m_ledger.onAnswer(monotonicNow(), id, *answer);
+        }
+        onStatus(answer->status);
+    };
+    const auto onHead = [answer](const MessageHead &message, const std::optional<uint64_t> &) {
+        answer->status = message.status;
+        answer->echoedId = std::string(message.value("X-Attempt-Id"));
+        answer->seal = std::string(message.value("X-Server-Seal"));
+        answer->namesLimit = message.has("Server-Limit");
         return true;
     };
     channel->exchange(requestText(head),
                       false,
                       std::chrono::seconds(1),
-                      {.onHead = onHead, .onBody = [](std::string_view) {}, .onEnd = [channel](ChannelEnd, const std::string &) {}});
+                      {.onHead = onHead,
+                       .onBody = [answer](std::string_view bytes) { answer->body += bytes; },
+                       .onEnd = [onEnd](ChannelEnd end, const std::string &) { onEnd(end == ChannelEnd::Complete); }});
+    after(deadline + DeadlineSlack, [channel, onEnd, answer, hasEnded] {
+        if (!*hasEnded) {
+            answer->gaveUp = true;
+            channel->abort();
+            onEnd(false);
+        }
+    });
 }
 
 } // namespace Jujube
--- a/Tests/Soak/Harness/SoakLedger.cpp
+++ b/Tests/Soak/Harness/SoakLedger.cpp
@@ -50,7 +50,7 @@
 }
 
 SoakLedger::SoakLedger(Options options)
-    : m_options(options)
+    : m_options(std::move(options))
 {
 }
 
@@ -63,8 +63,16 @@
 
 void SoakLedger::disturbAsPlanned(const std::string &relay, MonotonicTime until)
 {
+    // Disturbances are reported again and again while they last.
+    constexpr std::chrono::milliseconds MaxGap {100};
     auto &end = m_disturbedUntil[relay];
     end = std::max(end, until);
+    auto &spans = m_disturbances[relay];
+    if (!spans.empty() && until <= spans.back().second + MaxGap) {
+        spans.back().second = std::max(spans.back().second, until);
+    } else {
+        spans.emplace_back(until, until);
+    }
 }
 
 void SoakLedger::excuseFromLimits(const std::string &relay, MonotonicTime until)
@@ -101,6 +109,118 @@
     return !wasDisturbed(m_disturbedUntil, relay, now);
 }
 
+bool SoakLedger::wasInTouch(const std::string &relay, MonotonicTime from, MonotonicTime to) const
+{
+    const auto found = m_disturbances.find(relay);
+    return found == m_disturbances.end() || std::none_of(found->second.begin(), found->second.end(), [&](const auto &span) {
+               return span.first <= to && span.second + m_options.bounds.contact > from;
+           });
+}
+
+void SoakLedger::onDown(MonotonicTime now, const std::string &relay)
+{
+    m_knownDocuments.erase(relay);
+    m_downAt[relay] = now;
+}
+
+void SoakLedger::onDocument(MonotonicTime now, DocumentHistory::Document document)
+{
+    m_documents.confirm(now, std::move(document));
+}
+
+std::chrono::milliseconds SoakLedger::lateness(MonotonicTime now) const
+{
+    return m_options.lateness(now);
+}
+
+size_t SoakLedger::oldestKnownTo(const std::string &relay, MonotonicTime now) const
+{
+    const auto found = m_knownDocuments.find(relay);
+    if (found == m_knownDocuments.end()) {
+        return 0;
+    }
+    const auto &known = found->second;
+    const auto after = std::upper_bound(known.begin(), known.end(), now, [](MonotonicTime time, const auto &entry) { return time < entry.first; });
+    return after == known.begin() ? 0 : std::prev(after)->second;
+}
+
+size_t SoakLedger::oldestInForce(MonotonicTime now) const
+{
+    return m_documents.newestAt(now - m_options.bounds.document - lateness(now));
+}
+
+void SoakLedger::checkDocument(MonotonicTime now, const std::string &id, const Request &request, const DocumentHistory::Outcome &outcome)
+{
+    const auto &sent = request.sent;
+    const auto handled = outcome.kind == DocumentHistory::Outcome::Kind::Run ? absl::StrCat("run by ", outcome.service)
+        : outcome.kind == DocumentHistory::Outcome::Kind::NoRoute            ? "turned away without a route"
+                                                                             : "turned away without a key";
+    const auto text = absl::StrCat(id, " of /", sent.subject->route, " with ", sent.subject->key, " was ", handled, " at ", sent.relay);
+    const auto first = m_documents.firstThatExplains(*sent.subject, outcome, 0);
+    if (!first) {
+        report(outcome.kind == DocumentHistory::Outcome::Kind::Run ? "route" : "denied", text + ", which no document explains");
+        return;
+    }
+    const auto oldest = oldestInForce(request.sentAt);
+    if (!m_documents.firstThatExplains(*sent.subject, outcome, oldest) && isInTouch(sent.relay, request.sentAt)) {
+        // The last document that explains it was in force until the next one was confirmed.
+        size_t last = *first;
+        while (const auto next = m_documents.firstThatExplains(*sent.subject, outcome, last + 1)) {
+            last = *next;
+        }
+        const auto late = request.sentAt - m_documents.confirmedAt(last + 1) - m_options.bounds.document;
+        reportTimed("config", absl::StrCat(text, ", sent ", std::chrono::duration_cast<std::chrono::milliseconds>(late).count(), " ms too late for that"));
+    }
+    const bool calm = isInTouch(sent.relay, request.sentAt);
+    const auto slack = calm ? SoakBounds::Rollback : SoakBounds::RollbackOutOfTouch;
+    const auto downAt = m_downAt.find(sent.relay);
+    if (downAt != m_downAt.end() && request.sentAt <= downAt->second) {
+        return;
+    }
+    if (!m_documents.firstThatExplains(*sent.subject, outcome, oldestKnownTo(sent.relay, request.sentAt - slack))) {
+        report("config", text + " after it had used a newer document");
+    }
+    if (outcome.kind != DocumentHistory::Outcome::Kind::Run) {
+        return;
+    }
+    const auto known = m_documents.firstThatExplains(*sent.subject, outcome, oldestKnownTo(sent.relay, request.sentAt));
+    auto &documents = m_knownDocuments[sent.relay];
+    if (known && (documents.empty() || *known > documents.back().second)) {
+        documents.emplace_back(now, *known);
+    }
+}
+
+void SoakLedger::checkRoute(
+    MonotonicTime now, const std::string &id, const Request &request, const std::string &target, const std::string &service, StandInTarget::Arrival arrival)
+{
+    const DocumentHistory::Outcome outcome {.service = service};
+    if (arrival == StandInTarget::Arrival::Run) {
+        checkDocument(now, id, request, outcome);
+    } else if (!m_documents.firstThatExplains(*request.sent.subject, outcome, 0)) {
+        report("route", absl::StrCat(id, " reached ", target, " of the service ", service));
+    }
+}
+
+void SoakLedger::checkDenial(MonotonicTime now, const std::string &id, const Request &request, int status)
+{
+    constexpr int StatusUnauthorized = 401;
+    constexpr int StatusForbidden = 403;
+    constexpr int StatusNotFound = 404;
+    if (!request.sent.subject) {
+        if (request.sent.proper) {
+            report("denied", absl::StrCat(id, " got status ", status, " from ", request.sent.relay));
+        }
+        return;
+    }
+    if (status == StatusNotFound) {
+        checkDocument(now, id, request, {.kind = DocumentHistory::Outcome::Kind::NoRoute});
+    } else if (status == StatusUnauthorized || status == StatusForbidden) {
+        checkDocument(now, id, request, {.kind = DocumentHistory::Outcome::Kind::NoKey});
+    } else if (m_documents.allAllow(*request.sent.subject, oldestInForce(request.sentAt))) {
+        report("denied", absl::StrCat(id, " got status ", status, " from ", request.sent.relay));
+    }
+}
+
 void SoakLedger::report(const std::string &promise, const std::string &detail)
 {
     m_violations.push_back(absl::StrCat(promise, ": ", detail));
@@ -115,7 +235,8 @@
 
 void SoakLedger::onSent(MonotonicTime now, const std::string &id, Sent sent)
 {
-    m_offered[serviceOf(sent.kind)].push_back(now);
+    const auto service = sent.subject ? m_documents.serviceOf(sent.subject->route) : std::string();
+    m_offered[service.empty() ? serviceOf(sent.kind) : service].push_back(now);
     m_requests[id] = {.sent = std::move(sent), .sentAt = now};
 }
 
@@ -129,18 +250,24 @@
     }
     auto &request = found->second;
     checkForwarded(now, id, request, target, head);
-    if (service != serviceOf(request.sent.kind)) {
+    if (request.sent.subject) {
+        checkRoute(now, id, request, target, service, arrival);
+    } else if (service != serviceOf(request.sent.kind)) {
         report("route", absl::StrCat(id, " reached ", target, " of the service ", service));
     }
     if (head.value("X-Expect-Instance") == target) {
         checkForbidden(now, id, request, target);
     }
+    if (int64_t left = 0; !request.firstArrivedAt && absl::SimpleAtoi(toAbsl(head.value("X-Deadline-Ms")), &left)) {
+        request.firstArrivedAt = now;
+        request.firstEnd = now + std::chrono::milliseconds(left);
+    }
     const auto passedOn = m_limitPassedOnAt.find({target, request.sent.relay});
     if (passedOn != m_limitPassedOnAt.end() && now >= passedOn->second + SoakBounds::AfterNamedLimit
         && !wasDisturbed(m_excusedUntil, request.sent.relay, now)) {
         m_limits[target].recordArrival(now);
     }
-    if (request.leftAt && now > *request.leftAt + SoakBounds::AfterLeaving && isInTouch(request.sent.relay, now)) {
+    if (request.leftAt && now > *request.leftAt + SoakBounds::AfterLeaving + lateness(now) && isInTouch(request.sent.relay, now)) {
         m_passedAfterLeaving.push_back(id);
     }
     if (arrival != StandInTarget::Arrival::Continued && ++request.arrivals > 1) {
@@ -170,18 +297,40 @@
     if (head.method != request.sent.method || head.target != request.sent.target) {
         report("unasked", absl::StrCat(id, " reached a target as ", head.method, " ", head.target));
     }
-    if (!request.sent.proper) {
+    if (!request.sent.proper && !request.sent.subject) {
         report("route", absl::StrCat(id, " reached a target although no document allows it"));
     }
     if (head.value("X-Tenant") != "workspace-1" || head.has("Authorization") || head.has("X-Hold") || head.value("X-Own") != "kept") {
         report("unasked", absl::StrCat(id, " reached a target with wrong fields"));
     }
+    checkTimeLeft(now, id, request, target, head);
+}
+
+void SoakLedger::checkTimeLeft(MonotonicTime now, const std::string &id, const Request &request, const std::string &target, const MessageHead &head)
+{
     int64_t left = 0;
     constexpr std::chrono::milliseconds Slack {500};
-    const auto allowed = request.sent.deadline - std::chrono::duration_cast<std::chrono::milliseconds>(now - request.sentAt) + Slack;
     if (!absl::SimpleAtoi(toAbsl(head.value("X-Deadline-Ms")), &left)) {
         report("budget", absl::StrCat(id, " reached a target without its time left"));
-    } else if (left > allowed.count() && isInTouch(request.sent.relay, now) && !wasDisturbed(m_targetDisturbedUntil, target, now)) {
+        return;
+    }
+    if (!isInTouch(request.sent.relay, now) || wasDisturbed(m_targetDisturbedUntil, target, now)) {
+        return;
+    }
+    const auto ownEnd = request.sentAt + request.sent.deadline;
+    auto latestEnd = ownEnd;
+    if (m_options.bounds.countsShares) {
+        // A first attempt may have waited unread. A later one may end with the first one.
+        const bool isLater = request.firstArrivedAt && now > *request.firstArrivedAt + Slack;
+        latestEnd = isLater ? std::max(ownEnd, request.firstEnd) : now + request.sent.deadline;
+    }
+    ++m_passedOn;
+    const auto allowed = std::chrono::duration_cast<std::chrono::milliseconds>(latestEnd - now) + Slack + lateness(now);
+    if (left <= allowed.count()) {
+        return;
+    }
+    ++m_givenTooMuchTime;
+    if (!m_options.bounds.countsShares) {
         reportTimed("budget", absl::StrCat(id, " reached a target with ", left, " ms, allowed are ", allowed.count()));
     }
 }
@@ -200,9 +349,9 @@
 void SoakLedger::checkForbidden(MonotonicTime now, const std::string &id, const Request &request, const std::string &target)
 {
     for (auto entry = m_forbiddenFrom.lower_bound({target, ""}); entry != m_forbiddenFrom.end() && entry->first.first == target; ++entry) {
-        if (now > entry->second && isInTouch(request.sent.relay, now) && !wasDisturbed(m_targetDisturbedUntil, target, now)) {
+        if (now > entry->second + lateness(now) && isInTouch(request.sent.relay, now) && !wasDisturbed(m_targetDisturbedUntil, target, now)) {
             const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(now - entry->second);
-            reportTimed(entry->first.second, absl::StrCat(id, " reached ", target, " ", late.count(), " ms too late"));
+            reportTimed(entry->first.second, absl::StrCat(id, " by ", request.sent.relay, " reached ", target, " ", late.count(), " ms too late"));
         }
     }
 }
@@ -212,10 +361,15 @@
     auto &request = m_requests.at(id);
     request.answered = answer.status;
     ++m_statuses[answer.status];
-    const auto latest = request.sentAt + std::min(request.sent.deadline, RouteTimeout) + SoakBounds::AfterTimeout;
+    const auto timeout = request.sentAt + std::min(request.sent.deadline, RouteTimeout);
+    const auto latest = timeout + SoakBounds::AfterTimeout + lateness(now);
     // The bound holds for nodes that are in touch when it is reached.
-    if (now > latest && isInTouch(request.sent.relay, latest)) {
-        reportTimed("timeout", absl::StrCat(id, " ended ", std::chrono::duration_cast<std::chrono::milliseconds>(now - latest).count(), " ms too late"));
+    if (now > timeout && isInTouch(request.sent.relay, latest)) {
+        ++m_unanswered;
+        m_answeredLate += now > latest ? 1 : 0;
+        if (now > latest && !m_options.bounds.countsShares) {
+            reportTimed("timeout", absl::StrCat(id, " ended ", std::chrono::duration_cast<std::chrono::milliseconds>(now - latest).count(), " ms too late"));
+        }
     }
     checkLost(now, id, request, answer);
     if (answer.status == 0) {
@@ -237,8 +391,8 @@
     if (!answer.seal.empty() && answer.status != FailedTarget) {
         report("mixed", absl::StrCat(id, " got status ", answer.status, " with a target's seal"));
     }
-    if (request.sent.proper && answer.seal.empty() && isDenial(answer.status)) {
-        report("denied", absl::StrCat(id, " got status ", answer.status));
+    if (answer.seal.empty() && isDenial(answer.status)) {
+        checkDenial(now, id, request, answer.status);
     }
     const bool repeatable = isRepeatable(request.sent.kind);
     if (isRefusal(answer.status) && !repeatable && request.runs > 0) {
@@ -249,7 +403,7 @@
 void SoakLedger::checkLost(MonotonicTime now, const std::string &id, const Request &request, const Answer &answer)
 {
     const bool isUndisturbed = !wasDisturbed(m_unplannedUntil, request.sent.relay, now) && !wasDisturbed(m_targetDisturbedUntil, request.lastTarget, now);
-    if (!answer.complete && request.runs == 1 && isUndisturbed) {
+    if (!answer.complete && !answer.gaveUp && request.runs == 1 && isUndisturbed) {
         reportTimed("lost",
                     absl::StrCat(id,
                                  " by ",
@@ -266,7 +420,7 @@
 
 void SoakLedger::checkSuccess(const std::string &id, const Request &request, const Answer &answer)
 {
-    if (!request.sent.proper) {
+    if (!request.sent.proper && !request.sent.subject) {
         report("route", absl::StrCat(id, " was served although no document allows it"));
     }
     if (answer.seal.empty()) {
@@ -308,10 +462,25 @@
         reportTimed("gone",
                     absl::StrCat(m_passedAfterLeaving.size(), " requests reached a target after their callers had left, first ", m_passedAfterLeaving[0]));
     }
+    checkShares();
     checkRetries();
     checkLimits();
 }
 
+void SoakLedger::checkShares()
+{
+    if (!m_options.bounds.countsShares) {
+        return;
+    }
+    constexpr size_t TooMuchTimeShare = 5;
+    if (m_givenTooMuchTime > SoakBounds::FewWithTooMuchTime && m_givenTooMuchTime * TooMuchTimeShare > m_passedOn) {
+        reportTimed("budget", absl::StrCat(m_givenTooMuchTime, " of ", m_passedOn, " requests reached a target with more time than was left"));
+    }
+    if (m_answeredLate > SoakBounds::FewLateAnswers && m_answeredLate * 2 > m_unanswered) {
+        reportTimed("timeout", absl::StrCat(m_answeredLate, " of ", m_unanswered, " requests that were unanswered at their timeout ended too late"));
+    }
+}
+
 void SoakLedger::checkLimits()
 {
     for (const auto &[target, check] : m_limits) {
--- a/Tests/Soak/Harness/SoakLedger.h
+++ b/Tests/Soak/Harness/SoakLedger.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "../../Support/RequestLimitCheck.h"
+#include "DocumentHistory.h"
 
+#include <functional>
 #include <LibCore/Time.h>
 #include <LibLoop/MessageHead.h>
 #include <map>
@@ -32,6 +34,12 @@
 // A request that has crashed this many targets has to be known to all nodes in touch, and reaches targets in a few more tries at most.
 constexpr int CrashesUntilKnown = 3;
 constexpr size_t FewFatalRequests = 3;
+// Targets that are given more time than is left, and late answers, break a promise in more cases than these.
+constexpr size_t FewWithTooMuchTime = 20;
+constexpr size_t FewLateAnswers = 8;
+// A relay whose requests have shown that it knows a document does not go back to an older one for requests sent this long after.
+constexpr std::chrono::milliseconds Rollback {250};
+constexpr std::chrono::milliseconds RollbackOutOfTouch {2000};
 } // namespace SoakBounds
 
 // Bounds that grow with the size of a deployment.
@@ -39,6 +47,9 @@
     std::chrono::milliseconds contact {3000};
     std::chrono::milliseconds drain {2500};
     std::chrono::milliseconds document {2500};
+    // Whether late answers and too much time left are counted as the users state it, as shares of all requests. A large fleet on one machine shares its
+    // processors, and requests may wait before their relay reads them.
+    bool countsShares = false;
 };
 
 constexpr FleetBounds fleetBounds(size_t relays)
@@ -47,7 +58,10 @@
     if (relays < LargeFleet) {
         return {};
     }
-    return {.contact = std::chrono::milliseconds(5000), .drain = std::chrono::milliseconds(4000), .document = std::chrono::milliseconds(4000)};
+    return {.contact = std::chrono::milliseconds(5000),
+            .drain = std::chrono::milliseconds(4000),
+            .document = std::chrono::milliseconds(4000),
+            .countsShares = true};
 }
 
 enum class SoakKind {
@@ -89,6 +103,8 @@
         FleetBounds bounds;
         // Whether promises with a time bound are checked. They hold only while the machine keeps up.
         bool timed = true;
+        // How late the soak's own loop has been in the last seconds. Bounds in time are longer by that.
+        std::function<std::chrono::milliseconds(MonotonicTime now)> lateness = [](MonotonicTime) { return std::chrono::milliseconds(0); };
     };
 
     struct Sent {
@@ -96,8 +112,10 @@
         SoakKind kind = SoakKind::OneTime;
         std::string method;
         std::string target;
-        // Whether every document of the run allows the request.
+        // Whether every document of the run allows the request, or else none does.
         bool proper = true;
+        // Set if some documents of the run allow it: what it needs of the document.
+        std::optional<DocumentHistory::Subject> subject;
         std::chrono::milliseconds deadline {0};
         // Whether it crashes each target that runs it.
         bool isFatal = false;
@@ -110,6 +128,8 @@
         std::string seal;
         std::string body;
         bool complete = false;
+        // Whether the caller closed its connection because the answer took too long.
+        bool gaveUp = false;
         // Whether the answer names the target's limit.
         bool namesLimit = false;
     };
@@ -125,7 +145,13 @@
     // The same for a target and its link.
     void disturbTarget(const std::string &target, MonotonicTime until);
     bool isInTouch(const std::string &relay, MonotonicTime now) const;
+    // Whether a relay was in touch all the while.
+    bool wasInTouch(const std::string &relay, MonotonicTime from, MonotonicTime to) const;
+    // The process of a relay does not run. Its next lifetime may begin with an older document.
+    void onDown(MonotonicTime now, const std::string &relay);
 
+    // The store has confirmed a document.
+    void onDocument(MonotonicTime now, DocumentHistory::Document document);
     void onSent(MonotonicTime now, const std::string &id, Sent sent);
     void onArrival(MonotonicTime now, const std::string &target, const std::string &service, const MessageHead &head, StandInTarget::Arrival arrival);
     void onAnswer(MonotonicTime now, const std::string &id, const Answer &answer);
@@ -175,22 +201,49 @@
         std::optional<MonotonicTime> leftAt;
         std::optional<int> answered;
         bool served = false;
+        // When the time that the first target was given ends.
+        std::optional<MonotonicTime> firstArrivedAt;
+        MonotonicTime firstEnd;
     };
 
     bool wasDisturbed(const std::map<std::string, MonotonicTime> &until, const std::string &name, MonotonicTime now) const;
     // A request that was passed on and whose channel ended without its whole answer, for no reason outside the relay.
     void checkLost(MonotonicTime now, const std::string &id, const Request &request, const Answer &answer);
     void checkSuccess(const std::string &id, const Request &request, const Answer &answer);
+    void checkTimeLeft(MonotonicTime now, const std::string &id, const Request &request, const std::string &target, const MessageHead &head);
     void checkForwarded(MonotonicTime now, const std::string &id, const Request &request, const std::string &target, const MessageHead &head);
+    // The document explains how a request was handled, and is not too old.
+    void checkDocument(MonotonicTime now, const std::string &id, const Request &request, const DocumentHistory::Outcome &outcome);
+    // The same for an arrival at a target.
+    void checkRoute(MonotonicTime now,
+                    const std::string &id,
+                    const Request &request,
+                    const std::string &target,
+                    const std::string &service,
+                    StandInTarget::Arrival arrival);
+    // The same for an answer of the relay's own.
+    void checkDenial(MonotonicTime now, const std::string &id, const Request &request, int status);
+    // The oldest document that may be in force at a relay when it gets a request, as far as its earlier requests have shown.
+    size_t oldestKnownTo(const std::string &relay, MonotonicTime now) const;
+    // The oldest document that may be in force at relays in touch.
+    size_t oldestInForce(MonotonicTime now) const;
+    std::chrono::milliseconds lateness(MonotonicTime now) const;
     void checkForbidden(MonotonicTime now, const std::string &id, const Request &request, const std::string &target);
     // A request that crashes targets, which has reached one more.
     void checkFatal(MonotonicTime now, const Request &request, StandInTarget::Arrival arrival);
+    void checkShares();
     void checkRetries();
     void checkLimits();
 
     const Options m_options;
     std::map<std::string, Request> m_requests;
     std::map<std::string, MonotonicTime> m_disturbedUntil;
+    // Spans without touch, without the time after each.
+    std::map<std::string, std::vector<std::pair<MonotonicTime, MonotonicTime>>> m_disturbances;
+    DocumentHistory m_documents;
+    // By relay, since when its requests have shown that it knows a document.
+    std::map<std::string, std::vector<std::pair<MonotonicTime, size_t>>> m_knownDocuments;
+    std::map<std::string, MonotonicTime> m_downAt;
     // Without planned shutdowns.
     std::map<std::string, MonotonicTime> m_unplannedUntil;
     std::map<std::string, MonotonicTime> m_targetDisturbedUntil;
@@ -209,6 +262,12 @@
     // When the request that crashes targets had done so often enough to be known.
     std::optional<MonotonicTime> m_fatalKnownAt;
     size_t m_fatalPassed = 0;
+    // Requests that were unanswered at the timeout of their route, and of these the ones without an answer some time later.
+    size_t m_unanswered = 0;
+    size_t m_answeredLate = 0;
+    // Requests passed on by relays in touch, and those with more time than was left.
+    size_t m_passedOn = 0;
+    size_t m_givenTooMuchTime = 0;
     std::vector<std::string> m_violations;
 };
 
--- a/Tests/Soak/Harness/SoakRelay.cpp
+++ b/Tests/Soak/Harness/SoakRelay.cpp
@@ -21,19 +21,33 @@
 
 } // namespace
 
-SoakRelay::SoakRelay(boost::asio::io_context &loop, Options options)
+SoakRelay::SoakRelay(boost::asio::io_context &loop, SoakStore &store, Options options)
     : callers(ownLoopbackEndpoint())
     , ready(ownLoopbackEndpoint())
     , directory(ownLoopbackEndpoint())
     , peers(ownLoopbackEndpoint())
     , callerLink(loop, ownLoopbackEndpoint(), callers)
-    , storeLink(loop, ownLoopbackEndpoint(), options.store)
+    , storeLink(store.loop(),
+                ownLoopbackEndpoint(),
+                options.storeAddress,
+                {.run = [&store](const std::function<void()> &function) { store.run(function); },
+                 .onForward = [this](std::string_view bytes) { onStoreCall(bytes); }})
     , m_options(std::move(options))
     , m_metrics(ownLoopbackEndpoint())
 {
+    storeLink.setRate(m_options.storeRate);
     writeSettings({});
 }
 
+void SoakRelay::onStoreCall(std::string_view bytes)
+{
+    constexpr std::string_view Wait = "&wait_ms=";
+    const auto wait = bytes.find(Wait);
+    if (wait != std::string_view::npos && wait + Wait.size() < bytes.size() && bytes[wait + Wait.size()] != '0') {
+        m_heldReadAt = monotonicNow().time_since_epoch().count();
+    }
+}
+
 void SoakRelay::writeSettings(const std::string &further) const
 {
     std::ofstream file(absl::StrCat(m_options.directory, "/", m_options.name, ".settings"), std::ios::trunc);
@@ -50,7 +64,7 @@
     // Faults of the settings end with the process.
     writeSettings({});
     m_process
-        = std::make_unique<ChildProcess>("jujube-relay",
+        = std::make_unique<ChildProcess>(m_options.program,
                                          std::vector<std::string> {"--settings-file", absl::StrCat(m_options.directory, "/", m_options.name, ".settings")},
                                          absl::StrCat(m_options.directory, "/", m_options.name, ".log"));
     if (m_options.processors > 0) {
@@ -60,6 +74,13 @@
     m_startedAt = monotonicNow();
 }
 
+void SoakRelay::beginKill() const
+{
+    if (m_process) {
+        m_process->signal(SIGKILL);
+    }
+}
+
 void SoakRelay::kill(MonotonicTime now, std::chrono::milliseconds downtime)
 {
     if (m_process) {
@@ -74,6 +95,7 @@
 void SoakRelay::terminate(MonotonicTime now)
 {
     if (m_state == State::Running) {
+        setSlow(false);
         m_process->signal(SIGTERM);
         m_state = State::Ending;
         m_stoppedAt = now;
@@ -96,6 +118,15 @@
     }
 }
 
+void SoakRelay::setSlow(bool isSlow)
+{
+    m_isSlow = isSlow;
+    m_turn = 0;
+    if (!isSlow && m_state == State::Running) {
+        m_process->signal(SIGCONT);
+    }
+}
+
 void SoakRelay::reload(unsigned variant, bool withSignal)
 {
     constexpr unsigned Forms = 4;
@@ -129,6 +160,12 @@
         kill(now, RestartPause);
         return {};
     }
+    if (m_isSlow && m_state == State::Running) {
+        // The process runs in some of the turns.
+        constexpr int Turns = 10;
+        constexpr int RunningTurns = 2;
+        m_process->signal(m_turn++ % Turns < RunningTurns ? SIGCONT : SIGSTOP);
+    }
     const auto code = m_process->poll();
     if (!code) {
         return {};
--- a/Tests/Soak/Harness/SoakRelay.h
+++ b/Tests/Soak/Harness/SoakRelay.h
@@ -2,7 +2,9 @@
 
 #include "../../Support/ChildProcess.h"
 #include "LoopbackProxy.h"
+#include "SoakStore.h"
 
+#include <atomic>
 #include <LibCore/Time.h>
 #include <memory>
 #include <string>
@@ -21,11 +23,15 @@
         std::string region;
         // All data centres, as the settings list them.
         std::string regions;
-        Endpoint store;
+        Endpoint storeAddress;
         std::vector<std::string> seeds;
         // Settings files and logs go here.
         std::string directory;
         double retrySlack = 0;
+        // The program, of this build unless the path is absolute.
+        std::string program = "jujube-relay";
+        // Bytes a second on the link to the store, in each direction. Zero for no bound.
+        size_t storeRate = 0;
         // Number of processors on which the process may run. Zero for all.
         int processors = 0;
     };
@@ -38,21 +44,38 @@
         Down,
     };
 
-    SoakRelay(boost::asio::io_context &loop, Options options);
+    SoakRelay(boost::asio::io_context &loop, SoakStore &store, Options options);
 
     void start();
+    // Sends SIGKILL without waiting for the end, so that many relays end at once.
+    void beginKill() const;
     // SIGKILL.
     void kill(MonotonicTime now, std::chrono::milliseconds downtime);
     // SIGTERM.
     void terminate(MonotonicTime now);
     void pause();
     void resume();
+    // From now on, or no longer, the process runs for a part of the time only.
+    void setSlow(bool isSlow);
     // Writes another settings file, and sends SIGHUP.
     void reload(unsigned variant, bool withSignal);
 
     // Follows the process: restarts it when its time has come. Returns a description if it ended by itself or badly.
     std::string follow(MonotonicTime now);
 
+    bool wasStarted() const
+    {
+        return m_startedAt != MonotonicTime();
+    }
+    bool isSlow() const
+    {
+        return m_isSlow;
+    }
+    // When the relay last asked the store to respond at the next change, which the relays do that read for all.
+    MonotonicTime heldReadAt() const
+    {
+        return MonotonicTime(MonotonicTime::duration(m_heldReadAt.load()));
+    }
     State state() const
     {
         return m_state;
@@ -75,15 +98,20 @@
     LoopbackProxy storeLink;
 
 private:
+    void onStoreCall(std::string_view bytes);
     void writeSettings(const std::string &further) const;
 
+    std::atomic<MonotonicTime::rep> m_heldReadAt {0};
     const Options m_options;
     const Endpoint m_metrics;
     State m_state = State::Down;
     std::unique_ptr<ChildProcess> m_process;
     MonotonicTime m_startedAt;
     MonotonicTime m_stoppedAt;
-    MonotonicTime m_restartAt;
+    // A relay that never ran is started by its owner.
+    MonotonicTime m_restartAt = MonotonicTime::max();
+    bool m_isSlow = false;
+    int m_turn = 0;
 };
 
 } // namespace Jujube
--- a/Tests/Soak/Harness/SoakWorld.cpp
+++ b/Tests/Soak/Harness/SoakWorld.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
+#include <ctime>
 #include <LibCore/AbslView.h>
 
 namespace Jujube
@@ -14,6 +15,7 @@
 
 constexpr std::chrono::milliseconds TickInterval {20};
 constexpr std::chrono::milliseconds ReadyTimeout {20000};
+constexpr std::chrono::milliseconds ReadyTimeoutPerRelay {100};
 // Without promises in time, the relays only have to get ready some time after the faults.
 constexpr std::chrono::milliseconds ShortRecovery {3000};
 // Requests of this time after the faults show whether the relays serve again.
@@ -25,6 +27,13 @@
 // How long a target is down after the request that crashes targets.
 constexpr std::chrono::milliseconds FatalDowntime {1200};
 constexpr int EventsOfGeneration = 30;
+// Routes of the document move between the plain services.
+constexpr const char *SecondService = "annex";
+// One relay in so many starts while the faults are on.
+constexpr size_t LateRelayInterval = 12;
+constexpr double BytesPerMbit = 125000;
+constexpr std::chrono::milliseconds NotableLateness {100};
+constexpr std::chrono::seconds LatenessWindow {5};
 
 struct Place {
     const char *dataCentre;
@@ -40,10 +49,15 @@
     , m_bounds(fleetBounds(m_options.relays))
     , m_startedAt(monotonicNow())
     , m_log(m_options.directory + "/faults.log")
-    , m_ledger({.events = EventsOfGeneration, .retrySlack = RetrySlack, .bounds = m_bounds, .timed = m_options.timed})
+    , m_ledger({.events = EventsOfGeneration,
+                .retrySlack = RetrySlack,
+                .bounds = m_bounds,
+                .timed = m_options.timed,
+                .lateness = [this](MonotonicTime now) { return lateness(now); }})
     , m_storeAddress(ownLoopbackEndpoint())
-    , m_store(std::make_unique<StandInStore>(m_loop, m_storeAddress))
+    , m_store(std::make_unique<SoakStore>(m_storeAddress))
     , m_client(m_loop)
+    , m_random(m_options.seed)
     , m_tick(m_loop)
 {
 }
@@ -51,6 +65,7 @@
 SoakWorld::~SoakWorld()
 {
     m_loop.stop();
+    m_store->stop();
 }
 
 SoakResult SoakWorld::run()
@@ -58,7 +73,10 @@
     for (size_t number = 0; number < m_options.routes; ++number) {
         m_document.addedRoutes.push_back(absl::StrCat("idle-", number));
     }
-    m_store->put("op", "config", m_document.toText());
+    if (m_options.tableChanges > 0) {
+        m_document.addedServices.emplace_back(SecondService);
+    }
+    confirmDocument();
     startTargets();
     startRelays();
     m_nextTick = monotonicNow() + TickInterval;
@@ -77,6 +95,9 @@
     for (const auto &fault : plan) {
         after(fault.at, [this, fault] { apply(fault); });
     }
+    startLateRelays();
+    m_isProbing = m_options.tableChanges > 0;
+    probeNext();
     after(m_options.length / 3, [this] { sendFatalRequests(monotonicNow() + m_options.length / 3); });
     runFor(m_options.length);
     runFor(m_options.timed ? SoakBounds::Recovery : ShortRecovery);
@@ -86,6 +107,7 @@
     for (const auto &caller : m_callers) {
         caller->stop();
     }
+    m_isProbing = false;
     const auto sentUntil = monotonicNow();
     runFor(LastRequests);
     const auto [served, owed] = m_ledger.servedBetween(recoveredAt, sentUntil);
@@ -99,12 +121,18 @@
             .served = served,
             .owed = owed,
             .statuses = m_ledger.statuses(),
-            .worstLateness = m_worstLateness};
+            .worstLateness = m_worstLateness,
+            .lateTurns = m_lateTurns,
+            .force = measureForce(),
+            .documentBytes = m_documentBytes,
+            .processorTime = std::chrono::milliseconds(std::clock() * 1000 / CLOCKS_PER_SEC)};
 }
 
 void SoakWorld::startTargets()
 {
-    for (const auto *service : {"desk", "engine"}) {
+    std::vector<std::string> services {"desk", "engine"};
+    services.insert(services.end(), m_document.addedServices.begin(), m_document.addedServices.end());
+    for (const auto &service : services) {
         for (size_t number = 0; number < m_options.targets; ++number) {
             auto target = std::make_unique<Target>();
             target->id = absl::StrCat("i-", service, "-", number);
@@ -193,19 +221,37 @@
     for (size_t number = 0; number < m_options.relays; ++number) {
         const auto &place = Places[number % Places.size()];
         m_relays.push_back(std::make_unique<SoakRelay>(m_loop,
+                                                       *m_store,
                                                        SoakRelay::Options {.name = absl::StrCat("n", number),
                                                                            .dataCentre = place.dataCentre,
                                                                            .region = place.region,
                                                                            .regions = absl::StrJoin(regions, ","),
-                                                                           .store = m_storeAddress,
+                                                                           .storeAddress = m_storeAddress,
                                                                            .seeds = seeds,
                                                                            .directory = m_options.directory,
                                                                            .retrySlack = RetrySlack,
+                                                                           .program = m_options.relayProgram,
+                                                                           .storeRate = static_cast<size_t>(m_options.storeMbit * BytesPerMbit),
                                                                            .processors = m_options.processors}));
         if (seeds.size() < MostSeeds) {
             seeds.push_back(m_relays.back()->peers.toText());
         }
-        m_relays.back()->start();
+        if (m_options.tableChanges > 0 && number % LateRelayInterval == LateRelayInterval - 1) {
+            m_lateRelays.push_back(m_relays.back().get());
+        } else {
+            m_relays.back()->start();
+        }
+    }
+}
+
+void SoakWorld::startLateRelays()
+{
+    for (size_t number = 0; number < m_lateRelays.size(); ++number) {
+        after(m_options.length * number / m_lateRelays.size(), [this, relay = m_lateRelays[number]] {
+            if (relay->state() == SoakRelay::State::Down) {
+                relay->start();
+            }
+        });
     }
 }
 
@@ -286,7 +332,16 @@
 void SoakWorld::tick()
 {
     const auto now = monotonicNow();
-    m_worstLateness = std::max(m_worstLateness, std::chrono::duration_cast<std::chrono::milliseconds>(now - m_nextTick));
+    const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_nextTick);
+    m_worstLateness = std::max(m_worstLateness, late);
+    if (late > NotableLateness) {
+        ++m_lateTurns;
+        log(absl::StrCat("loop late by ", late.count(), " ms"));
+    }
+    m_lateness.emplace_back(now, late);
+    while (m_lateness.front().first < now - LatenessWindow) {
+        m_lateness.pop_front();
+    }
     m_nextTick = now + TickInterval;
     noteDisturbances(now);
     for (const auto &relay : m_relays) {
@@ -304,6 +359,15 @@
     });
 }
 
+std::chrono::milliseconds SoakWorld::lateness(MonotonicTime now) const
+{
+    auto worst = std::max(std::chrono::milliseconds(0), std::chrono::duration_cast<std::chrono::milliseconds>(now - m_nextTick));
+    for (const auto &[time, late] : m_lateness) {
+        worst = std::max(worst, late);
+    }
+    return worst;
+}
+
 void SoakWorld::noteDisturbances(MonotonicTime now)
 {
     const bool storeIsDisturbed = m_active["store"] > 0;
@@ -311,7 +375,11 @@
         const auto &name = relay->options().name;
         const bool linksAreHarmed = m_active["callers of " + name] > 0 || m_active["store of " + name] > 0;
         const bool isPlanned = relay->state() == SoakRelay::State::Ending;
-        const bool isCut = relay->state() == SoakRelay::State::Paused || relay->state() == SoakRelay::State::Down;
+        const bool isDown = relay->state() == SoakRelay::State::Down;
+        const bool isCut = isDown || relay->isSlow() || relay->state() == SoakRelay::State::Paused;
+        if (isDown) {
+            m_ledger.onDown(now, name);
+        }
         if (isCut || isPlanned) {
             m_ledger.excuseFromLimits(name, now);
         }
@@ -336,9 +404,9 @@
 
 void SoakWorld::waitReady()
 {
-    const auto end = monotonicNow() + ReadyTimeout;
+    const auto end = monotonicNow() + ReadyTimeout + ReadyTimeoutPerRelay * m_relays.size();
     for (const auto &relay : m_relays) {
-        const auto isReady = std::make_shared<bool>(false);
+        const auto isReady = std::make_shared<bool>(!relay->wasStarted());
         while (!*isReady && monotonicNow() < end) {
             constexpr std::chrono::milliseconds AskAgain {50};
             m_client.call(relay->ready, {.target = "/-/readyz"}, [isReady](const LoopAnswer &answer) { *isReady = *isReady || answer.isSuccess(); });
@@ -350,6 +418,17 @@
     }
 }
 
+DocumentForce SoakWorld::measureForce() const
+{
+    DocumentForceReader reader(m_writes);
+    for (const auto &relay : m_relays) {
+        const auto &name = relay->options().name;
+        reader.read(absl::StrCat(m_options.directory, "/", name, ".log"),
+                    [&](MonotonicTime from, MonotonicTime to) { return m_ledger.wasInTouch(name, from, to); });
+    }
+    return reader.result();
+}
+
 void SoakWorld::logViolations()
 {
     const auto &violations = m_ledger.violations();
--- a/Tests/Soak/Harness/SoakWorld.h
+++ b/Tests/Soak/Harness/SoakWorld.h
@@ -1,12 +1,14 @@
 #pragma once
 
+#include "DocumentForce.h"
 #include "FaultPlan.h"
 #include "SoakCaller.h"
 #include "SoakRelay.h"
+#include "SoakStore.h"
 
+#include <deque>
 #include <fstream>
 #include <platform/StandIns/StandInRows.h>
-#include <platform/StandIns/StandInStore.h>
 
 namespace Jujube
 {
@@ -27,6 +29,10 @@
     double tableChanges = 0;
     // Routes of the document beside those that callers use.
     size_t routes = 0;
+    // The relay program, of this build unless the path is absolute.
+    std::string relayProgram = "jujube-relay";
+    // Megabits a second on each relay's link to the store. Zero for no bound.
+    double storeMbit = 0;
     // Processors for all relays together. Zero for all that the machine has.
     int processors = 0;
     // Whether promises with a time bound are checked, and a full recovery is awaited.
@@ -44,6 +50,13 @@
     std::map<int, size_t> statuses;
     // How far behind the soak's own loop was, at most.
     std::chrono::milliseconds worstLateness {0};
+    // How often the loop was behind by more than 100 ms.
+    size_t lateTurns = 0;
+    // Time from the confirmation of a document to its force at relays in touch.
+    DocumentForce force;
+    size_t documentBytes = 0;
+    // That the soak itself has used since its start.
+    std::chrono::milliseconds processorTime {0};
 };
 
 // Runs relays as processes, with a store, targets and callers in this process and proxies between them, and plays a plan of faults.
@@ -95,18 +108,27 @@
     void limitTarget(const Fault &fault, Target &target);
     void drainTarget(const Fault &fault, Target &target);
     void evacuate(const Fault &fault);
+    void drainSeries(const Fault &fault);
+    void strikeDataCentre(const Fault &fault);
     void changeDocument(unsigned variant);
-    void growDocument(unsigned variant);
-    // Writes the document, in which a route was added or removed, and checks later that it is in force.
-    void writeDocument(const std::string &route, bool isThere);
-    void probeDocument(const std::string &route, bool isThere);
-    // Sends a request to each relay, because a target or a data centre may get none any more.
-    void probeTargets();
-    // Kills or pauses relays that read the store, or harms their links to it.
+    void growDocument(const Fault &fault);
+    std::string addRoute(const std::string &name);
+    std::string dropRoute(size_t index);
+    // Writes the document, which handles a request differently from before, and sends that request to all relays once it has to be in force.
+    void writeDocument(const DocumentHistory::Subject &subject);
+    void confirmDocument();
+    // Sends a request to each relay, because most get few otherwise: one that depends on the document, or one to any target.
+    void probeRelays(const std::optional<DocumentHistory::Subject> &subject);
+    void probe(SoakRelay &relay, const std::optional<DocumentHistory::Subject> &subject);
+    // Sends one request after the other to one relay after the other, about something that has changed.
+    void probeNext();
+    // Kills, pauses or slows down relays that read the store, or harms their links to it.
     void strikeReader(Fault fault);
-    void probe(SoakRelay &relay, const std::string &route, bool isThere);
     // Sends a request straight to a relay, and tells the status of its answer.
     void ask(SoakRelay &relay, SoakLedger::Sent sent, std::function<void(int status)> onStatus);
+    void startLateRelays();
+    DocumentForce measureForce() const;
+    std::chrono::milliseconds lateness(MonotonicTime now) const;
     // Sends the request that crashes targets to one relay after the other, until the faults end.
     void sendFatalRequests(MonotonicTime until);
     void checkNotReadyAfterTerm(SoakRelay &relay);
@@ -126,7 +148,7 @@
     std::ofstream m_log;
     SoakLedger m_ledger;
     Endpoint m_storeAddress;
-    std::unique_ptr<StandInStore> m_store;
+    std::unique_ptr<SoakStore> m_store;
     std::vector<std::unique_ptr<Target>> m_targets;
     // Targets that crashed; their timers may still run.
     std::vector<std::unique_ptr<StandInTarget>> m_crashed;
@@ -137,11 +159,22 @@
     StandInDocument m_document {.version = 1, .keys = {"key-1"}};
     size_t m_directoryCalls = 0;
     int m_probes = 0;
+    std::mt19937_64 m_random;
+    // What the document has changed, in the order of time.
+    std::vector<DocumentHistory::Subject> m_subjects;
+    std::vector<DocumentWrite> m_writes;
+    size_t m_documentBytes = 0;
+    size_t m_probedRelay = 0;
+    bool m_isProbing = false;
+    std::vector<SoakRelay *> m_lateRelays;
     size_t m_fatalRelay = 0;
     std::map<std::string, MonotonicTime> m_evacuatedSince;
     boost::asio::steady_timer m_tick;
     MonotonicTime m_nextTick;
     std::chrono::milliseconds m_worstLateness {0};
+    size_t m_lateTurns = 0;
+    // Of the last seconds, by time.
+    std::deque<std::pair<MonotonicTime, std::chrono::milliseconds>> m_lateness;
     size_t m_loggedViolations = 0;
 };
 
--- a/Tests/Soak/Program/main.cpp
+++ b/Tests/Soak/Program/main.cpp
@@ -25,7 +25,11 @@
     std::filesystem::create_directories(options.directory);
     const auto result = SoakWorld(options).run();
     std::cout << "seed " << options.seed << ": " << result.requests << " requests, " << result.served << " of " << result.owed
-              << " served after the faults, loop late by " << result.worstLateness.count() << " ms, statuses";
+              << " served after the faults, loop late by " << result.worstLateness.count() << " ms, " << result.lateTurns
+              << " times over 100 ms, its processor time " << result.processorTime.count() << " ms, documents of " << result.documentBytes / 1000
+              << " KB in force after " << result.force.median.count() << " ms median, " << result.force.p99.count() << " ms p99, " << result.force.worst.count()
+              << " ms at most (" << result.force.worstRelay << ", version " << result.force.worstVersion << ", " << result.force.count << " times, never "
+              << result.force.missing << "), statuses";
     for (const auto &[status, count] : result.statuses) {
         std::cout << " " << status << ":" << count;
     }
@@ -50,6 +54,8 @@
             .faultRate = arguments["rate"].as<double>(),
             .tableChanges = arguments["table-changes"].as<double>(),
             .routes = arguments["routes"].as<size_t>(),
+            .relayProgram = arguments["relay-program"].as<std::string>(),
+            .storeMbit = arguments["store-mbit"].as<double>(),
             .processors = arguments["processors"].as<int>(),
             .timed = !arguments["untimed"].as<bool>(),
             .directory = arguments["out"].as<std::string>()};
@@ -119,6 +125,8 @@
     add("table-changes", "Changes of the store's tables a second, and faults of the relays that read it", cxxopts::value<double>()->default_value("0"));
     add("routes", "Routes of the document beside those that callers use", cxxopts::value<size_t>()->default_value("0"));
     add("processors", "Processors for all relays together; 0 for all", cxxopts::value<int>()->default_value("0"));
+    add("relay-program", "Relay program; of this build unless the path is absolute", cxxopts::value<std::string>()->default_value("jujube-relay"));
+    add("store-mbit", "Megabits a second on each relay's link to the store; 0 for no bound", cxxopts::value<double>()->default_value("0"));
     add("untimed", "Leave promises with a time bound out");
     add("out", "Directory for settings and logs, which are kept of runs that break a promise", cxxopts::value<std::string>()->default_value("soak-runs"));
     add("help", "Print this help");
--- a/Tests/Support/ChildProcess.cpp
+++ b/Tests/Support/ChildProcess.cpp
@@ -29,7 +29,7 @@
 
 void ChildProcess::spawn(const std::string &program, const std::vector<std::string> &arguments, int output)
 {
-    const std::string path = std::string(JUJUBE_BINARY_DIRECTORY) + "/" + program;
+    const std::string path = program.starts_with('/') ? program : std::string(JUJUBE_BINARY_DIRECTORY) + "/" + program;
     std::vector<char *> argv {const_cast<char *>(path.c_str())};
     for (const auto &argument : arguments) {
         argv.push_back(const_cast<char *>(argument.c_str()));
--- a/Tests/Support/ChildProcess.h
+++ b/Tests/Support/ChildProcess.h
@@ -8,7 +8,7 @@
 namespace Jujube
 {
 
-// A program under test.
+// A program under test, of this build unless its path is absolute.
 class ChildProcess
 {
 public:
