--- a/Tests/Soak/Harness/SoakLedger.cpp
+++ b/Tests/Soak/Harness/SoakLedger.cpp
@@ -146,7 +146,8 @@
 
 size_t SoakLedger::oldestInForce(MonotonicTime now) const
 {
-    return m_documents.newestAt(now - m_options.bounds.document - lateness(now));
+    // Requests are bound that were sent later than the end of the bound, not at it.
+    return m_documents.newestAt(now - m_options.bounds.document - lateness(now) - MonotonicTime::duration(1));
 }
 
 void SoakLedger::checkDocument(MonotonicTime now, const std::string &id, const Request &request, const DocumentHistory::Outcome &outcome)
@@ -403,7 +404,10 @@
 void SoakLedger::checkLost(MonotonicTime now, const std::string &id, const Request &request, const Answer &answer)
 {
     const bool isUndisturbed = !wasDisturbed(m_unplannedUntil, request.sent.relay, now) && !wasDisturbed(m_targetDisturbedUntil, request.lastTarget, now);
-    if (!answer.complete && !answer.gaveUp && request.runs == 1 && isUndisturbed) {
+    // A relay ends an answer when the time of its route or of the request is over, as far as it knows that time.
+    constexpr std::chrono::milliseconds EndOfTime {100};
+    const bool isOverTime = now >= request.sentAt + std::min(request.sent.deadline, RouteTimeout) - EndOfTime;
+    if (!answer.complete && !answer.gaveUp && !isOverTime && request.runs == 1 && isUndisturbed) {
         reportTimed("lost",
                     absl::StrCat(id,
                                  " by ",
--- a/Tests/Soak/Harness/SoakRelay.h
+++ b/Tests/Soak/Harness/SoakRelay.h
@@ -63,6 +63,11 @@
     // Follows the process: restarts it when its time has come. Returns a description if it ended by itself or badly.
     std::string follow(MonotonicTime now);
 
+    // Of the running process.
+    ChildProcess::ProcessorTime processorTime() const
+    {
+        return m_process ? m_process->processorTime() : ChildProcess::ProcessorTime();
+    }
     bool wasStarted() const
     {
         return m_startedAt != MonotonicTime();
--- a/Tests/Soak/Harness/SoakWorld.cpp
+++ b/Tests/Soak/Harness/SoakWorld.cpp
@@ -109,6 +109,7 @@
     }
     m_isProbing = false;
     const auto sentUntil = monotonicNow();
+    const auto processorTime = relayTime();
     runFor(LastRequests);
     const auto [served, owed] = m_ledger.servedBetween(recoveredAt, sentUntil);
     if (static_cast<double>(served) < LeastServedAfterRecovery * static_cast<double>(owed)) {
@@ -125,7 +126,8 @@
             .lateTurns = m_lateTurns,
             .force = measureForce(),
             .documentBytes = m_documentBytes,
-            .processorTime = std::chrono::milliseconds(std::clock() * 1000 / CLOCKS_PER_SEC)};
+            .processorTime = std::chrono::milliseconds(std::clock() * 1000 / CLOCKS_PER_SEC),
+            .relayTime = processorTime};
 }
 
 void SoakWorld::startTargets()
@@ -268,7 +270,7 @@
                                  .relayAt = [this](const std::string &address) { return relayAt(address); },
                                  .onDirectory
                                  = [this](const std::string &relay, const std::vector<std::string> &addresses) { checkDirectory(relay, addresses); },
-                                 .onLeft = [this](const std::string &id) { after(SoakBounds::AfterLeaving, [this, id] { checkStopsAfterLeaving(id); }); }};
+                                 .onLeft = [this](const std::string &id) { after(SoakBounds::AfterLeaving, [this, id] { awaitStopAfterLeaving(id); }); }};
         m_callers.push_back(std::make_unique<SoakCaller>(m_loop, m_ledger, std::move(options), std::move(hooks)));
         m_callers.back()->start();
     }
@@ -310,6 +312,18 @@
     }
 }
 
+void SoakWorld::awaitStopAfterLeaving(const std::string &id)
+{
+    // The close passes two links of the soak, and the target is a part of it.
+    constexpr int Passages = 3;
+    const auto late = lateness(monotonicNow());
+    if (late < TickInterval) {
+        checkStopsAfterLeaving(id);
+    } else {
+        after(late * Passages, [this, id] { checkStopsAfterLeaving(id); });
+    }
+}
+
 void SoakWorld::checkStopsAfterLeaving(const std::string &id)
 {
     for (const auto &target : m_targets) {
@@ -418,6 +432,17 @@
     }
 }
 
+ChildProcess::ProcessorTime SoakWorld::relayTime() const
+{
+    ChildProcess::ProcessorTime sum;
+    for (const auto &relay : m_relays) {
+        const auto time = relay->processorTime();
+        sum.used += time.used;
+        sum.waited += time.waited;
+    }
+    return sum;
+}
+
 DocumentForce SoakWorld::measureForce() const
 {
     DocumentForceReader reader(m_writes);
--- a/Tests/Soak/Harness/SoakWorld.h
+++ b/Tests/Soak/Harness/SoakWorld.h
@@ -57,6 +57,8 @@
     size_t documentBytes = 0;
     // That the soak itself has used since its start.
     std::chrono::milliseconds processorTime {0};
+    // Of the relays that run at the end, since the start of each. Waits near or above the time used put promises in time in doubt.
+    ChildProcess::ProcessorTime relayTime;
 };
 
 // Runs relays as processes, with a store, targets and callers in this process and proxies between them, and plays a plan of faults.
@@ -93,6 +95,8 @@
     std::vector<std::pair<std::string, Endpoint>> directoriesFor(const std::string &dataCentre);
     std::optional<SoakCaller::Relay> relayAt(const std::string &address) const;
     void checkDirectory(const std::string &relay, const std::vector<std::string> &addresses);
+    // Waits for the end of a request whose caller has left, and longer if the soak's own loop has been late.
+    void awaitStopAfterLeaving(const std::string &id);
     void checkStopsAfterLeaving(const std::string &id);
 
     void after(std::chrono::milliseconds time, std::function<void()> action);
@@ -128,6 +132,7 @@
     void ask(SoakRelay &relay, SoakLedger::Sent sent, std::function<void(int status)> onStatus);
     void startLateRelays();
     DocumentForce measureForce() const;
+    ChildProcess::ProcessorTime relayTime() const;
     std::chrono::milliseconds lateness(MonotonicTime now) const;
     // Sends the request that crashes targets to one relay after the other, until the faults end.
     void sendFatalRequests(MonotonicTime until);
--- a/Tests/Soak/Program/main.cpp
+++ b/Tests/Soak/Program/main.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
+#include <algorithm>
 #include <csignal>
 #include <cxxopts.hpp>
 #include <filesystem>
@@ -26,7 +27,9 @@
     const auto result = SoakWorld(options).run();
     std::cout << "seed " << options.seed << ": " << result.requests << " requests, " << result.served << " of " << result.owed
               << " served after the faults, loop late by " << result.worstLateness.count() << " ms, " << result.lateTurns
-              << " times over 100 ms, its processor time " << result.processorTime.count() << " ms, documents of " << result.documentBytes / 1000
+              << " times over 100 ms, its processor time " << result.processorTime.count() << " ms, relays used "
+              << std::chrono::duration_cast<std::chrono::seconds>(result.relayTime.used).count() << " s of processors and waited for them "
+              << std::chrono::duration_cast<std::chrono::seconds>(result.relayTime.waited).count() << " s, documents of " << result.documentBytes / 1000
               << " KB in force after " << result.force.median.count() << " ms median, " << result.force.p99.count() << " ms p99, " << result.force.worst.count()
               << " ms at most (" << result.force.worstRelay << ", version " << result.force.worstVersion << ", " << result.force.count << " times, never "
               << result.force.missing << "), statuses";
@@ -61,7 +64,17 @@
             .directory = arguments["out"].as<std::string>()};
 }
 
-// The runs of a file with lines "SEED RELAYS CALLERS SECONDS RATE", each followed by a comment. Nothing if a line cannot be read.
+// Sets an option that is given as NAME=VALUE.
+bool setOption(SoakOptions &options, const std::string &text)
+{
+    const std::pair<std::string, std::string> option = absl::StrSplit(text, absl::MaxSplits('=', 1));
+    const auto &[name, value] = option;
+    return (name == "targets" && absl::SimpleAtoi(value, &options.targets)) || (name == "table-changes" && absl::SimpleAtod(value, &options.tableChanges))
+        || (name == "routes" && absl::SimpleAtoi(value, &options.routes)) || (name == "processors" && absl::SimpleAtoi(value, &options.processors))
+        || (name == "store-mbit" && absl::SimpleAtod(value, &options.storeMbit));
+}
+
+// The runs of a file with lines "SEED RELAYS CALLERS SECONDS RATE [NAME=VALUE...]", each followed by a comment. Nothing if a line cannot be read.
 std::optional<std::vector<SoakOptions>> readCases(const std::string &path, const SoakOptions &base)
 {
     std::ifstream file(path);
@@ -74,11 +87,15 @@
         }
         auto options = base;
         int seconds = 0;
-        if (words.size() != 5 || !absl::SimpleAtoi(words[0], &options.seed) || !absl::SimpleAtoi(words[1], &options.relays)
+        if (words.size() < 5 || !absl::SimpleAtoi(words[0], &options.seed) || !absl::SimpleAtoi(words[1], &options.relays)
             || !absl::SimpleAtoi(words[2], &options.callers) || !absl::SimpleAtoi(words[3], &seconds) || !absl::SimpleAtod(words[4], &options.faultRate)) {
             std::cerr << path << ": cannot read \"" << line << "\"\n";
             return std::nullopt;
         }
+        if (!std::all_of(words.begin() + 5, words.end(), [&](const auto &word) { return setOption(options, word); })) {
+            std::cerr << path << ": cannot read the options of \"" << line << "\"\n";
+            return std::nullopt;
+        }
         options.length = std::chrono::seconds(seconds);
         cases.push_back(options);
     }
--- a/Tests/Soak/TestFaultPlan.cpp
+++ b/Tests/Soak/TestFaultPlan.cpp
@@ -1,5 +1,6 @@
 #include "Harness/FaultPlan.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <set>
 
@@ -27,6 +28,28 @@
     EXPECT_NE(makeFaultPlan(other)[0].toText(), plan[0].toText());
 }
 
+// Guards against changes of tables that are never played, a document that grows without end, and other faults of a seed that differ beside them.
+TEST(FaultPlan, DrawsChangesOfTablesBesideTheOthers)
+{
+    auto options = Options;
+    options.tableChanges = 2;
+    const auto plan = makeFaultPlan(options);
+    std::set<std::string_view> kinds;
+    size_t growths = 0;
+    for (const auto &fault : plan) {
+        kinds.insert(nameOf(fault.kind));
+        growths += fault.kind == FaultKind::GrowDocument ? 1 : 0;
+        EXPECT_LT(fault.at + fault.duration, options.length);
+    }
+    for (const auto *kind : {"store-reader", "slow-relay", "drain-series", "grow-document"}) {
+        EXPECT_TRUE(kinds.contains(kind)) << kind;
+    }
+    EXPECT_LE(growths, 2U);
+    for (const auto &fault : makeFaultPlan(Options)) {
+        EXPECT_TRUE(std::any_of(plan.begin(), plan.end(), [&](const auto &other) { return other.toText() == fault.toText(); })) << fault.toText();
+    }
+}
+
 // Guards against kinds of faults that are never played, faults that outlast the run, and faults that never overlap.
 TEST(FaultPlan, DrawsAllKindsInSeriesThatOverlap)
 {
--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -22,3 +22,26 @@
         }
     }
 }
+
+// Guards against relays that handle requests as no document allows, or go back to an older one, while the document, targets and data centres change in series
+// and the relays that read the store fail.
+TEST(Soak, ChangesOfTablesBreakNoPromise)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto directory = std::filesystem::temp_directory_path() / ("jujube-soak-" + std::to_string(getpid()) + "-tables");
+    std::filesystem::create_directories(directory);
+    const auto result = SoakWorld({.seed = 3,
+                                   .relays = 8,
+                                   .callers = 10,
+                                   .length = std::chrono::seconds(12),
+                                   .tableChanges = 1.5,
+                                   .routes = 340,
+                                   .timed = false,
+                                   .directory = directory.string()})
+                            .run();
+    EXPECT_EQ(result.violations, std::vector<std::string>()) << "logs in " << directory;
+    EXPECT_GT(result.force.count, 0U);
+    if (result.violations.empty()) {
+        std::filesystem::remove_all(directory);
+    }
+}
--- a/Tests/Soak/TestSoakLedger.cpp
+++ b/Tests/Soak/TestSoakLedger.cpp
@@ -1,7 +1,9 @@
 #include "Harness/SoakLedger.h"
 
 #include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
+#include <set>
 
 using namespace Jujube;
 using namespace std::chrono_literals;
@@ -250,3 +252,150 @@
     EXPECT_FALSE(run(200ms, false, false));
     EXPECT_FALSE(run(200ms, true, true));
 }
+
+// Documents: the first with the route "old" on "desk", the second with "old" on "annex" and "new", the third without "old".
+namespace
+{
+
+struct DocumentWorld {
+    SoakLedger ledger {{.events = Events, .retrySlack = 100}};
+    MonotonicTime second = Start + 1s;
+    MonotonicTime third = Start + 20s;
+    int sent = 0;
+
+    DocumentWorld()
+    {
+        ledger.onDocument(Start, {.routes = {{"old", "desk"}}, .keys = {"key-1", "key-2"}});
+        ledger.onDocument(second, {.routes = {{"old", "annex"}, {"new", "desk"}}, .keys = {"key-1"}});
+        ledger.onDocument(third, {.routes = {{"new", "desk"}}, .keys = {"key-1"}});
+    }
+
+    std::string send(MonotonicTime now, const std::string &route, const std::string &key = "key-1")
+    {
+        const auto id = absl::StrCat("p-", ++sent);
+        ledger.onSent(now,
+                      id,
+                      {.relay = "n1",
+                       .kind = SoakKind::Repeatable,
+                       .method = "GET",
+                       .target = "/" + route + "/x",
+                       .proper = false,
+                       .subject = DocumentHistory::Subject {.route = route, .key = key},
+                       .deadline = 3s});
+        return id;
+    }
+
+    void run(MonotonicTime sentAt, MonotonicTime now, const std::string &route, const std::string &service, const std::string &key = "key-1")
+    {
+        MessageHead head {.method = "GET", .target = "/" + route + "/x"};
+        head.set("X-Attempt-Id", send(sentAt, route, key));
+        head.set("X-Deadline-Ms", "1000");
+        head.set("X-Tenant", "workspace-1");
+        head.set("X-Own", "kept");
+        ledger.onArrival(now, "i-1", service, head, StandInTarget::Arrival::Run);
+    }
+
+    void turnAway(MonotonicTime sentAt, MonotonicTime now, const std::string &route, int status, const std::string &key = "key-1")
+    {
+        ledger.onAnswer(now, send(sentAt, route, key), {.status = status, .complete = true});
+    }
+
+    // The promises that are broken, without repetitions.
+    std::set<std::string> broken() const
+    {
+        std::set<std::string> names;
+        for (const auto &violation : ledger.violations()) {
+            names.insert(violation.substr(0, violation.find(':')));
+        }
+        return names;
+    }
+};
+
+using Broken = std::set<std::string>;
+
+} // namespace
+
+// Guards against blame for requests that were sent within the bound, whenever their answers come, and against requests sent later that are not noticed.
+TEST(SoakLedger, JudgesRequestsByTheTimeOfSending)
+{
+    constexpr auto Bound = fleetBounds(1).document;
+    DocumentWorld within;
+    within.turnAway(within.second + Bound, within.second + Bound + 2s, "new", 404);
+    within.run(within.second + Bound, within.second + Bound + 2s, "old", "desk");
+    within.run(within.second + Bound, within.second + Bound + 2s, "old", "desk", "key-2");
+    EXPECT_EQ(within.broken(), Broken());
+    const auto late = within.second + Bound + 1ms;
+    DocumentWorld absent;
+    absent.turnAway(late, late, "new", 404);
+    EXPECT_EQ(absent.broken(), Broken {"config"});
+    DocumentWorld moved;
+    moved.run(late, late, "old", "desk");
+    EXPECT_EQ(moved.broken(), Broken {"config"});
+    DocumentWorld key;
+    key.run(late, late, "old", "desk", "key-2");
+    EXPECT_EQ(key.broken(), Broken {"config"});
+    DocumentWorld dropped;
+    dropped.run(dropped.third + Bound + 1ms, dropped.third + Bound + 1ms, "old", "annex");
+    EXPECT_EQ(dropped.broken(), Broken {"config"});
+    DocumentWorld outOfTouch;
+    outOfTouch.ledger.disturb("n1", late + 1s);
+    outOfTouch.turnAway(late, late + 2s, "new", 404);
+    EXPECT_EQ(outOfTouch.broken(), Broken());
+}
+
+// Guards against requests that no document of the run explains, which are wrong at any time.
+TEST(SoakLedger, FindsWhatNoDocumentAllows)
+{
+    DocumentWorld service;
+    service.run(Start, Start, "new", "annex");
+    EXPECT_EQ(service.broken(), Broken {"route"});
+    DocumentWorld key;
+    key.turnAway(Start, Start, "old", 401);
+    EXPECT_EQ(key.broken(), Broken {"denied"});
+    DocumentWorld status;
+    status.turnAway(status.third + 5s, status.third + 5s, "new", 400);
+    EXPECT_EQ(status.broken(), Broken {"denied"});
+}
+
+// Guards against a relay that goes back to an older document, which is wrong also out of touch and within the bound.
+TEST(SoakLedger, FindsAReturnToAnOlderDocument)
+{
+    DocumentWorld returned;
+    returned.run(returned.second + 100ms, returned.second + 200ms, "new", "desk");
+    returned.run(returned.second + 300ms, returned.second + 400ms, "old", "desk");
+    EXPECT_EQ(returned.broken(), Broken());
+    returned.run(returned.second + 500ms, returned.second + 600ms, "old", "desk");
+    EXPECT_EQ(returned.broken(), Broken {"config"});
+    DocumentWorld restarted;
+    restarted.run(restarted.second + 100ms, restarted.second + 200ms, "new", "desk");
+    restarted.ledger.onDown(restarted.second + 300ms, "n1");
+    restarted.run(restarted.second + 900ms, restarted.second + 1s, "old", "desk");
+    EXPECT_EQ(restarted.broken(), Broken());
+}
+
+// Guards against blame for requests that waited unread in a large fleet on one machine, and against targets that are given more time than the caller has.
+TEST(SoakLedger, CountsTimeLeftAndLateAnswersOfLargeFleetsInShares)
+{
+    constexpr size_t LargeFleet = 195;
+    constexpr int Requests = 30;
+    const auto broken = [](const std::string &timeLeft, std::chrono::milliseconds answeredAfter) {
+        SoakLedger ledger({.events = Events, .retrySlack = 100, .bounds = fleetBounds(LargeFleet)});
+        for (int number = 0; number < Requests; ++number) {
+            const auto id = absl::StrCat("c1-", number);
+            ledger.onSent(Start, id, {.relay = "n1", .kind = SoakKind::Repeatable, .method = "GET", .target = "/status/x", .deadline = 3s});
+            MessageHead head {.method = "GET", .target = "/status/x"};
+            head.set("X-Attempt-Id", id);
+            head.set("X-Deadline-Ms", timeLeft);
+            head.set("X-Tenant", "workspace-1");
+            head.set("X-Own", "kept");
+            ledger.onArrival(Start + 1s, "i-1", "desk", head, StandInTarget::Arrival::Run);
+            ledger.onAnswer(Start + answeredAfter, id, {.status = 504, .complete = true});
+        }
+        ledger.finish();
+        return ledger.violations().empty() ? std::string() : ledger.violations()[0].substr(0, ledger.violations()[0].find(':'));
+    };
+    EXPECT_EQ(broken("2990", 2s), "");
+    EXPECT_EQ(broken("3600", 2s), "budget");
+    EXPECT_EQ(broken("2990", 3400ms), "");
+    EXPECT_EQ(broken("2990", 3600ms), "timeout");
+}
--- a/Tests/Support/ChildProcess.cpp
+++ b/Tests/Support/ChildProcess.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <sched.h>
 #include <spawn.h>
 #include <sys/wait.h>
@@ -87,6 +88,15 @@
     }
 }
 
+ChildProcess::ProcessorTime ChildProcess::processorTime() const
+{
+    std::ifstream file("/proc/" + std::to_string(m_pid) + "/schedstat");
+    int64_t used = 0;
+    int64_t waited = 0;
+    file >> used >> waited;
+    return {.used = std::chrono::nanoseconds(used), .waited = std::chrono::nanoseconds(waited)};
+}
+
 void ChildProcess::confine(int processors) const
 {
     cpu_set_t set;
--- a/Tests/Support/ChildProcess.h
+++ b/Tests/Support/ChildProcess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <sys/types.h>
@@ -29,6 +30,14 @@
 
     void signal(int number) const;
 
+    struct ProcessorTime {
+        std::chrono::nanoseconds used {0};
+        // For which the process could run and had to wait for a processor.
+        std::chrono::nanoseconds waited {0};
+    };
+    // Of the first thread, since its start.
+    ProcessorTime processorTime() const;
+
     // Lets the process run on the first processors only.
     void confine(int processors) const;
 
