Keep SIGHUP that arrives while a relay starts or exits

Cause: the default action of SIGHUP ends the process until the relay has set its handler, after its settings are read, and again once the handler is removed, after the loop has ended. strace (beside load, three runs, 24 to 31 processes on 8 cores): the first lines of main() ran 18, 24 and 59 ms after exec; nearly all of that is the dynamic linker, which loads 39 libraries and makes 23370 relative and 8795 other relocations; settings and handler follow within 1 ms.

Change: a function in .preinit_array, which runs before the initialisers of the libraries, blocks SIGHUP. A signal stays pending until the handler is set, and the settings are then read again, so that a change is not lost. The signal is blocked again before the handler is removed. SIGTERM before the handler is set still ends the process at once, which serves nobody yet.

What is left is the time in which the kernel and the dynamic linker load the program, when none of its instructions has run: from the spawn until SIGHUP is blocked, as /proc/PID/status shows it, 4.0 to 14.6 ms, median 7.6 (100 starts beside load); before, until it was handled, median 28, up to 280 (100 starts, heavier load). Whoever starts a relay can close that window too by blocking SIGHUP before exec, which the relay takes over.

The soak therefore sends SIGHUP to a process that is being loaded as soon as the kernel shows that the process blocks, handles or ignores it, which is the first moment at which a program can answer for it; the tests above cover the start from then on. That a relay does not end by itself is checked as before.

The gateway and the controller do not handle SIGHUP and read no settings file, so that there is nothing to lose; SIGTERM during their start ends them by its default action.

--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -1,5 +1,7 @@
 #include "RelayService.h"
 
+#include "ReloadSignal.h"
+
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -97,6 +99,7 @@
     // Signals that arrive during the start are handled once the loop runs.
     boost::asio::signal_set stopSignals(loop, SIGTERM, SIGINT);
     boost::asio::signal_set reloadSignals(loop, SIGHUP);
+    const UnblockedReloadSignal unblockedReloadSignal;
     auto relay = Relay::start(loop, RelayOptions::fromSettings(*settings), createPlatformAdapter(), lines, {.read = readOptions, .haveChanged = haveChanged});
     if (!relay.ok()) {
         std::cerr << relay.status().message() << '\n';
--- a/Tests/Soak/Harness/SoakRelay.cpp
+++ b/Tests/Soak/Harness/SoakRelay.cpp
@@ -71,6 +71,7 @@
         m_process->confine(m_options.processors);
     }
     m_state = State::Running;
+    m_reloadWanted = false;
     m_startedAt = monotonicNow();
 }
 
@@ -143,8 +144,15 @@
     default:
         writeSettings({});
     }
-    if (withSignal && m_state == State::Running) {
+    m_reloadWanted = m_reloadWanted || (withSignal && m_state == State::Running);
+    sendReload();
+}
+
+void SoakRelay::sendReload()
+{
+    if (m_reloadWanted && m_state == State::Running && m_process->isPreparedFor(SIGHUP)) {
         m_process->signal(SIGHUP);
+        m_reloadWanted = false;
     }
 }
 
@@ -166,6 +174,7 @@
         constexpr int RunningTurns = 2;
         m_process->signal(m_turn++ % Turns < RunningTurns ? SIGCONT : SIGSTOP);
     }
+    sendReload();
     const auto code = m_process->poll();
     if (!code) {
         return {};
--- a/Tests/Soak/Harness/SoakRelay.h
+++ b/Tests/Soak/Harness/SoakRelay.h
@@ -57,7 +57,8 @@
     void resume();
     // From now on, or no longer, the process runs for a part of the time only.
     void setSlow(bool isSlow);
-    // Writes another settings file, and sends SIGHUP.
+    // Writes another settings file, and sends SIGHUP. A process that the dynamic linker is still loading, which no program can protect from the signal, gets it
+    // as soon as the kernel shows that it is prepared for it.
     void reload(unsigned variant, bool withSignal);
 
     // Follows the process: restarts it when its time has come. Returns a description if it ended by itself or badly.
@@ -105,12 +106,15 @@
 private:
     void onStoreCall(std::string_view bytes);
     void writeSettings(const std::string &further) const;
+    void sendReload();
 
     std::atomic<MonotonicTime::rep> m_heldReadAt {0};
     const Options m_options;
     const Endpoint m_metrics;
     State m_state = State::Down;
     std::unique_ptr<ChildProcess> m_process;
+    // SIGHUP is still to be sent.
+    bool m_reloadWanted = false;
     MonotonicTime m_startedAt;
     MonotonicTime m_stoppedAt;
     // A relay that never ran is started by its owner.
--- a/Tests/Support/ChildProcess.cpp
+++ b/Tests/Support/ChildProcess.cpp
@@ -28,7 +28,7 @@
 
 } // namespace
 
-void ChildProcess::spawn(const std::string &program, const std::vector<std::string> &arguments, int output)
+void ChildProcess::spawn(const std::string &program, const std::vector<std::string> &arguments, int output, const std::vector<int> &blockedSignals)
 {
     const std::string path = program.starts_with('/') ? program : std::string(JUJUBE_BINARY_DIRECTORY) + "/" + program;
     std::vector<char *> argv {const_cast<char *>(path.c_str())};
@@ -42,9 +42,19 @@
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, "/dev/null", O_WRONLY, 0);
     // The sockets of Boost.Asio would stay open in the program otherwise.
     posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-    if (posix_spawn(&m_pid, path.c_str(), &actions, nullptr, argv.data(), environ) != 0) {
+    sigset_t blocked {};
+    pthread_sigmask(SIG_BLOCK, nullptr, &blocked);
+    for (const int number : blockedSignals) {
+        sigaddset(&blocked, number);
+    }
+    posix_spawnattr_t attributes {};
+    posix_spawnattr_init(&attributes);
+    posix_spawnattr_setsigmask(&attributes, &blocked);
+    posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
+    if (posix_spawn(&m_pid, path.c_str(), &actions, &attributes, argv.data(), environ) != 0) {
         m_pid = -1;
     }
+    posix_spawnattr_destroy(&attributes);
     posix_spawn_file_actions_destroy(&actions);
     close(output);
 }
@@ -55,7 +65,7 @@
     if (pipe2(pipeEnds, O_CLOEXEC) != 0) {
         return;
     }
-    spawn(program, arguments, pipeEnds[1]);
+    spawn(program, arguments, pipeEnds[1], {});
     m_output = pipeEnds[0];
     const std::string prefix = "listening on ";
     const auto line = readLine(m_output);
@@ -64,12 +74,15 @@
     }
 }
 
-ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments, const std::string &outputFile)
+ChildProcess::ChildProcess(const std::string &program,
+                           const std::vector<std::string> &arguments,
+                           const std::string &outputFile,
+                           const std::vector<int> &blockedSignals)
 {
     constexpr mode_t OwnerReadsAndWrites = 0600;
     const int output = open(outputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, OwnerReadsAndWrites);
     if (output >= 0) {
-        spawn(program, arguments, output);
+        spawn(program, arguments, output, blockedSignals);
     }
 }
 
@@ -97,6 +110,23 @@
     return {.used = std::chrono::nanoseconds(used), .waited = std::chrono::nanoseconds(waited)};
 }
 
+bool ChildProcess::isPreparedFor(int number) const
+{
+    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+    std::string line;
+    while (std::getline(status, line)) {
+        if (line.starts_with("SigBlk:") || line.starts_with("SigIgn:") || line.starts_with("SigCgt:")) {
+            constexpr size_t NameLength = 7;
+            constexpr int Hexadecimal = 16;
+            const auto signals = std::stoull(line.substr(NameLength), nullptr, Hexadecimal);
+            if ((signals >> (number - 1) & 1U) != 0) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 void ChildProcess::confine(int processors) const
 {
     cpu_set_t set;
--- a/Tests/Support/ChildProcess.h
+++ b/Tests/Support/ChildProcess.h
@@ -15,8 +15,11 @@
 public:
     // Reads the first line of the program's output, "listening on ADDRESS", which tells where it serves.
     ChildProcess(const std::string &program, const std::vector<std::string> &arguments);
-    // Appends the output of the program to a file.
-    ChildProcess(const std::string &program, const std::vector<std::string> &arguments, const std::string &outputFile);
+    // Appends the output of the program to a file. The program starts with these signals blocked.
+    ChildProcess(const std::string &program,
+                 const std::vector<std::string> &arguments,
+                 const std::string &outputFile,
+                 const std::vector<int> &blockedSignals = {});
     // Kills the process if it still runs.
     ~ChildProcess();
     ChildProcess(const ChildProcess &) = delete;
@@ -38,6 +41,9 @@
     // Of the first thread, since its start.
     ProcessorTime processorTime() const;
 
+    // Whether the process blocks, handles or ignores the signal, as the kernel shows it.
+    bool isPreparedFor(int number) const;
+
     // Lets the process run on the first processors only.
     void confine(int processors) const;
 
@@ -51,7 +57,7 @@
     std::optional<int> poll();
 
 private:
-    void spawn(const std::string &program, const std::vector<std::string> &arguments, int output);
+    void spawn(const std::string &program, const std::vector<std::string> &arguments, int output, const std::vector<int> &blockedSignals);
 
     pid_t m_pid = -1;
     int m_output = -1;
