Let early responses of the HTTP server reach callers that still write

Cause: HttpServer responded and let CivetWeb close the connection while input was unread or still on its way. A close with unread input resets the connection, which makes the caller's writes fail and may destroy the response on its way (RFC 9112, section 9.6). The response did not say either that the connection ends.

Change: after such a response, the sending direction is ended and what the caller still sends is discarded, at most 16 MiB for 2 s, before the connection is closed; the thread uses one buffer of 16 KiB. This holds for bodies above the limit (announced or in chunks), header sections above the limit, requests that CivetWeb itself rejects (malformed, above its buffer) and responses of handlers that close the connection, which now all carry Connection: close. A connection that trickles input held a thread for longer before, while its request was read. CivetWeb does not tell the socket of a connection, so it is found among the files of the process by its addresses; if two match, nothing is discarded and the connection is closed as before.

A response to a request that was read to its end (such as unauthorized within the body limit) never had this fault.

Not covered: a streamed response that ends with the connection while the caller has already sent a further request on it, and bodies that cannot be read to their end, which get no response, as before.

--- a/Libraries/LibHttp/HttpResponder.cpp
+++ b/Libraries/LibHttp/HttpResponder.cpp
@@ -27,6 +27,9 @@
     m_status = status;
     std::string message = statusLine(status);
     absl::StrAppend(&message, "Content-Type: ", toAbsl(contentType), "\r\nContent-Length: ", body.size(), "\r\n");
+    if (m_closes) {
+        absl::StrAppend(&message, "Connection: close\r\n");
+    }
     for (const auto &[name, value] : headers) {
         absl::StrAppend(&message, name, ": ", value, "\r\n");
     }
@@ -59,6 +62,7 @@
 
 void HttpResponder::closeConnection()
 {
+    m_closes = true;
     mg_disable_connection_keep_alive(m_connection);
 }
 
--- a/Libraries/LibHttp/HttpResponder.h
+++ b/Libraries/LibHttp/HttpResponder.h
@@ -28,9 +28,15 @@
     // Sends bytes of a stream at once. Returns false if the caller is gone or has not read for the server's request timeout.
     bool write(std::string_view bytes);
 
-    // Closes the connection once the handler returns. Without an answer sent before, the caller gets none.
+    // Closes the connection once the handler returns. An answer that is sent afterwards with send() says so. Without an answer, the caller gets none.
     void closeConnection();
 
+    // Whether closeConnection() was called and a complete answer was sent.
+    bool closesAfterResponse() const
+    {
+        return m_closes && m_status != 0;
+    }
+
     int status() const
     {
         return m_status;
@@ -39,6 +45,7 @@
 private:
     mg_connection *m_connection;
     int m_status = 0;
+    bool m_closes = false;
 };
 
 } // namespace Jujube
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 #include <array>
 #include <civetweb.h>
+#include <LibHttp/InputDiscard.h>
 #include <mutex>
 
 namespace Jujube
@@ -152,6 +153,8 @@
     if (responder.status() == 0) {
         // A handler that sends nothing ends the connection; the caller would wait for an answer that never comes otherwise.
         mg_disable_connection_keep_alive(connection);
+    } else if (responder.closesAfterResponse()) {
+        server->discardRest(connection);
     }
     return responder.status() > 0 ? responder.status() : HandledWithoutStatus;
 }
@@ -160,7 +163,7 @@
 {
     const auto &info = *mg_get_request_info(connection);
     if (headerSize(info) > m_options.headerLimitBytes) {
-        mg_disable_connection_keep_alive(connection);
+        responder.closeConnection();
         const auto detail = absl::StrCat("the header is larger than ", m_options.headerLimitBytes, " bytes");
         responder.sendProblem({.kind = ErrorKind::HeaderTooLarge, .detail = detail});
         return;
@@ -178,7 +181,7 @@
     }
     if (announcedTooLarge || request.body.size() > m_options.bodyLimitBytes) {
         // The unread rest of the body would be taken for the next request.
-        mg_disable_connection_keep_alive(connection);
+        responder.closeConnection();
         const auto detail = absl::StrCat("the body is larger than ", m_options.bodyLimitBytes, " bytes");
         responder.sendProblem({.kind = ErrorKind::BodyTooLarge, .detail = detail});
         return;
@@ -188,9 +191,21 @@
 
 int HttpServer::httpError(mg_connection *connection, int status, const char *message)
 {
-    mg_disable_connection_keep_alive(connection);
-    HttpResponder(connection).sendProblem({.kind = kindForServerError(status), .detail = message ? message : ""});
+    HttpResponder responder(connection);
+    responder.closeConnection();
+    responder.sendProblem({.kind = kindForServerError(status), .detail = message ? message : ""});
+    const auto *server = static_cast<const HttpServer *>(mg_get_user_data(mg_get_context(connection)));
+    server->discardRest(connection);
     return 0;
 }
 
+void HttpServer::discardRest(mg_connection *connection) const
+{
+    const auto &info = *mg_get_request_info(connection);
+    const int socket = findSocket(info.remote_addr, info.remote_port, info.server_port);
+    if (socket >= 0) {
+        discardInput(socket, {.bytes = m_options.discardLimitBytes, .time = m_options.discardTimeout});
+    }
+}
+
 } // namespace Jujube
--- a/Libraries/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/HttpServer.h
@@ -16,6 +16,7 @@
 using HttpHandler = std::function<void(const HttpRequest &, HttpResponder &)>;
 
 // An HTTP/1.1 server on CivetWeb. Requests with a body or header above the limits are answered with a problem object and never reach the handler.
+// After a response that ends the connection before the end of the request, the rest of the request is discarded within limits, so that the response arrives.
 class HttpServer
 {
 public:
@@ -28,6 +29,9 @@
         size_t headerLimitBytes = 16 * 1024;
         // A write to a caller that reads nothing fails after this time.
         std::chrono::milliseconds writeTimeout {10000};
+        // What a caller still sends after a response that came before the end of its request is read and discarded up to this size and time.
+        size_t discardLimitBytes = 16 << 20;
+        std::chrono::milliseconds discardTimeout {2000};
         HttpHandler handler;
     };
 
@@ -54,6 +58,8 @@
     static int httpError(mg_connection *connection, int status, const char *message);
 
     void handle(mg_connection *connection, HttpResponder &responder) const;
+    // Ends a connection whose request was not read to its end, after the response.
+    void discardRest(mg_connection *connection) const;
 
     const Options m_options;
     std::string m_address;
