--- a/Libraries/LibLoop/CallerChannel.cpp
+++ b/Libraries/LibLoop/CallerChannel.cpp
@@ -19,10 +19,6 @@
 constexpr size_t PipelinedBytes = 64 * 1024;
 // Output that may wait for a slow caller before the target's answer is no longer read.
 constexpr size_t OutputLimitBytes = 256 * 1024;
-// After a rejected message the rest of the input is read up to this size and time, because closing a socket with unread bytes resets it and may destroy the
-// answer on its way.
-constexpr size_t DiscardLimitBytes = 1 << 20;
-constexpr std::chrono::milliseconds DiscardTimeout {1000};
 
 int statusOf(ParseError error)
 {
@@ -104,7 +100,7 @@
     }
     if (m_state == State::Closing) {
         m_discarded += bytes;
-        if (m_discarded > DiscardLimitBytes) {
+        if (m_discarded > m_limits.discardBytes) {
             close();
             return;
         }
@@ -230,7 +226,7 @@
     m_answerHooks = {};
     if (!m_keep) {
         m_state = State::Closing;
-        armTimer(DiscardTimeout);
+        armTimer(m_limits.discardTimeout);
         if (m_writing.empty()) {
             LoopError ignored;
             m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
--- a/Tests/LibLoop/TestChannels.cpp
+++ b/Tests/LibLoop/TestChannels.cpp
@@ -1,6 +1,8 @@
 #include "../Support/LoopbackEndpoint.h"
 
 #include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <future>
 #include <gtest/gtest.h>
 #include <LibLoop/CallerListener.h>
 #include <LibLoop/LoopClient.h>
@@ -85,6 +87,28 @@
         });
     }
 
+    struct RawExchange {
+        LoopError writeError;
+        std::string text;
+        LoopError readError;
+    };
+
+    // Writes a request in parts and reads only afterwards, until the end of the connection. Blocks, so that another thread is to run the loop.
+    RawExchange writeThenRead(std::string_view request, std::chrono::milliseconds interval) const
+    {
+        constexpr size_t PartBytes = 64 * 1024;
+        boost::asio::io_context loop;
+        Tcp::socket socket(loop);
+        socket.connect(m_address.tcp());
+        RawExchange result;
+        for (; !request.empty() && !result.writeError; request.remove_prefix(std::min(PartBytes, request.size()))) {
+            boost::asio::write(socket, boost::asio::buffer(request.substr(0, PartBytes)), result.writeError);
+            std::this_thread::sleep_for(interval);
+        }
+        boost::asio::read(socket, boost::asio::dynamic_buffer(result.text), result.readError);
+        return result;
+    }
+
     boost::asio::io_context m_loop;
     CallerLimits m_limits;
     Endpoint m_address;
@@ -158,6 +182,66 @@
     EXPECT_TRUE(ends());
 }
 
+// Guards against a rejection that is lost because the channel is closed, and thereby reset, while the caller still writes its request.
+TEST_F(ChannelTest, RejectionsReachCallersThatWriteTheirRequestFirst)
+{
+    const std::string large(8 << 20, 'x');
+    const std::string start = "POST /a HTTP/1.1\r\nHost: a\r\n";
+    const std::pair<const char *, std::string> cases[] = {
+        {"413", absl::StrCat(start, "Content-Length: ", large.size(), "\r\n\r\n", large)},
+        {"413", absl::StrCat(start, "Transfer-Encoding: chunked\r\n\r\n", absl::Hex(large.size()), "\r\n", large, "\r\n0\r\n\r\n")},
+        {"431", absl::StrCat(start, "X-Large: ", large)},
+        {"400", absl::StrCat(start, "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n", large)},
+    };
+    listen({.discardTimeout = 60s});
+    for (const auto &[status, request] : cases) {
+        for (const auto interval : {0ms, 1ms}) {
+            SCOPED_TRACE(absl::StrCat(status, " for ", request.substr(0, 80), ", parts every ms: ", interval.count()));
+            auto exchange = std::async(std::launch::async, [this, &text = request, interval] { return writeThenRead(text, interval); });
+            EXPECT_TRUE(runUntil(
+                m_loop, [&] { return exchange.wait_for(0ms) == std::future_status::ready; }, 20s));
+            const auto [writeError, text, readError] = exchange.get();
+            EXPECT_FALSE(writeError) << writeError.message();
+            EXPECT_TRUE(text.starts_with(absl::StrCat("HTTP/1.1 ", status, " "))) << text;
+            EXPECT_TRUE(text.ends_with("\r\n\r\n")) << text;
+            EXPECT_EQ(readError, boost::asio::error::eof);
+        }
+    }
+}
+
+// Guards against a channel that reads without end from a caller whose request was rejected.
+TEST_F(ChannelTest, InputAfterARejectionIsReadUpToALimit)
+{
+    // More than the limit of bytes at once, and few bytes for longer than the limit of time.
+    struct Case {
+        CallerLimits limits;
+        size_t partBytes;
+        std::chrono::milliseconds interval;
+    };
+    const Case cases[] = {{.limits = {.discardBytes = 1 << 20, .discardTimeout = 60s}, .partBytes = 64 * 1024, .interval = 0ms},
+                          {.limits = {.discardBytes = 1 << 30, .discardTimeout = 100ms}, .partBytes = 1, .interval = 1ms}};
+    for (const auto &[limits, partBytes, interval] : cases) {
+        SCOPED_TRACE(partBytes);
+        listen(limits);
+        auto isClosed = std::async(std::launch::async, [this, part = std::string(partBytes, 'x'), pause = interval] {
+            boost::asio::io_context loop;
+            Tcp::socket socket(loop);
+            LoopError error;
+            socket.connect(m_address.tcp(), error);
+            boost::asio::write(socket, boost::asio::buffer(std::string("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000000000\r\n\r\n")), error);
+            const auto end = std::chrono::steady_clock::now() + 20s;
+            while (!error && std::chrono::steady_clock::now() < end) {
+                boost::asio::write(socket, boost::asio::buffer(part), error);
+                std::this_thread::sleep_for(pause);
+            }
+            return static_cast<bool>(error);
+        });
+        EXPECT_TRUE(runUntil(
+            m_loop, [&] { return isClosed.wait_for(0ms) == std::future_status::ready; }, 30s));
+        EXPECT_TRUE(isClosed.get());
+    }
+}
+
 // Guards against a head that is sent byte by byte and holds the channel for ever.
 TEST_F(ChannelTest, SlowHeadIsCutOff)
 {
