Notice settings that change while a relay reads them at its start

Operators whose settings file changed in the moment in which a starting relay read it, without SIGHUP, kept a relay with the former settings until the next change.

Cause: the time of the last change, with which the relay compares every 2 s, was taken after the file had been read, so that it was already that of the changed file. It is now taken before.

--- a/Services/Relay/RelayService.cpp
+++ b/Services/Relay/RelayService.cpp
@@ -65,6 +65,9 @@
 int runRelay(int argc, char **argv)
 {
     const auto path = settingsFile(argc, argv);
+    // Taken before the file is read, so that a change during the start is noticed later.
+    std::error_code unknown;
+    auto written = std::filesystem::last_write_time(path, unknown);
     const auto file = fileValues(path);
     if (!file.ok()) {
         std::cerr << file.status().message() << '\n';
@@ -86,8 +89,6 @@
         }
         return RelayOptions::fromSettings(*parsed);
     };
-    std::error_code unknown;
-    auto written = std::filesystem::last_write_time(path, unknown);
     const auto haveChanged = [path, written]() mutable {
         std::error_code error;
         const auto now = std::filesystem::last_write_time(path, error);
--- a/Tests/Services/TestRelaySignals.cpp
+++ b/Tests/Services/TestRelaySignals.cpp
@@ -161,6 +161,19 @@
     EXPECT_EQ(m_relay->poll(), std::nullopt);
 }
 
+// Guards against a change of the settings file that is never noticed because it was made while the relay read the file.
+TEST_F(RelaySignals, ChangeWhileTheSettingsAreReadIsNoticed)
+{
+    const int file = startReadingSettings();
+    const auto changed = m_directory / "changed";
+    write(changed, settings(m_second));
+    std::filesystem::last_write_time(changed, std::filesystem::last_write_time(m_file) + 1s);
+    std::filesystem::rename(changed, m_file);
+    finishSettings(file, settings(m_first));
+    ASSERT_TRUE(serves());
+    EXPECT_TRUE(reloads(m_second));
+}
+
 // Guards against a relay that SIGHUP ends before main(), while the libraries of the program are initialised.
 TEST_F(RelaySignals, ReloadBeforeMainIsDoneLater)
 {
