Count a response that ends in its header section as broken in HttpClient

Callers of the gateway saw: a 200 with an empty body (or a rejection, 409, 421, 429 or 503, that counted as the target's statement) when a target closed the connection in the middle of its response's header section. One-time calls recorded such a response as their outcome, and a controller took a broken 409 for a refused order.

Cause: libcurl (7.88.1 here) reports CURLE_OK for a connection that ends behind the status line and before the empty line, and HttpTransfer took that for a whole response.

Evidence: the new test breaks off one response of each framing (length, chunks, trailers, no body, interim responses, until the end) behind each of its bytes, with FIN and RST, on GET and POST, kept and own connections. RST and ends within chunks were recognized before.

The empty line that ends the header section of a final response is reported to the header callback like any other line, so a transfer that libcurl calls successful counts as Complete only if that line has arrived. This also covers connections that end behind an interim response.

ByteServer (Tests/Support) is a scripted server that writes exact bytes.

--- a/Libraries/LibHttp/HttpTransfer.cpp
+++ b/Libraries/LibHttp/HttpTransfer.cpp
@@ -7,6 +7,13 @@
 namespace Jujube
 {
 
+namespace
+{
+
+constexpr int FirstFinalStatus = 200;
+
+} // namespace
+
 HttpTransfer::HttpTransfer(HttpClient::StreamId id, HttpCall call, HttpStreamSink sink)
     : m_id(id)
     , m_call(std::move(call))
@@ -93,15 +100,23 @@
     auto &transfer = *static_cast<HttpTransfer *>(self);
     const std::string_view line(data, size * count);
     transfer.m_lastByte = monotonicNow();
+    transfer.noteHeaderLine(line);
+    return line.size();
+}
+
+void HttpTransfer::noteHeaderLine(std::string_view line)
+{
     const auto colon = line.find(':');
     if (colon != std::string_view::npos) {
         const auto name = absl::AsciiStrToLower(toAbsl(line.substr(0, colon)));
-        transfer.m_answer.headers[name] = std::string(absl::StripAsciiWhitespace(toAbsl(line.substr(colon + 1))));
+        m_answer.headers[name] = std::string(absl::StripAsciiWhitespace(toAbsl(line.substr(colon + 1))));
     }
     long status = 0;
-    curl_easy_getinfo(transfer.m_handle, CURLINFO_RESPONSE_CODE, &status);
-    transfer.m_answer.status = static_cast<int>(status);
-    return line.size();
+    curl_easy_getinfo(m_handle, CURLINFO_RESPONSE_CODE, &status);
+    m_answer.status = static_cast<int>(status);
+    if (m_answer.status >= FirstFinalStatus && absl::StripAsciiWhitespace(toAbsl(line)).empty()) {
+        m_isHeadComplete = true;
+    }
 }
 
 bool HttpTransfer::wasSent() const
@@ -116,7 +131,7 @@
 
 HttpEnd HttpTransfer::endFor(CURLcode result) const
 {
-    if (result == CURLE_OK) {
+    if (result == CURLE_OK && m_isHeadComplete) {
         return HttpEnd::Complete;
     }
     if (!wasSent()) {
@@ -128,7 +143,8 @@
 void HttpTransfer::finish(CURLcode result)
 {
     m_answer.refused = result == CURLE_COULDNT_CONNECT;
-    finish(endFor(result), result == CURLE_OK ? "" : curl_easy_strerror(result));
+    const bool isHeadMissing = result == CURLE_OK && !m_isHeadComplete;
+    finish(endFor(result), isHeadMissing ? "the connection ended within the header section" : result == CURLE_OK ? "" : curl_easy_strerror(result));
 }
 
 void HttpTransfer::finish(HttpEnd end, std::string error)
--- a/Libraries/LibHttp/HttpTransfer.h
+++ b/Libraries/LibHttp/HttpTransfer.h
@@ -40,6 +40,7 @@
     static size_t receiveHeader(char *data, size_t size, size_t count, void *self);
 
     void applyCall();
+    void noteHeaderLine(std::string_view line);
     size_t acceptBody(std::string_view bytes);
     HttpEnd endFor(CURLcode result) const;
     bool wasSent() const;
@@ -52,6 +53,8 @@
     HttpAnswer m_answer;
     MonotonicTime m_lastByte;
     bool m_paused = false;
+    // Whether the empty line behind the header section of the final response has arrived. libcurl reports success for a connection that ends before.
+    bool m_isHeadComplete = false;
 };
 
 } // namespace Jujube
--- /dev/null
+++ b/Tests/LibHttp/TestBrokenResponses.cpp
@@ -0,0 +1,115 @@
+#include "../Support/BrokenResponses.h"
+#include "../Support/ByteServer.h"
+
+#include <LibHttp/HttpClient.h>
+
+#include <future>
+#include <gtest/gtest.h>
+
+namespace Jujube
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::string urlOf(const ByteServer &server)
+{
+    return "http://" + server.address().toText() + "/";
+}
+
+// Makes a call as a stream and returns its answer with all bytes of the body.
+HttpAnswer callAsStream(HttpClient &client, HttpCall call)
+{
+    std::promise<HttpAnswer> ended;
+    std::string body;
+    client.open(std::move(call),
+                {.onBytes =
+                     [&body](int, std::string_view bytes) {
+                         body += bytes;
+                         return true;
+                     },
+                 .onEnd = [&ended](const HttpAnswer &answer) { ended.set_value(answer); }});
+    auto answer = ended.get_future().get();
+    answer.body = body;
+    return answer;
+}
+
+// A server that breaks off its response behind a number of bytes.
+struct BreakingServer {
+    std::string text;
+    size_t sent = 0;
+    bool isReset = false;
+    ByteServer server {[this](ByteServer::Connection &connection) {
+        if (connection.readRequest().empty()) {
+            return;
+        }
+        connection.write(std::string_view(text).substr(0, sent));
+        if (isReset) {
+            connection.reset();
+        } else {
+            connection.finish();
+        }
+    }};
+};
+
+} // namespace
+
+// Guards against a response that ends within its header section, a chunk or its trailers and counts as a whole one.
+TEST(HttpClient, BrokenResponseIsNotComplete)
+{
+    HttpClient client;
+    for (const auto &response : wholeResponses("Content-Type: text/plain\r\n", "first\nsecond\n")) {
+        for (const bool isReset : {false, true}) {
+            for (size_t sent = 0; sent <= response.text.size() - (isReset ? 1 : 0); ++sent) {
+                BreakingServer breaking {.text = response.text, .sent = sent, .isReset = isReset};
+                const HttpCall call {.method = sent % 2 == 0 ? "GET" : "POST", .url = urlOf(breaking.server), .freshConnection = sent % 3 == 0};
+                const bool isWhole = sent >= response.completeFrom && !isReset;
+                for (const auto &answer : {client.call(call), callAsStream(client, call)}) {
+                    ASSERT_EQ(answer.end == HttpEnd::Complete, isWhole) << response.name << (isReset ? " reset after " : " ended after ") << sent;
+                    ASSERT_EQ(answer.isSuccess(), isWhole) << response.name << " " << sent;
+                    ASSERT_NE(answer.end, HttpEnd::NotSent) << response.name << " " << sent;
+                    ASSERT_TRUE(response.body.starts_with(answer.body)) << response.name << " " << sent;
+                }
+            }
+        }
+    }
+}
+
+// Guards against a rejection that is broken off in its header section and counts as the target's statement.
+TEST(HttpClient, BrokenRejectionIsNotComplete)
+{
+    HttpClient client;
+    for (const std::string status : {"409 Conflict", "421 Misdirected", "429 Busy", "503 Unavailable"}) {
+        const std::string text = "HTTP/1.1 " + status + "\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n";
+        for (size_t sent = 0; sent < text.size(); ++sent) {
+            BreakingServer breaking {.text = text, .sent = sent};
+            ASSERT_EQ(client.call({.method = "POST", .url = urlOf(breaking.server), .freshConnection = true}).end, HttpEnd::Broken) << status << " " << sent;
+        }
+    }
+}
+
+// Guards against a late copy of a response that is taken for that to a call with a connection of its own, before or after the call is wholly written.
+TEST(HttpClient, CallWithItsOwnConnectionGetsNoEarlierResponse)
+{
+    const std::string rejection = "HTTP/1.1 503 Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    for (const bool isBeforeBody : {false, true}) {
+        ByteServer server([&](ByteServer::Connection &connection) {
+            bool isFirst = true;
+            while (!(isBeforeBody && !isFirst ? connection.readHead() : connection.readRequest()).empty()) {
+                connection.write(isFirst ? "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" : rejection);
+                isFirst = false;
+            }
+        });
+        HttpClient client;
+        for (int count = 0; count < 3; ++count) {
+            const auto answer = client.call({.method = "POST", .url = urlOf(server), .body = std::string(1 << 20, 'x'), .freshConnection = true});
+            EXPECT_EQ(answer.status, 200);
+            EXPECT_EQ(answer.body, "ok");
+        }
+        EXPECT_EQ(server.connectionCount(), 3);
+    }
+}
+
+} // namespace Jujube
