Keep fields of interim responses and trailers out of HttpClient's answers

Callers of the gateway saw: the Content-Type of trailers instead of that of the response. Fields of interim responses (Retry-After and others) passed for fields of the final one.

Cause: libcurl reports the header lines of interim responses, of the final one and of trailers to one callback, and HttpTransfer stored all of them.

Evidence: the new test failed before (retry-after of a 103 found; text/html of the trailers instead of text/plain).

The empty line behind an interim response clears its fields, and lines that arrive behind the final header section are ignored.

--- a/Libraries/LibHttp/HttpTransfer.cpp
+++ b/Libraries/LibHttp/HttpTransfer.cpp
@@ -106,6 +106,10 @@
 
 void HttpTransfer::noteHeaderLine(std::string_view line)
 {
+    if (m_isHeadComplete) {
+        // A field of the trailers.
+        return;
+    }
     const auto colon = line.find(':');
     if (colon != std::string_view::npos) {
         const auto name = absl::AsciiStrToLower(toAbsl(line.substr(0, colon)));
@@ -114,8 +118,13 @@
     long status = 0;
     curl_easy_getinfo(m_handle, CURLINFO_RESPONSE_CODE, &status);
     m_answer.status = static_cast<int>(status);
-    if (m_answer.status >= FirstFinalStatus && absl::StripAsciiWhitespace(toAbsl(line)).empty()) {
+    if (!absl::StripAsciiWhitespace(toAbsl(line)).empty()) {
+        return;
+    }
+    if (m_answer.status >= FirstFinalStatus) {
         m_isHeadComplete = true;
+    } else {
+        m_answer.headers.clear();
     }
 }
 
--- a/Tests/LibHttp/TestBrokenResponses.cpp
+++ b/Tests/LibHttp/TestBrokenResponses.cpp
@@ -112,4 +112,24 @@
     }
 }
 
+// Guards against header fields of an interim response or of trailers that pass for those of the response.
+TEST(HttpClient, FieldsOfInterimResponsesAndTrailersAreNotTheResponses)
+{
+    ByteServer server([](ByteServer::Connection &connection) {
+        connection.readRequest();
+        connection.write("HTTP/1.1 103 Early Hints\r\nRetry-After: 1\r\n\r\n"
+                         "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n"
+                         "2\r\nok\r\n0\r\nContent-Type: text/html\r\n\r\n");
+        connection.finish();
+    });
+    HttpClient client;
+    const auto answer = client.call({.url = urlOf(server)});
+    EXPECT_EQ(answer.end, HttpEnd::Complete);
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.body, "ok");
+    EXPECT_EQ(answer.headers.count("retry-after"), 0U);
+    ASSERT_EQ(answer.headers.count("content-type"), 1U);
+    EXPECT_EQ(answer.headers.at("content-type"), "text/plain");
+}
+
 } // namespace Jujube
