Send no request on a kept connection with unread bytes in HttpClient

Callers of the gateway saw: the response to an earlier request. A server that wrote a rejection once more on a kept connection had it taken for the response to the next call on that connection, which it had received and may have run.

Evidence: the new test writes the second copy with the rejection, behind it and split at each of its bytes, always before the next call.

A connection whose socket is readable or closed carries no further request: libcurl's callback before each request names the connection, the client looks at its socket, and the call is made again on a new connection before a byte of it was sent. libcurl gives the socket only at the end of a transfer, so the client keeps it until then. SoundConnectionIsUsedAgain guards the reuse of sound connections.

A copy that arrives after the next request was sent cannot be told from its response without an id; calls that must not be mistaken use connections of their own (CallWithItsOwnConnectionGetsNoEarlierResponse).

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -4,13 +4,16 @@
 
 #include <array>
 #include <atomic>
+#include <cerrno>
 #include <curl/curl.h>
 #include <deque>
 #include <future>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
 #include <unordered_map>
@@ -26,6 +29,7 @@
 
 constexpr auto SilenceCheckInterval = 100ms;
 constexpr long IdleConnections = 256;
+constexpr size_t MaxKeptSockets = 4 * IdleConnections;
 
 void initializeLibraryOnce()
 {
@@ -59,6 +63,9 @@
     void handleReadySockets(int count, const std::array<epoll_event, 256> &ready);
     void runTimer();
     void collectFinished();
+    // Whether nothing has arrived on a kept connection since its last response, and the other end has not closed it.
+    bool mayReuse(const ConnectionName &connection) const;
+    void keepSocketOf(const HttpTransfer &transfer);
     void endSilent();
     void endAll();
     // Takes the transfer off libcurl's list and reports its end.
@@ -72,6 +79,8 @@
     std::mutex m_commandMutex;
     std::deque<std::function<void()>> m_commands;
     std::unordered_map<StreamId, std::unique_ptr<HttpTransfer>> m_transfers;
+    // The sockets of connections that libcurl may use again. It does not tell which of them it has closed.
+    std::map<ConnectionName, int> m_keptSockets;
     std::optional<MonotonicTime> m_timerDue;
     MonotonicTime m_nextSilenceCheck;
     std::thread m_thread;
@@ -107,7 +116,8 @@
     // std::function needs a copyable callable, so the request is shared with the command.
     auto request = std::make_shared<std::pair<HttpCall, HttpStreamSink>>(std::move(call), std::move(sink));
     post([this, id, request] {
-        auto transfer = std::make_unique<HttpTransfer>(id, std::move(request->first), std::move(request->second));
+        auto transfer = std::make_unique<HttpTransfer>(
+            id, std::move(request->first), std::move(request->second), [this](const ConnectionName &connection) { return mayReuse(connection); });
         curl_multi_add_handle(m_multi, transfer->handle());
         m_transfers.emplace(id, std::move(transfer));
     });
@@ -245,11 +255,40 @@
         const auto result = message->data.result;
         char *owner = nullptr;
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &owner);
-        const auto id = reinterpret_cast<HttpTransfer *>(owner)->id();
+        auto &finished = *reinterpret_cast<HttpTransfer *>(owner);
+        const auto id = finished.id();
+        if (finished.needsNewConnection()) {
+            curl_multi_remove_handle(m_multi, finished.handle());
+            curl_multi_add_handle(m_multi, finished.handle());
+            continue;
+        }
+        keepSocketOf(finished);
         remove(id, [result](HttpTransfer &transfer) { transfer.finish(result); });
     }
 }
 
+bool HttpClient::Worker::mayReuse(const ConnectionName &connection) const
+{
+    const auto found = m_keptSockets.find(connection);
+    if (found == m_keptSockets.end()) {
+        return false;
+    }
+    char byte = 0;
+    return recv(found->second, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void HttpClient::Worker::keepSocketOf(const HttpTransfer &transfer)
+{
+    const auto connection = transfer.connection();
+    if (!connection) {
+        return;
+    }
+    if (m_keptSockets.size() >= MaxKeptSockets) {
+        m_keptSockets.clear();
+    }
+    m_keptSockets.insert_or_assign(connection->first, connection->second);
+}
+
 void HttpClient::Worker::endSilent()
 {
     const auto now = monotonicNow();
--- a/Libraries/LibHttp/HttpTransfer.cpp
+++ b/Libraries/LibHttp/HttpTransfer.cpp
@@ -14,10 +14,11 @@
 
 } // namespace
 
-HttpTransfer::HttpTransfer(HttpClient::StreamId id, HttpCall call, HttpStreamSink sink)
+HttpTransfer::HttpTransfer(HttpClient::StreamId id, HttpCall call, HttpStreamSink sink, MayReuse mayReuse)
     : m_id(id)
     , m_call(std::move(call))
     , m_sink(std::move(sink))
+    , m_mayReuse(std::move(mayReuse))
     , m_handle(curl_easy_init())
     , m_lastByte(monotonicNow())
 {
@@ -44,6 +45,8 @@
     curl_easy_setopt(m_handle, CURLOPT_WRITEDATA, this);
     curl_easy_setopt(m_handle, CURLOPT_HEADERFUNCTION, &HttpTransfer::receiveHeader);
     curl_easy_setopt(m_handle, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(m_handle, CURLOPT_PREREQFUNCTION, &HttpTransfer::beforeRequest);
+    curl_easy_setopt(m_handle, CURLOPT_PREREQDATA, this);
     if (m_call.freshConnection) {
         curl_easy_setopt(m_handle, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(m_handle, CURLOPT_FORBID_REUSE, 1L);
@@ -128,6 +131,42 @@
     }
 }
 
+int HttpTransfer::beforeRequest(void *self, char *address, char * /*localAddress*/, int port, int localPort)
+{
+    auto &transfer = *static_cast<HttpTransfer *>(self);
+    long newConnections = 0;
+    curl_easy_getinfo(transfer.m_handle, CURLINFO_NUM_CONNECTS, &newConnections);
+    if (newConnections > 0 || transfer.m_mayReuse({.address = address, .port = port, .localPort = localPort})) {
+        return CURL_PREREQFUNC_OK;
+    }
+    transfer.m_isConnectionUnusable = true;
+    return CURL_PREREQFUNC_ABORT;
+}
+
+bool HttpTransfer::needsNewConnection()
+{
+    if (!std::exchange(m_isConnectionUnusable, false)) {
+        return false;
+    }
+    curl_easy_setopt(m_handle, CURLOPT_FRESH_CONNECT, 1L);
+    return true;
+}
+
+std::optional<std::pair<ConnectionName, int>> HttpTransfer::connection() const
+{
+    curl_socket_t socket = CURL_SOCKET_BAD;
+    char *address = nullptr;
+    long port = 0;
+    long localPort = 0;
+    if (curl_easy_getinfo(m_handle, CURLINFO_ACTIVESOCKET, &socket) != CURLE_OK || socket == CURL_SOCKET_BAD
+        || curl_easy_getinfo(m_handle, CURLINFO_PRIMARY_IP, &address) != CURLE_OK || !address) {
+        return std::nullopt;
+    }
+    curl_easy_getinfo(m_handle, CURLINFO_PRIMARY_PORT, &port);
+    curl_easy_getinfo(m_handle, CURLINFO_LOCAL_PORT, &localPort);
+    return std::pair {ConnectionName {.address = address, .port = static_cast<int>(port), .localPort = static_cast<int>(localPort)}, socket};
+}
+
 bool HttpTransfer::wasSent() const
 {
     // A connection that was never made, and no request byte handed to the socket: only then is the request certain not to have left.
--- a/Tests/LibHttp/TestBrokenResponses.cpp
+++ b/Tests/LibHttp/TestBrokenResponses.cpp
@@ -90,6 +90,49 @@
     }
 }
 
+// Guards against a second copy of a rejection that is taken for the response to the next request on a kept connection. The copy arrives with the rejection,
+// in part with it, or behind it.
+TEST(HttpClient, SecondCopyOfARejectionIsNoResponse)
+{
+    const std::string rejection = "HTTP/1.1 503 Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull";
+    for (size_t atOnce = 0; atOnce <= rejection.size(); ++atOnce) {
+        std::promise<void> copied;
+        ByteServer server([&](ByteServer::Connection &connection) {
+            for (int count = 0; !connection.readRequest().empty(); ++count) {
+                if (count > 0 || connection.number() > 1) {
+                    connection.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                    continue;
+                }
+                connection.write(rejection + rejection.substr(0, atOnce));
+                std::this_thread::sleep_for(2ms);
+                connection.write(rejection.substr(atOnce));
+                copied.set_value();
+            }
+        });
+        HttpClient client;
+        ASSERT_EQ(client.call({.url = urlOf(server)}).status, 503);
+        copied.get_future().wait();
+        const auto answer = client.call({.url = urlOf(server), .totalTimeout = 2000ms});
+        ASSERT_EQ(answer.status, 200) << atOnce;
+        ASSERT_EQ(answer.body, "ok") << atOnce;
+    }
+}
+
+// Guards against a new connection for each call to a server whose connections are sound.
+TEST(HttpClient, SoundConnectionIsUsedAgain)
+{
+    ByteServer server([](ByteServer::Connection &connection) {
+        while (!connection.readRequest().empty()) {
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        }
+    });
+    HttpClient client;
+    for (int count = 0; count < 5; ++count) {
+        ASSERT_EQ(client.call({.url = urlOf(server)}).body, "ok");
+    }
+    EXPECT_EQ(server.connectionCount(), 1);
+}
+
 // Guards against a late copy of a response that is taken for that to a call with a connection of its own, before or after the call is wholly written.
 TEST(HttpClient, CallWithItsOwnConnectionGetsNoEarlierResponse)
 {
