Send no request on a kept connection with unread bytes in TargetChannel

Callers saw: the answer to an earlier request. A second copy of an answer that had arrived on an idle connection, and that the loop had not read yet, was taken for the answer to the next call of the relay's own client (its calls carry no id) and for that of a repeatable request whose response has no id. A request was also sent on a connection that its other end had closed already, and failed.

Cause: the pool hands out an idle connection until the loop has run the handler of the read that watches it. In between, the bytes count for the next exchange.

A connection is fit for a further exchange only if its socket has neither bytes nor an end to read, which is checked when it is handed out. The watch waits for that instead of reading, so that no bytes are on their way between the socket and the loop.

A copy that arrives after the next call was sent cannot be told from its answer without an id; calls to targets and peers have connections of their own, those that read the store do not.

--- a/Libraries/LibLoop/TargetChannel.cpp
+++ b/Libraries/LibLoop/TargetChannel.cpp
@@ -3,8 +3,10 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 #include <absl/strings/strip.h>
+#include <cerrno>
 #include <LibCore/AbslView.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace Jujube
 {
@@ -47,6 +49,7 @@
     m_request = std::move(request);
     m_hooks = std::make_shared<const ExchangeHooks>(std::move(hooks));
     m_onLost = nullptr;
+    ++m_useNumber;
     m_direction = isHead ? MessageParser::Direction::AnswerWithoutBody : MessageParser::Direction::Answer;
     m_parser = std::make_unique<MessageParser>(m_direction, MessageParser::Limits {});
     m_headSeen = false;
@@ -116,14 +119,6 @@
     if (m_state == State::Closed) {
         return;
     }
-    if (m_state == State::Idle) {
-        const auto onLost = std::move(m_onLost);
-        close();
-        if (onLost) {
-            onLost();
-        }
-        return;
-    }
     if (!error) {
         m_input.append(m_readBuffer.data(), bytes);
         parseInput();
@@ -197,8 +192,9 @@
 
 void TargetChannel::complete()
 {
-    // Bytes behind a complete answer belong to no request, and an answer that came before the request was written leaves the rest of it unread.
-    if (!m_keep || !m_requestWritten || !m_input.empty()) {
+    // Bytes behind a complete answer belong to no request, and an answer that came before the request was written leaves the rest of it unread. A read that a
+    // hook has started may have taken such bytes from the socket.
+    if (!m_keep || !m_requestWritten || !m_input.empty() || m_reading) {
         end(ChannelEnd::Complete, {});
         return;
     }
@@ -235,15 +231,34 @@
     close();
 }
 
-bool TargetChannel::isReusable() const
+bool TargetChannel::isReusable()
 {
-    return m_state == State::Idle;
+    char byte = 0;
+    return m_state == State::Idle && recv(m_socket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) < 0
+        && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 void TargetChannel::watchIdle(std::function<void()> onLost)
 {
     m_onLost = std::move(onLost);
-    read();
+    // The bytes stay in the socket, where isReusable() finds them although the loop has not called this yet.
+    m_socket.async_wait(Tcp::socket::wait_read, [self = shared_from_this(), number = ++m_useNumber](const LoopError &) {
+        if (number == self->m_useNumber) {
+            self->onIdleReadable();
+        }
+    });
+}
+
+void TargetChannel::onIdleReadable()
+{
+    if (m_state != State::Idle) {
+        return;
+    }
+    const auto onLost = std::move(m_onLost);
+    close();
+    if (onLost) {
+        onLost();
+    }
 }
 
 void TargetChannel::close()
--- a/Libraries/LibLoop/TargetChannel.h
+++ b/Libraries/LibLoop/TargetChannel.h
@@ -44,8 +44,8 @@
     // Closes the connection, which tells a target to stop its work. No hook is called any more.
     void abort();
 
-    // Whether the last exchange has left the connection fit for a further one.
-    bool isReusable() const;
+    // Whether the last exchange has left the connection fit for a further one, and nothing has arrived on it since, read by the loop or not.
+    bool isReusable();
     // Watches an idle connection: onLost is called when the other end closes it or sends bytes that no request asked for.
     void watchIdle(std::function<void()> onLost);
 
@@ -78,6 +78,7 @@
     void sendRequest();
     void read();
     void onRead(const LoopError &error, size_t bytes);
+    void onIdleReadable();
     void parseInput();
     void noteHead();
     void deliverBody();
@@ -93,6 +94,8 @@
     // Shared, because a hook may end the exchange and with it the hooks while it runs.
     std::shared_ptr<const ExchangeHooks> m_hooks;
     std::function<void()> m_onLost;
+    // Number of times for which the connection was watched or used. The end of an earlier watch is ignored.
+    uint64_t m_useNumber = 0;
     std::string m_request;
     bool m_requestWritten = false;
     bool m_writing = false;
--- /dev/null
+++ b/Tests/LibLoop/TestBrokenAnswers.cpp
@@ -0,0 +1,141 @@
+#include "../Support/BrokenResponses.h"
+#include "../Support/ByteServer.h"
+
+#include <gtest/gtest.h>
+#include <LibLoop/LoopClient.h>
+
+using namespace Jujube;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::string_view Rejection = "HTTP/1.1 503 Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull";
+constexpr std::string_view Ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+LoopAnswer callAndWait(boost::asio::io_context &loop, LoopClient &client, const Endpoint &address, LoopCall call = {.target = "/x", .timeout = 3000ms})
+{
+    std::optional<LoopAnswer> result;
+    client.call(address, call, [&](const LoopAnswer &answer) { result = answer; });
+    loop.restart();
+    while (!result && loop.run_one_for(5000ms) > 0) { }
+    return result.value_or(LoopAnswer {});
+}
+
+} // namespace
+
+// Guards against an answer that ends within its head, a chunk or its trailers and counts as a whole one.
+TEST(BrokenAnswers, BrokenAnswerIsNotComplete)
+{
+    boost::asio::io_context loop;
+    LoopClient client(loop);
+    for (const auto &response : wholeResponses("Content-Type: text/plain\r\n", "first\nsecond\n")) {
+        for (const bool isReset : {false, true}) {
+            size_t sent = 0;
+            ByteServer server([&](ByteServer::Connection &connection) {
+                if (connection.readRequest().empty()) {
+                    return;
+                }
+                connection.write(std::string_view(response.text).substr(0, sent));
+                if (isReset) {
+                    connection.reset();
+                } else {
+                    connection.finish();
+                }
+            });
+            for (; sent < response.text.size(); ++sent) {
+                const auto answer = callAndWait(loop, client, server.address());
+                const bool isWhole = std::string_view(response.name) == "until the end" && sent >= response.completeFrom && !isReset;
+                ASSERT_EQ(answer.end == ChannelEnd::Complete, isWhole) << response.name << (isReset ? " reset after " : " ended after ") << sent;
+                ASSERT_EQ(answer.status, isWhole ? 200 : 0) << response.name << " " << sent;
+                ASSERT_NE(answer.end, ChannelEnd::NotSent) << response.name << " " << sent;
+            }
+        }
+    }
+}
+
+// Guards against a second copy of an answer that is taken for the answer to the next request on a kept connection. The copy arrives with the answer, in part
+// with it, or behind it; the loop has read it before the next request, or not.
+TEST(BrokenAnswers, SecondCopyIsNoAnswerToTheNextRequest)
+{
+    for (const bool hasLoopReadIt : {false, true}) {
+        for (size_t atOnce = 0; atOnce <= Rejection.size(); ++atOnce) {
+            boost::asio::io_context loop;
+            LoopClient client(loop);
+            std::atomic<bool> isCopied = false;
+            std::atomic<bool> mayCopy = false;
+            ByteServer server([&](ByteServer::Connection &connection) {
+                for (int count = 0; !connection.readRequest().empty(); ++count) {
+                    if (count > 0 || connection.number() > 1) {
+                        connection.write(Ok);
+                        continue;
+                    }
+                    connection.write(std::string(Rejection) + std::string(Rejection.substr(0, atOnce)));
+                    while (!mayCopy) {
+                        std::this_thread::yield();
+                    }
+                    connection.write(Rejection.substr(atOnce));
+                    isCopied = true;
+                }
+            });
+            ASSERT_EQ(callAndWait(loop, client, server.address()).status, 503);
+            mayCopy = true;
+            while (!isCopied) {
+                std::this_thread::yield();
+            }
+            if (hasLoopReadIt) {
+                loop.restart();
+                loop.run_for(1ms);
+            }
+            const auto answer = callAndWait(loop, client, server.address());
+            ASSERT_EQ(answer.status, 200) << atOnce << " " << hasLoopReadIt;
+            ASSERT_EQ(answer.body, "ok") << atOnce << " " << hasLoopReadIt;
+        }
+    }
+}
+
+// Guards against a request that is sent on a kept connection which the other end has closed or reset, although the loop has not read that yet.
+TEST(BrokenAnswers, ClosedConnectionIsNotUsedAgain)
+{
+    for (const bool isReset : {false, true}) {
+        boost::asio::io_context loop;
+        LoopClient client(loop);
+        std::atomic<bool> isEnded = false;
+        ByteServer server([&](ByteServer::Connection &connection) {
+            while (!connection.readRequest().empty()) {
+                connection.write(Ok);
+                if (connection.number() > 1) {
+                    continue;
+                }
+                if (isReset) {
+                    connection.reset();
+                }
+                return;
+            }
+        });
+        ASSERT_EQ(callAndWait(loop, client, server.address()).body, "ok");
+        std::this_thread::sleep_for(20ms);
+        EXPECT_EQ(callAndWait(loop, client, server.address()).body, "ok") << isReset;
+    }
+}
+
+// Guards against a late copy of an answer that is taken for that to a call with a connection of its own, before or after the call is wholly written.
+TEST(BrokenAnswers, CallWithItsOwnConnectionGetsNoEarlierAnswer)
+{
+    for (const bool isBeforeBody : {false, true}) {
+        boost::asio::io_context loop;
+        LoopClient client(loop);
+        ByteServer server([&](ByteServer::Connection &connection) {
+            bool isFirst = true;
+            while (!(isBeforeBody && !isFirst ? connection.readHead() : connection.readRequest()).empty()) {
+                connection.write(isFirst ? Ok : Rejection);
+                isFirst = false;
+            }
+        });
+        const LoopCall call {.method = "POST", .target = "/x", .body = std::string(1 << 20, 'x'), .timeout = 3000ms, .freshConnection = true};
+        for (int count = 0; count < 3; ++count) {
+            EXPECT_EQ(callAndWait(loop, client, server.address(), call).body, "ok");
+        }
+        EXPECT_EQ(server.connectionCount(), 3);
+    }
+}
