Take a response without an id for no response on a kept connection to a target

Callers saw: another request's body with status 200. A target that wrote an earlier response once more on a kept connection, without the request's id, had it passed on as the response to the next repeatable request. A rejection without an id made the relay send the request to a second target while the first one ran it.

Cause: only a different id showed that a response belongs to another request; one without an id was accepted.

Evidence: SecondCopyIsNoResponseToTheNextRequest writes an earlier 200, 400, 408, 421, 429 or 503, with the earlier id and without one, before the next request, before its body is read and behind it, to repeatable requests (kept connections) and one-time calls.

On a kept connection a response has to have the id of its request. A target that sends no id gets a new connection for each request, because only a connection whose last response had the id is kept.

--- a/Libraries/LibLoop/TargetChannel.h
+++ b/Libraries/LibLoop/TargetChannel.h
@@ -46,6 +46,11 @@
 
     // Whether the last exchange has left the connection fit for a further one, and nothing has arrived on it since, read by the loop or not.
     bool isReusable();
+    // Whether the connection waits for a further exchange.
+    bool isIdle() const
+    {
+        return m_state == State::Idle;
+    }
     // Watches an idle connection: onLost is called when the other end closes it or sends bytes that no request asked for.
     void watchIdle(std::function<void()> onLost);
 
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -238,6 +238,8 @@
     const auto endpoint = Endpoint::parse(attempt.target.address);
     const bool mayReuse = m_admission.route->kind == RouteKind::Repeatable;
     m_targetConnection = mayReuse ? m_core.channels.acquire(*endpoint, now) : m_core.channels.fresh(*endpoint);
+    m_isConnectionKept = m_targetConnection->isIdle();
+    m_isResponseNamed = false;
     m_sentAt = now;
     m_progressAt = now;
     if (m_attemptFailed) {
@@ -281,7 +283,12 @@
              },
          .onEnd =
              [self, number, channel = m_targetConnection](ChannelEnd end, const std::string &error) {
-                 self->m_core.channels.release(channel);
+                 // On a kept connection only the id tells a response from a late one to an earlier request, so a target that sends none gets new connections.
+                 if (self->m_isResponseNamed) {
+                     self->m_core.channels.release(channel);
+                 } else {
+                     channel->abort();
+                 }
                  if (number == self->m_attemptNumber) {
                      self->onEnd(end, error);
                  }
@@ -321,8 +328,9 @@
 {
     const auto &fields = m_core.adapter.fields;
     const auto now = monotonicNow();
-    // A late response to an earlier request on this connection has that request's id.
-    if (head.has(fields.requestId) && head.value(fields.requestId) != m_id) {
+    // A late response to an earlier request on this connection has that request's id, or none.
+    m_isResponseNamed = head.value(fields.requestId) == m_id;
+    if (!m_isResponseNamed && (head.has(fields.requestId) || m_isConnectionKept)) {
         m_core.metrics.count("relay_foreign_answers_total");
         return false;
     }
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -107,6 +107,10 @@
     std::shared_ptr<TargetChannel> m_targetConnection;
     // Number of the current attempt. Events of earlier attempts are ignored.
     uint64_t m_attemptNumber = 0;
+    // Whether the connection of the current attempt has carried other requests.
+    bool m_isConnectionKept = false;
+    // Whether the response to the current attempt has the id of the request.
+    bool m_isResponseNamed = false;
     MessageHead m_responseHead;
     MonotonicTime m_sentAt;
     // Time of the current attempt, or of the last complete event of its stream.
--- /dev/null
+++ b/Tests/Platform/TestBrokenTargets.cpp
@@ -0,0 +1,186 @@
+#include "../Support/BrokenResponses.h"
+#include "../Support/ByteServer.h"
+#include "RelayTestBed.h"
+
+#include <absl/strings/str_cat.h>
+#include <gtest/gtest.h>
+#include <platform/StandIns/StandInRows.h>
+
+using namespace Jujube;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::string_view Seal = "X-Server-Seal: seal\r\n";
+
+std::string idField(const std::string &request)
+{
+    return "X-Attempt-Id: " + fieldOf(request, "x-attempt-id") + "\r\n";
+}
+
+// A response with a length, with the id of the request and the target's seal.
+std::string responseTo(const std::string &request, const std::string &status, const std::string &body, const std::string &fields = {})
+{
+    return absl::StrCat("HTTP/1.1 ", status, "\r\n", idField(request), std::string(Seal), fields, "Content-Length: ", body.size(), "\r\n\r\n", body);
+}
+
+[[maybe_unused]] std::string eventsText(int first, int last)
+{
+    std::string text;
+    for (int id = first; id <= last; ++id) {
+        text += "id: " + std::to_string(id) + "\ndata: text\n\n";
+    }
+    return text;
+}
+
+// One relay, and targets that are scripts.
+class BrokenTargets : public testing::Test
+{
+protected:
+    // Adds a target whose script gets the header sections of callers' requests only; questions about its state are answered.
+    void
+    addTarget(const std::string &id, const std::string &service, const std::function<void(ByteServer::Connection &, const std::string &request)> &onRequest)
+    {
+        m_targets.push_back(std::make_unique<ByteServer>([onRequest](ByteServer::Connection &connection) {
+            for (auto request = connection.readHead(); !request.empty(); request = connection.readHead()) {
+                if (request.starts_with("GET /-/") || request.starts_with("GET /healthz")) {
+                    connection.write("HTTP/1.1 200 OK\r\nContent-Length: 28\r\n\r\n{\"state\":\"ready\",\"born\":1}  ");
+                    continue;
+                }
+                onRequest(connection, request);
+            }
+        }));
+        m_testBed.store->put(
+            "servers", id, StandInTargetRow {.service = service, .address = m_targets.back()->address().toText(), .dataCentre = "lahore"}.toText());
+    }
+
+    void start()
+    {
+        m_testBed.writeDocument(1);
+        m_testBed.addRelay("n1");
+        ASSERT_TRUE(m_testBed.waitUntilReady("n1"));
+    }
+
+    // Each request has a path and an id of its own, so that none counts as a poison request.
+    RelayTestBed::Response call(const std::string &route, const std::string &method = "POST", const std::string &body = "{}")
+    {
+        const auto number = std::to_string(++m_requestNumber);
+        return m_testBed.call("n1", {.path = "/" + route + "/" + number, .id = "r" + number, .method = method, .body = body});
+    }
+
+    std::string lastId() const
+    {
+        return "r" + std::to_string(m_requestNumber);
+    }
+
+    RelayTestBed m_testBed;
+    std::vector<std::unique_ptr<ByteServer>> m_targets;
+    int m_requestNumber = 0;
+};
+
+} // namespace
+
+// Guards against a response that a target breaks off in its header section, a chunk or its trailers and that reaches the caller as a whole success.
+TEST_F(BrokenTargets, BrokenResponseIsNoSuccess)
+{
+    std::string text;
+    bool isReset = false;
+    size_t sent = 0;
+    std::vector<std::string> ran;
+    addTarget("i-1", "desk", [&](ByteServer::Connection &connection, const std::string &request) {
+        ran.push_back(fieldOf(request, "x-attempt-id"));
+        connection.write(std::string_view(text).substr(0, sent));
+        if (isReset) {
+            connection.reset();
+        } else {
+            connection.finish();
+        }
+    });
+    start();
+    for (size_t framing = 0; framing < wholeResponses("", "").size(); ++framing) {
+        for (const bool reset : {false, true}) {
+            isReset = reset;
+            for (sent = 0;; ++sent) {
+                const auto fields = absl::StrCat("X-Attempt-Id: r", m_requestNumber + 1, "\r\n", std::string(Seal));
+                const auto response = wholeResponses(fields, "first\nsecond\n").at(framing);
+                if (sent >= response.text.size()) {
+                    break;
+                }
+                text = response.text;
+                const bool mayBeWhole = std::string_view(response.name) == "until the end" && sent >= response.completeFrom && !reset;
+                const auto received = call("commit");
+                ASSERT_EQ(received.status, mayBeWhole ? 200 : 502) << response.name << (reset ? " reset after " : " ended after ") << sent;
+                ASSERT_EQ(received.end, ChannelEnd::Complete) << response.name << " " << sent;
+                ASSERT_EQ(ran.size(), static_cast<size_t>(m_requestNumber)) << response.name << " " << sent;
+            }
+        }
+    }
+}
+
+// Guards against an earlier response, mostly a rejection, that a target writes once more on a kept connection and that counts as the response to the next
+// request. The copy has the earlier id or none, and arrives before the next request, before its body is read, or behind it.
+TEST_F(BrokenTargets, SecondCopyIsNoResponseToTheNextRequest)
+{
+    enum class Time { BeforeRequest, BeforeBody, BehindRequest };
+    std::string status;
+    bool hasId = false;
+    Time time = Time::BeforeRequest;
+    int copyOn = 0;
+    std::string copy;
+    int runs = 0;
+    int copies = 0;
+    const auto respond = [&](ByteServer::Connection &connection, const std::string &request) {
+        ++runs;
+        connection.write(responseTo(request, "200 OK", fieldOf(request, "x-attempt-id")));
+    };
+    addTarget("i-1", "desk", [&](ByteServer::Connection &connection, const std::string &request) {
+        const auto writeCopy = [&](Time due) {
+            if (due == time && copyOn == connection.number()) {
+                copies += due == Time::BeforeRequest ? 0 : 1;
+                connection.write(copy);
+            }
+        };
+        writeCopy(Time::BeforeBody);
+        connection.readBody(request);
+        writeCopy(Time::BehindRequest);
+        respond(connection, request);
+        copyOn = connection.number();
+        copy = absl::StrCat("HTTP/1.1 ",
+                            status,
+                            "\r\n",
+                            hasId ? idField(request) : "",
+                            status.starts_with("200") ? std::string(Seal) : "X-Not-Executed: 1\r\n",
+                            "Content-Length: 5\r\n\r\nother");
+        std::this_thread::sleep_for(1ms);
+        writeCopy(Time::BeforeRequest);
+    });
+    addTarget("i-2", "desk", [&](ByteServer::Connection &connection, const std::string &request) {
+        connection.readBody(request);
+        respond(connection, request);
+    });
+    start();
+    for (const std::string given : {"200 OK", "400 Bad Request", "408 Timeout", "421 Misdirected", "429 Too Many", "503 Unavailable"}) {
+        status = given;
+        for (const bool isNamed : {false, true}) {
+            hasId = isNamed;
+            for (const auto due : {Time::BeforeRequest, Time::BeforeBody, Time::BehindRequest}) {
+                time = due;
+                for (const std::string route : {"status", "commit"}) {
+                    for (int count = 0; count < 4; ++count) {
+                        const auto what = absl::StrCat(status, " id ", hasId, " time ", static_cast<int>(due), " ", route);
+                        const int runsBefore = runs;
+                        const auto received = call(route, count % 2 == 0 ? "GET" : "POST", std::string(count % 2 == 0 ? 0 : 50000, 'x'));
+                        ASSERT_EQ(received.status, 200) << what;
+                        ASSERT_EQ(received.body, lastId()) << what;
+                        if (route == "commit") {
+                            ASSERT_EQ(runs, runsBefore + 1) << what;
+                        }
+                    }
+                }
+            }
+        }
+    }
+    // Some copies have met a further request.
+    EXPECT_GT(copies, 0);
+}
--- a/Tests/Support/ByteServer.cpp
+++ b/Tests/Support/ByteServer.cpp
@@ -19,6 +19,9 @@
 
 bool ByteServer::Connection::receive()
 {
+    if (m_isReset) {
+        return false;
+    }
     std::array<char, 65536> buffer {};
     LoopError error;
     const auto size = m_socket.read_some(boost::asio::buffer(buffer), error);
@@ -39,21 +42,26 @@
     return head;
 }
 
-std::string ByteServer::Connection::readRequest()
+std::string ByteServer::Connection::readBody(const std::string &head)
 {
-    auto request = readHead();
     size_t length = 0;
-    if (request.empty() || !absl::SimpleAtoi(fieldOf(request, "content-length"), &length)) {
-        return request;
+    if (!absl::SimpleAtoi(fieldOf(head, "content-length"), &length)) {
+        return {};
     }
     while (m_input.size() < length) {
         if (!receive()) {
             return {};
         }
     }
-    request += m_input.substr(0, length);
+    auto body = m_input.substr(0, length);
     m_input.erase(0, length);
-    return request;
+    return body;
+}
+
+std::string ByteServer::Connection::readRequest()
+{
+    const auto head = readHead();
+    return head + readBody(head);
 }
 
 void ByteServer::Connection::write(std::string_view bytes)
@@ -72,6 +80,7 @@
 void ByteServer::Connection::reset()
 {
     LoopError ignored;
+    m_isReset = true;
     m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
 }
 
--- a/Tests/Support/ByteServer.h
+++ b/Tests/Support/ByteServer.h
@@ -36,10 +36,12 @@
         std::string readRequest();
         // Reads the header section of a request only, and leaves its body unread.
         std::string readHead();
+        // Reads the body behind a header section, if that has a length.
+        std::string readBody(const std::string &head);
         void write(std::string_view bytes);
         // Sends the end of the connection (FIN) behind all bytes, and waits for that of the client.
         void finish();
-        // Sends a reset (RST).
+        // Sends a reset (RST) as soon as the script returns. Nothing is received any more.
         void reset();
         // Waits until the client closes the connection.
         void waitForEnd();
@@ -51,6 +53,7 @@
         Tcp::socket &m_socket;
         const int m_number;
         std::string m_input;
+        bool m_isReset = false;
     };
 
     using Script = std::function<void(Connection &connection)>;
