Continue a stream only with a response of the status with which it began

Callers saw: a stream that ended as if it were complete after its second event. The first target broke off, and the one that should have continued it responded with 204 and the type of an event stream.

Cause: any sealed 2xx of that type was accepted as a continuation, and one without a body ends at once.

Evidence: StreamIsContinuedByItsEventsOnly breaks a stream off within its third event and lets the second target respond with each of 13 statuses (200, 200 of another type, 204, 206, 302, 400, 404, 408, 421, 429, 500, 502, 503), with a length, in chunks and until the end, with the request's id and without one. Before the change it failed for 204 with a length and without an id (the caller's response ended Complete); errors and other types cut the stream before too, and none of their bytes reached the caller.

A continuation has to have the status and the kind of the response whose header section the caller has received, so nothing else can end it.

--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -96,8 +96,8 @@
         onFailure(ExchangeResult::Broken, false, now);
         return false;
     }
-    // Bytes of another format must not follow the events that the caller has received.
-    if (m_isContinuation && (!isSuccess(response.status) || (m_request.kind == RouteKind::Stream && !response.isStream))) {
+    // Bytes of another format must not follow the events that the caller has received, and a response without a body (204) does not end them.
+    if (m_isContinuation && (response.status != m_begunResponse.status || response.isStream != m_begunResponse.isStream)) {
         onFailure(ExchangeResult::Broken, false, now);
         return false;
     }
@@ -119,6 +119,7 @@
 {
     if (!m_hasBegun) {
         m_hasBegun = true;
+        m_begunResponse = m_response;
         m_hooks.beginResponse(length);
     }
 }
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -248,6 +248,8 @@
     bool m_isResponseAccepted = false;
     // Whether the caller has received the header section of a response.
     bool m_hasBegun = false;
+    // The response whose header section the caller has received.
+    TargetResponse m_begunResponse;
     // Retry-After time of a rejection, from the last choice that found no target.
     std::chrono::milliseconds m_retryAfter {300};
     // Whether a byte of the request may have reached a target that did not report that it had not run it.
--- a/Tests/Platform/TestBrokenTargets.cpp
+++ b/Tests/Platform/TestBrokenTargets.cpp
@@ -25,7 +25,7 @@
     return absl::StrCat("HTTP/1.1 ", status, "\r\n", idField(request), std::string(Seal), fields, "Content-Length: ", body.size(), "\r\n\r\n", body);
 }
 
-[[maybe_unused]] std::string eventsText(int first, int last)
+std::string eventsText(int first, int last)
 {
     std::string text;
     for (int id = first; id <= last; ++id) {
@@ -184,3 +184,70 @@
     // Some copies have met a further request.
     EXPECT_GT(copies, 0);
 }
+
+// The status of the response that should continue a stream. A relay for each, because the budget bounds the retries of one.
+class ContinuationStatus : public BrokenTargets, public testing::WithParamInterface<std::string>
+{
+};
+
+// Guards against a stream that goes on with an error's text or ends as if it were complete, when the target that should continue it responds with anything but
+// the events that follow.
+TEST_P(ContinuationStatus, StreamIsContinuedByItsEventsOnly)
+{
+    const auto &status = GetParam();
+    const bool isStream = status == "200 OK";
+    const std::string body = isStream ? eventsText(3, 4) : "the text of an error";
+    std::string continuation;
+    int continuations = 0;
+    const auto script = [&](ByteServer::Connection &connection, const std::string &request) {
+        if (fieldOf(request, "last-event-id").empty()) {
+            const auto events = eventsText(1, 2) + "id: 3\nda";
+            connection.write(absl::StrCat("HTTP/1.1 200 OK\r\n", idField(request), std::string(Seal)));
+            connection.write(absl::StrCat("Content-Type: text/event-stream\r\nContent-Length: ", events.size() + 10, "\r\n\r\n", events));
+        } else {
+            ++continuations;
+            connection.write(continuation);
+        }
+        connection.finish();
+    };
+    addTarget("i-1", "engine", script);
+    addTarget("i-2", "engine", script);
+    start();
+    for (const std::string framing : {"length", "chunks", "end"}) {
+        for (const bool hasId : {false, true}) {
+            const auto what = absl::StrCat(status, " ", framing, " id ", hasId);
+            const auto idLine = hasId ? absl::StrCat("X-Attempt-Id: r", m_requestNumber + 1, "\r\n") : "";
+            continuation = absl::StrCat("HTTP/1.1 ", status, "\r\n", idLine, std::string(Seal));
+            absl::StrAppend(&continuation, "Content-Type: ", status == "200 Plain" ? "text/plain" : "text/event-stream", "\r\n");
+            if (framing == "length") {
+                absl::StrAppend(&continuation, "Content-Length: ", body.size(), "\r\n\r\n", body);
+            } else if (framing == "chunks") {
+                absl::StrAppend(&continuation, "Transfer-Encoding: chunked\r\n\r\n", absl::Hex(body.size()), "\r\n", body, "\r\n0\r\n\r\n");
+            } else {
+                absl::StrAppend(&continuation, "\r\n", body);
+            }
+            const int before = continuations;
+            const auto received = call("hint");
+            ASSERT_EQ(continuations, before + 1) << what;
+            ASSERT_EQ(received.status, 200) << what;
+            ASSERT_EQ(received.body, eventsText(1, isStream ? 4 : 2)) << what;
+            ASSERT_EQ(received.end, isStream ? ChannelEnd::Complete : ChannelEnd::Broken) << what;
+        }
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(BrokenTargets,
+                         ContinuationStatus,
+                         testing::Values("200 OK",
+                                         "200 Plain",
+                                         "204 None",
+                                         "206 Part",
+                                         "302 Found",
+                                         "400 Bad",
+                                         "404 None",
+                                         "408 Late",
+                                         "421 Other",
+                                         "429 Many",
+                                         "500 Failed",
+                                         "502 Bad",
+                                         "503 Full"));
