Send no events behind the bytes of a response that is no stream

Callers saw: the events of a second target behind the first part of an error page or of another body, under its status. A target of a resumable stream had responded with a body that is no stream and is longer than the relay buffers, and broke off.

Cause: a response that had begun was continued at another target, or from the backup, whatever its kind.

Evidence: RelaySession.OnlyAStreamIsContinued (status 200, 400 and 500, with and without a backup) failed before in five of its six cases: a second attempt was made instead of a cut. Only a 500 without a backup and without a retry left was cut.

Only streams name the place at which they go on, so any other response that has begun and breaks off is cut.

--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -209,6 +209,11 @@
     if (m_target) {
         m_excluded.insert(m_target->id);
     }
+    if (m_hasBegun && !m_begunResponse.isStream) {
+        // Nothing says at which byte another target would have to continue.
+        fail(RelayOutcome::TargetFailed, {});
+        return;
+    }
     if (!hadResponse) {
         if (continueAtSource(now)) {
             return;
--- a/Tests/LibRelay/TestRelaySession.cpp
+++ b/Tests/LibRelay/TestRelaySession.cpp
@@ -293,6 +293,26 @@
     EXPECT_EQ(harness.receivedIds(), idsUpTo(2));
 }
 
+// Guards against events behind the bytes of a response that is no stream, when that response has begun and breaks off.
+TEST(RelaySession, OnlyAStreamIsContinued)
+{
+    constexpr size_t MoreThanIsBuffered = 100 * 1024;
+    for (const int status : {200, 400, 500}) {
+        for (const bool hasBackup : {false, true}) {
+            SessionHarness harness({.id = "r1", .kind = RouteKind::Stream, .resumable = true, .maxAttempts = 3});
+            harness.backup = hasBackup ? "t9" : "";
+            harness.retriesLeft = status == 500 ? 0 : 100;
+            harness.session().start(harness.now());
+            EXPECT_TRUE(harness.session().onHead({.status = status, .sealed = true, .length = 2 * MoreThanIsBuffered}, harness.now()));
+            harness.session().onBody(std::string(MoreThanIsBuffered, 'x'), harness.now());
+            ASSERT_EQ(harness.begun, 1);
+            harness.session().onEnd(ExchangeResult::Broken, harness.now());
+            EXPECT_EQ(harness.attempts.size(), 1U) << status << " " << hasBackup;
+            EXPECT_EQ(harness.cuts, 1) << status << " " << hasBackup;
+        }
+    }
+}
+
 // Guards against a draft that alternates between two engines: a source that has failed to continue it is not tried again.
 TEST(RelaySession, DraftReturnsToItsSourceOnce)
 {
