Pass on no rejection in which a target does not state that it has not run

Callers saw: 408, 429 or 503 for a one-time call or a draft that a target had run. Each of these statuses promises that the request has not run and never will, and callers try again after it.

Cause: the relay passed a target's own response on whatever its status, and only the target's field for requests that have not run makes it a rejection.

For requests that may run once at most, such a response counts as a broken one: the outcome is unknown, no other target gets the request, and the caller gets the relay's own 502 without the target's seal. Repeatable requests are unchanged, because a second run of those does no harm.

--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -1,5 +1,8 @@
 #include <LibRelay/RelaySession.h>
 
+#include <algorithm>
+#include <array>
+
 namespace Jujube
 {
 
@@ -9,6 +12,8 @@
 constexpr int FirstServerError = 500;
 constexpr int FirstRedirect = 300;
 constexpr int FirstSuccess = 200;
+// With these statuses a response promises that the request has not run and never will.
+constexpr std::array StatusesOfRejections {408, 421, 429, 503};
 
 // Rejections that one request may get before the relay gives up. A rejection is not a run, but each retry after one counts against the retry budget.
 constexpr int MaxRejections = 3;
@@ -24,6 +29,11 @@
     return status >= FirstSuccess && status < FirstRedirect;
 }
 
+bool isRejection(int status)
+{
+    return std::find(StatusesOfRejections.begin(), StatusesOfRejections.end(), status) != StatusesOfRejections.end();
+}
+
 } // namespace
 
 RelaySession::RelaySession(RequestProperties request, Hooks hooks)
@@ -91,6 +101,11 @@
         return false;
     }
     m_mayHaveRun = true;
+    // A rejection in which the target does not state that it has not run the request is no promise that the relay may pass on.
+    if (isRejection(response.status) && !m_request.isRepeatable()) {
+        onFailure(ExchangeResult::Broken, false, now);
+        return false;
+    }
     // A success without the target's seal is not the target's complete response.
     if (!response.sealed && (isSuccess(response.status) || m_isContinuation)) {
         onFailure(ExchangeResult::Broken, false, now);
--- a/Tests/Platform/TestBrokenTargets.cpp
+++ b/Tests/Platform/TestBrokenTargets.cpp
@@ -251,3 +251,30 @@
                                          "500 Failed",
                                          "502 Bad",
                                          "503 Full"));
+
+// Guards against a status that promises that a request has not run and never will, although its target does not state that.
+TEST_F(BrokenTargets, OnlyTargetsThatDidNotRunARequestAreSaidNotToHaveRunIt)
+{
+    std::string status;
+    int runs = 0;
+    const auto script = [&](ByteServer::Connection &connection, const std::string &request) {
+        connection.readBody(request);
+        ++runs;
+        connection.write(responseTo(request, status, "text", "Retry-After: 0.1\r\n"));
+    };
+    for (const std::string service : {"desk", "engine"}) {
+        addTarget("i-1-" + service, service, script);
+        addTarget("i-2-" + service, service, script);
+    }
+    start();
+    for (const std::string route : {"commit", "draft"}) {
+        for (const std::string given : {"408 Timeout", "429 Too Many", "503 Unavailable"}) {
+            status = given;
+            const int runsBefore = runs;
+            const auto received = call(route);
+            EXPECT_EQ(received.status, 502) << route << " " << status;
+            EXPECT_FALSE(received.head.has("X-Server-Seal")) << route << " " << status;
+            EXPECT_EQ(runs, runsBefore + 1) << route << " " << status;
+        }
+    }
+}
