--- a/Tests/LibControl/ControlFixture.cpp
+++ b/Tests/LibControl/ControlFixture.cpp
@@ -80,7 +80,16 @@
 {
     const std::string prefix = "http://";
     const auto target = call.url.substr(prefix.size(), call.url.rfind('/') - prefix.size());
-    auto deliver = [this, call, onEnd, target] { onEnd(m_engines.at(target).answer(call)); };
+    auto deliver = [this, call, onEnd, target] {
+        const auto &address = m_engines.at(target).address;
+        if (address.empty()) {
+            onEnd(m_engines.at(target).answer(call));
+            return;
+        }
+        auto forwarded = call;
+        forwarded.url = "http://" + address + call.url.substr(call.url.rfind('/'));
+        onEnd(m_http.call(std::move(forwarded)));
+    };
     if (m_holdsBack && call.method == "POST") {
         m_heldBack.push_back(std::move(deliver));
     } else {
--- a/Tests/LibControl/ControlFixture.h
+++ b/Tests/LibControl/ControlFixture.h
@@ -17,6 +17,8 @@
     std::string role;
     bool isCold = true;
     int running = 0;
+    // Where a server of the test plays the engine. Empty if this object does.
+    std::string address;
 
     HttpAnswer answer(const HttpCall &call);
 };
