Raise SIGHUP before main() by a linked library in the test of the start

The test now starts the relay's sources linked with the library that raises the signal in its initialiser, at the same moment as before. It fails without the function in .preinit_array (tried), as the former one did.

--- a/Tests/Services/TestRelaySignals.cpp
+++ b/Tests/Services/TestRelaySignals.cpp
@@ -178,9 +178,8 @@
 TEST_F(RelaySignals, ReloadBeforeMainIsDoneLater)
 {
     write(m_file, settings(m_first));
-    ASSERT_EQ(setenv("LD_PRELOAD", JUJUBE_PRELOADED, 1), 0);
-    start();
-    unsetenv("LD_PRELOAD");
+    // A library of this program raises the signal when it is initialised.
+    m_relay = std::make_unique<ChildProcess>("raising-relay", std::vector<std::string> {"--settings-file", m_file}, log());
     ASSERT_TRUE(serves());
     ASSERT_TRUE(reloads(m_first));
     EXPECT_EQ(m_relay->poll(), std::nullopt);
