--- a/Libraries/LibRelay/PeerTable.h
+++ b/Libraries/LibRelay/PeerTable.h
@@ -36,9 +36,9 @@
     // All changes of it up to this version of the store are known, those after documentHistoryFrom one by one.
     int64_t documentVersion = 0;
     int64_t documentHistoryFrom = 0;
-    // Time since its rows were last known to be current. Nothing if that is unknown.
+    // Time since the relay's own last read of it. Nothing before one.
     std::optional<std::chrono::milliseconds> documentAge;
-    // Digest of the targets that the relay knows, the store's version that it corresponds to, and the time since that version was read.
+    // Digest of the targets that the relay knows, the store's version that it corresponds to, and the time since the relay's own last read of the list.
     uint64_t targetsDigest = 0;
     int64_t targetsVersion = 0;
     std::chrono::milliseconds targetsAge {0};
--- a/Libraries/LibRelay/Relay.thrift
+++ b/Libraries/LibRelay/Relay.thrift
@@ -80,6 +80,6 @@
   23: optional i64 documentVersion
   // All changes of it after this version are known one by one.
   24: optional i64 documentHistoryFrom
-  // Time since its rows were last known to be current.
+  // Time since the sender's own last read of it.
   25: optional i32 documentAgeMs
 }
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -30,6 +30,8 @@
 // Number of ticks between reads from a peer whose target list differs, while the store is unavailable.
 constexpr uint64_t TicksPerPeerRead = 3;
 constexpr uint64_t MaxOwnReadDelayMs = 100;
+// Age that is reported for a target list that this relay has never read itself.
+constexpr std::chrono::hours AgeOfUnreadTable {1};
 constexpr uint64_t TicksPerExpiry = 10;
 constexpr uint64_t TicksPerSettingsCheck = 20;
 constexpr uint64_t TicksPerEngineCheck = 3;
@@ -61,7 +63,7 @@
                        heartbeat.documentAge = document.age;
                        heartbeat.targetsDigest = m_core.targets.digest();
                        heartbeat.targetsVersion = m_targets->version();
-                       heartbeat.targetsAge = m_targets->age(now);
+                       heartbeat.targetsAge = m_targets->state(now).age.value_or(AgeOfUnreadTable);
                        heartbeat.reading = isReadingSuccessfully(now);
                        heartbeat.trying = isTryingStore(readStateOf(*m_targets), now) && isTryingStore(readStateOf(*m_documents), now);
                    },
--- a/Libraries/LibRelayServer/Relay.h
+++ b/Libraries/LibRelayServer/Relay.h
@@ -109,6 +109,8 @@
     StoreReaderElection m_readers;
     TableLag m_documentLag;
     TableLag m_targetsLag;
+    // Since when the target list of a relay that reads the store has differed from this relay's.
+    std::optional<MonotonicTime> m_targetListDiffersSince;
     // Different on each relay, so that not all read the store in the same moment.
     std::chrono::milliseconds m_ownReadDelay {0};
 };
--- a/Libraries/LibRelayServer/RelayTables.cpp
+++ b/Libraries/LibRelayServer/RelayTables.cpp
@@ -21,6 +21,8 @@
 // Maximum time between two reads by a relay that reads the store all the time: the time for which the store holds a read, the delay between two reads, and the
 // way there and back.
 constexpr std::chrono::milliseconds MaxReadInterval {1150};
+// If the target list of a relay that reads the store differs for this time, the whole list is read.
+constexpr std::chrono::milliseconds MaxDifferenceTime {4000};
 // Heartbeats of such a relay that may be lost or late before others read the store themselves.
 constexpr int HeartbeatsUntilOwnRead = 2;
 // Maximum delay before a relay reads a change of which a peer has notified it. All relays are notified at the same moment.
@@ -258,6 +260,7 @@
         }
         return;
     }
+    updateLag(m_documentLag, m_core.adapter.documentTable, m_documents->version() >= m_documentLag.version(), now);
     m_documents->noteState({.version = heartbeat.documentVersion,
                             .changeVersion = heartbeat.documentTableVersion,
                             .historyFrom = heartbeat.documentHistoryFrom,
@@ -285,10 +288,22 @@
     } else if (heartbeat.reading && isEqual) {
         updateLag(m_targetsLag, m_core.adapter.targetTable, true, now);
     }
-    // While the lists differ, this relay's one is not confirmed, and it reads the store itself before long.
+    // While the lists differ, this relay's one is not confirmed, and it reads the changes itself before long.
     if (isEqual) {
         m_targets->noteCurrent(heartbeat.targetsVersion, heartbeat.targetsAge, now);
     }
+    if (!heartbeat.reading) {
+        return;
+    }
+    if (isEqual) {
+        m_targetListDiffersSince.reset();
+    } else if (!m_targetListDiffersSince) {
+        m_targetListDiffersSince = now;
+    } else if (now - *m_targetListDiffersSince >= MaxDifferenceTime) {
+        // The changes have not removed the difference.
+        m_targetListDiffersSince.reset();
+        m_targets->readTable();
+    }
 }
 
 void Relay::requestTargetsFromPeer(const PeerHeartbeat &heartbeat)
--- a/Libraries/LibRelayServer/TableFollower.cpp
+++ b/Libraries/LibRelayServer/TableFollower.cpp
@@ -13,6 +13,10 @@
 constexpr int RelaysForMaxRetryDelay = 10;
 // The store may hold a read only while the rows are known to be newer than this. A held read tells nothing until it ends.
 constexpr std::chrono::milliseconds MaxAgeForHeldRead {300};
+// Age of rows that have never been confirmed.
+constexpr std::chrono::hours AgeOfUnknownRows {1};
+// Maximum delay after failed reads in large fleets. Whoever waits for longer may miss a change after the store has returned.
+constexpr std::chrono::milliseconds MaxRetryDelayOfLargeFleets {2000};
 // Number of removed rows that are kept.
 constexpr size_t MaxRemovedRows = 1000;
 
@@ -33,7 +37,7 @@
 
 void TableFollower::start()
 {
-    m_currentAt = monotonicNow();
+    m_currentAt = monotonicNow() - AgeOfUnknownRows;
     startRead({});
 }
 
@@ -49,6 +53,7 @@
     }
     if (isWaiting) {
         m_hedgeDelay = std::min(2 * m_hedgeDelay, std::max(m_options.hedgeDelay, maxRetryDelay()));
+        recordFailure("no response", *m_readActiveAt, now);
     }
     m_freshConnection = true;
     startRead({});
@@ -56,6 +61,7 @@
 
 void TableFollower::readNow()
 {
+    m_ignoresPeers = true;
     if (m_readActiveAt && !m_isReadHeld) {
         return;
     }
@@ -63,6 +69,13 @@
     startRead({});
 }
 
+void TableFollower::readTable()
+{
+    m_needsTable = true;
+    m_freshConnection = true;
+    startRead({});
+}
+
 void TableFollower::readSoon(std::chrono::milliseconds delay)
 {
     if (m_isCatchingUp) {
@@ -173,7 +186,7 @@
     m_source.clear();
     onSuccess(now);
     mergeTable({.rows = std::exchange(read->rows, {}), .version = *read->version});
-    confirm(read->sentAt);
+    confirmByRead(read->sentAt);
     onReadEnded(*read);
 }
 
@@ -188,9 +201,16 @@
     }
     m_version = std::max(m_version, changes.version);
     m_afterOutage = false;
+    forgetRemovedRows();
+    if (changes.hasMore) {
+        if (read.number == m_readNumber) {
+            startRead({});
+        }
+        return;
+    }
     // A read without changes ended when the store had held it for the whole time.
     const bool wasHeldToTheEnd = changes.rows.empty() && now - read.sentAt >= read.hold;
-    confirm(wasHeldToTheEnd ? read.sentAt + read.hold : read.sentAt);
+    confirmByRead(wasHeldToTheEnd ? read.sentAt + read.hold : read.sentAt);
     onReadEnded(read);
 }
 
@@ -205,8 +225,9 @@
 
 bool TableFollower::mergeRow(const StoreRow &row)
 {
+    // A row that is unknown and older than a complete table has been removed.
     const auto known = m_rows.find(row.key);
-    if (known != m_rows.end() && row.version <= known->second.version) {
+    if (row.version <= (known == m_rows.end() ? m_historyFrom : known->second.version)) {
         return false;
     }
     m_rows[row.key] = row;
@@ -216,6 +237,9 @@
 
 void TableFollower::mergeTable(const StoreRows &rows)
 {
+    if (m_hasRows && rows.version < m_historyFrom) {
+        return;
+    }
     absl::flat_hash_set<std::string> listed;
     for (const auto &row : rows.rows) {
         listed.insert(row.key);
@@ -255,7 +279,9 @@
     }
     const auto middle = versions.begin() + static_cast<ptrdiff_t>(versions.size() / 2);
     std::nth_element(versions.begin(), middle, versions.end());
-    std::erase_if(m_rows, [&](const auto &entry) { return entry.second.removed && entry.second.version < *middle; });
+    const int64_t oldestKept = *middle;
+    std::erase_if(m_rows, [&](const auto &entry) { return entry.second.removed && entry.second.version < oldestKept; });
+    m_historyFrom = std::max(m_historyFrom, oldestKept - 1);
 }
 
 void TableFollower::confirm(MonotonicTime currentAt)
@@ -263,6 +289,12 @@
     m_currentAt = std::max(m_currentAt, currentAt);
 }
 
+void TableFollower::confirmByRead(MonotonicTime currentAt)
+{
+    confirm(currentAt);
+    m_readCurrentAt = std::max(m_readCurrentAt.value_or(currentAt), currentAt);
+}
+
 void TableFollower::noteState(const TableState &peer, MonotonicTime now)
 {
     if (!peer.age || std::max(peer.changeVersion, peer.historyFrom) > m_version) {
@@ -273,7 +305,7 @@
 
 void TableFollower::noteCurrent(int64_t version, std::chrono::milliseconds age, MonotonicTime now)
 {
-    if (!m_hasRows) {
+    if (!m_hasRows || m_ignoresPeers) {
         return;
     }
     m_version = std::max(m_version, version);
@@ -288,7 +320,7 @@
     if (rows.version <= m_version) {
         return false;
     }
-    const bool wasFailing = m_failingSince.has_value();
+    const bool wasUnavailable = m_isUnavailable;
     m_source = peer;
     mergeTable(rows);
     m_changeVersion = std::max(m_changeVersion, rows.changeVersion);
@@ -296,7 +328,7 @@
         confirm(*currentAt);
     }
     // The next read of the store requests the changes since then.
-    m_afterOutage = wasFailing;
+    m_afterOutage = wasUnavailable;
     return true;
 }
 
@@ -305,24 +337,32 @@
     if (read.number != m_readNumber) {
         return;
     }
+    recordFailure(error, now, now);
+    m_readActiveAt.reset();
+    m_isCatchingUp = false;
+    m_freshConnection = true;
+    m_isRetryScheduled = true;
+    // At a random moment of the second half of the delay, because all relays retry.
+    const auto half = m_retryDelay / 2;
+    schedule(half + std::chrono::milliseconds(m_random() % static_cast<uint64_t>(half.count() + 1)));
+    m_retryDelay = std::min(2 * m_retryDelay, maxRetryDelay());
+}
+
+void TableFollower::recordFailure(const std::string &error, MonotonicTime since, MonotonicTime now)
+{
     if (!m_failingSince) {
-        m_failingSince = now;
+        m_failingSince = since;
     }
     if (!m_isUnavailable && now - *m_failingSince >= m_options.outageThreshold) {
         m_isUnavailable = true;
         m_hooks.onUnavailable(error);
     }
-    m_readActiveAt.reset();
-    m_isCatchingUp = false;
-    m_freshConnection = true;
-    m_isRetryScheduled = true;
-    schedule(m_retryDelay);
-    m_retryDelay = std::min(2 * m_retryDelay, maxRetryDelay());
 }
 
 std::chrono::milliseconds TableFollower::maxRetryDelay() const
 {
-    return m_options.maxRetryDelay * std::max(1, m_options.liveRelays() / RelaysForMaxRetryDelay);
+    const auto delay = m_options.maxRetryDelay * std::max(1, m_options.liveRelays() / RelaysForMaxRetryDelay);
+    return std::min(delay, std::max(m_options.maxRetryDelay, MaxRetryDelayOfLargeFleets));
 }
 
 void TableFollower::onSuccess(MonotonicTime now)
@@ -333,13 +373,15 @@
         m_readInterval += (now - *m_readAt - m_readInterval) / SmoothedReads;
     }
     m_readAt = now;
-    m_retryDelay = m_options.retryDelay;
-    m_afterOutage = m_afterOutage || m_failingSince;
+    // Entries do not expire within a shorter time.
+    m_afterOutage = m_afterOutage || m_isUnavailable;
+    m_ignoresPeers = false;
     endFailure(now);
 }
 
 void TableFollower::endFailure(MonotonicTime now)
 {
+    m_retryDelay = m_options.retryDelay;
     const auto failingSince = std::exchange(m_failingSince, std::nullopt);
     if (std::exchange(m_isUnavailable, false) && failingSince) {
         m_hooks.onAvailable(std::chrono::duration_cast<std::chrono::milliseconds>(now - *failingSince));
@@ -360,7 +402,11 @@
 
 TableState TableFollower::state(MonotonicTime now) const
 {
-    return {.version = m_version, .changeVersion = m_changeVersion, .historyFrom = m_historyFrom, .age = m_hasRows ? std::optional(age(now)) : std::nullopt};
+    TableState state {.version = m_version, .changeVersion = m_changeVersion, .historyFrom = m_historyFrom};
+    if (m_readCurrentAt) {
+        state.age = std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_readCurrentAt);
+    }
+    return state;
 }
 
 std::chrono::milliseconds TableFollower::age(MonotonicTime now) const
--- a/Libraries/LibRelayServer/TableFollower.h
+++ b/Libraries/LibRelayServer/TableFollower.h
@@ -17,7 +17,8 @@
     int64_t changeVersion = 0;
     // All changes after this version are known one by one. Of earlier ones, only what was left of them when the whole table was read.
     int64_t historyFrom = 0;
-    // Time since the rows were last known to be current. Nothing if that is unknown.
+    // Time since the relay's own last read showed that the rows were current. Nothing before such a read. What other relays have confirmed does not count:
+    // heartbeats take time, and relays that pass a confirmation on to each other would keep it young.
     std::optional<std::chrono::milliseconds> age;
 };
 
@@ -78,6 +79,9 @@
     // Reads the changes after a delay, because a peer has some that this relay lacks. Does nothing while such a read is planned or in progress.
     void readSoon(std::chrono::milliseconds delay);
 
+    // Reads the whole table at once, because the rows differ from those of a peer although all changes have been read.
+    void readTable();
+
     // Takes note of what a peer knows. Nothing comes of it if the peer's rows may differ from those of this relay.
     void noteState(const TableState &peer, MonotonicTime now);
 
@@ -171,7 +175,10 @@
     // Bounds the memory for removed rows.
     void forgetRemovedRows();
     void confirm(MonotonicTime currentAt);
+    void confirmByRead(MonotonicTime currentAt);
     void onFailure(const Read &read, const std::string &error, MonotonicTime now);
+    // Notes that reads fail, and since when if they did not before.
+    void recordFailure(const std::string &error, MonotonicTime since, MonotonicTime now);
     void onSuccess(MonotonicTime now);
     void endFailure(MonotonicTime now);
     void schedule(std::chrono::milliseconds delay);
@@ -207,7 +214,12 @@
     bool m_isCatchingUp = false;
     std::chrono::milliseconds m_retryDelay;
     std::chrono::milliseconds m_hedgeDelay;
+    // When the rows were last known to be current, by own reads or by those of peers, and by own reads alone.
     MonotonicTime m_currentAt;
+    std::optional<MonotonicTime> m_readCurrentAt;
+    // Whether confirmations of peers are ignored until the next read, because heartbeats may have been queued while the process was stopped.
+    bool m_ignoresPeers = false;
+    std::minstd_rand m_random {std::random_device {}()};
     std::optional<MonotonicTime> m_failingSince;
 };
 
