--- a/Tests/Soak/Harness/SoakFaults.cpp
+++ b/Tests/Soak/Harness/SoakFaults.cpp
@@ -21,6 +21,7 @@
 // Requests per second.
 constexpr std::array RequestLimits {"0", "0.5", "1.5", "3.2", "5.2", "12", "40"};
 
+constexpr std::chrono::milliseconds NotableTime {50};
 // Requests are sent this long after the end of a bound.
 constexpr std::chrono::milliseconds ProbeDelay {50};
 
@@ -47,7 +48,11 @@
 void SoakWorld::apply(const Fault &fault)
 {
     log(fault.toText());
+    const auto begun = monotonicNow();
     strikeSubject(fault);
+    if (const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - begun); took > NotableTime) {
+        log(absl::StrCat("the fault took ", took.count(), " ms of the loop"));
+    }
     // Callers may see the fault before the next tick.
     noteDisturbances(monotonicNow());
 }
--- a/Tests/Soak/Harness/SoakStore.cpp
+++ b/Tests/Soak/Harness/SoakStore.cpp
@@ -5,10 +5,21 @@
 namespace Jujube
 {
 
+namespace
+{
+
+constexpr std::chrono::milliseconds TickInterval {20};
+
+} // namespace
+
 SoakStore::SoakStore(const Endpoint &address)
     : m_work(boost::asio::make_work_guard(m_loop))
     , m_store(m_loop, address)
-    , m_thread([this] { m_loop.run(); })
+    , m_tick(m_loop, TickInterval)
+    , m_thread([this] {
+        tick();
+        m_loop.run();
+    })
 {
 }
 
@@ -37,6 +48,13 @@
     run([&] { m_store.discardHistory(); });
 }
 
+int SoakStore::calls()
+{
+    int calls = 0;
+    run([&] { calls = m_store.calls(); });
+    return calls;
+}
+
 void SoakStore::run(const std::function<void()> &function)
 {
     if (!m_thread.joinable()) {
@@ -51,6 +69,25 @@
     ended.get_future().wait();
 }
 
+void SoakStore::tick()
+{
+    m_tick.async_wait([this](const LoopError &error) {
+        if (error) {
+            return;
+        }
+        const auto now = std::chrono::steady_clock::now();
+        const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_tick.expiry()).count();
+        m_lateness = std::max(m_lateness.load(), late);
+        m_tick.expires_at(now + TickInterval);
+        tick();
+    });
+}
+
+std::chrono::milliseconds SoakStore::takeLateness()
+{
+    return std::chrono::milliseconds(m_lateness.exchange(0));
+}
+
 void SoakStore::stop()
 {
     if (m_thread.joinable()) {
--- a/Tests/Soak/Harness/SoakStore.h
+++ b/Tests/Soak/Harness/SoakStore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <platform/StandIns/StandInStore.h>
 #include <string>
@@ -23,19 +24,27 @@
     void setFault(StandInStore::Fault fault);
     void discardHistory();
 
+    int calls();
+
     boost::asio::io_context &loop()
     {
         return m_loop;
     }
     // Runs a function on the store's thread, and returns when it has ended.
     void run(const std::function<void()> &function);
+    // How late the thread was at most since the last call.
+    std::chrono::milliseconds takeLateness();
     // Ends the thread. Functions run on the calling thread from now on.
     void stop();
 
 private:
+    void tick();
+
     boost::asio::io_context m_loop;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     StandInStore m_store;
+    boost::asio::steady_timer m_tick;
+    std::atomic<std::chrono::milliseconds::rep> m_lateness {0};
     std::thread m_thread;
 };
 
--- a/Tests/Soak/Harness/SoakWorld.cpp
+++ b/Tests/Soak/Harness/SoakWorld.cpp
@@ -124,8 +124,10 @@
             .statuses = m_ledger.statuses(),
             .worstLateness = m_worstLateness,
             .lateTurns = m_lateTurns,
+            .worstStoreLateness = m_worstStoreLateness,
             .force = measureForce(),
             .documentBytes = m_documentBytes,
+            .storeCalls = m_store->calls(),
             .processorTime = std::chrono::milliseconds(std::clock() * 1000 / CLOCKS_PER_SEC),
             .relayTime = processorTime};
 }
@@ -347,12 +349,17 @@
 {
     const auto now = monotonicNow();
     const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_nextTick);
+    const auto storeLate = m_store->takeLateness();
     m_worstLateness = std::max(m_worstLateness, late);
+    m_worstStoreLateness = std::max(m_worstStoreLateness, storeLate);
+    if (storeLate > NotableLateness) {
+        log(absl::StrCat("store late by ", storeLate.count(), " ms"));
+    }
     if (late > NotableLateness) {
         ++m_lateTurns;
         log(absl::StrCat("loop late by ", late.count(), " ms"));
     }
-    m_lateness.emplace_back(now, late);
+    m_lateness.emplace_back(now, std::max(late, storeLate));
     while (m_lateness.front().first < now - LatenessWindow) {
         m_lateness.pop_front();
     }
--- a/Tests/Soak/Harness/SoakWorld.h
+++ b/Tests/Soak/Harness/SoakWorld.h
@@ -52,9 +52,12 @@
     std::chrono::milliseconds worstLateness {0};
     // How often the loop was behind by more than 100 ms.
     size_t lateTurns = 0;
+    // How far behind the thread of the store and its links was, at most.
+    std::chrono::milliseconds worstStoreLateness {0};
     // Time from the confirmation of a document to its force at relays in touch.
     DocumentForce force;
     size_t documentBytes = 0;
+    int storeCalls = 0;
     // That the soak itself has used since its start.
     std::chrono::milliseconds processorTime {0};
     // Of the relays that run at the end, since the start of each. Waits near or above the time used put promises in time in doubt.
@@ -177,6 +180,7 @@
     boost::asio::steady_timer m_tick;
     MonotonicTime m_nextTick;
     std::chrono::milliseconds m_worstLateness {0};
+    std::chrono::milliseconds m_worstStoreLateness {0};
     size_t m_lateTurns = 0;
     // Of the last seconds, by time.
     std::deque<std::pair<MonotonicTime, std::chrono::milliseconds>> m_lateness;
--- a/Tests/Soak/Program/main.cpp
+++ b/Tests/Soak/Program/main.cpp
@@ -9,6 +9,8 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <sched.h>
+#include <thread>
 
 using namespace Jujube;
 
@@ -18,21 +20,37 @@
 constexpr int ExitPromiseBroken = 1;
 constexpr int ExitInvalidArguments = 2;
 
+// Runs this process on the processors that the relays do not use, since each wake-up by a relay would otherwise move it behind the relays.
+void leaveProcessors(int relayProcessors)
+{
+    const auto count = static_cast<int>(std::thread::hardware_concurrency());
+    if (relayProcessors <= 0 || relayProcessors >= count) {
+        return;
+    }
+    cpu_set_t set;
+    CPU_ZERO(&set);
+    for (int number = relayProcessors; number < count; ++number) {
+        CPU_SET(number, &set);
+    }
+    sched_setaffinity(0, sizeof(set), &set);
+}
+
 // Runs one seed and prints its result. Returns whether it broke no promise; the logs are kept if it did.
 bool runSeed(SoakOptions options)
 {
     options.directory = absl::StrCat(options.directory, "/seed-", options.seed);
+    leaveProcessors(options.processors);
     std::filesystem::remove_all(options.directory);
     std::filesystem::create_directories(options.directory);
     const auto result = SoakWorld(options).run();
     std::cout << "seed " << options.seed << ": " << result.requests << " requests, " << result.served << " of " << result.owed
-              << " served after the faults, loop late by " << result.worstLateness.count() << " ms, " << result.lateTurns
-              << " times over 100 ms, its processor time " << result.processorTime.count() << " ms, relays used "
+              << " served after the faults, loop late by " << result.worstLateness.count() << " ms, " << result.lateTurns << " times over 100 ms, store by "
+              << result.worstStoreLateness.count() << " ms, its processor time " << result.processorTime.count() << " ms, relays used "
               << std::chrono::duration_cast<std::chrono::seconds>(result.relayTime.used).count() << " s of processors and waited for them "
               << std::chrono::duration_cast<std::chrono::seconds>(result.relayTime.waited).count() << " s, documents of " << result.documentBytes / 1000
-              << " KB in force after " << result.force.median.count() << " ms median, " << result.force.p99.count() << " ms p99, " << result.force.worst.count()
-              << " ms at most (" << result.force.worstRelay << ", version " << result.force.worstVersion << ", " << result.force.count << " times, never "
-              << result.force.missing << "), statuses";
+              << " KB, " << result.storeCalls << " calls to the store, documents in force after " << result.force.median.count() << " ms median, "
+              << result.force.p99.count() << " ms p99, " << result.force.worst.count() << " ms at most (" << result.force.worstRelay << ", version "
+              << result.force.worstVersion << ", " << result.force.count << " times, never " << result.force.missing << "), statuses";
     for (const auto &[status, count] : result.statuses) {
         std::cout << " " << status << ":" << count;
     }
@@ -141,7 +159,7 @@
     add("rate", "Faults a second, each of them possibly a series", cxxopts::value<double>()->default_value("3"));
     add("table-changes", "Changes of the store's tables a second, and faults of the relays that read it", cxxopts::value<double>()->default_value("0"));
     add("routes", "Routes of the document beside those that callers use", cxxopts::value<size_t>()->default_value("0"));
-    add("processors", "Processors for all relays together; 0 for all", cxxopts::value<int>()->default_value("0"));
+    add("processors", "Processors for all relays together, while the soak itself uses the others; 0 for all", cxxopts::value<int>()->default_value("0"));
     add("relay-program", "Relay program; of this build unless the path is absolute", cxxopts::value<std::string>()->default_value("jujube-relay"));
     add("store-mbit", "Megabits a second on each relay's link to the store; 0 for no bound", cxxopts::value<double>()->default_value("0"));
     add("untimed", "Leave promises with a time bound out");
