Write a relay's last response on a connection to its end

Callers that read slowly got a truncated response when the connection ended with it: on request of the caller (Connection: close, HTTP/1.0), and for every response during a graceful shutdown.

Cause: CallerChannel started the time for discarding input, at whose end it closes the socket, when the response was complete, not when it was written.

Change: that time begins when the output is written.

--- a/Libraries/LibLoop/CallerChannel.cpp
+++ b/Libraries/LibLoop/CallerChannel.cpp
@@ -19,6 +19,8 @@
 constexpr size_t PipelinedBytes = 64 * 1024;
 // Output that may wait for a slow caller before the target's answer is no longer read.
 constexpr size_t OutputLimitBytes = 256 * 1024;
+// Most bytes of one write to the socket.
+constexpr size_t WriteBytes = 64 * 1024;
 
 int statusOf(ParseError error)
 {
@@ -226,10 +228,10 @@
     m_answerHooks = {};
     if (!m_keep) {
         m_state = State::Closing;
-        armTimer(m_limits.discardTimeout);
         if (m_writing.empty()) {
-            LoopError ignored;
-            m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
+            endOutput();
+        } else {
+            armTimer(m_limits.idleTimeout);
         }
         read();
         return;
@@ -286,7 +288,29 @@
     }
     m_writing += m_output;
     m_output.clear();
-    boost::asio::async_write(m_socket, boost::asio::buffer(m_writing), [self = shared_from_this()](const LoopError &error, size_t) { self->onWritten(error); });
+    boost::asio::async_write(
+        m_socket,
+        boost::asio::buffer(m_writing),
+        [self = shared_from_this()](const LoopError &error, size_t) { return self->onProgress(error); },
+        [self = shared_from_this()](const LoopError &error, size_t) { self->onWritten(error); });
+}
+
+size_t CallerChannel::onProgress(const LoopError &error)
+{
+    if (error) {
+        return 0;
+    }
+    if (m_state == State::Closing) {
+        armTimer(m_limits.idleTimeout);
+    }
+    return WriteBytes;
+}
+
+void CallerChannel::endOutput()
+{
+    LoopError ignored;
+    m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
+    armTimer(m_limits.discardTimeout);
 }
 
 void CallerChannel::onWritten(const LoopError &error)
@@ -304,8 +328,7 @@
         m_writing = std::exchange(m_output, {});
         flush();
     } else if (m_state == State::Closing) {
-        LoopError ignored;
-        m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
+        endOutput();
         if (m_callerClosed) {
             close();
         }
--- a/Libraries/LibLoop/CallerChannel.h
+++ b/Libraries/LibLoop/CallerChannel.h
@@ -99,7 +99,11 @@
     void addChannelFields(MessageHead &head);
     void append(std::string_view text);
     void flush();
+    // Returns how many bytes to write next. The last answer may take any time while the caller reads it.
+    size_t onProgress(const LoopError &error);
     void onWritten(const LoopError &error);
+    // The last answer is written: no more output follows, and the time to discard input begins.
+    void endOutput();
     void endAnswer();
     void armTimer(std::chrono::milliseconds timeout);
     void onTimer();
--- a/Tests/LibLoop/TestChannels.cpp
+++ b/Tests/LibLoop/TestChannels.cpp
@@ -209,6 +209,39 @@
     }
 }
 
+// Guards against the last response of a channel that is cut although the caller still reads it, because the time to discard input runs out.
+TEST_F(ChannelTest, LastResponseIsWrittenToItsEnd)
+{
+    listen({.discardTimeout = 50ms});
+    connect();
+    write("GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    ASSERT_TRUE(runUntil(m_loop, [&] { return !m_requests.empty(); }));
+    // More than the system buffers.
+    const std::string body(16 << 20, 'x');
+    m_channel->send({.status = 200}, body);
+    runUntil(
+        m_loop, [] { return false; }, 200ms);
+    EXPECT_TRUE(runUntil(
+        m_loop,
+        [&] {
+            readAvailable();
+            return m_ended;
+        },
+        60s));
+    EXPECT_GE(m_received.size(), body.size());
+}
+
+// Guards against a caller that holds a channel, and the memory of its last response, by not reading it.
+TEST_F(ChannelTest, LastResponseThatIsNotReadIsGivenUp)
+{
+    listen({.idleTimeout = 50ms});
+    connect();
+    write("GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    ASSERT_TRUE(runUntil(m_loop, [&] { return !m_requests.empty(); }));
+    m_channel->send({.status = 200}, std::string(16 << 20, 'x'));
+    EXPECT_TRUE(runUntil(m_loop, [&] { return m_listener->channelCount() == 0; }));
+}
+
 // Guards against a channel that reads without end from a caller whose request was rejected.
 TEST_F(ChannelTest, InputAfterARejectionIsReadUpToALimit)
 {
