List a draft that ended early in the system tests

The cause is not traced. The test prints the response that the caller got from now on; what it checks is unchanged.

--- a/Tests/System/TestStreams.cpp
+++ b/Tests/System/TestStreams.cpp
@@ -56,7 +56,7 @@
     TestCaller caller(fleet.client());
     const auto body = draft(150);
     caller.connect(fleet.gateway(0).address(), body);
-    ASSERT_TRUE(caller.waitForTokens(20));
+    ASSERT_TRUE(caller.waitForTokens(20)) << (caller.problem() ? caller.problem()->dump() : "no problem object") << " after " << caller.tokens().size();
     fleet.engine(targetOf(caller)).kill();
     caller.waitForEnd();
     expectWhole(caller, body);
