--- a/Libraries/LibRelay/TargetListFreshness.h
+++ b/Libraries/LibRelay/TargetListFreshness.h
@@ -6,7 +6,7 @@
 namespace Jujube
 {
 
-// What a relay knows about how fresh its target list is.
+// What a relay knows about how fresh a table of the store is, most of all its target list.
 struct TargetListState {
     // Whether this relay is one of those that read the store.
     bool isReading = false;
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -29,6 +29,7 @@
 constexpr std::chrono::milliseconds MinFreezeTime {400};
 // Number of ticks between reads from a peer whose target list differs, while the store is unavailable.
 constexpr uint64_t TicksPerPeerRead = 3;
+// Relays whose tables nobody confirms read the store at different moments within this time.
 constexpr uint64_t MaxOwnReadDelayMs = 100;
 // Age that is reported for a target list that this relay has never read itself.
 constexpr std::chrono::hours AgeOfUnreadTable {1};
--- a/Libraries/LibRelayServer/TableFollower.h
+++ b/Libraries/LibRelayServer/TableFollower.h
@@ -58,7 +58,7 @@
     };
 
     struct Hooks {
-        // A row was added, changed or removed. `afterOutage` is set if the store was unavailable before.
+        // A row was added, changed or removed. `afterOutage` is set if the store was unavailable before this read, so that rows may have expired meanwhile.
         std::function<void(const StoreRow &row, bool afterOutage)> onChange;
         // The whole table has been read, as of a version. Called after onChange for each row that is new.
         std::function<void(const StoreRows &rows, bool afterOutage)> onTable;
@@ -70,7 +70,7 @@
 
     void start();
 
-    // Reads the store if the rows are too old and no read is under way that may change that. Called at short intervals.
+    // Reads the store if the rows are older than maxAge() and the read in progress, if any, has been silent for the hedge delay. Called at short intervals.
     void check(MonotonicTime now);
 
     // Reads at once over a new connection, unless such a read is in progress. Used when the process was frozen.
