Check the soak's promises in time by the users' bounds alone

Bounds are those of the users again; the summary line states the lateness, as before, so that a run on a machine that cannot keep up is known as such.

--- a/Tests/Soak/Harness/SoakLedger.cpp
+++ b/Tests/Soak/Harness/SoakLedger.cpp
@@ -128,11 +128,6 @@
     m_documents.confirm(now, std::move(document));
 }
 
-std::chrono::milliseconds SoakLedger::lateness(MonotonicTime now) const
-{
-    return m_options.lateness(now);
-}
-
 size_t SoakLedger::oldestKnownTo(const std::string &relay, MonotonicTime now) const
 {
     const auto found = m_knownDocuments.find(relay);
@@ -147,7 +142,7 @@
 size_t SoakLedger::oldestInForce(MonotonicTime now) const
 {
     // Requests are bound that were sent later than the end of the bound, not at it.
-    return m_documents.newestAt(now - m_options.bounds.document - lateness(now) - MonotonicTime::duration(1));
+    return m_documents.newestAt(now - m_options.bounds.document - MonotonicTime::duration(1));
 }
 
 void SoakLedger::checkDocument(MonotonicTime now, const std::string &id, const Request &request, const DocumentHistory::Outcome &outcome)
@@ -268,7 +263,7 @@
         && !wasDisturbed(m_excusedUntil, request.sent.relay, now)) {
         m_limits[target].recordArrival(now);
     }
-    if (request.leftAt && now > *request.leftAt + SoakBounds::AfterLeaving + lateness(now) && isInTouch(request.sent.relay, now)) {
+    if (request.leftAt && now > *request.leftAt + SoakBounds::AfterLeaving && isInTouch(request.sent.relay, now)) {
         m_passedAfterLeaving.push_back(id);
     }
     if (arrival != StandInTarget::Arrival::Continued && ++request.arrivals > 1) {
@@ -326,7 +321,7 @@
         latestEnd = isLater ? std::max(ownEnd, request.firstEnd) : now + request.sent.deadline;
     }
     ++m_passedOn;
-    const auto allowed = std::chrono::duration_cast<std::chrono::milliseconds>(latestEnd - now) + Slack + lateness(now);
+    const auto allowed = std::chrono::duration_cast<std::chrono::milliseconds>(latestEnd - now) + Slack;
     if (left <= allowed.count()) {
         return;
     }
@@ -350,7 +345,7 @@
 void SoakLedger::checkForbidden(MonotonicTime now, const std::string &id, const Request &request, const std::string &target)
 {
     for (auto entry = m_forbiddenFrom.lower_bound({target, ""}); entry != m_forbiddenFrom.end() && entry->first.first == target; ++entry) {
-        if (now > entry->second + lateness(now) && isInTouch(request.sent.relay, now) && !wasDisturbed(m_targetDisturbedUntil, target, now)) {
+        if (now > entry->second && isInTouch(request.sent.relay, now) && !wasDisturbed(m_targetDisturbedUntil, target, now)) {
             const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(now - entry->second);
             reportTimed(entry->first.second, absl::StrCat(id, " by ", request.sent.relay, " reached ", target, " ", late.count(), " ms too late"));
         }
@@ -363,7 +358,7 @@
     request.answered = answer.status;
     ++m_statuses[answer.status];
     const auto timeout = request.sentAt + std::min(request.sent.deadline, RouteTimeout);
-    const auto latest = timeout + SoakBounds::AfterTimeout + lateness(now);
+    const auto latest = timeout + SoakBounds::AfterTimeout;
     // The bound holds for nodes that are in touch when it is reached.
     if (now > timeout && isInTouch(request.sent.relay, latest)) {
         ++m_unanswered;
--- a/Tests/Soak/Harness/SoakLedger.h
+++ b/Tests/Soak/Harness/SoakLedger.h
@@ -103,8 +103,6 @@
         FleetBounds bounds;
         // Whether promises with a time bound are checked. They hold only while the machine keeps up.
         bool timed = true;
-        // How late the soak's own loop has been in the last seconds. Bounds in time are longer by that.
-        std::function<std::chrono::milliseconds(MonotonicTime now)> lateness = [](MonotonicTime) { return std::chrono::milliseconds(0); };
     };
 
     struct Sent {
@@ -227,7 +225,6 @@
     size_t oldestKnownTo(const std::string &relay, MonotonicTime now) const;
     // The oldest document that may be in force at relays in touch.
     size_t oldestInForce(MonotonicTime now) const;
-    std::chrono::milliseconds lateness(MonotonicTime now) const;
     void checkForbidden(MonotonicTime now, const std::string &id, const Request &request, const std::string &target);
     // A request that crashes targets, which has reached one more.
     void checkFatal(MonotonicTime now, const Request &request, StandInTarget::Arrival arrival);
--- a/Tests/Soak/Harness/SoakWorld.cpp
+++ b/Tests/Soak/Harness/SoakWorld.cpp
@@ -33,7 +33,6 @@
 constexpr size_t LateRelayInterval = 12;
 constexpr double BytesPerMbit = 125000;
 constexpr std::chrono::milliseconds NotableLateness {100};
-constexpr std::chrono::seconds LatenessWindow {5};
 
 struct Place {
     const char *dataCentre;
@@ -49,11 +48,7 @@
     , m_bounds(fleetBounds(m_options.relays))
     , m_startedAt(monotonicNow())
     , m_log(m_options.directory + "/faults.log")
-    , m_ledger({.events = EventsOfGeneration,
-                .retrySlack = RetrySlack,
-                .bounds = m_bounds,
-                .timed = m_options.timed,
-                .lateness = [this](MonotonicTime now) { return lateness(now); }})
+    , m_ledger({.events = EventsOfGeneration, .retrySlack = RetrySlack, .bounds = m_bounds, .timed = m_options.timed})
     , m_storeAddress(ownLoopbackEndpoint())
     , m_store(std::make_unique<SoakStore>(m_storeAddress))
     , m_client(m_loop)
@@ -272,7 +267,7 @@
                                  .relayAt = [this](const std::string &address) { return relayAt(address); },
                                  .onDirectory
                                  = [this](const std::string &relay, const std::vector<std::string> &addresses) { checkDirectory(relay, addresses); },
-                                 .onLeft = [this](const std::string &id) { after(SoakBounds::AfterLeaving, [this, id] { awaitStopAfterLeaving(id); }); }};
+                                 .onLeft = [this](const std::string &id) { after(SoakBounds::AfterLeaving, [this, id] { checkStopsAfterLeaving(id); }); }};
         m_callers.push_back(std::make_unique<SoakCaller>(m_loop, m_ledger, std::move(options), std::move(hooks)));
         m_callers.back()->start();
     }
@@ -314,18 +309,6 @@
     }
 }
 
-void SoakWorld::awaitStopAfterLeaving(const std::string &id)
-{
-    // The close passes two links of the soak, and the target is a part of it.
-    constexpr int Passages = 3;
-    const auto late = lateness(monotonicNow());
-    if (late < TickInterval) {
-        checkStopsAfterLeaving(id);
-    } else {
-        after(late * Passages, [this, id] { checkStopsAfterLeaving(id); });
-    }
-}
-
 void SoakWorld::checkStopsAfterLeaving(const std::string &id)
 {
     for (const auto &target : m_targets) {
@@ -359,10 +342,6 @@
         ++m_lateTurns;
         log(absl::StrCat("loop late by ", late.count(), " ms"));
     }
-    m_lateness.emplace_back(now, std::max(late, storeLate));
-    while (m_lateness.front().first < now - LatenessWindow) {
-        m_lateness.pop_front();
-    }
     m_nextTick = now + TickInterval;
     noteDisturbances(now);
     for (const auto &relay : m_relays) {
@@ -380,15 +359,6 @@
     });
 }
 
-std::chrono::milliseconds SoakWorld::lateness(MonotonicTime now) const
-{
-    auto worst = std::max(std::chrono::milliseconds(0), std::chrono::duration_cast<std::chrono::milliseconds>(now - m_nextTick));
-    for (const auto &[time, late] : m_lateness) {
-        worst = std::max(worst, late);
-    }
-    return worst;
-}
-
 void SoakWorld::noteDisturbances(MonotonicTime now)
 {
     const bool storeIsDisturbed = m_active["store"] > 0;
--- a/Tests/Soak/Harness/SoakWorld.h
+++ b/Tests/Soak/Harness/SoakWorld.h
@@ -6,7 +6,6 @@
 #include "SoakRelay.h"
 #include "SoakStore.h"
 
-#include <deque>
 #include <fstream>
 #include <platform/StandIns/StandInRows.h>
 
@@ -98,8 +97,6 @@
     std::vector<std::pair<std::string, Endpoint>> directoriesFor(const std::string &dataCentre);
     std::optional<SoakCaller::Relay> relayAt(const std::string &address) const;
     void checkDirectory(const std::string &relay, const std::vector<std::string> &addresses);
-    // Waits for the end of a request whose caller has left, and longer if the soak's own loop has been late.
-    void awaitStopAfterLeaving(const std::string &id);
     void checkStopsAfterLeaving(const std::string &id);
 
     void after(std::chrono::milliseconds time, std::function<void()> action);
@@ -136,7 +133,6 @@
     void startLateRelays();
     DocumentForce measureForce() const;
     ChildProcess::ProcessorTime relayTime() const;
-    std::chrono::milliseconds lateness(MonotonicTime now) const;
     // Sends the request that crashes targets to one relay after the other, until the faults end.
     void sendFatalRequests(MonotonicTime until);
     void checkNotReadyAfterTerm(SoakRelay &relay);
@@ -182,8 +178,6 @@
     std::chrono::milliseconds m_worstLateness {0};
     std::chrono::milliseconds m_worstStoreLateness {0};
     size_t m_lateTurns = 0;
-    // Of the last seconds, by time.
-    std::deque<std::pair<MonotonicTime, std::chrono::milliseconds>> m_lateness;
     size_t m_loggedViolations = 0;
 };
 
