Read the store over a new connection each time

Callers could see an old document or target: a copy of an earlier response of the store that arrives behind the next request on a kept connection was taken for its response, and confirmed the relay's rows as of that request, although nothing had been read.

Cause: responses of the store name no request, so only the connection tells which one they belong to. Each read has a connection of its own now, as calls to peers and targets have.

--- a/Libraries/LibRelayServer/TableFollower.cpp
+++ b/Libraries/LibRelayServer/TableFollower.cpp
@@ -55,7 +55,6 @@
         m_hedgeDelay = std::min(2 * m_hedgeDelay, std::max(m_options.hedgeDelay, maxRetryDelay()));
         recordFailure("no response", *m_readActiveAt, now);
     }
-    m_freshConnection = true;
     startRead({});
 }
 
@@ -65,14 +64,12 @@
     if (m_readActiveAt && !m_isReadHeld) {
         return;
     }
-    m_freshConnection = true;
     startRead({});
 }
 
 void TableFollower::readTable()
 {
     m_needsTable = true;
-    m_freshConnection = true;
     startRead({});
 }
 
@@ -85,7 +82,6 @@
     m_catchUpTimer.expires_after(delay);
     m_catchUpTimer.async_wait([this](const LoopError &error) {
         if (!error) {
-            m_freshConnection = true;
             startRead({});
         }
     });
@@ -94,7 +90,6 @@
 void TableFollower::startRead(std::chrono::milliseconds hold)
 {
     const auto read = std::make_shared<Read>(Read {.number = ++m_readNumber, .sentAt = monotonicNow(), .hold = hold, .isOfWholeTable = m_needsTable});
-    read->freshConnection = std::exchange(m_freshConnection, false);
     m_timer.cancel();
     m_isRetryScheduled = false;
     m_readActiveAt = read->sentAt;
@@ -127,7 +122,8 @@
 void TableFollower::request(const ReadPointer &read, LoopCall call)
 {
     call.timeout = read->hold + m_options.responseTimeout;
-    call.freshConnection = read->freshConnection;
+    // A copy of an earlier response on a kept connection would confirm rows as of a later request.
+    call.freshConnection = true;
     call.onProgress = [this, read] {
         if (read->number == m_readNumber) {
             m_readActiveAt = monotonicNow();
@@ -340,7 +336,6 @@
     recordFailure(error, now, now);
     m_readActiveAt.reset();
     m_isCatchingUp = false;
-    m_freshConnection = true;
     m_isRetryScheduled = true;
     // At a random moment of the second half of the delay, because all relays retry.
     const auto half = m_retryDelay / 2;
--- a/Libraries/LibRelayServer/TableFollower.h
+++ b/Libraries/LibRelayServer/TableFollower.h
@@ -48,7 +48,7 @@
         std::function<int()> liveRelays;
         // Timeout for each part of a response, in addition to the hold time.
         std::chrono::milliseconds responseTimeout {900};
-        // Time without any part of a response after which the changes are read over another connection, if the rows are too old.
+        // Time without any part of a response after which the changes are read once more, if the rows are too old.
         std::chrono::milliseconds hedgeDelay {300};
         // Delay after a failed read. It doubles with each further failure, up to the maximum.
         std::chrono::milliseconds retryDelay {100};
@@ -73,7 +73,7 @@
     // Reads the store if the rows are older than maxAge() and the read in progress, if any, has been silent for the hedge delay. Called at short intervals.
     void check(MonotonicTime now);
 
-    // Reads at once over a new connection, unless such a read is in progress. Used when the process was frozen.
+    // Reads at once, unless a read that the store may not hold is in progress. Used when the process was stopped.
     void readNow();
 
     // Reads the changes after a delay, because a peer has some that this relay lacks. Does nothing while such a read is planned or in progress.
@@ -153,7 +153,6 @@
         MonotonicTime sentAt;
         std::chrono::milliseconds hold {0};
         bool isOfWholeTable = false;
-        bool freshConnection = false;
         // Rows of the pages so far, and the version of the first page. Later pages may contain newer rows.
         std::vector<StoreRow> rows;
         std::optional<int64_t> version;
@@ -203,7 +202,6 @@
     MonotonicTime::duration m_readInterval {0};
     bool m_isUnavailable = false;
     bool m_afterOutage = false;
-    bool m_freshConnection = false;
     // Number of the newest read. Its end decides when the next one follows.
     uint64_t m_readNumber = 0;
     // When the newest read was sent or the last part of its response arrived, if it is in progress, and whether the store may hold it.
--- a/Tests/Platform/TestTableFollower.cpp
+++ b/Tests/Platform/TestTableFollower.cpp
@@ -1,3 +1,4 @@
+#include "../Support/ByteServer.h"
 #include "../Support/LoopbackEndpoint.h"
 
 #include <absl/strings/escaping.h>
@@ -259,3 +260,44 @@
     EXPECT_EQ(unavailableCount, 1);
     EXPECT_TRUE(follower.failingSince());
 }
+
+// Guards against a second copy of an earlier response that arrives behind the next request and confirms old rows as of that request.
+TEST(TableReadsOverBytes, SecondCopyOfAResponseConfirmsNothing)
+{
+    const std::string body = R"({"rows":[],"has_more":false,"ver":10,"now_ms":0})";
+    const auto response = absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
+    std::atomic<int> requests = 0;
+    ByteServer store([&](ByteServer::Connection &connection) {
+        for (int count = 0; !connection.readRequest().empty(); ++count) {
+            // Only the first read has a response. A further request on its connection gets a copy of that.
+            if (++requests == 1 || (connection.number() == 1 && count > 0)) {
+                connection.write(response);
+            }
+        }
+    });
+    boost::asio::io_context loop;
+    LoopClient client(loop);
+    const auto adapter = createPlatformAdapter();
+    TableFollower follower(loop,
+                           client,
+                           adapter,
+                           store.address(),
+                           {.table = "op",
+                            .shouldRead = [](MonotonicTime) { return true; },
+                            .isReading = [] { return true; },
+                            .maxAge = [](MonotonicTime) { return MaxAge; },
+                            .liveRelays = [] { return 3; }},
+                           {.onChange = [](const StoreRow &, bool) {},
+                            .onTable = [](const StoreRows &, bool) {},
+                            .onUnavailable = [](const std::string &) {},
+                            .onAvailable = [](std::chrono::milliseconds) {}});
+    follower.start();
+    const auto end = monotonicNow() + 5s;
+    while (requests < 3 && monotonicNow() < end) {
+        loop.restart();
+        loop.run_for(10ms);
+        follower.check(monotonicNow());
+    }
+    EXPECT_GE(requests, 3);
+    EXPECT_GE(follower.age(monotonicNow()), MaxAge);
+}
