Make each service call of the gateway over a new connection

Callers saw the response to another call, which may be another workspace's: a desk that wrote an earlier response once more behind the next request on a kept connection. KeptConnections.SecondCopyIsNoResponseToTheNextServiceCall failed before (the body of a1 for the call of a2).

Cause: repeatable calls used kept connections, and responses of plain services name no request. One-time calls had connections of their own before. The cost of a connection for each repeatable call was not measured.

--- a/Libraries/LibGateway/ServiceHandler.cpp
+++ b/Libraries/LibGateway/ServiceHandler.cpp
@@ -100,7 +100,8 @@
         .body = request.body,
         .connectTimeout = ConnectTimeout,
         .totalTimeout = route.definition.timeout,
-        .freshConnection = !route.definition.repeatable,
+        // A copy of an earlier response on a kept connection cannot be told from the response to this call.
+        .freshConnection = true,
     };
     if (const auto key = request.header("idempotency-key"); !key.empty()) {
         call.headers["Idempotency-Key"] = key;
