Log the requests that end with the process, and why a request is not retried

Logs could not tell the hypotheses on streams that end around SIGTERM apart: process_stopped counts requests without saying which they were or how long after SIGTERM they had arrived, and nothing says why a broken stream was not retried. relay_unfinished (4010), unsent_bytes in process_stopped and the decision "no_retry" with its reason do.

--- a/Libraries/LibEvents/EventKind.cpp
+++ b/Libraries/LibEvents/EventKind.cpp
@@ -66,6 +66,7 @@
     EventKindInfo {EventKind::RelayDecision, "relay_decision", "A decision about a relayed request after its first send: a retry, a copy, a continuation."},
     EventKindInfo {EventKind::RelayCallerGone, "relay_caller_gone", "The caller closed its channel before the answer was complete."},
     EventKindInfo {EventKind::RelayCopied, "relay_copied", "An engine has answered an order to copy a running generation."},
+    EventKindInfo {EventKind::RelayUnfinished, "relay_unfinished", "The process exits while the request is running at its target."},
     EventKindInfo {EventKind::TargetListed, "target_listed", "A target has appeared in the list of targets, or under a new incarnation."},
     EventKindInfo {EventKind::TargetLeft, "target_left", "A target is leaving: the list, the target itself or another gateway says so."},
     EventKindInfo {EventKind::RowUnreadable, "row_unreadable", "A row of the store could not be read; what was known before stays in force."},
--- a/Libraries/LibEvents/EventKind.h
+++ b/Libraries/LibEvents/EventKind.h
@@ -65,6 +65,7 @@
     RelayDecision = 4007,
     RelayCallerGone = 4008,
     RelayCopied = 4009,
+    RelayUnfinished = 4010,
     TargetListed = 4101,
     TargetLeft = 4102,
     RowUnreadable = 4103,
--- a/Libraries/LibLoop/CallerChannel.cpp
+++ b/Libraries/LibLoop/CallerChannel.cpp
@@ -265,7 +265,7 @@
 
 bool CallerChannel::isCongested() const
 {
-    return m_output.size() + m_writing.size() > OutputLimitBytes;
+    return unsentBytes() > OutputLimitBytes;
 }
 
 void CallerChannel::append(std::string_view text)
--- a/Libraries/LibLoop/CallerChannel.h
+++ b/Libraries/LibLoop/CallerChannel.h
@@ -75,6 +75,12 @@
         return m_state == State::ReadingHead || m_state == State::ReadingBody || m_state == State::Answering || !m_output.empty() || !m_writing.empty();
     }
 
+    // Bytes that wait to be written.
+    size_t unsentBytes() const
+    {
+        return m_output.size() + m_writing.size();
+    }
+
     // Whether more than the limit waits to be written because the caller reads slowly.
     bool isCongested() const;
 
--- a/Libraries/LibLoop/CallerListener.cpp
+++ b/Libraries/LibLoop/CallerListener.cpp
@@ -2,7 +2,9 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <functional>
 #include <LibCore/Error.h>
+#include <numeric>
 #include <vector>
 
 namespace Jujube
@@ -94,6 +96,11 @@
     }
 }
 
+size_t CallerListener::unsentBytes() const
+{
+    return std::transform_reduce(m_channels.begin(), m_channels.end(), size_t {0}, std::plus<>(), [](const auto *channel) { return channel->unsentBytes(); });
+}
+
 size_t CallerListener::busyCount() const
 {
     return static_cast<size_t>(std::count_if(m_channels.begin(), m_channels.end(), [](const auto *channel) { return channel->isBusy(); }));
--- a/Libraries/LibLoop/CallerListener.h
+++ b/Libraries/LibLoop/CallerListener.h
@@ -37,6 +37,9 @@
     // Channels on which a request is being read or answered.
     size_t busyCount() const;
 
+    // Bytes of answers that wait to be written, on all channels.
+    size_t unsentBytes() const;
+
 private:
     CallerListener(boost::asio::io_context &loop, Options options);
 
--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -269,15 +269,18 @@
 bool RelaySession::tryRetry(std::string_view reason, bool countsAgainstBudget, MonotonicTime now)
 {
     if (m_request.deadline - now < MinTimeForRetry) {
+        m_hooks.record("no_retry", "no time");
         return false;
     }
     // The current response is discarded only if another target can take the request.
     const auto choice = m_hooks.choose(m_excluded, now);
     if (!choice.target) {
         m_retryAfter = choice.retryAfter;
+        m_hooks.record("no_retry", "no target");
         return false;
     }
     if (countsAgainstBudget && !m_hooks.tryTakeRetry(now)) {
+        m_hooks.record("no_retry", "budget");
         return false;
     }
     m_hooks.record("retry", reason);
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -353,8 +353,11 @@
     const auto since = now - *m_core.drainingSince;
     const bool idle = m_callers->busyCount() == 0;
     if ((idle && since >= MinDrainTime) || now >= m_core.stopAt()) {
+        for (const auto *exchange : m_core.running) {
+            exchange->logUnfinished(now);
+        }
         auto line = m_core.line(EventKind::ProcessStopped);
-        line.add("requests", static_cast<int64_t>(m_callers->busyCount()));
+        line.add("requests", static_cast<int64_t>(m_callers->busyCount())).add("unsent_bytes", static_cast<int64_t>(m_callers->unsentBytes()));
         m_core.log(line);
         m_core.loop.stop();
     }
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -496,6 +496,21 @@
     finishRequest(RunEnd::Failed);
 }
 
+void RelayExchange::logUnfinished(MonotonicTime now) const
+{
+    auto line = m_core.line(EventKind::RelayUnfinished);
+    line.add("request", m_id)
+        .add("target", m_target)
+        .add("events", m_session->eventCount())
+        .add("age_ms", wholeMilliseconds(now - m_request.arrivedAt).count())
+        .add("time_left_ms", wholeMilliseconds(m_admission.deadline - now).count());
+    if (m_core.drainingSince) {
+        line.add("since_stop_ms", wholeMilliseconds(now - *m_core.drainingSince).count())
+            .add("arrived_after_stop_ms", wholeMilliseconds(m_request.arrivedAt - *m_core.drainingSince).count());
+    }
+    m_core.log(line);
+}
+
 void RelayExchange::record(std::string_view decision, std::string_view reason)
 {
     auto line = m_core.line(EventKind::RelayDecision);
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -43,6 +43,9 @@
         return m_target;
     }
 
+    // Logs that the request ends unfinished because the process exits.
+    void logUnfinished(MonotonicTime now) const;
+
     const std::string &requestId() const
     {
         return m_id;
