--- a/Tests/LibRelay/TestRelaySession.cpp
+++ b/Tests/LibRelay/TestRelaySession.cpp
@@ -550,3 +550,40 @@
     EXPECT_EQ(harness.attempts.size(), 2U);
     EXPECT_EQ(harness.cuts, 1);
 }
+
+// Guards against cutting a stream whose target is silent but still at work when no other target may take it: the service has no retry left, the route allows no
+// further run, or there is no other target.
+TEST(RelaySession, SilentTargetKeepsAStreamThatCannotGoElsewhere)
+{
+    for (const auto &[retries, targets, attempts] : {std::tuple {0, 100, 2}, {100, 1, 2}, {100, 100, 1}}) {
+        auto facts = Suggestion;
+        facts.maxAttempts = attempts;
+        SessionHarness harness(facts);
+        harness.retriesLeft = retries;
+        harness.targetsLeft = targets;
+        harness.startStream(SessionHarness::events(1, 2));
+        harness.session().onStreamTimeout(harness.now());
+        EXPECT_EQ(harness.cuts, 0);
+        EXPECT_EQ(harness.aborts, 0);
+        harness.session().onBody(SessionHarness::events(3, 5), harness.now());
+        harness.session().onEnd(ExchangeResult::Complete, harness.now());
+        EXPECT_EQ(harness.receivedIds(), idsUpTo(5));
+        EXPECT_EQ(harness.finished, 1);
+    }
+}
+
+// Guards against cutting a migrated generation whose destination is slow to respond when the source cannot continue it.
+TEST(RelaySession, SlowDestinationKeepsAMigratedDraftThatCannotReturn)
+{
+    SessionHarness harness(Draft);
+    migrateToDestination(harness);
+    ASSERT_EQ(harness.attempts.size(), 2U);
+    harness.continuationExcluded.insert(harness.attempts.front().target.id);
+    harness.session().onStreamTimeout(harness.now());
+    EXPECT_EQ(harness.cuts, 0);
+    harness.session().onHead(SessionHarness::streamHead(), harness.now());
+    harness.session().onBody(SessionHarness::events(3, 4), harness.now());
+    harness.session().onEnd(ExchangeResult::Complete, harness.now());
+    EXPECT_EQ(harness.receivedIds(), idsUpTo(4));
+    EXPECT_EQ(harness.finished, 1);
+}
--- a/Tests/Platform/RelayTestBed.cpp
+++ b/Tests/Platform/RelayTestBed.cpp
@@ -21,7 +21,7 @@
     loop.stop();
 }
 
-Relay &RelayTestBed::addRelay(const std::string &node)
+Relay &RelayTestBed::addRelay(const std::string &node, std::chrono::milliseconds grace)
 {
     std::vector<std::string> seeds;
     for (const auto &[name, other] : m_nodes) {
@@ -38,23 +38,26 @@
                      .peers = ownLoopbackEndpoint(),
                      .metrics = ownLoopbackEndpoint(),
                      .store = m_storeAddress,
-                     .seeds = seeds};
+                     .seeds = seeds,
+                     .grace = grace};
+    entry.changedOptions = entry.options;
     auto relay = Relay::start(loop,
                               entry.options,
                               createPlatformAdapter(),
                               m_lines,
-                              {.read = [options = entry.options]() -> absl::StatusOr<RelayOptions> { return options; }, .haveChanged = [] { return false; }});
+                              {.read = [&entry]() -> absl::StatusOr<RelayOptions> { return entry.changedOptions; }, .haveChanged = [] { return false; }});
     entry.relay = *std::move(relay);
     return *entry.relay;
 }
 
-StandInTarget &RelayTestBed::addTarget(const std::string &id, const std::string &service, int events, const std::string &dataCentre)
+StandInTarget &
+RelayTestBed::addTarget(const std::string &id, const std::string &service, int events, const std::string &dataCentre, std::chrono::milliseconds work)
 {
     auto &entry = m_targets[id];
     entry.service = service;
     entry.dataCentre = dataCentre;
     entry.address = ownLoopbackEndpoint();
-    entry.target = std::make_unique<StandInTarget>(loop, StandInTarget::Options {.id = id, .address = entry.address, .events = events});
+    entry.target = std::make_unique<StandInTarget>(loop, StandInTarget::Options {.id = id, .address = entry.address, .events = events, .work = work});
     registerTarget(id, "ready");
     return *entry.target;
 }
@@ -71,9 +74,9 @@
     store->remove("servers", id);
 }
 
-void RelayTestBed::writeDocument(int64_t version, const std::string &key)
+void RelayTestBed::writeDocument(int64_t version, const std::string &key, std::chrono::milliseconds timeout)
 {
-    store->put("op", "config", StandInDocument {.version = version, .keys = {key}}.toText());
+    store->put("op", "config", StandInDocument {.version = version, .keys = {key}, .timeout = timeout}.toText());
 }
 
 bool RelayTestBed::runUntil(const std::function<bool()> &condition, std::chrono::milliseconds timeout)
--- a/Tests/Platform/RelayTestBed.h
+++ b/Tests/Platform/RelayTestBed.h
@@ -15,15 +15,24 @@
     ~RelayTestBed();
 
     // Starts a relay on loopback addresses.
-    Relay &addRelay(const std::string &node);
+    Relay &addRelay(const std::string &node, std::chrono::milliseconds grace = std::chrono::seconds(8));
+    // The settings that the relay reads when it reloads them.
+    RelayOptions &changedSettings(const std::string &node)
+    {
+        return m_nodes.at(node).changedOptions;
+    }
 
     // Starts a target and registers it in the store.
-    StandInTarget &addTarget(const std::string &id, const std::string &service, int events = 0, const std::string &dataCentre = "lahore");
+    StandInTarget &addTarget(const std::string &id,
+                             const std::string &service,
+                             int events = 0,
+                             const std::string &dataCentre = "lahore",
+                             std::chrono::milliseconds work = std::chrono::milliseconds(0));
     void registerTarget(const std::string &id, const std::string &state, int64_t born = 1);
     void unregisterTarget(const std::string &id);
 
     // Writes a document with the routes /draft/, /hint/, /commit/ and /status/.
-    void writeDocument(int64_t version, const std::string &key = "key-1");
+    void writeDocument(int64_t version, const std::string &key = "key-1", std::chrono::milliseconds timeout = std::chrono::seconds(3));
 
     // Runs the loop until the condition is true or the timeout has passed. Returns whether it became true.
     bool runUntil(const std::function<bool()> &condition, std::chrono::milliseconds timeout = std::chrono::seconds(8));
@@ -64,6 +73,7 @@
 private:
     struct Node {
         RelayOptions options;
+        RelayOptions changedOptions;
         std::unique_ptr<Relay> relay;
     };
     struct Target {
