Log which parts of prompts the requests had that a crash interrupted

crash_suspected counted the interrupted requests only, so that logs could not tell what the requests of one crash after the other had in common, or whether their targets had begun to respond. It now has, for each request, whether the response had begun, its events and the parts of its prompt but the last.

--- a/Libraries/LibRelayServer/PlatformAdapter.h
+++ b/Libraries/LibRelayServer/PlatformAdapter.h
@@ -58,6 +58,8 @@
     // Number of prompt tokens and maximum number of output tokens, separated by a comma.
     std::string usage;
     std::string lengthHint;
+    // The parts of the prompt.
+    std::string promptParts;
     // Header fields that only the relay may set. They are removed from callers' requests.
     std::vector<std::string> reserved;
 };
@@ -66,6 +68,8 @@
 // relay does.
 struct PlatformAdapter {
     HeaderFieldNames fields;
+    // Decodes the ids of the parts of a prompt, in order, the last one included. Empty if the field cannot be read.
+    std::function<std::vector<uint64_t>(std::string_view field)> decodePromptParts;
     std::string readyPath;
     std::string directoryPath;
 
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -206,14 +206,14 @@
     return wait;
 }
 
-void RelayCore::noteInterruptedResponse(const std::string &target, uint64_t digest)
+void RelayCore::noteInterruptedResponse(const std::string &target, InterruptedRequest request)
 {
     const auto *known = targets.find(target);
     if (!known || known->leavingSince) {
         return;
     }
     const bool isFirst = m_interrupted.empty();
-    m_interrupted.try_emplace(target, Interruption {.since = monotonicNow()}).first->second.digests.push_back(digest);
+    m_interrupted.try_emplace(target, Interruption {.since = monotonicNow()}).first->second.requests.push_back(std::move(request));
     if (isFirst) {
         // Other requests on the target are interrupted at the same time.
         armInterruptedTimer();
@@ -234,7 +234,7 @@
 {
     for (auto &[target, interruption] : std::exchange(m_interrupted, {})) {
         if (balancer.requestLimits().mayContinue(target, now)) {
-            checkTarget(target, interruption.digests);
+            checkTarget(target, interruption.requests);
         } else if (now - interruption.since < MaxCheckDelay) {
             m_interrupted.emplace(target, std::move(interruption));
         }
@@ -244,7 +244,7 @@
     }
 }
 
-void RelayCore::checkTarget(const std::string &target, const std::vector<uint64_t> &interrupted)
+void RelayCore::checkTarget(const std::string &target, const std::vector<InterruptedRequest> &interrupted)
 {
     const auto *known = targets.find(target);
     const auto endpoint = known ? Endpoint::parse(known->entry.address) : std::nullopt;
@@ -264,12 +264,7 @@
             if (interrupted.empty()) {
                 return;
             }
-            crashSuspects.merge(
-                {.target = target, .incarnation = static_cast<uint64_t>(incarnation), .members = interrupted, .running = static_cast<int>(interrupted.size())},
-                now);
-            auto entry = line(EventKind::CrashSuspected);
-            entry.add("target", target).add("requests", static_cast<int64_t>(interrupted.size())).add("reason", response.error);
-            log(entry);
+            recordCrash(target, incarnation, interrupted, response.error, now);
             return;
         }
         const auto state = response.isSuccess() ? adapter.decodeState(response.body) : absl::StatusOr<EngineState>(EngineState {});
@@ -279,6 +274,24 @@
     });
 }
 
+void RelayCore::recordCrash(
+    const std::string &target, int64_t incarnation, const std::vector<InterruptedRequest> &interrupted, std::string_view reason, MonotonicTime now)
+{
+    TargetCrash crash {.target = target, .incarnation = static_cast<uint64_t>(incarnation), .members = {}, .running = static_cast<int>(interrupted.size())};
+    std::string requests;
+    for (const auto &request : interrupted) {
+        crash.members.push_back(request.digest);
+        absl::StrAppend(&requests, requests.empty() ? "" : " ", request.hasBegun ? "begun" : "not begun", "/", request.events, "/");
+        for (const auto part : request.parts) {
+            absl::StrAppend(&requests, part == request.parts.front() ? "" : ",", absl::Hex(part));
+        }
+    }
+    crashSuspects.merge(crash, now);
+    auto entry = line(EventKind::CrashSuspected);
+    entry.add("target", target).add("requests", static_cast<int64_t>(interrupted.size())).add("reason", reason).add("suspects", requests);
+    log(entry);
+}
+
 void RelayCore::releaseWaitingMigrations(MonotonicTime now)
 {
     bool released = false;
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -21,6 +21,18 @@
 
 class RelayExchange;
 
+// A request whose response was interrupted, as far as it may tell why.
+struct InterruptedRequest {
+    uint64_t digest = 0;
+    // Whether the target had begun to respond.
+    bool hasBegun = false;
+    // Events that had arrived, and the time since the first one.
+    int64_t events = 0;
+    std::chrono::milliseconds eventsFor {0};
+    // Parts of its prompt that other requests may share.
+    std::vector<uint64_t> parts;
+};
+
 // State that all requests of a relay share: the document and the targets in force, the state of the decisions, connections, log and metrics. Used only on the
 // loop's thread.
 class RelayCore
@@ -77,10 +89,10 @@
     // Sets the metrics of the request limits in force.
     void exportRequestLimits(MonotonicTime now);
 
-    // Reads an engine's state to detect that it is leaving or has crashed. `interrupted` are digests of requests whose responses were interrupted there.
-    void checkTarget(const std::string &target, const std::vector<uint64_t> &interrupted);
+    // Reads an engine's state to detect that it is leaving or has crashed. `interrupted` are the requests whose responses were interrupted there.
+    void checkTarget(const std::string &target, const std::vector<InterruptedRequest> &interrupted);
     // Handles an interrupted response of a target that was not known to be leaving.
-    void noteInterruptedResponse(const std::string &target, uint64_t digest);
+    void noteInterruptedResponse(const std::string &target, InterruptedRequest request);
 
     // Called when this relay has placed a request, so that peers are notified of the load.
     std::function<void(bool isGeneration)> onLoadChanged = [](bool) {};
@@ -104,6 +116,9 @@
 private:
     std::chrono::milliseconds migrationDelay(const std::string &target, MonotonicTime now) const;
     RequestLimitParticipants requestLimitParticipants(const std::string &target, MonotonicTime now);
+    // Handles a target that has crashed while it ran requests or was about to.
+    void
+    recordCrash(const std::string &target, int64_t incarnation, const std::vector<InterruptedRequest> &interrupted, std::string_view reason, MonotonicTime now);
     void armInterruptedTimer();
     // Checks targets whose responses were interrupted, as far as their request limits allow it.
     void checkInterruptedTargets(MonotonicTime now);
@@ -113,8 +128,7 @@
     std::mt19937_64 m_random;
     struct Interruption {
         MonotonicTime since;
-        // Digests of the interrupted requests.
-        std::vector<uint64_t> digests;
+        std::vector<InterruptedRequest> requests;
     };
     // Recently interrupted requests, by target, until the target has been checked.
     absl::flat_hash_map<std::string, Interruption> m_interrupted;
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -100,6 +100,11 @@
         return isDenial && m_core.documentAge(now) >= MaxDocumentAgeForDenial ? RelayOutcome::DocumentTooOld : *m_admission.rejection;
     }
     m_digest = CrashSuspects::fingerprint(m_admission.workspace ? m_admission.workspace->name : "", m_request.head.target, m_request.body);
+    m_promptParts = m_core.adapter.decodePromptParts(m_request.head.value(m_core.adapter.fields.promptParts));
+    if (!m_promptParts.empty()) {
+        // The last part belongs to the request alone.
+        m_promptParts.pop_back();
+    }
     const auto verdict = m_core.crashSuspects.verdict(m_digest, now).action;
     if (verdict == CrashVerdict::Action::Reject || verdict == CrashVerdict::Action::Wait) {
         return RelayOutcome::PoisonRequest;
@@ -391,6 +396,7 @@
     const bool isFirst = m_eventsCounted == 0;
     const auto gap = now - (isFirst ? m_request.arrivedAt : m_lastEventAt);
     if (isFirst) {
+        m_firstEventAt = now;
         m_firstEventAfter = wholeMilliseconds(gap);
         m_core.metrics.observe("relay_first_event_seconds", std::chrono::duration<double>(gap).count());
     } else {
@@ -420,7 +426,12 @@
         if (end == ChannelEnd::NotSent) {
             m_core.balancer.markUnreachable(m_target, now);
         } else if (!m_session->isMigrating()) {
-            m_core.noteInterruptedResponse(m_target, m_digest);
+            m_core.noteInterruptedResponse(m_target,
+                                           {.digest = m_digest,
+                                            .hasBegun = m_isResponseNamed,
+                                            .events = m_eventsCounted,
+                                            .eventsFor = m_eventsCounted > 0 ? wholeMilliseconds(now - m_firstEventAt) : std::chrono::milliseconds(0),
+                                            .parts = m_promptParts});
             m_unexpectedFailures += m_core.targets.isLeaving(m_target) ? 0 : 1;
         }
     }
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -103,6 +103,8 @@
     int64_t m_targetIncarnation = 0;
     // Digest of workspace, request target and body, by which a poison request is recognized when it is sent again.
     uint64_t m_digest = 0;
+    // Parts of the prompt that other requests may share, in order.
+    std::vector<uint64_t> m_promptParts;
     std::unique_ptr<RelaySession> m_session;
     std::shared_ptr<TargetChannel> m_targetConnection;
     // Number of the current attempt. Events of earlier attempts are ignored.
@@ -118,6 +120,7 @@
     // The last attempt got no usable response.
     bool m_attemptFailed = false;
     int64_t m_eventsCounted = 0;
+    MonotonicTime m_firstEventAt;
     MonotonicTime m_lastEventAt;
     std::chrono::milliseconds m_firstEventAfter {0};
     std::chrono::milliseconds m_maxGap {0};
