--- a/Tests/Platform/RelayTestBed.cpp
+++ b/Tests/Platform/RelayTestBed.cpp
@@ -54,7 +54,12 @@
     entry.service = service;
     entry.dataCentre = dataCentre;
     entry.address = ownLoopbackEndpoint();
-    entry.target = std::make_unique<StandInTarget>(loop, StandInTarget::Options {.id = id, .address = entry.address, .events = events});
+    const auto crash = [this, &entry] {
+        entry.target->crash();
+        ++m_fatalCount;
+    };
+    entry.target = std::make_unique<StandInTarget>(
+        loop, StandInTarget::Options {.id = id, .address = entry.address, .events = events, .isFatal = isFatal, .onFatal = crash});
     registerTarget(id, "ready");
     return *entry.target;
 }
--- a/Tests/Platform/RelayTestBed.h
+++ b/Tests/Platform/RelayTestBed.h
@@ -58,6 +58,14 @@
     int readiness(const std::string &node);
     std::string directory(const std::string &node);
 
+    // Requests that crash the targets that are added from now on.
+    std::function<bool(const MessageHead &head)> isFatal = [](const MessageHead &) { return false; };
+    // Targets that have crashed so.
+    int fatalCount() const
+    {
+        return m_fatalCount;
+    }
+
     boost::asio::io_context loop;
     std::unique_ptr<StandInStore> store;
 
@@ -75,6 +83,7 @@
 
     int get(const Endpoint &address, const std::string &path, std::string *body);
 
+    int m_fatalCount = 0;
     LineWriter m_lines;
     Endpoint m_storeAddress;
     std::map<std::string, Node> m_nodes;
