--- a/Tests/Platform/RelayTestBed.cpp
+++ b/Tests/Platform/RelayTestBed.cpp
@@ -57,7 +57,12 @@
     entry.service = service;
     entry.dataCentre = dataCentre;
     entry.address = ownLoopbackEndpoint();
-    entry.target = std::make_unique<StandInTarget>(loop, StandInTarget::Options {.id = id, .address = entry.address, .events = events, .work = work});
+    const auto crash = [this, &entry] {
+        entry.target->crash();
+        ++m_fatalCount;
+    };
+    entry.target = std::make_unique<StandInTarget>(
+        loop, StandInTarget::Options {.id = id, .address = entry.address, .events = events, .work = work, .isFatal = isFatal, .onFatal = crash});
     registerTarget(id, "ready");
     return *entry.target;
 }
