Take requests during a graceful shutdown by their deadline, not by their expected time

What callers saw: streams, and one-time requests that may not be repeated, that were sent to a relay late in its grace period ended with their connection when the process stopped, without a complete response.

Cause: DrainAdmission took a request if its expected time fitted. The length of a generation is an estimate that is right at the median, and calls counted as 1.5 s, so that a part of what was taken always outlasted the process. Class of fault: a bound that holds on average.

Evidence: Drain.GenerationThatTakesLongerThanEstimatedIsNotCut and Drain.OneTimeRequestTakenLateIsNotCut failed on the code before (each time) and pass. Both now keep the relay busy with a generation, because an idle relay exits 2.6 s after SIGTERM and the tests reached it earlier than they said; in this form they failed on the code before as well.

A request is now taken only if its deadline, which is the route's timeout or the caller's own, is not after the stop. That holds whatever the target does; others are rejected at once as not run, for another relay. The expected times are gone: they could only have made the rule stricter for requests that would run out of time anyway. DrainAdmission's test checks deadlines instead of estimates and allows less than before.

--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -104,7 +104,7 @@
     if (verdict == CrashVerdict::Action::Reject || verdict == CrashVerdict::Action::Wait) {
         return RelayOutcome::PoisonRequest;
     }
-    if (m_core.isDraining() && !DrainAdmission().admits(m_admission.demand, m_core.stopAt(), now)) {
+    if (m_core.isDraining() && !endsBeforeStop(m_admission.deadline, m_core.stopAt())) {
         return RelayOutcome::Draining;
     }
     return std::nullopt;
--- a/Tests/LibRelay/TestBudgetsAndMigrations.cpp
+++ b/Tests/LibRelay/TestBudgetsAndMigrations.cpp
@@ -128,16 +128,16 @@
     EXPECT_EQ(schedule.takeDue(Start).size(), 2U);
 }
 
-// Guards against accepting a draft seconds before the process is killed, as happens in rolling restarts while callers keep their connections.
-TEST(DrainAdmission, RejectsRequestsThatCannotEndInTime)
+// Guards against accepting a request that may outlast the process, as happens in rolling restarts while callers keep their connections.
+TEST(DrainAdmission, RejectsRequestsThatMayOutlastTheProcess)
 {
-    const DrainAdmission admission;
-    const RunDemand draft {.promptTokens = 3000, .expectedTokens = 900};
-    const RunDemand suggestion {.promptTokens = 2200, .expectedTokens = 15};
-    const RunDemand call;
+    constexpr auto DraftTime = 39s;
+    constexpr auto SuggestionTime = 6s;
+    constexpr auto CallTime = 2s;
     const auto stopAt = Start + 7400ms;
-    EXPECT_FALSE(admission.admits(draft, stopAt, Start));
-    EXPECT_TRUE(admission.admits(suggestion, stopAt, Start));
-    EXPECT_TRUE(admission.admits(call, stopAt, Start + 5s));
-    EXPECT_FALSE(admission.admits(call, stopAt, Start + 6500ms));
+    EXPECT_FALSE(endsBeforeStop(Start + DraftTime, stopAt));
+    EXPECT_TRUE(endsBeforeStop(Start + SuggestionTime, stopAt));
+    EXPECT_TRUE(endsBeforeStop(Start + 5s + CallTime, stopAt));
+    EXPECT_FALSE(endsBeforeStop(Start + 5500ms + CallTime, stopAt));
+    EXPECT_FALSE(endsBeforeStop(Start + 6500ms + CallTime, stopAt));
 }
--- a/Tests/Platform/TestDrain.cpp
+++ b/Tests/Platform/TestDrain.cpp
@@ -18,6 +18,33 @@
     return response.end == ChannelEnd::Complete && response.status > 0;
 }
 
+// The time that callers usually give.
+const HeaderField ShortDeadline {.name = "X-Deadline-Ms", .value = "3000"};
+const HeaderField LongDeadline {.name = "X-Deadline-Ms", .value = "39000"};
+
+// Keeps a relay from exiting early because it is idle, with a generation that lasts longer than the grace period.
+class RunningGeneration
+{
+public:
+    explicit RunningGeneration(RelayTestBed &testBed)
+        : m_testBed(testBed)
+    {
+        constexpr int Events = 2000;
+        m_testBed.addTarget("i-running", "engine", Events);
+    }
+
+    void begin()
+    {
+        m_channel = m_testBed.begin("n1", {.path = "/draft/running", .id = "running", .fields = {LongDeadline}}, m_response);
+        m_testBed.runUntil([this] { return !m_response->body.empty(); });
+    }
+
+private:
+    RelayTestBed &m_testBed;
+    const std::shared_ptr<RelayTestBed::Response> m_response = std::make_shared<RelayTestBed::Response>();
+    std::shared_ptr<TargetChannel> m_channel;
+};
+
 // Begins a request and runs the loop until it has ended.
 RelayTestBed::Response callUntilEnd(RelayTestBed &testBed, const RelayTestBed::Request &request)
 {
@@ -36,31 +63,32 @@
 // period.
 TEST(Drain, GenerationThatTakesLongerThanEstimatedIsNotCut)
 {
-    constexpr int Events = 1000;
     RelayTestBed testBed;
     testBed.writeDocument(1, "key-1", LongTimeout);
-    auto &engine = testBed.addTarget("i-1", "engine", Events);
+    RunningGeneration running(testBed);
     auto &relay = testBed.addRelay("n1");
     ASSERT_TRUE(testBed.waitUntilReady("n1"));
+    running.begin();
     relay.drain();
     testBed.runFor(3100ms);
-    const auto response = callUntilEnd(testBed, {.path = "/draft/x", .fields = {{.name = "X-Deadline-Ms", .value = "39000"}}});
+    const auto response = callUntilEnd(testBed, {.path = "/draft/x", .fields = {LongDeadline}});
     EXPECT_TRUE(isAnswered(response)) << response.status << " and " << response.body.size() << " bytes";
     EXPECT_TRUE(isRejectedAsNotRun(response));
-    EXPECT_EQ(engine.runCount(), 0);
 }
 
 // Guards against a one-time request that is taken late in the grace period, outlasts it, and ends without a response although it may have run.
 TEST(Drain, OneTimeRequestTakenLateIsNotCut)
 {
     RelayTestBed testBed;
-    testBed.writeDocument(1);
+    testBed.writeDocument(1, "key-1", LongTimeout);
+    RunningGeneration running(testBed);
     auto &desk = testBed.addTarget("i-1", "desk", 0, "lahore", 2500ms);
     auto &relay = testBed.addRelay("n1");
     ASSERT_TRUE(testBed.waitUntilReady("n1"));
+    running.begin();
     relay.drain();
     testBed.runFor(5500ms);
-    const auto response = callUntilEnd(testBed, {.path = "/commit/x"});
+    const auto response = callUntilEnd(testBed, {.path = "/commit/x", .fields = {ShortDeadline}});
     EXPECT_TRUE(isAnswered(response)) << response.status;
     EXPECT_TRUE(isRejectedAsNotRun(response));
     EXPECT_EQ(desk.runCount(), 0);
@@ -70,13 +98,15 @@
 TEST(Drain, RequestThatEndsBeforeTheStopIsServed)
 {
     RelayTestBed testBed;
-    testBed.writeDocument(1);
+    testBed.writeDocument(1, "key-1", LongTimeout);
+    RunningGeneration running(testBed);
     testBed.addTarget("i-1", "desk", 0, "lahore", 1000ms);
     auto &relay = testBed.addRelay("n1");
     ASSERT_TRUE(testBed.waitUntilReady("n1"));
+    running.begin();
     relay.drain();
     testBed.runFor(3500ms);
-    EXPECT_EQ(callUntilEnd(testBed, {.path = "/commit/x"}).status, 200);
+    EXPECT_EQ(callUntilEnd(testBed, {.path = "/commit/x", .fields = {ShortDeadline}}).status, 200);
 }
 
 // Guards against requests that end without any response because the process stops while their target is still at work.
@@ -89,9 +119,8 @@
     ASSERT_TRUE(testBed.waitUntilReady("n1"));
     const auto oneTime = std::make_shared<RelayTestBed::Response>();
     const auto repeatable = std::make_shared<RelayTestBed::Response>();
-    const auto deadline = HeaderField {.name = "X-Deadline-Ms", .value = "39000"};
-    const auto first = testBed.begin("n1", {.path = "/commit/x", .id = "r1", .fields = {deadline}}, oneTime);
-    const auto second = testBed.begin("n1", {.path = "/status/x", .id = "r2", .method = "GET", .fields = {deadline}}, repeatable);
+    const auto first = testBed.begin("n1", {.path = "/commit/x", .id = "r1", .fields = {LongDeadline}}, oneTime);
+    const auto second = testBed.begin("n1", {.path = "/status/x", .id = "r2", .method = "GET", .fields = {LongDeadline}}, repeatable);
     testBed.runFor(300ms);
     relay.drain();
     testBed.runFor(4s);
