Respond to requests that outlast the grace period before the process exits

What callers saw: a request whose target had not responded when the process stopped ended with a closed connection, and its caller could not tell that from a response on its way.

Cause: checkDrain() stopped the loop with requests still running; none of them was told. Class of fault: an end without a last word.

0.6 s before the process would be killed, requests whose response has not begun get a response of the relay's own: 504, since the target may have run them, or 503 if none was sent. Responses that have begun go on, and the process exits once all are written, 0.3 s before it would be killed at the latest: streams have 0.3 s more than before.

--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -426,6 +426,16 @@
     fail(mayHaveRun ? RelayOutcome::TimedOut : RelayOutcome::TimedOutNotRun, std::chrono::milliseconds(300));
 }
 
+void RelaySession::onStop(MonotonicTime)
+{
+    if (m_isOver || m_hasBegun) {
+        return;
+    }
+    const bool mayHaveRun = m_mayHaveRun || m_target;
+    m_hooks.record("stop", m_target ? m_target->id : "");
+    fail(mayHaveRun ? RelayOutcome::TimedOut : RelayOutcome::Draining, m_retryAfter);
+}
+
 void RelaySession::onCallerDisconnected()
 {
     if (m_isOver) {
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -173,6 +173,8 @@
     }
 
     void onDeadline(MonotonicTime now);
+    // The process is about to stop. A request whose response has not begun gets a response of the relay's own. One that has begun goes on, and may end in time.
+    void onStop(MonotonicTime now);
     void onCallerDisconnected();
     // The stream has had no event for longer than that of a healthy target would.
     void onStreamTimeout(MonotonicTime now);
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -351,8 +351,11 @@
         return;
     }
     const auto since = now - *m_core.drainingSince;
+    if (now >= m_core.stopAt()) {
+        endRequests(now);
+    }
     const bool idle = m_callers->busyCount() == 0;
-    if ((idle && since >= MinDrainTime) || now >= m_core.stopAt()) {
+    if ((idle && since >= MinDrainTime) || now >= m_core.exitAt()) {
         for (const auto *exchange : m_core.running) {
             exchange->logUnfinished(now);
         }
@@ -363,6 +366,18 @@
     }
 }
 
+void Relay::endRequests(MonotonicTime now)
+{
+    std::vector<std::shared_ptr<RelayExchange>> exchanges;
+    exchanges.reserve(m_core.running.size());
+    for (auto *exchange : m_core.running) {
+        exchanges.push_back(exchange->shared_from_this());
+    }
+    for (const auto &exchange : exchanges) {
+        exchange->handleStop(now);
+    }
+}
+
 void Relay::reloadSettings()
 {
     auto options = m_settings.read();
--- a/Libraries/LibRelayServer/Relay.h
+++ b/Libraries/LibRelayServer/Relay.h
@@ -87,6 +87,8 @@
     // Notifies all relays at once when this relay's reads begin to succeed or to fail.
     void notifyReadingChange(MonotonicTime now);
     void checkDrain(MonotonicTime now);
+    // Responds to all running requests whose response has not begun.
+    void endRequests(MonotonicTime now);
     void detectFreeze(MonotonicTime now);
 
     RelayCore m_core;
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -12,8 +12,9 @@
 namespace
 {
 
-// The process exits this long before it would be killed.
-constexpr std::chrono::milliseconds ShutdownMargin {600};
+// Requests get their responses, and the process exits, this long before it would be killed. The first margin leaves time to write the responses.
+constexpr std::chrono::milliseconds StopMargin {600};
+constexpr std::chrono::milliseconds ExitMargin {300};
 // Responses of one target that are interrupted within this time are attributed to one crash.
 constexpr std::chrono::milliseconds CrashGroupingTime {100};
 // A target is not checked any more if its request limit has not allowed that for this time.
@@ -70,7 +71,12 @@
 
 MonotonicTime RelayCore::stopAt() const
 {
-    return *drainingSince + options.grace - ShutdownMargin;
+    return *drainingSince + options.grace - StopMargin;
+}
+
+MonotonicTime RelayCore::exitAt() const
+{
+    return *drainingSince + options.grace - ExitMargin;
 }
 
 LogLine RelayCore::line(EventKind kind) const
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -50,8 +50,10 @@
     double randomUnit();
     int liveRelays(MonotonicTime now) const;
 
-    // Latest time at which the process exits after a SIGTERM.
+    // Time after a SIGTERM at which requests whose response has not begun get a response of the relay's own, because the process is about to exit.
     MonotonicTime stopAt() const;
+    // Latest time at which the process exits after a SIGTERM.
+    MonotonicTime exitAt() const;
 
     bool isDraining() const
     {
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -496,6 +496,13 @@
     finishRequest(RunEnd::Failed);
 }
 
+void RelayExchange::handleStop(MonotonicTime now)
+{
+    if (!m_isFinished) {
+        m_session->onStop(now);
+    }
+}
+
 void RelayExchange::logUnfinished(MonotonicTime now) const
 {
     auto line = m_core.line(EventKind::RelayUnfinished);
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -43,6 +43,8 @@
         return m_target;
     }
 
+    // The process is about to stop: responds to the request if its response has not begun.
+    void handleStop(MonotonicTime now);
     // Logs that the request ends unfinished because the process exits.
     void logUnfinished(MonotonicTime now) const;
 
