Keep the grace period that was in force when a graceful shutdown began

What callers saw: nothing that the record shows; found by reading, for signals in series. A reload of the settings during the stop, with SIGHUP or without, replaced the grace period, and a shorter one ended the process at once with its requests.

Cause: stopAt() was computed from the settings in force at each look. Class of fault: a bound that moves after it was relied on.

--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -338,7 +338,7 @@
     if (m_core.isDraining()) {
         return;
     }
-    m_core.drainingSince = monotonicNow();
+    m_core.draining = {.since = monotonicNow(), .grace = m_core.options.grace};
     auto line = m_core.line(EventKind::ProcessDraining);
     line.add("requests", static_cast<int64_t>(m_core.running.size()));
     m_core.log(line);
@@ -350,7 +350,7 @@
     if (!m_core.isDraining()) {
         return;
     }
-    const auto since = now - *m_core.drainingSince;
+    const auto since = now - m_core.draining->since;
     if (now >= m_core.stopAt()) {
         endRequests(now);
     }
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -71,12 +71,12 @@
 
 MonotonicTime RelayCore::stopAt() const
 {
-    return *drainingSince + options.grace - StopMargin;
+    return draining->since + draining->grace - StopMargin;
 }
 
 MonotonicTime RelayCore::exitAt() const
 {
-    return *drainingSince + options.grace - ExitMargin;
+    return draining->since + draining->grace - ExitMargin;
 }
 
 LogLine RelayCore::line(EventKind kind) const
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -40,8 +40,13 @@
     PeerTable peers;
     CrashSuspects crashSuspects;
     MigrationSchedule migrations;
-    // Time of the SIGTERM.
-    std::optional<MonotonicTime> drainingSince;
+    // A graceful shutdown in progress. Its grace period is the one in force at its beginning, because requests were taken in reliance on it.
+    struct Drain {
+        // Time of the SIGTERM.
+        MonotonicTime since;
+        std::chrono::milliseconds grace {0};
+    };
+    std::optional<Drain> draining;
     // Requests that have been sent to a target and have not ended.
     absl::flat_hash_set<RelayExchange *> running;
 
@@ -57,7 +62,7 @@
 
     bool isDraining() const
     {
-        return drainingSince.has_value();
+        return draining.has_value();
     }
 
     LogLine line(EventKind kind) const;
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -511,9 +511,9 @@
         .add("events", m_session->eventCount())
         .add("age_ms", wholeMilliseconds(now - m_request.arrivedAt).count())
         .add("time_left_ms", wholeMilliseconds(m_admission.deadline - now).count());
-    if (m_core.drainingSince) {
-        line.add("since_stop_ms", wholeMilliseconds(now - *m_core.drainingSince).count())
-            .add("arrived_after_stop_ms", wholeMilliseconds(m_request.arrivedAt - *m_core.drainingSince).count());
+    if (m_core.draining) {
+        line.add("since_stop_ms", wholeMilliseconds(now - m_core.draining->since).count())
+            .add("arrived_after_stop_ms", wholeMilliseconds(m_request.arrivedAt - m_core.draining->since).count());
     }
     m_core.log(line);
 }
