Keep a stream with its silent target when nothing else can take it

What callers could see: a stream cut while its target was still at work, because the target had been silent for 1.5 s (2.6 s before the first event, 1 s after a migration). Processes on shared processors are silent that long.

Cause: onStreamTimeout() closed the exchange first and looked for an alternative afterwards: another target, a retry in the budget, a run that the route still allows, the source of the migration. Without one, the stream was cut. Class of fault: giving up what one has before knowing that there is something better.

The alternative is now chosen first; without one the exchange goes on, and the next look is a whole timeout later.

--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -451,8 +451,32 @@
         return;
     }
     m_hooks.record("silent", m_target ? m_target->id : "");
-    m_hooks.abortAttempt();
-    onFailure(ExchangeResult::Broken, false, now);
+    if (!tryLeaveSilentTarget(now)) {
+        // The target may still be at work, so its response is not given up without an alternative.
+        m_hooks.record("wait", m_target ? m_target->id : "");
+    }
+}
+
+bool RelaySession::tryLeaveSilentTarget(MonotonicTime now)
+{
+    // There is no backup of a run that has not begun.
+    if (continueAtSource(now) || (m_isResponseAccepted && continueFromBackup(now))) {
+        return true;
+    }
+    // The silent run counts as one, so that another one must be left.
+    const bool mayRunAgain = m_target && m_request.isRepeatable() && m_runs + 1 < m_request.maxAttempts && (!m_hasBegun || m_request.resumable);
+    if (!mayRunAgain) {
+        return false;
+    }
+    const auto silent = m_target->id;
+    m_excluded.insert(silent);
+    if (!tryRetry("silent", true, now)) {
+        m_excluded.erase(silent);
+        return false;
+    }
+    m_mayHaveRun = true;
+    ++m_runs;
+    return true;
 }
 
 } // namespace Jujube
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -176,7 +176,8 @@
     // The process is about to stop. A request whose response has not begun gets a response of the relay's own. One that has begun goes on, and may end in time.
     void onStop(MonotonicTime now);
     void onCallerDisconnected();
-    // The stream has had no event for longer than that of a healthy target would.
+    // The stream has had no event for longer than that of a healthy target would. It goes on elsewhere if it can, and otherwise stays with its target. May be
+    // called again while the target stays silent.
     void onStreamTimeout(MonotonicTime now);
 
     bool isOver() const
@@ -226,6 +227,8 @@
     // Sends the request to another target if there is enough time and, with `countsAgainstBudget`, if the budget allows it.
     bool tryRetry(std::string_view reason, bool countsAgainstBudget, MonotonicTime now);
     bool continueFromBackup(MonotonicTime now);
+    // Sends a request whose target is silent elsewhere, or returns false and leaves it there.
+    bool tryLeaveSilentTarget(MonotonicTime now);
     // Continues at the source of a migration whose destination has not begun: the source keeps the KV cache of a generation that it stopped, until its copy is
     // used.
     bool continueAtSource(MonotonicTime now);
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -241,7 +241,7 @@
     m_isConnectionKept = m_targetConnection->isIdle();
     m_isResponseNamed = false;
     m_sentAt = now;
-    m_progressAt = now;
+    m_silentSince = now;
     if (m_attemptFailed) {
         m_core.balancer.onAttemptFailed(m_target, now);
         m_attemptFailed = false;
@@ -380,7 +380,7 @@
         return;
     }
     // Bytes that complete no event do not count as progress of a stream.
-    m_progressAt = now;
+    m_silentSince = now;
     if (m_admission.service->engine) {
         noteEvents(now);
     }
@@ -565,7 +565,7 @@
         m_silenceTimer.cancel();
         return;
     }
-    m_silenceTimer.expires_at(m_progressAt + *limit);
+    m_silenceTimer.expires_at(m_silentSince + *limit);
     m_silenceTimer.async_wait([weak = weak_from_this()](const LoopError &error) {
         const auto self = weak.lock();
         if (!self || error || self->m_isFinished) {
@@ -573,7 +573,9 @@
         }
         const auto now = monotonicNow();
         const auto currentTimeout = self->silenceTimeout();
-        if (currentTimeout && now - self->m_progressAt >= *currentTimeout) {
+        if (currentTimeout && now - self->m_silentSince >= *currentTimeout) {
+            // Without an alternative the stream stays with its target, and the next look is a whole timeout later.
+            self->m_silentSince = now;
             self->m_session->onStreamTimeout(now);
         }
         if (!self->m_isFinished) {
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -118,8 +118,8 @@
     bool m_isResponseNamed = false;
     MessageHead m_responseHead;
     MonotonicTime m_sentAt;
-    // Time of the current attempt, or of the last complete event of its stream.
-    MonotonicTime m_progressAt;
+    // Time of the current attempt, of the last complete event of its stream, or of the last look at its silence.
+    MonotonicTime m_silentSince;
     // The last attempt got no usable response.
     bool m_attemptFailed = false;
     int64_t m_eventsCounted = 0;
