--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -109,7 +109,7 @@
     if (verdict == CrashVerdict::Action::Reject || verdict == CrashVerdict::Action::Wait) {
         return RelayOutcome::PoisonRequest;
     }
-    if (m_core.isDraining() && !DrainAdmission().admits(m_admission.demand, m_core.stopAt(), now)) {
+    if (m_core.isDraining() && !endsBeforeStop(m_admission.deadline, m_core.stopAt())) {
         return RelayOutcome::Draining;
     }
     return std::nullopt;
@@ -246,7 +246,7 @@
     m_isConnectionKept = m_targetConnection->isIdle();
     m_isResponseNamed = false;
     m_sentAt = now;
-    m_progressAt = now;
+    m_silentSince = now;
     if (m_attemptFailed) {
         m_core.balancer.onAttemptFailed(m_target, now);
         m_attemptFailed = false;
@@ -385,7 +385,7 @@
         return;
     }
     // Bytes that complete no event do not count as progress of a stream.
-    m_progressAt = now;
+    m_silentSince = now;
     if (m_admission.service->engine) {
         noteEvents(now);
     }
@@ -507,6 +507,13 @@
     finishRequest(RunEnd::Failed);
 }
 
+void RelayExchange::handleStop(MonotonicTime now)
+{
+    if (!m_isFinished) {
+        m_session->onStop(now);
+    }
+}
+
 void RelayExchange::logUnfinished(MonotonicTime now) const
 {
     auto line = m_core.line(EventKind::RelayUnfinished);
@@ -515,9 +522,9 @@
         .add("events", m_session->eventCount())
         .add("age_ms", wholeMilliseconds(now - m_request.arrivedAt).count())
         .add("time_left_ms", wholeMilliseconds(m_admission.deadline - now).count());
-    if (m_core.drainingSince) {
-        line.add("since_stop_ms", wholeMilliseconds(now - *m_core.drainingSince).count())
-            .add("arrived_after_stop_ms", wholeMilliseconds(m_request.arrivedAt - *m_core.drainingSince).count());
+    if (m_core.draining) {
+        line.add("since_stop_ms", wholeMilliseconds(now - m_core.draining->since).count())
+            .add("arrived_after_stop_ms", wholeMilliseconds(m_request.arrivedAt - m_core.draining->since).count());
     }
     m_core.log(line);
 }
@@ -569,7 +576,7 @@
         m_silenceTimer.cancel();
         return;
     }
-    m_silenceTimer.expires_at(m_progressAt + *limit);
+    m_silenceTimer.expires_at(m_silentSince + *limit);
     m_silenceTimer.async_wait([weak = weak_from_this()](const LoopError &error) {
         const auto self = weak.lock();
         if (!self || error || self->m_isFinished) {
@@ -577,7 +584,9 @@
         }
         const auto now = monotonicNow();
         const auto currentTimeout = self->silenceTimeout();
-        if (currentTimeout && now - self->m_progressAt >= *currentTimeout) {
+        if (currentTimeout && now - self->m_silentSince >= *currentTimeout) {
+            // Without an alternative the stream stays with its target, and the next look is a whole timeout later.
+            self->m_silentSince = now;
             self->m_session->onStreamTimeout(now);
         }
         if (!self->m_isFinished) {
