--- a/Libraries/LibEvents/EventKind.cpp
+++ b/Libraries/LibEvents/EventKind.cpp
@@ -57,6 +57,10 @@
     EventKindInfo {EventKind::OrderRefused, "order_refused", "An engine refused an order because of its fencing number."},
     EventKindInfo {EventKind::CrashSuspected, "crash_suspected", "A target died while it ran this request."},
     EventKindInfo {EventKind::CrashRefused, "crash_refused", "A request was refused because targets crashed while they ran it."},
+    EventKindInfo {
+        EventKind::PromptPartRejected, "prompt_part_rejected", "A part of prompts is rejected, because targets crashed when they began to respond to it."},
+    EventKindInfo {
+        EventKind::PromptPartAllowed, "prompt_part_allowed", "A part of prompts is not rejected any more: a target has responded to it, or its time is over."},
     EventKindInfo {EventKind::RelayAccepted, "relay_accepted", "A request on a relayed route was admitted."},
     EventKindInfo {EventKind::RelayRejected, "relay_rejected", "A relayed request ended with an answer of the gateway's own."},
     EventKindInfo {EventKind::RelayFinished, "relay_finished", "A target's whole answer was passed on."},
--- a/Libraries/LibEvents/EventKind.h
+++ b/Libraries/LibEvents/EventKind.h
@@ -56,6 +56,8 @@
     OrderRefused = 3504,
     CrashSuspected = 3601,
     CrashRefused = 3602,
+    PromptPartRejected = 3603,
+    PromptPartAllowed = 3604,
     RelayAccepted = 4001,
     RelayRejected = 4002,
     RelayFinished = 4003,
--- a/Libraries/LibRelay/Generated/Relay_types.cpp
+++ b/Libraries/LibRelay/Generated/Relay_types.cpp
@@ -711,6 +711,481 @@
 }
 
 
+PromptSuspect::~PromptSuspect() noexcept {
+}
+
+
+void PromptSuspect::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+
+void PromptSuspect::__set_begun(const bool val) {
+  this->begun = val;
+}
+
+void PromptSuspect::__set_parts(const std::vector<int64_t> & val) {
+  this->parts = val;
+}
+std::ostream& operator<<(std::ostream& out, const PromptSuspect& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PromptSuspect::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->begun);
+          this->__isset.begun = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size18;
+            ::apache::thrift::protocol::TType _etype21;
+            xfer += iprot->readListBegin(_etype21, _size18);
+            this->parts.resize(_size18);
+            uint32_t _i22;
+            for (_i22 = 0; _i22 < _size18; ++_i22)
+            {
+              xfer += iprot->readI64(this->parts[_i22]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PromptSuspect::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PromptSuspect");
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("begun", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->begun);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
+    std::vector<int64_t> ::const_iterator _iter23;
+    for (_iter23 = this->parts.begin(); _iter23 != this->parts.end(); ++_iter23)
+    {
+      xfer += oprot->writeI64((*_iter23));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PromptSuspect &a, PromptSuspect &b) {
+  using ::std::swap;
+  swap(a.digest, b.digest);
+  swap(a.begun, b.begun);
+  swap(a.parts, b.parts);
+  swap(a.__isset, b.__isset);
+}
+
+PromptSuspect::PromptSuspect(const PromptSuspect& other24) {
+  digest = other24.digest;
+  begun = other24.begun;
+  parts = other24.parts;
+  __isset = other24.__isset;
+}
+PromptSuspect::PromptSuspect(PromptSuspect&& other25) noexcept {
+  digest = other25.digest;
+  begun = other25.begun;
+  parts = std::move(other25.parts);
+  __isset = other25.__isset;
+}
+PromptSuspect& PromptSuspect::operator=(const PromptSuspect& other26) {
+  digest = other26.digest;
+  begun = other26.begun;
+  parts = other26.parts;
+  __isset = other26.__isset;
+  return *this;
+}
+PromptSuspect& PromptSuspect::operator=(PromptSuspect&& other27) noexcept {
+  digest = other27.digest;
+  begun = other27.begun;
+  parts = std::move(other27.parts);
+  __isset = other27.__isset;
+  return *this;
+}
+void PromptSuspect::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PromptSuspect(";
+  out << "digest=" << to_string(digest);
+  out << ", " << "begun=" << to_string(begun);
+  out << ", " << "parts=" << to_string(parts);
+  out << ")";
+}
+
+
+PromptCrash::~PromptCrash() noexcept {
+}
+
+
+void PromptCrash::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void PromptCrash::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void PromptCrash::__set_ageMs(const int32_t val) {
+  this->ageMs = val;
+}
+
+void PromptCrash::__set_requests(const std::vector<PromptSuspect> & val) {
+  this->requests = val;
+}
+std::ostream& operator<<(std::ostream& out, const PromptCrash& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PromptCrash::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMs);
+          this->__isset.ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->requests.clear();
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->requests.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
+            {
+              xfer += this->requests[_i32].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PromptCrash::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PromptCrash");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
+    std::vector<PromptSuspect> ::const_iterator _iter33;
+    for (_iter33 = this->requests.begin(); _iter33 != this->requests.end(); ++_iter33)
+    {
+      xfer += (*_iter33).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PromptCrash &a, PromptCrash &b) {
+  using ::std::swap;
+  swap(a.target, b.target);
+  swap(a.incarnation, b.incarnation);
+  swap(a.ageMs, b.ageMs);
+  swap(a.requests, b.requests);
+  swap(a.__isset, b.__isset);
+}
+
+PromptCrash::PromptCrash(const PromptCrash& other34) {
+  target = other34.target;
+  incarnation = other34.incarnation;
+  ageMs = other34.ageMs;
+  requests = other34.requests;
+  __isset = other34.__isset;
+}
+PromptCrash::PromptCrash(PromptCrash&& other35) noexcept {
+  target = std::move(other35.target);
+  incarnation = other35.incarnation;
+  ageMs = other35.ageMs;
+  requests = std::move(other35.requests);
+  __isset = other35.__isset;
+}
+PromptCrash& PromptCrash::operator=(const PromptCrash& other36) {
+  target = other36.target;
+  incarnation = other36.incarnation;
+  ageMs = other36.ageMs;
+  requests = other36.requests;
+  __isset = other36.__isset;
+  return *this;
+}
+PromptCrash& PromptCrash::operator=(PromptCrash&& other37) noexcept {
+  target = std::move(other37.target);
+  incarnation = other37.incarnation;
+  ageMs = other37.ageMs;
+  requests = std::move(other37.requests);
+  __isset = other37.__isset;
+  return *this;
+}
+void PromptCrash::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PromptCrash(";
+  out << "target=" << to_string(target);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "ageMs=" << to_string(ageMs);
+  out << ", " << "requests=" << to_string(requests);
+  out << ")";
+}
+
+
+SoundPart::~SoundPart() noexcept {
+}
+
+
+void SoundPart::__set_part(const int64_t val) {
+  this->part = val;
+}
+
+void SoundPart::__set_ageMs(const int32_t val) {
+  this->ageMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const SoundPart& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SoundPart::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMs);
+          this->__isset.ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SoundPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SoundPart");
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SoundPart &a, SoundPart &b) {
+  using ::std::swap;
+  swap(a.part, b.part);
+  swap(a.ageMs, b.ageMs);
+  swap(a.__isset, b.__isset);
+}
+
+SoundPart::SoundPart(const SoundPart& other38) noexcept {
+  part = other38.part;
+  ageMs = other38.ageMs;
+  __isset = other38.__isset;
+}
+SoundPart::SoundPart(SoundPart&& other39) noexcept {
+  part = other39.part;
+  ageMs = other39.ageMs;
+  __isset = other39.__isset;
+}
+SoundPart& SoundPart::operator=(const SoundPart& other40) noexcept {
+  part = other40.part;
+  ageMs = other40.ageMs;
+  __isset = other40.__isset;
+  return *this;
+}
+SoundPart& SoundPart::operator=(SoundPart&& other41) noexcept {
+  part = other41.part;
+  ageMs = other41.ageMs;
+  __isset = other41.__isset;
+  return *this;
+}
+void SoundPart::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SoundPart(";
+  out << "part=" << to_string(part);
+  out << ", " << "ageMs=" << to_string(ageMs);
+  out << ")";
+}
+
+
 LimitOfTarget::~LimitOfTarget() noexcept {
 }
 
@@ -837,34 +1312,34 @@
   swap(a.__isset, b.__isset);
 }
 
-LimitOfTarget::LimitOfTarget(const LimitOfTarget& other18) {
-  target = other18.target;
-  incarnation = other18.incarnation;
-  perSecond = other18.perSecond;
-  ageMs = other18.ageMs;
-  __isset = other18.__isset;
-}
-LimitOfTarget::LimitOfTarget(LimitOfTarget&& other19) noexcept {
-  target = std::move(other19.target);
-  incarnation = other19.incarnation;
-  perSecond = other19.perSecond;
-  ageMs = other19.ageMs;
-  __isset = other19.__isset;
-}
-LimitOfTarget& LimitOfTarget::operator=(const LimitOfTarget& other20) {
-  target = other20.target;
-  incarnation = other20.incarnation;
-  perSecond = other20.perSecond;
-  ageMs = other20.ageMs;
-  __isset = other20.__isset;
+LimitOfTarget::LimitOfTarget(const LimitOfTarget& other42) {
+  target = other42.target;
+  incarnation = other42.incarnation;
+  perSecond = other42.perSecond;
+  ageMs = other42.ageMs;
+  __isset = other42.__isset;
+}
+LimitOfTarget::LimitOfTarget(LimitOfTarget&& other43) noexcept {
+  target = std::move(other43.target);
+  incarnation = other43.incarnation;
+  perSecond = other43.perSecond;
+  ageMs = other43.ageMs;
+  __isset = other43.__isset;
+}
+LimitOfTarget& LimitOfTarget::operator=(const LimitOfTarget& other44) {
+  target = other44.target;
+  incarnation = other44.incarnation;
+  perSecond = other44.perSecond;
+  ageMs = other44.ageMs;
+  __isset = other44.__isset;
   return *this;
 }
-LimitOfTarget& LimitOfTarget::operator=(LimitOfTarget&& other21) noexcept {
-  target = std::move(other21.target);
-  incarnation = other21.incarnation;
-  perSecond = other21.perSecond;
-  ageMs = other21.ageMs;
-  __isset = other21.__isset;
+LimitOfTarget& LimitOfTarget::operator=(LimitOfTarget&& other45) noexcept {
+  target = std::move(other45.target);
+  incarnation = other45.incarnation;
+  perSecond = other45.perSecond;
+  ageMs = other45.ageMs;
+  __isset = other45.__isset;
   return *this;
 }
 void LimitOfTarget::printTo(std::ostream& out) const {
@@ -982,6 +1457,16 @@
   this->documentAgeMs = val;
 __isset.documentAgeMs = true;
 }
+
+void RelayHeartbeat::__set_promptCrashes(const std::vector<PromptCrash> & val) {
+  this->promptCrashes = val;
+__isset.promptCrashes = true;
+}
+
+void RelayHeartbeat::__set_soundParts(const std::vector<SoundPart> & val) {
+  this->soundParts = val;
+__isset.soundParts = true;
+}
 std::ostream& operator<<(std::ostream& out, const RelayHeartbeat& obj)
 {
   obj.printTo(out);
@@ -1078,14 +1563,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->loads.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->loads.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->loads[_i26].read(iprot);
+              xfer += this->loads[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1098,14 +1583,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size27;
-            ::apache::thrift::protocol::TType _etype30;
-            xfer += iprot->readListBegin(_etype30, _size27);
-            this->targets.resize(_size27);
-            uint32_t _i31;
-            for (_i31 = 0; _i31 < _size27; ++_i31)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->targets.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              xfer += this->targets[_i31].read(iprot);
+              xfer += this->targets[_i55].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1118,14 +1603,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->crashes.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->crashes.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->crashes[_i36].read(iprot);
+              xfer += this->crashes[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1138,14 +1623,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size37;
-            ::apache::thrift::protocol::TType _etype40;
-            xfer += iprot->readListBegin(_etype40, _size37);
-            this->known.resize(_size37);
-            uint32_t _i41;
-            for (_i41 = 0; _i41 < _size37; ++_i41)
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->known.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
             {
-              xfer += iprot->readString(this->known[_i41]);
+              xfer += iprot->readString(this->known[_i65]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1214,14 +1699,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _etype45;
-            xfer += iprot->readListBegin(_etype45, _size42);
-            this->limits.resize(_size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->limits.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += this->limits[_i46].read(iprot);
+              xfer += this->limits[_i70].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1262,6 +1747,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 26:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->promptCrashes.clear();
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->promptCrashes.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
+            {
+              xfer += this->promptCrashes[_i75].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.promptCrashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 27:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->soundParts.clear();
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->soundParts.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
+            {
+              xfer += this->soundParts[_i80].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.soundParts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1314,10 +1839,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadOnTarget> ::const_iterator _iter47;
-    for (_iter47 = this->loads.begin(); _iter47 != this->loads.end(); ++_iter47)
+    std::vector<LoadOnTarget> ::const_iterator _iter81;
+    for (_iter81 = this->loads.begin(); _iter81 != this->loads.end(); ++_iter81)
     {
-      xfer += (*_iter47).write(oprot);
+      xfer += (*_iter81).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1326,10 +1851,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<ChangedTarget> ::const_iterator _iter48;
-    for (_iter48 = this->targets.begin(); _iter48 != this->targets.end(); ++_iter48)
+    std::vector<ChangedTarget> ::const_iterator _iter82;
+    for (_iter82 = this->targets.begin(); _iter82 != this->targets.end(); ++_iter82)
     {
-      xfer += (*_iter48).write(oprot);
+      xfer += (*_iter82).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1338,10 +1863,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<CrashOnTarget> ::const_iterator _iter49;
-    for (_iter49 = this->crashes.begin(); _iter49 != this->crashes.end(); ++_iter49)
+    std::vector<CrashOnTarget> ::const_iterator _iter83;
+    for (_iter83 = this->crashes.begin(); _iter83 != this->crashes.end(); ++_iter83)
     {
-      xfer += (*_iter49).write(oprot);
+      xfer += (*_iter83).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1350,10 +1875,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter50;
-    for (_iter50 = this->known.begin(); _iter50 != this->known.end(); ++_iter50)
+    std::vector<std::string> ::const_iterator _iter84;
+    for (_iter84 = this->known.begin(); _iter84 != this->known.end(); ++_iter84)
     {
-      xfer += oprot->writeString((*_iter50));
+      xfer += oprot->writeString((*_iter84));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1391,10 +1916,10 @@
     xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 21);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-      std::vector<LimitOfTarget> ::const_iterator _iter51;
-      for (_iter51 = this->limits.begin(); _iter51 != this->limits.end(); ++_iter51)
+      std::vector<LimitOfTarget> ::const_iterator _iter85;
+      for (_iter85 = this->limits.begin(); _iter85 != this->limits.end(); ++_iter85)
       {
-        xfer += (*_iter51).write(oprot);
+        xfer += (*_iter85).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1420,6 +1945,32 @@
     xfer += oprot->writeI32(this->documentAgeMs);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.promptCrashes) {
+    xfer += oprot->writeFieldBegin("promptCrashes", ::apache::thrift::protocol::T_LIST, 26);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->promptCrashes.size()));
+      std::vector<PromptCrash> ::const_iterator _iter86;
+      for (_iter86 = this->promptCrashes.begin(); _iter86 != this->promptCrashes.end(); ++_iter86)
+      {
+        xfer += (*_iter86).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.soundParts) {
+    xfer += oprot->writeFieldBegin("soundParts", ::apache::thrift::protocol::T_LIST, 27);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->soundParts.size()));
+      std::vector<SoundPart> ::const_iterator _iter87;
+      for (_iter87 = this->soundParts.begin(); _iter87 != this->soundParts.end(); ++_iter87)
+      {
+        xfer += (*_iter87).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1451,117 +2002,127 @@
   swap(a.documentVersion, b.documentVersion);
   swap(a.documentHistoryFrom, b.documentHistoryFrom);
   swap(a.documentAgeMs, b.documentAgeMs);
+  swap(a.promptCrashes, b.promptCrashes);
+  swap(a.soundParts, b.soundParts);
   swap(a.__isset, b.__isset);
 }
 
-RelayHeartbeat::RelayHeartbeat(const RelayHeartbeat& other52) {
-  node = other52.node;
-  incarnation = other52.incarnation;
-  sequence = other52.sequence;
-  callers = other52.callers;
-  peers = other52.peers;
-  dataCentre = other52.dataCentre;
-  accepting = other52.accepting;
-  documentTableVersion = other52.documentTableVersion;
-  loads = other52.loads;
-  targets = other52.targets;
-  crashes = other52.crashes;
-  known = other52.known;
-  targetsDigest = other52.targetsDigest;
-  targetsVersion = other52.targetsVersion;
-  targetsAgeMs = other52.targetsAgeMs;
-  reading = other52.reading;
-  trying = other52.trying;
-  beatMs = other52.beatMs;
-  onlyLoads = other52.onlyLoads;
-  limits = other52.limits;
-  knownRelays = other52.knownRelays;
-  documentVersion = other52.documentVersion;
-  documentHistoryFrom = other52.documentHistoryFrom;
-  documentAgeMs = other52.documentAgeMs;
-  __isset = other52.__isset;
-}
-RelayHeartbeat::RelayHeartbeat(RelayHeartbeat&& other53) noexcept {
-  node = std::move(other53.node);
-  incarnation = other53.incarnation;
-  sequence = other53.sequence;
-  callers = std::move(other53.callers);
-  peers = std::move(other53.peers);
-  dataCentre = std::move(other53.dataCentre);
-  accepting = other53.accepting;
-  documentTableVersion = other53.documentTableVersion;
-  loads = std::move(other53.loads);
-  targets = std::move(other53.targets);
-  crashes = std::move(other53.crashes);
-  known = std::move(other53.known);
-  targetsDigest = other53.targetsDigest;
-  targetsVersion = other53.targetsVersion;
-  targetsAgeMs = other53.targetsAgeMs;
-  reading = other53.reading;
-  trying = other53.trying;
-  beatMs = other53.beatMs;
-  onlyLoads = other53.onlyLoads;
-  limits = std::move(other53.limits);
-  knownRelays = other53.knownRelays;
-  documentVersion = other53.documentVersion;
-  documentHistoryFrom = other53.documentHistoryFrom;
-  documentAgeMs = other53.documentAgeMs;
-  __isset = other53.__isset;
-}
-RelayHeartbeat& RelayHeartbeat::operator=(const RelayHeartbeat& other54) {
-  node = other54.node;
-  incarnation = other54.incarnation;
-  sequence = other54.sequence;
-  callers = other54.callers;
-  peers = other54.peers;
-  dataCentre = other54.dataCentre;
-  accepting = other54.accepting;
-  documentTableVersion = other54.documentTableVersion;
-  loads = other54.loads;
-  targets = other54.targets;
-  crashes = other54.crashes;
-  known = other54.known;
-  targetsDigest = other54.targetsDigest;
-  targetsVersion = other54.targetsVersion;
-  targetsAgeMs = other54.targetsAgeMs;
-  reading = other54.reading;
-  trying = other54.trying;
-  beatMs = other54.beatMs;
-  onlyLoads = other54.onlyLoads;
-  limits = other54.limits;
-  knownRelays = other54.knownRelays;
-  documentVersion = other54.documentVersion;
-  documentHistoryFrom = other54.documentHistoryFrom;
-  documentAgeMs = other54.documentAgeMs;
-  __isset = other54.__isset;
+RelayHeartbeat::RelayHeartbeat(const RelayHeartbeat& other88) {
+  node = other88.node;
+  incarnation = other88.incarnation;
+  sequence = other88.sequence;
+  callers = other88.callers;
+  peers = other88.peers;
+  dataCentre = other88.dataCentre;
+  accepting = other88.accepting;
+  documentTableVersion = other88.documentTableVersion;
+  loads = other88.loads;
+  targets = other88.targets;
+  crashes = other88.crashes;
+  known = other88.known;
+  targetsDigest = other88.targetsDigest;
+  targetsVersion = other88.targetsVersion;
+  targetsAgeMs = other88.targetsAgeMs;
+  reading = other88.reading;
+  trying = other88.trying;
+  beatMs = other88.beatMs;
+  onlyLoads = other88.onlyLoads;
+  limits = other88.limits;
+  knownRelays = other88.knownRelays;
+  documentVersion = other88.documentVersion;
+  documentHistoryFrom = other88.documentHistoryFrom;
+  documentAgeMs = other88.documentAgeMs;
+  promptCrashes = other88.promptCrashes;
+  soundParts = other88.soundParts;
+  __isset = other88.__isset;
+}
+RelayHeartbeat::RelayHeartbeat(RelayHeartbeat&& other89) noexcept {
+  node = std::move(other89.node);
+  incarnation = other89.incarnation;
+  sequence = other89.sequence;
+  callers = std::move(other89.callers);
+  peers = std::move(other89.peers);
+  dataCentre = std::move(other89.dataCentre);
+  accepting = other89.accepting;
+  documentTableVersion = other89.documentTableVersion;
+  loads = std::move(other89.loads);
+  targets = std::move(other89.targets);
+  crashes = std::move(other89.crashes);
+  known = std::move(other89.known);
+  targetsDigest = other89.targetsDigest;
+  targetsVersion = other89.targetsVersion;
+  targetsAgeMs = other89.targetsAgeMs;
+  reading = other89.reading;
+  trying = other89.trying;
+  beatMs = other89.beatMs;
+  onlyLoads = other89.onlyLoads;
+  limits = std::move(other89.limits);
+  knownRelays = other89.knownRelays;
+  documentVersion = other89.documentVersion;
+  documentHistoryFrom = other89.documentHistoryFrom;
+  documentAgeMs = other89.documentAgeMs;
+  promptCrashes = std::move(other89.promptCrashes);
+  soundParts = std::move(other89.soundParts);
+  __isset = other89.__isset;
+}
+RelayHeartbeat& RelayHeartbeat::operator=(const RelayHeartbeat& other90) {
+  node = other90.node;
+  incarnation = other90.incarnation;
+  sequence = other90.sequence;
+  callers = other90.callers;
+  peers = other90.peers;
+  dataCentre = other90.dataCentre;
+  accepting = other90.accepting;
+  documentTableVersion = other90.documentTableVersion;
+  loads = other90.loads;
+  targets = other90.targets;
+  crashes = other90.crashes;
+  known = other90.known;
+  targetsDigest = other90.targetsDigest;
+  targetsVersion = other90.targetsVersion;
+  targetsAgeMs = other90.targetsAgeMs;
+  reading = other90.reading;
+  trying = other90.trying;
+  beatMs = other90.beatMs;
+  onlyLoads = other90.onlyLoads;
+  limits = other90.limits;
+  knownRelays = other90.knownRelays;
+  documentVersion = other90.documentVersion;
+  documentHistoryFrom = other90.documentHistoryFrom;
+  documentAgeMs = other90.documentAgeMs;
+  promptCrashes = other90.promptCrashes;
+  soundParts = other90.soundParts;
+  __isset = other90.__isset;
   return *this;
 }
-RelayHeartbeat& RelayHeartbeat::operator=(RelayHeartbeat&& other55) noexcept {
-  node = std::move(other55.node);
-  incarnation = other55.incarnation;
-  sequence = other55.sequence;
-  callers = std::move(other55.callers);
-  peers = std::move(other55.peers);
-  dataCentre = std::move(other55.dataCentre);
-  accepting = other55.accepting;
-  documentTableVersion = other55.documentTableVersion;
-  loads = std::move(other55.loads);
-  targets = std::move(other55.targets);
-  crashes = std::move(other55.crashes);
-  known = std::move(other55.known);
-  targetsDigest = other55.targetsDigest;
-  targetsVersion = other55.targetsVersion;
-  targetsAgeMs = other55.targetsAgeMs;
-  reading = other55.reading;
-  trying = other55.trying;
-  beatMs = other55.beatMs;
-  onlyLoads = other55.onlyLoads;
-  limits = std::move(other55.limits);
-  knownRelays = other55.knownRelays;
-  documentVersion = other55.documentVersion;
-  documentHistoryFrom = other55.documentHistoryFrom;
-  documentAgeMs = other55.documentAgeMs;
-  __isset = other55.__isset;
+RelayHeartbeat& RelayHeartbeat::operator=(RelayHeartbeat&& other91) noexcept {
+  node = std::move(other91.node);
+  incarnation = other91.incarnation;
+  sequence = other91.sequence;
+  callers = std::move(other91.callers);
+  peers = std::move(other91.peers);
+  dataCentre = std::move(other91.dataCentre);
+  accepting = other91.accepting;
+  documentTableVersion = other91.documentTableVersion;
+  loads = std::move(other91.loads);
+  targets = std::move(other91.targets);
+  crashes = std::move(other91.crashes);
+  known = std::move(other91.known);
+  targetsDigest = other91.targetsDigest;
+  targetsVersion = other91.targetsVersion;
+  targetsAgeMs = other91.targetsAgeMs;
+  reading = other91.reading;
+  trying = other91.trying;
+  beatMs = other91.beatMs;
+  onlyLoads = other91.onlyLoads;
+  limits = std::move(other91.limits);
+  knownRelays = other91.knownRelays;
+  documentVersion = other91.documentVersion;
+  documentHistoryFrom = other91.documentHistoryFrom;
+  documentAgeMs = other91.documentAgeMs;
+  promptCrashes = std::move(other91.promptCrashes);
+  soundParts = std::move(other91.soundParts);
+  __isset = other91.__isset;
   return *this;
 }
 void RelayHeartbeat::printTo(std::ostream& out) const {
@@ -1591,6 +2152,8 @@
   out << ", " << "documentVersion="; (__isset.documentVersion ? (out << to_string(documentVersion)) : (out << "<null>"));
   out << ", " << "documentHistoryFrom="; (__isset.documentHistoryFrom ? (out << to_string(documentHistoryFrom)) : (out << "<null>"));
   out << ", " << "documentAgeMs="; (__isset.documentAgeMs ? (out << to_string(documentAgeMs)) : (out << "<null>"));
+  out << ", " << "promptCrashes="; (__isset.promptCrashes ? (out << to_string(promptCrashes)) : (out << "<null>"));
+  out << ", " << "soundParts="; (__isset.soundParts ? (out << to_string(soundParts)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibRelay/Generated/Relay_types.h
+++ b/Libraries/LibRelay/Generated/Relay_types.h
@@ -27,6 +27,12 @@
 
 class CrashOnTarget;
 
+class PromptSuspect;
+
+class PromptCrash;
+
+class SoundPart;
+
 class LimitOfTarget;
 
 class RelayHeartbeat;
@@ -284,6 +290,181 @@
 
 std::ostream& operator<<(std::ostream& out, const CrashOnTarget& obj);
 
+typedef struct _PromptSuspect__isset {
+  _PromptSuspect__isset() : digest(false), begun(false), parts(false) {}
+  bool digest :1;
+  bool begun :1;
+  bool parts :1;
+} _PromptSuspect__isset;
+
+class PromptSuspect : public virtual ::apache::thrift::TBase {
+ public:
+
+  PromptSuspect(const PromptSuspect&);
+  PromptSuspect(PromptSuspect&&) noexcept;
+  PromptSuspect& operator=(const PromptSuspect&);
+  PromptSuspect& operator=(PromptSuspect&&) noexcept;
+  PromptSuspect() noexcept
+                : digest(0),
+                  begun(0) {
+  }
+
+  virtual ~PromptSuspect() noexcept;
+  int64_t digest;
+  bool begun;
+  std::vector<int64_t>  parts;
+
+  _PromptSuspect__isset __isset;
+
+  void __set_digest(const int64_t val);
+
+  void __set_begun(const bool val);
+
+  void __set_parts(const std::vector<int64_t> & val);
+
+  bool operator == (const PromptSuspect & rhs) const
+  {
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(begun == rhs.begun))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    return true;
+  }
+  bool operator != (const PromptSuspect &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PromptSuspect & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PromptSuspect &a, PromptSuspect &b);
+
+std::ostream& operator<<(std::ostream& out, const PromptSuspect& obj);
+
+typedef struct _PromptCrash__isset {
+  _PromptCrash__isset() : target(false), incarnation(false), ageMs(false), requests(false) {}
+  bool target :1;
+  bool incarnation :1;
+  bool ageMs :1;
+  bool requests :1;
+} _PromptCrash__isset;
+
+class PromptCrash : public virtual ::apache::thrift::TBase {
+ public:
+
+  PromptCrash(const PromptCrash&);
+  PromptCrash(PromptCrash&&) noexcept;
+  PromptCrash& operator=(const PromptCrash&);
+  PromptCrash& operator=(PromptCrash&&) noexcept;
+  PromptCrash() noexcept
+              : target(),
+                incarnation(0),
+                ageMs(0) {
+  }
+
+  virtual ~PromptCrash() noexcept;
+  std::string target;
+  int64_t incarnation;
+  int32_t ageMs;
+  std::vector<PromptSuspect>  requests;
+
+  _PromptCrash__isset __isset;
+
+  void __set_target(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_ageMs(const int32_t val);
+
+  void __set_requests(const std::vector<PromptSuspect> & val);
+
+  bool operator == (const PromptCrash & rhs) const
+  {
+    if (!(target == rhs.target))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    return true;
+  }
+  bool operator != (const PromptCrash &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PromptCrash & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PromptCrash &a, PromptCrash &b);
+
+std::ostream& operator<<(std::ostream& out, const PromptCrash& obj);
+
+typedef struct _SoundPart__isset {
+  _SoundPart__isset() : part(false), ageMs(false) {}
+  bool part :1;
+  bool ageMs :1;
+} _SoundPart__isset;
+
+class SoundPart : public virtual ::apache::thrift::TBase {
+ public:
+
+  SoundPart(const SoundPart&) noexcept;
+  SoundPart(SoundPart&&) noexcept;
+  SoundPart& operator=(const SoundPart&) noexcept;
+  SoundPart& operator=(SoundPart&&) noexcept;
+  SoundPart() noexcept
+            : part(0),
+              ageMs(0) {
+  }
+
+  virtual ~SoundPart() noexcept;
+  int64_t part;
+  int32_t ageMs;
+
+  _SoundPart__isset __isset;
+
+  void __set_part(const int64_t val);
+
+  void __set_ageMs(const int32_t val);
+
+  bool operator == (const SoundPart & rhs) const
+  {
+    if (!(part == rhs.part))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    return true;
+  }
+  bool operator != (const SoundPart &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SoundPart & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SoundPart &a, SoundPart &b);
+
+std::ostream& operator<<(std::ostream& out, const SoundPart& obj);
+
 typedef struct _LimitOfTarget__isset {
   _LimitOfTarget__isset() : target(false), incarnation(false), perSecond(false), ageMs(false) {}
   bool target :1;
@@ -351,7 +532,7 @@
 std::ostream& operator<<(std::ostream& out, const LimitOfTarget& obj);
 
 typedef struct _RelayHeartbeat__isset {
-  _RelayHeartbeat__isset() : node(false), incarnation(false), sequence(false), callers(false), peers(false), dataCentre(false), accepting(false), documentTableVersion(false), loads(false), targets(false), crashes(false), known(false), targetsDigest(false), targetsVersion(false), targetsAgeMs(false), reading(false), trying(false), beatMs(false), onlyLoads(false), limits(false), knownRelays(false), documentVersion(false), documentHistoryFrom(false), documentAgeMs(false) {}
+  _RelayHeartbeat__isset() : node(false), incarnation(false), sequence(false), callers(false), peers(false), dataCentre(false), accepting(false), documentTableVersion(false), loads(false), targets(false), crashes(false), known(false), targetsDigest(false), targetsVersion(false), targetsAgeMs(false), reading(false), trying(false), beatMs(false), onlyLoads(false), limits(false), knownRelays(false), documentVersion(false), documentHistoryFrom(false), documentAgeMs(false), promptCrashes(false), soundParts(false) {}
   bool node :1;
   bool incarnation :1;
   bool sequence :1;
@@ -376,6 +557,8 @@
   bool documentVersion :1;
   bool documentHistoryFrom :1;
   bool documentAgeMs :1;
+  bool promptCrashes :1;
+  bool soundParts :1;
 } _RelayHeartbeat__isset;
 
 class RelayHeartbeat : public virtual ::apache::thrift::TBase {
@@ -432,6 +615,8 @@
   int64_t documentVersion;
   int64_t documentHistoryFrom;
   int32_t documentAgeMs;
+  std::vector<PromptCrash>  promptCrashes;
+  std::vector<SoundPart>  soundParts;
 
   _RelayHeartbeat__isset __isset;
 
@@ -483,6 +668,10 @@
 
   void __set_documentAgeMs(const int32_t val);
 
+  void __set_promptCrashes(const std::vector<PromptCrash> & val);
+
+  void __set_soundParts(const std::vector<SoundPart> & val);
+
   bool operator == (const RelayHeartbeat & rhs) const
   {
     if (!(node == rhs.node))
@@ -543,6 +732,14 @@
       return false;
     else if (__isset.documentAgeMs && !(documentAgeMs == rhs.documentAgeMs))
       return false;
+    if (__isset.promptCrashes != rhs.__isset.promptCrashes)
+      return false;
+    else if (__isset.promptCrashes && !(promptCrashes == rhs.promptCrashes))
+      return false;
+    if (__isset.soundParts != rhs.__isset.soundParts)
+      return false;
+    else if (__isset.soundParts && !(soundParts == rhs.soundParts))
+      return false;
     return true;
   }
   bool operator != (const RelayHeartbeat &rhs) const {
--- a/Libraries/LibRelay/PeerHeartbeatCodec.cpp
+++ b/Libraries/LibRelay/PeerHeartbeatCodec.cpp
@@ -66,6 +66,40 @@
             .running = crash.running};
 }
 
+int32_t toWireAge(std::chrono::milliseconds age)
+{
+    return static_cast<int32_t>(std::min<int64_t>(age.count(), std::numeric_limits<int32_t>::max()));
+}
+
+Wire::PromptCrash toWire(const PromptPartCrash &crash)
+{
+    Wire::PromptCrash result;
+    result.target = crash.target;
+    result.incarnation = static_cast<int64_t>(crash.incarnation);
+    result.ageMs = toWireAge(crash.age);
+    for (const auto &request : crash.requests) {
+        Wire::PromptSuspect suspect;
+        suspect.digest = static_cast<int64_t>(request.digest);
+        suspect.begun = request.hasBegun;
+        suspect.parts.assign(request.parts.begin(), request.parts.end());
+        result.requests.push_back(std::move(suspect));
+    }
+    return result;
+}
+
+PromptPartCrash promptCrashFromWire(const Wire::PromptCrash &crash)
+{
+    PromptPartCrash result {.target = crash.target,
+                            .incarnation = static_cast<uint64_t>(crash.incarnation),
+                            .age = std::chrono::milliseconds(std::max(0, crash.ageMs)),
+                            .requests = {}};
+    for (const auto &suspect : crash.requests) {
+        result.requests.push_back(
+            {.digest = static_cast<uint64_t>(suspect.digest), .hasBegun = suspect.begun, .parts = {suspect.parts.begin(), suspect.parts.end()}});
+    }
+    return result;
+}
+
 // A statement that the target no longer names a limit.
 constexpr double NoLimit = -1;
 
@@ -123,6 +157,17 @@
     for (const auto &crash : heartbeat.crashes) {
         result.crashes.push_back(toWire(crash));
     }
+    for (const auto &crash : heartbeat.promptCrashes) {
+        result.promptCrashes.push_back(toWire(crash));
+    }
+    result.__isset.promptCrashes = !result.promptCrashes.empty();
+    for (const auto &sound : heartbeat.soundParts) {
+        Wire::SoundPart wire;
+        wire.part = static_cast<int64_t>(sound.part);
+        wire.ageMs = toWireAge(sound.age);
+        result.soundParts.push_back(wire);
+    }
+    result.__isset.soundParts = !result.soundParts.empty();
     result.known = heartbeat.known;
     for (const auto &statement : heartbeat.requestLimits) {
         result.limits.push_back(toWire(statement));
@@ -166,6 +211,12 @@
     for (const auto &crash : wire.crashes) {
         heartbeat.crashes.push_back(crashFromWire(crash));
     }
+    for (const auto &crash : wire.promptCrashes) {
+        heartbeat.promptCrashes.push_back(promptCrashFromWire(crash));
+    }
+    for (const auto &sound : wire.soundParts) {
+        heartbeat.soundParts.push_back({.part = static_cast<uint64_t>(sound.part), .age = std::chrono::milliseconds(std::max(0, sound.ageMs))});
+    }
     heartbeat.known = wire.known;
     for (const auto &limit : wire.limits) {
         heartbeat.requestLimits.push_back(statementFromWire(limit, wire.node));
@@ -189,6 +240,8 @@
                                 maxBytes - FormatMarker.size(),
                                 &RelayHeartbeat::known,
                                 &RelayHeartbeat::crashes,
+                                &RelayHeartbeat::soundParts,
+                                &RelayHeartbeat::promptCrashes,
                                 &RelayHeartbeat::loads,
                                 &RelayHeartbeat::limits,
                                 &RelayHeartbeat::targets);
--- a/Libraries/LibRelay/PeerTable.h
+++ b/Libraries/LibRelay/PeerTable.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <LibCore/Time.h>
 #include <LibPolicy/CrashSuspects.h>
+#include <LibPolicy/PromptPartSuspects.h>
 #include <LibRelay/ColdTargetRateLimiter.h>
 #include <LibRelay/ServiceRetryBudget.h>
 #include <LibRelay/TargetLoad.h>
@@ -54,6 +55,8 @@
     // Targets that changed recently.
     std::vector<TargetEntry> targets;
     std::vector<TargetCrash> crashes;
+    std::vector<PromptPartCrash> promptCrashes;
+    std::vector<SoundPromptPart> soundParts;
     // Addresses of further relays.
     std::vector<std::string> known;
     // Request limits that the relay has received from targets recently.
--- a/Libraries/LibRelay/Relay.thrift
+++ b/Libraries/LibRelay/Relay.thrift
@@ -35,6 +35,27 @@
   5: i32 running
 }
 
+// A request that may have crashed its target, with the parts of its prompt.
+struct PromptSuspect {
+  1: i64 digest
+  2: bool begun
+  3: list<i64> parts
+}
+
+// One crash of a target with the requests that had just begun there or were about to.
+struct PromptCrash {
+  1: string target
+  2: i64 incarnation
+  3: i32 ageMs
+  4: list<PromptSuspect> requests
+}
+
+// A part of prompts to which a target has responded well.
+struct SoundPart {
+  1: i64 part
+  2: i32 ageMs
+}
+
 // A limit that a target has named on the requests of all relays together.
 struct LimitOfTarget {
   1: string target
@@ -82,4 +103,6 @@
   24: optional i64 documentHistoryFrom
   // Time since the sender's own last read of it.
   25: optional i32 documentAgeMs
+  26: optional list<PromptCrash> promptCrashes
+  27: optional list<SoundPart> soundParts
 }
--- a/Libraries/LibRelayServer/PeerLink.cpp
+++ b/Libraries/LibRelayServer/PeerLink.cpp
@@ -32,6 +32,8 @@
 // Number of addresses sent to a relay whose first heartbeat was received.
 constexpr size_t MaxIntroductionAddresses = 40;
 constexpr size_t MaxCrashReports = 8;
+// Sound parts of prompts that are under suspicion.
+constexpr size_t MaxSoundParts = 16;
 // Number of changed targets in one datagram, so that none is left out for lack of space.
 constexpr size_t MaxTargetsPerDatagram = 10;
 
@@ -110,6 +112,12 @@
     for (const auto &crash : heartbeat->crashes) {
         m_core.crashSuspects.merge(crash, now);
     }
+    for (const auto &sound : heartbeat->soundParts) {
+        m_core.promptParts.recordSound({sound.part}, sound.age, now);
+    }
+    for (const auto &crash : heartbeat->promptCrashes) {
+        m_core.promptParts.recordCrash(crash, now);
+    }
     m_hooks.onDocumentVersion(*heartbeat);
     if (change == PeerTable::Change::Joined) {
         auto line = m_core.line(EventKind::PeerJoined);
@@ -294,6 +302,8 @@
                           .accepting = m_core.routes != nullptr && !m_core.isDraining(),
                           .loads = m_core.balancer.ownLoads(),
                           .crashes = m_core.crashSuspects.reports(MaxCrashReports, now),
+                          .promptCrashes = m_core.promptParts.crashes(MaxCrashReports, now),
+                          .soundParts = m_core.promptParts.soundSuspects(MaxSoundParts, now),
                           .known = m_core.peers.knownAddresses(MaxKnownAddresses, now, m_core.random()),
                           .requestLimits = m_core.balancer.requestLimits().recentStatements(LimitReportTime, now),
                           .knownRelays = m_core.peers.knownRelayCount()};
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -83,6 +83,7 @@
     relay->m_ownReadDelay = std::chrono::milliseconds(static_cast<int64_t>(relay->m_core.random() % MaxOwnReadDelayMs));
     relay->followStore();
     relay->m_core.onMigrationEnded = [raw = relay.get()] { raw->m_peers.scheduleHeartbeat(NotificationScope::All); };
+    relay->m_core.onCrashObserved = [raw = relay.get()] { raw->m_peers.scheduleHeartbeat(NotificationScope::All); };
     relay->m_core.documentAge = [raw = relay.get()](MonotonicTime now) { return raw->m_documents->age(now); };
     relay->m_core.detectFreeze = [raw = relay.get()](MonotonicTime now) { raw->detectFreeze(now); };
     relay->m_core.onRequestLimitLowered = [raw = relay.get()] { raw->m_peers.scheduleHeartbeat(NotificationScope::All); };
@@ -245,6 +246,8 @@
         m_core.client.expire(now);
         m_core.balancer.expire(now);
         m_core.crashSuspects.expire(now);
+        m_core.promptParts.expire(now);
+        m_core.logRejectedParts(now);
         m_core.migrations.expire(now);
         m_core.metrics.set("relay_open_channels", static_cast<double>(m_callers->channelCount()));
         m_core.metrics.set("relay_requests_running", static_cast<double>(m_core.running.size()));
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -20,6 +20,8 @@
 // A target is not checked any more if its request limit has not allowed that for this time.
 constexpr std::chrono::milliseconds MaxCheckDelay {1000};
 constexpr std::chrono::milliseconds StateTimeout {400};
+// A request that crashes its target does so within this time after its first event.
+constexpr std::chrono::milliseconds MaxTimeToCrash {500};
 constexpr double MillisecondsPerSecond = 1000;
 // A limit that falls below this part of the previous one is reported to peers at once.
 constexpr double SignificantReduction = 0.8;
@@ -38,6 +40,7 @@
     , targets({})
     , balancer({.region = options.region, .regions = options.regions, .cooldowns = {.maxCooldown = options.maxCooldown}})
     , peers({.ownAddress = options.peers.toText(), .ownName = options.node, .region = options.region, .regions = options.regions}, monotonicNow())
+    , promptParts({})
     , m_lines(lines)
     , m_random(std::random_device {}())
     , m_interruptedTimer(loopInUse)
@@ -274,6 +277,11 @@
             return;
         }
         const auto state = response.isSuccess() ? adapter.decodeState(response.body) : absl::StatusOr<EngineState>(EngineState {});
+        const bool isBackAlready = response.isSuccess() && state.ok() && state->incarnation != incarnation;
+        if (!interrupted.empty() && (isBackAlready || response.end != ChannelEnd::Complete)) {
+            recordCrash(target, incarnation, interrupted, isBackAlready ? "new incarnation" : response.error, now);
+            return;
+        }
         if (state.ok() && state->leaving) {
             recordLeaving(target, state->incarnation, "own report", now);
         }
@@ -284,8 +292,13 @@
     const std::string &target, int64_t incarnation, const std::vector<InterruptedRequest> &interrupted, std::string_view reason, MonotonicTime now)
 {
     TargetCrash crash {.target = target, .incarnation = static_cast<uint64_t>(incarnation), .members = {}, .running = static_cast<int>(interrupted.size())};
+    PromptPartCrash promptCrash {.target = target, .incarnation = static_cast<uint64_t>(incarnation), .age = {}, .requests = {}};
     std::string requests;
     for (const auto &request : interrupted) {
+        // A target that has been writing a response for a while crashes for another reason.
+        if (!request.parts.empty() && (request.events == 0 || request.eventsFor < MaxTimeToCrash)) {
+            promptCrash.requests.push_back({.digest = request.digest, .hasBegun = request.hasBegun, .parts = request.parts});
+        }
         crash.members.push_back(request.digest);
         absl::StrAppend(&requests, requests.empty() ? "" : " ", request.hasBegun ? "begun" : "not begun", "/", request.events, "/");
         for (const auto part : request.parts) {
@@ -293,11 +306,45 @@
         }
     }
     crashSuspects.merge(crash, now);
+    if (promptParts.recordCrash(promptCrash, now)) {
+        onCrashObserved();
+    }
     auto entry = line(EventKind::CrashSuspected);
     entry.add("target", target).add("requests", static_cast<int64_t>(interrupted.size())).add("reason", reason).add("suspects", requests);
     log(entry);
 }
 
+bool RelayCore::triesPart(uint64_t part, MonotonicTime now) const
+{
+    const auto weight = [part](const std::string &node) { return XXH3_64bits_withSeed(node.data(), node.size(), part); };
+    const auto own = weight(options.node);
+    const auto live = peers.livePeers(now);
+    return std::none_of(live.begin(), live.end(), [&](const Peer *peer) { return weight(peer->latestHeartbeat.node) > own; });
+}
+
+void RelayCore::logRejectedParts(MonotonicTime now)
+{
+    const auto parts = promptParts.rejectedParts(now);
+    absl::flat_hash_set<uint64_t> rejected(parts.begin(), parts.end());
+    const auto logPart = [this](EventKind kind, uint64_t part) {
+        auto entry = line(kind);
+        entry.add("part", absl::StrCat(absl::Hex(part)));
+        log(entry);
+    };
+    for (const auto part : rejected) {
+        if (!m_rejectedParts.contains(part)) {
+            logPart(EventKind::PromptPartRejected, part);
+        }
+    }
+    for (const auto part : m_rejectedParts) {
+        if (!rejected.contains(part)) {
+            logPart(EventKind::PromptPartAllowed, part);
+        }
+    }
+    metrics.set("relay_rejected_prompt_parts", static_cast<double>(rejected.size()));
+    m_rejectedParts = std::move(rejected);
+}
+
 void RelayCore::releaseWaitingMigrations(MonotonicTime now)
 {
     bool released = false;
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -7,6 +7,7 @@
 #include <LibLoop/LoopClient.h>
 #include <LibMetrics/Metrics.h>
 #include <LibPolicy/CrashSuspects.h>
+#include <LibPolicy/PromptPartSuspects.h>
 #include <LibRelay/MigrationSchedule.h>
 #include <LibRelay/PeerTable.h>
 #include <LibRelay/RouteTable.h>
@@ -51,6 +52,9 @@
     TargetBalancer balancer;
     PeerTable peers;
     CrashSuspects crashSuspects;
+    PromptPartSuspects promptParts;
+    // Parts of prompts that this relay is trying again, each with one request.
+    absl::flat_hash_set<uint64_t> triedParts;
     MigrationSchedule migrations;
     // A graceful shutdown in progress. Its grace period is the one in force at its beginning, because requests were taken in reliance on it.
     struct Drain {
@@ -96,6 +100,11 @@
     // Sets the metrics of the request limits in force.
     void exportRequestLimits(MonotonicTime now);
 
+    // Whether this relay is the one that tries a part of prompts again that crashed targets long ago. All relays that know each other agree on one.
+    bool triesPart(uint64_t part, MonotonicTime now) const;
+    // Logs which parts of prompts have been rejected since the last call, and which are not any more.
+    void logRejectedParts(MonotonicTime now);
+
     // Reads an engine's state to detect that it is leaving or has crashed. `interrupted` are the requests whose responses were interrupted there.
     void checkTarget(const std::string &target, const std::vector<InterruptedRequest> &interrupted);
     // Handles an interrupted response of a target that was not known to be leaving.
@@ -109,6 +118,8 @@
     std::function<void(MonotonicTime now)> detectFreeze = [](MonotonicTime) {};
     // Called when a target has named to this relay a limit that peers do not know, or a lower one.
     std::function<void()> onRequestLimitLowered = [] {};
+    // Called when this relay has observed a crash that peers do not know.
+    std::function<void()> onCrashObserved = [] {};
     // Called when a generation has left a target that is leaving, because another relay may be waiting for that.
     std::function<void()> onMigrationEnded = [] {};
 
@@ -141,6 +152,7 @@
     absl::flat_hash_map<std::string, Interruption> m_interrupted;
     // The relays among which the limit of the target is divided that was asked for last.
     std::vector<RequestLimitParticipants::Relay> m_limitSharers;
+    absl::flat_hash_set<uint64_t> m_rejectedParts;
     boost::asio::steady_timer m_interruptedTimer;
     boost::asio::steady_timer m_migrationTimer;
     absl::flat_hash_map<std::string, std::unique_ptr<ServiceRetryBudget>> m_retryBudgets;
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -29,6 +29,10 @@
 constexpr std::chrono::milliseconds MaxWaitForRequestLimit {1000};
 // A relay that has not known its document to be current for this time does not turn requests away for good, because a newer document may allow them.
 constexpr std::chrono::milliseconds MaxDocumentAgeForDenial {2500};
+// Time for which others wait while a part of prompts is tried again that crashed targets.
+constexpr std::chrono::milliseconds TrialTime {5000};
+// A target that lives on for this time after its first event has responded well.
+constexpr std::chrono::milliseconds SoundResponseTime {1000};
 constexpr int FirstServerError = 500;
 
 std::chrono::milliseconds wholeMilliseconds(MonotonicTime::duration time)
@@ -105,8 +109,7 @@
         // The last part belongs to the request alone.
         m_promptParts.pop_back();
     }
-    const auto verdict = m_core.crashSuspects.verdict(m_digest, now).action;
-    if (verdict == CrashVerdict::Action::Reject || verdict == CrashVerdict::Action::Wait) {
+    if (poisonousUntil(now)) {
         return RelayOutcome::PoisonRequest;
     }
     if (m_core.isDraining() && !endsBeforeStop(m_admission.deadline, m_core.stopAt())) {
@@ -131,18 +134,50 @@
     m_core.metrics.count("relay_requests_total");
 }
 
-std::chrono::milliseconds RelayExchange::retryAfterFor(RelayOutcome outcome, MonotonicTime now) const
+std::chrono::milliseconds RelayExchange::retryAfterFor(RelayOutcome outcome, MonotonicTime now)
 {
     if (outcome == RelayOutcome::Draining) {
         return OtherRelayRetryAfter;
     }
     if (outcome == RelayOutcome::PoisonRequest) {
-        const auto until = m_core.crashSuspects.verdict(m_digest, now).until;
-        return std::max(DefaultRetryAfter, wholeMilliseconds(until - now));
+        return std::max(DefaultRetryAfter, wholeMilliseconds(poisonousUntil(now).value_or(now) - now));
     }
     return DefaultRetryAfter;
 }
 
+std::optional<MonotonicTime> RelayExchange::poisonousUntil(MonotonicTime now)
+{
+    if (const auto verdict = m_core.crashSuspects.verdict(m_digest, now);
+        verdict.action == CrashVerdict::Action::Reject || verdict.action == CrashVerdict::Action::Wait) {
+        return verdict.until;
+    }
+    const auto verdict = m_core.promptParts.verdict(m_promptParts, now);
+    switch (verdict.action) {
+    case PromptPartVerdict::Action::Run:
+        break;
+    case PromptPartVerdict::Action::Reject:
+        return verdict.until;
+    case PromptPartVerdict::Action::Try:
+        if (m_triedPart == verdict.part) {
+            break;
+        }
+        if (!m_core.triesPart(verdict.part, now) || !m_core.triedParts.insert(verdict.part).second) {
+            return now + TrialTime;
+        }
+        m_triedPart = verdict.part;
+        break;
+    }
+    return std::nullopt;
+}
+
+void RelayExchange::noteSoundResponse(MonotonicTime now)
+{
+    if (!m_isSound && !m_promptParts.empty()) {
+        m_isSound = true;
+        m_core.promptParts.recordSound(m_promptParts, {}, now);
+    }
+}
+
 void RelayExchange::createSession()
 {
     const RequestProperties facts {.id = m_id,
@@ -181,6 +216,13 @@
     if (m_core.balancer.requestLimits().hasLimits()) {
         m_core.detectFreeze(now);
     }
+    if (const auto until = poisonousUntil(now)) {
+        return {.rejection = RelayOutcome::PoisonRequest, .retryAfter = std::max(DefaultRetryAfter, wholeMilliseconds(*until - now))};
+    }
+    if (m_mayHaveCrashedTarget && !m_core.promptParts.areSound(m_promptParts, now)) {
+        // Another target may crash as well.
+        return {};
+    }
     const TargetBalancer::Query query {.demand = m_admission.demand,
                                        .excluded = excluded,
                                        .homeRegions = m_admission.homeRegions,
@@ -406,6 +448,9 @@
     m_core.balancer.onTokensProduced(m_id, (events - m_eventsCounted) * m_admission.service->engine->tokensPerEvent);
     m_lastEventAt = now;
     m_eventsCounted = events;
+    if (now - m_firstEventAt >= SoundResponseTime) {
+        noteSoundResponse(now);
+    }
 }
 
 void RelayExchange::onEnd(ChannelEnd end, const std::string &error)
@@ -426,6 +471,7 @@
         if (end == ChannelEnd::NotSent) {
             m_core.balancer.markUnreachable(m_target, now);
         } else if (!m_session->isMigrating()) {
+            m_mayHaveCrashedTarget = m_isResponseNamed && m_eventsCounted == 0 && !m_promptParts.empty();
             m_core.noteInterruptedResponse(m_target,
                                            {.digest = m_digest,
                                             .hasBegun = m_isResponseNamed,
@@ -460,6 +506,9 @@
 
 void RelayExchange::finishResponse()
 {
+    if (m_eventsCounted > 0) {
+        noteSoundResponse(monotonicNow());
+    }
     auto line = m_core.line(EventKind::RelayFinished);
     const auto took = wholeMilliseconds(monotonicNow() - m_request.arrivedAt);
     line.add("request", m_id)
@@ -601,6 +650,9 @@
         return;
     }
     m_isFinished = true;
+    if (m_triedPart) {
+        m_core.triedParts.erase(*m_triedPart);
+    }
     m_core.balancer.onRunEnded(m_id, end, monotonicNow());
     m_core.balancer.dropCopy(m_id);
     m_core.running.erase(this);
