--- a/Libraries/LibPolicy/PromptPartSuspects.cpp
+++ b/Libraries/LibPolicy/PromptPartSuspects.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 #include <tuple>
 
 namespace Jujube
@@ -121,6 +120,7 @@
 {
     update(now);
     std::vector<uint64_t> parts;
+    parts.reserve(m_rejected.size());
     for (const auto &rejection : m_rejected) {
         if (now < rejection.until) {
             parts.push_back(rejection.parts.front());
@@ -189,6 +189,7 @@
         }
     }
     std::vector<SoundPromptPart> result;
+    result.reserve(sound.size());
     for (const auto &[part, time] : sound) {
         result.push_back({.part = part, .age = std::chrono::duration_cast<std::chrono::milliseconds>(now - time)});
     }
@@ -299,7 +300,11 @@
     // fewest requests in each is taken: a part that is shared by others was in these crashes as well, and in requests that were on the targets by chance.
     const auto isSound = [&](uint64_t part) { return soundAt(part, now).has_value(); };
     std::vector<uint64_t> candidates;
-    std::ranges::copy_if(std::views::keys(all), std::back_inserter(candidates), [&](uint64_t part) { return suffices(part, all, now); });
+    for (const auto &[part, evidence] : all) {
+        if (suffices(part, all, now)) {
+            candidates.push_back(part);
+        }
+    }
     if (!std::ranges::all_of(candidates, isSound)) {
         std::erase_if(candidates, isSound);
     }
