--- a/Libraries/LibLoop/CallerChannel.cpp
+++ b/Libraries/LibLoop/CallerChannel.cpp
@@ -191,10 +191,11 @@
     }
     m_answerBegun = true;
     m_framing = framing;
+    m_keep = m_keep && !framing.endsWithChannel;
     addChannelFields(head);
     if (framing.length) {
         head.set("Content-Length", absl::StrCat(*framing.length));
-    } else if (framing.hasBody) {
+    } else if (framing.hasBody && !framing.endsWithChannel) {
         head.set("Transfer-Encoding", "chunked");
     }
     append(answerText(head));
@@ -205,7 +206,7 @@
     if (m_state != State::Answering || bytes.empty() || !m_framing.hasBody) {
         return;
     }
-    if (m_framing.length) {
+    if (m_framing.length || m_framing.endsWithChannel) {
         append(bytes);
     } else {
         append(chunkOf(bytes));
@@ -217,7 +218,7 @@
     if (m_state != State::Answering) {
         return;
     }
-    if (m_framing.hasBody && !m_framing.length) {
+    if (m_framing.hasBody && !m_framing.length && !m_framing.endsWithChannel) {
         append("0\r\n\r\n");
     }
     endAnswer();
--- a/Libraries/LibLoop/CallerChannel.h
+++ b/Libraries/LibLoop/CallerChannel.h
@@ -38,10 +38,12 @@
 
     // How the end of an answer's body is told to the caller.
     struct Framing {
-        // Without a length the body is sent in chunks.
+        // Without a length the body is sent in chunks, or ends with the channel.
         std::optional<uint64_t> length;
         // Whether the answer has a body. Answers to HEAD, 204 and 304 have none.
         bool hasBody = true;
+        // Whether a body without a length is sent without chunks, so that only the end of the channel ends it.
+        bool endsWithChannel = false;
     };
 
     // Called while an answer is being made.
--- a/Tests/Platform/TestRelay.cpp
+++ b/Tests/Platform/TestRelay.cpp
@@ -168,6 +168,30 @@
     EXPECT_TRUE(testBed.runUntil([&] { return engine.activeCount() == 0; }));
 }
 
+// Guards against whole responses that count as broken because only the end of their connection ends them.
+TEST(Relay, ResponsesThatEndWithTheirConnectionAreWhole)
+{
+    constexpr int Events = 40;
+    RelayTestBed testBed;
+    testBed.writeDocument(1);
+    auto &engine = testBed.addTarget("i-1", "engine", Events);
+    auto &desk = testBed.addTarget("i-2", "desk");
+    engine.setEndsResponsesWithConnection();
+    desk.setEndsResponsesWithConnection();
+    testBed.addRelay("n1");
+    ASSERT_TRUE(testBed.waitUntilReady("n1"));
+    const auto [response, channel] = startStream(testBed, "/draft/x");
+    ASSERT_TRUE(testBed.runUntil([&] { return response->end != ChannelEnd::NotSent; }));
+    EXPECT_EQ(response->end, ChannelEnd::Complete);
+    EXPECT_TRUE(response->body == eventsText(Events)) << response->body.size() << " bytes";
+    EXPECT_EQ(engine.runCount(), 1);
+    const auto plain = testBed.call("n1", {.path = "/commit/x"});
+    EXPECT_EQ(plain.status, 200);
+    EXPECT_EQ(plain.end, ChannelEnd::Complete);
+    EXPECT_EQ(plain.body, "the whole answer");
+    EXPECT_EQ(desk.runCount(), 1);
+}
+
 // Guards against a draft that is lost, mixed with another run or run twice when its engine terminates.
 TEST(Relay, DraftMigratesWithItsKvCacheWhenItsEngineLeaves)
 {
