Keep a draft that was stopped for its migration from looking complete

Cause: an engine that is ordered to stop a run closes its stream without its end. With a length or in chunks, that is a broken response. A response without both ends with its connection, and RelaySession::onEnd took the end, while the response to the order was outstanding, for the end of the whole stream. The same after an order whose response was lost: the run may have been stopped.

Change: TargetResponse says whether only the connection ends the body. Such an end is then decided by the response to the order: the run was copied and goes on, or the engine did not run it any more or did not take the order, and the stream is whole. If the response to an order was lost, such an end counts as broken, because the two cases cannot be told apart.

Ruled out: TargetChannel and MessageParser (a reset is broken, an end within a header section too), EventSplitter (a stream that ends within an event is broken), HttpClient, EngineStream and LoopClient (their tests break off each framing behind each byte, that without a length too).

--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -77,6 +77,8 @@
     m_target = target;
     m_isTargetLeaving = false;
     m_isResponseAccepted = false;
+    m_mayBeStopped = false;
+    m_hasWholeEnd = false;
     m_bufferedBody.clear();
     m_response = {};
     m_events.discardPartialEvent();
@@ -182,6 +184,12 @@
     }
 }
 
+bool RelaySession::isWhole(ExchangeResult result) const
+{
+    // Without a length and chunks, a stream that was stopped between two events ends as a whole one does.
+    return result == ExchangeResult::Complete && m_isResponseAccepted && !m_events.hasPartialEvent() && !(m_response.endsWithConnection && m_mayBeStopped);
+}
+
 void RelaySession::complete()
 {
     m_isOver = true;
@@ -202,7 +210,8 @@
         return;
     }
     if (m_migration == Migration::Stopping) {
-        if (result == ExchangeResult::Complete && !m_events.hasPartialEvent()) {
+        m_hasWholeEnd = isWhole(result);
+        if (m_hasWholeEnd && !m_response.endsWithConnection) {
             complete();
             return;
         }
@@ -210,7 +219,7 @@
         m_target.reset();
         return;
     }
-    if (result == ExchangeResult::Complete && m_isResponseAccepted && !m_events.hasPartialEvent()) {
+    if (isWhole(result)) {
         complete();
         return;
     }
@@ -390,8 +399,14 @@
     if (!hasCopy && !isKeptAtSource) {
         m_migration = Migration::None;
         m_hooks.record("copy_failed", "no handle");
+        const bool hasNotStopped = result.kind == CopyResult::Kind::NotRunning || result.kind == CopyResult::Kind::Busy;
+        m_mayBeStopped = m_mayBeStopped || !hasNotStopped;
         if (!m_target) {
             m_target = m_source;
+            if (m_hasWholeEnd && !m_mayBeStopped) {
+                complete();
+                return;
+            }
             onFailure(ExchangeResult::Broken, false, now);
         }
         return;
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -105,6 +105,8 @@
     std::optional<double> requestLimit;
     // Length of the body, if the target has declared it.
     std::optional<uint64_t> length;
+    // Whether only the end of the connection ends the body. A stream that the target stops for a migration then ends as a whole one does.
+    bool endsWithConnection = false;
 };
 
 // How an exchange with a target ended.
@@ -233,6 +235,8 @@
     void fail(RelayOutcome outcome, std::chrono::milliseconds retryAfter);
     void ensureResponseBegun(std::optional<uint64_t> length);
     void writeEvents(std::string_view bytes);
+    // Whether an exchange that ended so has delivered a whole response.
+    bool isWhole(ExchangeResult result) const;
     void complete();
 
     const RequestProperties m_request;
@@ -244,6 +248,10 @@
     // Body bytes of a response that is not a stream, buffered until the response is complete.
     std::string m_bufferedBody;
     TargetResponse m_response;
+    // Whether the engine may have stopped the run: it was ordered to, and its response to the order has been lost.
+    bool m_mayBeStopped = false;
+    // Whether the stream of the run that was ordered to stop has ended as a whole one does.
+    bool m_hasWholeEnd = false;
     // Whether a response to the current attempt has been accepted.
     bool m_isResponseAccepted = false;
     // Whether the caller has received the header section of a response.
--- a/Libraries/LibRelayServer/RelayForwarding.cpp
+++ b/Libraries/LibRelayServer/RelayForwarding.cpp
@@ -129,7 +129,8 @@
             .cooldown = head.status == StatusUnavailable || head.status == StatusTooManyRequests ? parseRetryAfter(head) : std::nullopt,
             .hasRequestLimit = head.has(names.requestLimit),
             .requestLimit = parseRequestLimit(head, names.requestLimit),
-            .length = length};
+            .length = length,
+            .endsWithConnection = !length && !head.has("transfer-encoding")};
 }
 
 MessageHead forwardedResponse(const MessageHead &head)
--- a/Tests/LibRelay/TestRelaySession.cpp
+++ b/Tests/LibRelay/TestRelaySession.cpp
@@ -233,6 +233,90 @@
 namespace
 {
 
+// A draft that its leaving engine was ordered to stop, in a response that ends with its connection. The engine has sent two events.
+void stopDraft(SessionHarness &harness)
+{
+    auto head = SessionHarness::streamHead();
+    head.endsWithConnection = true;
+    harness.session().start(harness.now());
+    harness.session().onHead(head, harness.now());
+    harness.session().onBody(SessionHarness::events(1, 2), harness.now());
+    harness.session().onTargetLeaving(harness.now());
+    harness.session().onCopied({.kind = CopyResult::Kind::Copied, .handle = "h"}, harness.now());
+    ASSERT_EQ(harness.copyOrders, (std::vector<bool> {false, true}));
+}
+
+} // namespace
+
+// Guards against a draft that was stopped for its migration and looks complete, because the end of its connection may also be the end of a whole response.
+TEST(RelaySession, StoppedDraftIsNotCompleteByTheEndOfItsConnection)
+{
+    SessionHarness harness(Draft);
+    stopDraft(harness);
+    harness.session().onEnd(ExchangeResult::Complete, harness.now());
+    EXPECT_EQ(harness.finished, 0);
+    harness.session().onCopied({.kind = CopyResult::Kind::Copied, .handle = "h", .eventsProduced = 2}, harness.now());
+    ASSERT_EQ(harness.attempts.size(), 2U);
+    EXPECT_EQ(harness.attempts[1].lastEventId, 2);
+    harness.session().onHead(SessionHarness::streamHead(), harness.now());
+    harness.session().onBody(SessionHarness::events(3, 4), harness.now());
+    harness.session().onEnd(ExchangeResult::Complete, harness.now());
+    EXPECT_EQ(harness.receivedIds(), idsUpTo(4));
+    EXPECT_EQ(harness.finished, 1);
+}
+
+// Guards against a draft that had ended when the order to stop it arrived, and is cut or continued although it is whole.
+TEST(RelaySession, DraftThatEndedBeforeItsStopIsWhole)
+{
+    for (const auto kind : {CopyResult::Kind::NotRunning, CopyResult::Kind::Busy}) {
+        SessionHarness harness(Draft);
+        stopDraft(harness);
+        harness.session().onEnd(ExchangeResult::Complete, harness.now());
+        harness.session().onCopied({.kind = kind}, harness.now());
+        EXPECT_EQ(harness.finished, 1);
+        EXPECT_EQ(harness.cuts, 0);
+        EXPECT_EQ(harness.attempts.size(), 1U);
+        EXPECT_EQ(harness.receivedIds(), idsUpTo(2));
+    }
+    // The end of the response arrives behind the response to the order.
+    SessionHarness harness(Draft);
+    stopDraft(harness);
+    harness.session().onCopied({.kind = CopyResult::Kind::NotRunning}, harness.now());
+    harness.session().onEnd(ExchangeResult::Complete, harness.now());
+    EXPECT_EQ(harness.finished, 1);
+    EXPECT_EQ(harness.cuts, 0);
+}
+
+// Guards against a draft that looks complete although the order to stop it may have been carried out: the response to the order is lost.
+TEST(RelaySession, DraftThatMayHaveBeenStoppedIsNotComplete)
+{
+    for (const bool isEndFirst : {false, true}) {
+        SessionHarness harness(Draft);
+        stopDraft(harness);
+        if (isEndFirst) {
+            harness.session().onEnd(ExchangeResult::Complete, harness.now());
+        }
+        harness.session().onCopied({.kind = CopyResult::Kind::Unknown}, harness.now());
+        if (!isEndFirst) {
+            harness.session().onEnd(ExchangeResult::Complete, harness.now());
+        }
+        EXPECT_EQ(harness.finished, 0) << isEndFirst;
+        EXPECT_EQ(harness.cuts, 1) << isEndFirst;
+    }
+    // A second order finds no run at the engine, because the first one has stopped it.
+    SessionHarness harness(Draft);
+    stopDraft(harness);
+    harness.session().onCopied({.kind = CopyResult::Kind::Unknown}, harness.now());
+    harness.session().onTargetLeaving(harness.now());
+    harness.session().onCopied({.kind = CopyResult::Kind::NotRunning}, harness.now());
+    harness.session().onEnd(ExchangeResult::Complete, harness.now());
+    EXPECT_EQ(harness.finished, 0);
+    EXPECT_EQ(harness.cuts, 1);
+}
+
+namespace
+{
+
 // A draft whose copy is complete and which has been sent to its destination.
 void migrateToDestination(SessionHarness &harness)
 {
--- a/Tests/Platform/TestBrokenTargets.cpp
+++ b/Tests/Platform/TestBrokenTargets.cpp
@@ -118,6 +118,38 @@
     }
 }
 
+// Guards against a stream without a length and chunks that is broken off, within an event or by a reset, and reaches the caller as a whole one; and against
+// a whole one that does not.
+TEST_F(BrokenTargets, StreamThatEndsWithItsConnectionIsWholeAfterAnEventOnly)
+{
+    const auto body = eventsText(1, 2);
+    const auto firstEvent = eventsText(1, 1).size();
+    size_t sent = 0;
+    bool isReset = false;
+    addTarget("i-1", "engine", [&](ByteServer::Connection &connection, const std::string &request) {
+        connection.write(absl::StrCat("HTTP/1.1 200 OK\r\n", idField(request), std::string(Seal), "Content-Type: text/event-stream\r\n\r\n"));
+        connection.write(std::string_view(body).substr(0, sent));
+        if (isReset) {
+            connection.reset();
+        } else {
+            connection.finish();
+        }
+    });
+    start();
+    for (const bool reset : {false, true}) {
+        isReset = reset;
+        for (sent = 1; sent <= body.size(); ++sent) {
+            const auto received = call("draft");
+            const bool isWhole = !reset && (sent == firstEvent || sent == body.size());
+            const bool isSuccess = received.status == 200 && received.end == ChannelEnd::Complete;
+            ASSERT_EQ(isSuccess, isWhole) << (reset ? "reset after " : "ended after ") << sent;
+            if (isWhole) {
+                ASSERT_EQ(received.body, body.substr(0, sent));
+            }
+        }
+    }
+}
+
 // Guards against an earlier response, mostly a rejection, that a target writes once more on a kept connection and that counts as the response to the next
 // request. The copy has the earlier id or none, and arrives before the next request, before its body is read, or behind it.
 TEST_F(BrokenTargets, SecondCopyIsNoResponseToTheNextRequest)
--- a/Tests/Platform/TestRelay.cpp
+++ b/Tests/Platform/TestRelay.cpp
@@ -216,6 +216,27 @@
     EXPECT_EQ(second.continuations(), 1);
 }
 
+// Guards against a draft that ends early and looks complete: its engine stops it for its migration, and its responses end with their connections.
+TEST(Relay, DraftThatEndsWithItsConnectionMigrates)
+{
+    constexpr int Events = 180;
+    RelayTestBed testBed;
+    testBed.writeDocument(1);
+    auto &first = testBed.addTarget("i-1", "engine", Events);
+    first.setEndsResponsesWithConnection();
+    testBed.addRelay("n1");
+    ASSERT_TRUE(testBed.waitUntilReady("n1"));
+    const auto [response, channel] = startStream(testBed, "/draft/x");
+    auto &second = testBed.addTarget("i-2", "engine", Events);
+    second.setEndsResponsesWithConnection();
+    testBed.runFor(700ms);
+    testBed.registerTarget("i-1", "draining");
+    ASSERT_TRUE(testBed.runUntil([&] { return response->end != ChannelEnd::NotSent; }));
+    EXPECT_EQ(response->end, ChannelEnd::Complete);
+    EXPECT_TRUE(response->body == eventsText(Events)) << response->body.size() << " bytes";
+    EXPECT_EQ(second.continuations(), 1);
+}
+
 // Guards against a draft that is lost because the destination of its migration is silent after the copy.
 TEST(Relay, DraftContinuesAtItsSourceWhenTheDestinationIsSilent)
 {
