Read the models of a load report in place

Cause: reportFromJson copied the value of "models". A target whose report was so deeply nested ended the controller.

Before: LoadReport.DeeplyNestedModelsAreRefused ended with a segmentation fault. WantedTargets.DeeplyNestedDocumentIsRefused guards the controllers' document; it passes with the YAML library's own bound.

--- a/Libraries/LibControl/ReportDuty.cpp
+++ b/Libraries/LibControl/ReportDuty.cpp
@@ -33,8 +33,11 @@
         json.at("running").get_to(report.running);
         json.at("cold").get_to(report.cold);
         json.at("leaving").get_to(report.leaving);
-        for (const auto &item : json.value("models", nlohmann::json::array())) {
-            report.models.push_back(modelFromJson(item));
+        // Read in place: a copy of a deeply nested value would exhaust the stack.
+        if (const auto models = json.find("models"); models != json.end()) {
+            for (const auto &item : *models) {
+                report.models.push_back(modelFromJson(item));
+            }
         }
         if (json.contains("role")) {
             report.role = json.at("role").get<std::string>();
--- a/Tests/LibControl/TestWantedState.cpp
+++ b/Tests/LibControl/TestWantedState.cpp
@@ -109,4 +109,23 @@
     EXPECT_FALSE(reportFromJson("t", *parseJson(R"({"incarnation":3,"running":2,"cold":true})"), {}).ok());
 }
 
+// Guards against a deeply nested document that exhausts the stack of a controller.
+TEST(WantedTargets, DeeplyNestedDocumentIsRefused)
+{
+    constexpr size_t Depth = 500000;
+    EXPECT_FALSE(readWantedTargets("targets: " + std::string(Depth, '[') + std::string(Depth, ']')).ok());
+    EXPECT_FALSE(readWantedTargets("targets: " + std::string(Depth, '{')).ok());
+    EXPECT_FALSE(readWantedTargets(std::string(Depth, '[')).ok());
+}
+
+// Guards against a deeply nested list of models in a target's report that exhausts the stack of a controller.
+TEST(LoadReport, DeeplyNestedModelsAreRefused)
+{
+    constexpr size_t Depth = 500000;
+    const auto models = std::string(Depth, '[') + std::string(Depth, ']');
+    const auto json = parseJson(R"({"incarnation":3,"running":2,"cold":true,"leaving":false,"models":)" + models + "}");
+    ASSERT_TRUE(json.ok());
+    EXPECT_FALSE(reportFromJson("t", *json, {}).ok());
+}
+
 } // namespace Jujube
