Refuse target entries with numbers that are too large

Cause: numbers of an entry were converted without a look at their size, which is undefined for floating-point numbers and wraps for others. Times that overflow were added to the present one. An entry with a start far in the future stayed in force, because later good ones of the same target count as older; one with a cold time without bound stayed cold.

--- a/Libraries/LibRelayServer/RelayTables.cpp
+++ b/Libraries/LibRelayServer/RelayTables.cpp
@@ -5,6 +5,7 @@
 #include <LibCore/AbslView.h>
 #include <LibCore/Json.h>
 #include <LibRelay/PeerHeartbeatCodec.h>
+#include <LibRelayServer/TargetEntryCheck.h>
 
 // The document and the target list of a relay, from the store or from peers that have read it.
 namespace Jujube
@@ -418,12 +419,13 @@
 std::optional<TargetEntry> Relay::decodeTarget(const StoreRow &row)
 {
     auto entry = m_core.adapter.decodeTarget(row.key, row.value);
-    if (entry.ok() && Endpoint::parse(entry->address)) {
+    const auto status = entry.ok() ? checkTargetEntry(*entry) : entry.status();
+    if (status.ok()) {
         entry->version = row.version;
         return *std::move(entry);
     }
     auto line = m_core.line(EventKind::RowUnreadable);
-    line.add("table", m_core.adapter.targetTable).add("key", row.key).add("reason", entry.ok() ? "invalid address" : std::string(entry.status().message()));
+    line.add("table", m_core.adapter.targetTable).add("key", row.key).add("reason", std::string(status.message()));
     m_core.log(line);
     m_core.metrics.count("relay_rows_unreadable_total");
     return std::nullopt;
--- /dev/null
+++ b/Tests/Platform/TestOddEntries.cpp
@@ -0,0 +1,67 @@
+#include "RelayTestBed.h"
+#include "ScriptedPeer.h"
+
+#include <gtest/gtest.h>
+#include <LibRelayServer/TargetEntryCheck.h>
+#include <platform/DocumentCodec.h>
+#include <platform/PlatformAdapter.h>
+#include <platform/StandIns/StandInRows.h>
+#include <platform/StoreCodec.h>
+#include <platform/TargetCodec.h>
+#include <random>
+
+using namespace Jujube;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// An entry of a target with one field set to the JSON text `value`.
+std::string entryWith(const std::string &field, const std::string &value)
+{
+    std::map<std::string, std::string> fields {{"service", "\"desk\""},
+                                               {"address", "\"127.0.0.1:9\""},
+                                               {"zone", "\"lahore\""},
+                                               {"slots", "24"},
+                                               {"state", "\"ready\""},
+                                               {"cold_left_ms", "0"},
+                                               {"born", "1"}};
+    fields[field] = value;
+    std::string text;
+    for (const auto &[name, content] : fields) {
+        text += (text.empty() ? "{\"" : ",\"") + name + "\":" + content;
+    }
+    return text + "}";
+}
+
+// Entries with a number that is too large.
+std::vector<std::string> entriesWithLargeNumbers()
+{
+    std::vector<std::string> entries;
+    for (const auto *number : {"1e300", "-1e300", "1e999", "9223372036854775807", "18446744073709551615", "99999999999999999999", "1e18", "1e15"}) {
+        entries.push_back(entryWith("slots", number));
+        entries.push_back(entryWith("cold_left_ms", number));
+        entries.push_back(entryWith("born", number));
+    }
+    return entries;
+}
+
+// Whether the relay would use the target of an entry in the list.
+bool isUsable(const std::string &text)
+{
+    const auto entry = createPlatformAdapter().decodeTarget("i-1", text);
+    return entry.ok() && checkTargetEntry(*entry).ok();
+}
+
+} // namespace
+
+// Guards against a number that is too large, which would overflow when it is used, or keep later entries of the target from being used.
+TEST(OddEntries, LargeNumbersAreRefused)
+{
+    EXPECT_TRUE(isUsable(entryWith("slots", "24.0")));
+    EXPECT_TRUE(isUsable(entryWith("born", "1769571039051")));
+    EXPECT_TRUE(isUsable(entryWith("cold_left_ms", "400.5")));
+    for (const auto &text : entriesWithLargeNumbers()) {
+        EXPECT_FALSE(isUsable(text)) << text;
+    }
+}
