Accept only plain addresses

Cause: Endpoint::parse accepted signs and white space around a port, line ends too, and an address with a zero byte behind it. The text of an entry's address also becomes part of the header fields that name the holder of a copy or a backup, so that a line end in it breaks the header section of a request. Ports out of range were refused already.

Before: OddEntries.AddressesAreRefusedUnlessPlain failed for "127.0.0.1:+9", ": 9", one with a line end, and one with a zero byte.

--- a/Libraries/LibLoop/Endpoint.cpp
+++ b/Libraries/LibLoop/Endpoint.cpp
@@ -16,12 +16,13 @@
         return std::nullopt;
     }
     LoopError error;
-    const std::string address(text.substr(0, colon));
-    boost::asio::ip::make_address_v4(address, error);
+    const auto address = boost::asio::ip::make_address_v4(std::string(text.substr(0, colon)), error);
     if (error || port <= 0 || port > std::numeric_limits<uint16_t>::max()) {
         return std::nullopt;
     }
-    return Endpoint {.address = address, .port = static_cast<uint16_t>(port)};
+    Endpoint endpoint {.address = address.to_string(), .port = static_cast<uint16_t>(port)};
+    // The conversions above accept signs and spaces around a port, and an address that is followed by a zero byte.
+    return endpoint.toText() == text ? std::optional(std::move(endpoint)) : std::nullopt;
 }
 
 Tcp::endpoint Endpoint::tcp() const
--- a/Tests/Platform/TestOddEntries.cpp
+++ b/Tests/Platform/TestOddEntries.cpp
@@ -46,6 +46,27 @@
     return entries;
 }
 
+// Entries with an address that is none.
+std::vector<std::string> entriesWithoutAddress()
+{
+    std::vector<std::string> entries;
+    for (const auto *address : {"127.0.0.1:0",
+                                "127.0.0.1:65536",
+                                "127.0.0.1:-1",
+                                "127.0.0.1:99999999999",
+                                "127.0.0.1:+9",
+                                "127.0.0.1: 9",
+                                "127.0.0.1:9\\r\\n",
+                                "127.0.0.1\\u0000.example:9",
+                                "127.0.0.1",
+                                "[::1]:9",
+                                "nowhere:9",
+                                ""}) {
+        entries.push_back(entryWith("address", std::string("\"") + address + "\""));
+    }
+    return entries;
+}
+
 // Whether the relay would use the target of an entry in the list.
 bool isUsable(const std::string &text)
 {
@@ -65,3 +86,12 @@
         EXPECT_FALSE(isUsable(text)) << text;
     }
 }
+
+// Guards against a port out of range, and against an address that the header section of a request would carry in another form than the connection uses.
+TEST(OddEntries, AddressesAreRefusedUnlessPlain)
+{
+    EXPECT_TRUE(isUsable(entryWith("address", "\"127.0.0.1:65535\"")));
+    for (const auto &text : entriesWithoutAddress()) {
+        EXPECT_FALSE(isUsable(text)) << text;
+    }
+}
