Refuse target entries whose texts no header section or heartbeat can carry

Cause: the id of an entry goes into the header section of each request to the target, and id, service and data centre go into heartbeats. A line end in an id adds a header field. A text of some KB does not fit a datagram, and peers refuse a list of targets with it, so that a relay could not start from them (read in the code, not played).

Before: OddEntries.TextsAreRefusedUnlessPlain failed (line end in the data centre; 64 KB of service and of data centre). After: it passes.

--- a/Libraries/LibRelayServer/TargetEntryCheck.cpp
+++ b/Libraries/LibRelayServer/TargetEntryCheck.cpp
@@ -1,5 +1,7 @@
 #include <LibRelayServer/TargetEntryCheck.h>
 
+#include <absl/strings/ascii.h>
+#include <algorithm>
 #include <LibCore/Error.h>
 #include <LibLoop/Endpoint.h>
 
@@ -14,6 +16,15 @@
 constexpr std::chrono::milliseconds MaxColdTime = std::chrono::hours(24);
 // The year 2100.
 constexpr int64_t MaxIncarnation = 4102444800000;
+// Longer texts would keep heartbeats from naming targets at all.
+constexpr size_t MaxTextBytes = 200;
+
+// Whether a text can stand in a header section and in a heartbeat.
+bool isPlainText(const std::string &text)
+{
+    return text.size() <= MaxTextBytes
+        && std::none_of(text.begin(), text.end(), [](char character) { return absl::ascii_iscntrl(static_cast<unsigned char>(character)); });
+}
 
 } // namespace
 
@@ -26,6 +37,9 @@
         || entry.incarnation > MaxIncarnation) {
         return makeError(ErrorKind::InvalidValue, "invalid number");
     }
+    if (entry.id.empty() || !isPlainText(entry.id) || !isPlainText(entry.service) || !isPlainText(entry.dataCentre)) {
+        return makeError(ErrorKind::InvalidValue, "invalid text");
+    }
     return absl::OkStatus();
 }
 
--- a/Tests/Platform/TestOddEntries.cpp
+++ b/Tests/Platform/TestOddEntries.cpp
@@ -16,6 +16,9 @@
 namespace
 {
 
+// Size of a value that a row of the store may have.
+constexpr size_t SmallRowBytes = 64 * 1024;
+
 // An entry of a target with one field set to the JSON text `value`.
 std::string entryWith(const std::string &field, const std::string &value)
 {
@@ -67,6 +70,16 @@
     return entries;
 }
 
+// Entries with a text that no header section or heartbeat can carry.
+std::vector<std::string> entriesWithOddTexts()
+{
+    std::vector<std::string> entries {entryWith("zone", "\"lahore\\r\\nX: y\"")};
+    for (const auto *field : {"service", "address", "zone", "state"}) {
+        entries.push_back(entryWith(field, "\"" + std::string(SmallRowBytes, 'x') + "\""));
+    }
+    return entries;
+}
+
 // Whether the relay would use the target of an entry in the list.
 bool isUsable(const std::string &text)
 {
@@ -74,6 +87,11 @@
     return entry.ok() && checkTargetEntry(*entry).ok();
 }
 
+std::string shortened(const std::string &text)
+{
+    return text.substr(0, 200);
+}
+
 } // namespace
 
 // Guards against a number that is too large, which would overflow when it is used, or keep later entries of the target from being used.
@@ -95,3 +113,14 @@
         EXPECT_FALSE(isUsable(text)) << text;
     }
 }
+
+// Guards against a text that would add a header field to a request, or is too long for heartbeats to other relays.
+TEST(OddEntries, TextsAreRefusedUnlessPlain)
+{
+    for (const auto &text : entriesWithOddTexts()) {
+        EXPECT_FALSE(isUsable(text)) << shortened(text);
+    }
+    const auto entry = createPlatformAdapter().decodeTarget("i-1\r\nX: y", entryWith("slots", "1"));
+    ASSERT_TRUE(entry.ok());
+    EXPECT_FALSE(checkTargetEntry(*entry).ok());
+}
