Check the entries of targets that peers report

Cause: entries from peers went into the target table without the checks of those in the list. RelayExchange::send, and orders to copy, use the parsed address without a look, so that a request to a target without a usable address read an unset value.

Change: applyPeerTarget() makes the same checks and logs what it refuses. As only entries that passed get into the table, the places that use an address hold a valid one.

Before: OddEntries.EntriesOfPeersAreCheckedToo ended with std::bad_alloc. After: it passes.

--- a/Libraries/LibRelayServer/Relay.h
+++ b/Libraries/LibRelayServer/Relay.h
@@ -54,6 +54,9 @@
     size_t removeUnlisted(const absl::flat_hash_set<std::string> &listed, bool afterOutage, int64_t version, std::string_view reason, MonotonicTime now);
     void onTargetRow(const StoreRow &row, bool afterOutage, MonotonicTime now);
     std::optional<TargetEntry> decodeTarget(const StoreRow &row);
+    void logUnreadableTarget(const std::string &id, const absl::Status &status);
+    // Applies an entry that a peer has reported, if it names a target that can be used.
+    void applyPeerTarget(const TargetEntry &entry, MonotonicTime now);
     void applyTarget(const TargetEntry &entry, TargetTable::Source source, MonotonicTime now);
     void logStore(EventKind kind, const std::string &table, std::string_view detail);
     void logPeerReadFailure(const std::string &table, const std::string &peer, const LoopAnswer &response, MonotonicTime::duration took);
--- a/Libraries/LibRelayServer/RelayTables.cpp
+++ b/Libraries/LibRelayServer/RelayTables.cpp
@@ -281,7 +281,7 @@
 void Relay::onPeerTargets(const PeerHeartbeat &heartbeat, MonotonicTime now)
 {
     for (const auto &entry : heartbeat.targets) {
-        applyTarget(entry, TargetTable::Source::Peer, now);
+        applyPeerTarget(entry, now);
     }
     const bool isEqual = heartbeat.targetsDigest == m_core.targets.digest();
     if (heartbeat.reading && !isEqual && heartbeat.targetsVersion > m_targets->version()) {
@@ -332,7 +332,7 @@
     absl::flat_hash_set<std::string> listed;
     for (const auto &entry : entries) {
         listed.insert(entry.id);
-        applyTarget(entry, TargetTable::Source::Peer, now);
+        applyPeerTarget(entry, now);
     }
     removeUnlisted(listed, false, version, "not listed by peer", now);
 }
@@ -424,11 +424,25 @@
         entry->version = row.version;
         return *std::move(entry);
     }
+    logUnreadableTarget(row.key, status);
+    return std::nullopt;
+}
+
+void Relay::logUnreadableTarget(const std::string &id, const absl::Status &status)
+{
     auto line = m_core.line(EventKind::RowUnreadable);
-    line.add("table", m_core.adapter.targetTable).add("key", row.key).add("reason", std::string(status.message()));
+    line.add("table", m_core.adapter.targetTable).add("key", id).add("reason", std::string(status.message()));
     m_core.log(line);
     m_core.metrics.count("relay_rows_unreadable_total");
-    return std::nullopt;
+}
+
+void Relay::applyPeerTarget(const TargetEntry &entry, MonotonicTime now)
+{
+    if (const auto status = checkTargetEntry(entry); !status.ok()) {
+        logUnreadableTarget(entry.id, status);
+        return;
+    }
+    applyTarget(entry, TargetTable::Source::Peer, now);
 }
 
 void Relay::applyTarget(const TargetEntry &entry, TargetTable::Source source, MonotonicTime now)
--- a/Tests/Platform/TestOddEntries.cpp
+++ b/Tests/Platform/TestOddEntries.cpp
@@ -124,3 +124,32 @@
     ASSERT_TRUE(entry.ok());
     EXPECT_FALSE(checkTargetEntry(*entry).ok());
 }
+
+// Guards against a target that is used on a peer's word although the same entry in the list would be refused.
+TEST(OddEntries, EntriesOfPeersAreCheckedToo)
+{
+    RelayTestBed testBed;
+    testBed.writeDocument(1);
+    auto &target = testBed.addTarget("i-1", "desk");
+    testBed.addRelay("n1");
+    ASSERT_TRUE(testBed.waitUntilReady("n1"));
+    ScriptedPeer peer(testBed.loop, "a0", testBed.options("n1").peers);
+    const TargetEntry good {.incarnation = 1, .service = "desk", .address = "127.0.0.1:9", .dataCentre = "lahore", .version = 1};
+    auto noAddress = good;
+    noAddress.id = "no-address";
+    noAddress.address = "nowhere";
+    auto noPort = good;
+    noPort.id = "no-port";
+    noPort.address = "127.0.0.1:65536";
+    auto noHeader = good;
+    noHeader.id = "no-header\r\nX: y";
+    auto noIncarnation = good;
+    noIncarnation.id = "i-1";
+    noIncarnation.incarnation = std::numeric_limits<int64_t>::max();
+    peer.setHeartbeat({.targets = {noAddress, noPort, noHeader, noIncarnation}});
+    testBed.runFor(500ms);
+    for (int count = 0; count < 20; ++count) {
+        EXPECT_EQ(testBed.call("n1", {.path = "/commit/x", .id = "r" + std::to_string(count)}).status, 200);
+    }
+    EXPECT_EQ(target.runCount(), 20);
+}
