--- a/Libraries/LibRelayServer/RelayTables.cpp
+++ b/Libraries/LibRelayServer/RelayTables.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 #include <LibCore/AbslView.h>
 #include <LibCore/Json.h>
+#include <LibCore/JsonNumber.h>
 #include <LibRelay/PeerHeartbeatCodec.h>
 #include <LibRelayServer/TargetEntryCheck.h>
 
@@ -16,6 +17,8 @@
 
 constexpr std::string_view SnapshotPath = "/snapshot/";
 constexpr std::string_view TargetsPath = "/targets";
+// An older snapshot is of no use, and its age would not fit into a time.
+constexpr std::chrono::milliseconds MaxSnapshotAge = std::chrono::hours(24 * 365);
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
 
@@ -52,14 +55,10 @@
     std::optional<std::chrono::milliseconds> age;
 };
 
-std::optional<Snapshot> decodeSnapshot(std::string_view text)
+std::optional<Snapshot> snapshotOf(const nlohmann::json &json)
 {
-    const auto json = parseJson(text);
-    if (!json.ok() || !json->is_object() || !json->contains("rows")) {
-        return std::nullopt;
-    }
-    StoreRows rows {.version = json->value("version", int64_t {0}), .changeVersion = json->value("change", int64_t {0})};
-    for (const auto &item : (*json)["rows"]) {
+    StoreRows rows {.version = json.value("version", int64_t {0}), .changeVersion = json.value("change", int64_t {0})};
+    for (const auto &item : json.at("rows")) {
         StoreRow row {.version = item.value("version", int64_t {0})};
         if (!absl::Base64Unescape(item.value("key", std::string()), &row.key) || !absl::Base64Unescape(item.value("value", std::string()), &row.value)) {
             return std::nullopt;
@@ -67,12 +66,29 @@
         rows.rows.push_back(std::move(row));
     }
     Snapshot snapshot {.rows = std::move(rows)};
-    if (json->contains("age_ms")) {
-        snapshot.age = std::chrono::milliseconds(json->value("age_ms", int64_t {0}));
+    if (json.contains("age_ms")) {
+        const auto age = toWholeNumber(json.at("age_ms"));
+        if (!age || *age < 0 || *age > MaxSnapshotAge.count()) {
+            return std::nullopt;
+        }
+        snapshot.age = std::chrono::milliseconds(*age);
     }
     return snapshot;
 }
 
+std::optional<Snapshot> decodeSnapshot(std::string_view text)
+{
+    const auto json = parseJson(text);
+    if (!json.ok()) {
+        return std::nullopt;
+    }
+    try {
+        return snapshotOf(*json);
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
+}
+
 std::string_view sourceOf(const TableFollower &follower)
 {
     return follower.source().empty() ? std::string_view("store") : std::string_view(follower.source());
--- a/Tests/Platform/TestOddEntries.cpp
+++ b/Tests/Platform/TestOddEntries.cpp
@@ -153,3 +153,25 @@
     }
     EXPECT_EQ(target.runCount(), 20);
 }
+
+// Guards against a relay that ends because of a snapshot of another shape from a peer.
+TEST(OddEntries, SnapshotsOfAnotherShapeAreRefused)
+{
+    for (const std::string text : {R"({"version":"x","rows":[]})",
+                                   R"({"version":1,"change":{},"rows":[]})",
+                                   R"({"version":1,"rows":[7]})",
+                                   R"({"version":1,"rows":7})",
+                                   R"({"version":1,"rows":[{"version":"x"}]})",
+                                   R"({"version":1,"rows":[{"version":1,"key":7}]})",
+                                   R"({"version":1,"rows":[],"age_ms":"x"})",
+                                   R"({"version":1,"rows":[],"age_ms":-9223372036854775808})",
+                                   R"({"version":1,"rows":[],"age_ms":1e300})"}) {
+        RelayTestBed testBed;
+        testBed.store->setFault(StandInStore::Fault::Silent);
+        testBed.addRelay("n1");
+        ScriptedPeer peer(testBed.loop, "a0", testBed.options("n1").peers);
+        peer.setResponse("/snapshot/op", text);
+        peer.setHeartbeat({.documentTableVersion = 5});
+        EXPECT_TRUE(testBed.runUntil([&] { return peer.requestCount() > 1; })) << text;
+    }
+}
