--- a/Tests/Platform/TestOddEntries.cpp
+++ b/Tests/Platform/TestOddEntries.cpp
@@ -125,6 +125,32 @@
     EXPECT_FALSE(checkTargetEntry(*entry).ok());
 }
 
+// Guards against one row of another shape for which all rows of its page are given up.
+TEST(OddEntries, RowOfAnotherShapeDoesNotAffectOthers)
+{
+    for (const std::string odd : {R"({"key":"odd","ver":"4","value":"aGk="})",
+                                  R"({"key":"odd","ver":1e300,"value":"aGk="})",
+                                  R"({"key":"odd","ver":4,"value":7})",
+                                  R"({"key":"odd","ver":4,"deleted":"no","value":"aGk="})",
+                                  R"({"key":7,"ver":4,"value":"aGk="})",
+                                  R"({"ver":4})",
+                                  "7",
+                                  "null",
+                                  "[]",
+                                  R"({"key":[[[[1]]]],"ver":{},"value":null,"deleted":[]})"}) {
+        for (const auto &text : {R"({"rows":[)" + odd + R"(,{"key":"k","value":"aGk=","ver":3}],"ver":9})",
+                                 R"({"rows":[{"key":"k","value":"aGk=","ver":3},)" + odd + R"(],"ver":9})"}) {
+            const auto rows = decodeStoreRows(text);
+            ASSERT_TRUE(rows.ok()) << text << ": " << rows.status();
+            const auto isGood = [](const StoreRow &row) { return row.key == "k" && row.value == "hi" && row.version == 3 && !row.removed; };
+            EXPECT_EQ(std::count_if(rows->rows.begin(), rows->rows.end(), isGood), 1) << text;
+            for (const auto &row : rows->rows) {
+                EXPECT_TRUE(isGood(row) || (row.key == "odd" && !row.removed && row.version <= 9)) << text;
+            }
+        }
+    }
+}
+
 // Guards against a target that is used on a peer's word although the same entry in the list would be refused.
 TEST(OddEntries, EntriesOfPeersAreCheckedToo)
 {
