--- a/Libraries/LibRelayServer/RelayTables.cpp
+++ b/Libraries/LibRelayServer/RelayTables.cpp
@@ -4,7 +4,9 @@
 #include <absl/strings/str_cat.h>
 #include <LibCore/AbslView.h>
 #include <LibCore/Json.h>
+#include <LibCore/JsonNumber.h>
 #include <LibRelay/PeerHeartbeatCodec.h>
+#include <LibRelayServer/TargetEntryCheck.h>
 
 // The document and the target list of a relay, from the store or from peers that have read it.
 namespace Jujube
@@ -15,6 +17,8 @@
 
 constexpr std::string_view SnapshotPath = "/snapshot/";
 constexpr std::string_view TargetsPath = "/targets";
+// An older snapshot is of no use, and its age would not fit into a time.
+constexpr std::chrono::milliseconds MaxSnapshotAge = std::chrono::hours(24 * 365);
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
 
@@ -51,14 +55,10 @@
     std::optional<std::chrono::milliseconds> age;
 };
 
-std::optional<Snapshot> decodeSnapshot(std::string_view text)
+std::optional<Snapshot> snapshotOf(const nlohmann::json &json)
 {
-    const auto json = parseJson(text);
-    if (!json.ok() || !json->is_object() || !json->contains("rows")) {
-        return std::nullopt;
-    }
-    StoreRows rows {.version = json->value("version", int64_t {0}), .changeVersion = json->value("change", int64_t {0})};
-    for (const auto &item : (*json)["rows"]) {
+    StoreRows rows {.version = json.value("version", int64_t {0}), .changeVersion = json.value("change", int64_t {0})};
+    for (const auto &item : json.at("rows")) {
         StoreRow row {.version = item.value("version", int64_t {0})};
         if (!absl::Base64Unescape(item.value("key", std::string()), &row.key) || !absl::Base64Unescape(item.value("value", std::string()), &row.value)) {
             return std::nullopt;
@@ -66,12 +66,29 @@
         rows.rows.push_back(std::move(row));
     }
     Snapshot snapshot {.rows = std::move(rows)};
-    if (json->contains("age_ms")) {
-        snapshot.age = std::chrono::milliseconds(json->value("age_ms", int64_t {0}));
+    if (json.contains("age_ms")) {
+        const auto age = toWholeNumber(json.at("age_ms"));
+        if (!age || *age < 0 || *age > MaxSnapshotAge.count()) {
+            return std::nullopt;
+        }
+        snapshot.age = std::chrono::milliseconds(*age);
     }
     return snapshot;
 }
 
+std::optional<Snapshot> decodeSnapshot(std::string_view text)
+{
+    const auto json = parseJson(text);
+    if (!json.ok()) {
+        return std::nullopt;
+    }
+    try {
+        return snapshotOf(*json);
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
+}
+
 std::string_view sourceOf(const TableFollower &follower)
 {
     return follower.source().empty() ? std::string_view("store") : std::string_view(follower.source());
@@ -280,7 +297,7 @@
 void Relay::onPeerTargets(const PeerHeartbeat &heartbeat, MonotonicTime now)
 {
     for (const auto &entry : heartbeat.targets) {
-        applyTarget(entry, TargetTable::Source::Peer, now);
+        applyPeerTarget(entry, now);
     }
     const bool isEqual = heartbeat.targetsDigest == m_core.targets.digest();
     if (heartbeat.reading && !isEqual && heartbeat.targetsVersion > m_targets->version()) {
@@ -331,7 +348,7 @@
     absl::flat_hash_set<std::string> listed;
     for (const auto &entry : entries) {
         listed.insert(entry.id);
-        applyTarget(entry, TargetTable::Source::Peer, now);
+        applyPeerTarget(entry, now);
     }
     removeUnlisted(listed, false, version, "not listed by peer", now);
 }
@@ -418,15 +435,30 @@
 std::optional<TargetEntry> Relay::decodeTarget(const StoreRow &row)
 {
     auto entry = m_core.adapter.decodeTarget(row.key, row.value);
-    if (entry.ok() && Endpoint::parse(entry->address)) {
+    const auto status = entry.ok() ? checkTargetEntry(*entry) : entry.status();
+    if (status.ok()) {
         entry->version = row.version;
         return *std::move(entry);
     }
+    logUnreadableTarget(row.key, status);
+    return std::nullopt;
+}
+
+void Relay::logUnreadableTarget(const std::string &id, const absl::Status &status)
+{
     auto line = m_core.line(EventKind::RowUnreadable);
-    line.add("table", m_core.adapter.targetTable).add("key", row.key).add("reason", entry.ok() ? "invalid address" : std::string(entry.status().message()));
+    line.add("table", m_core.adapter.targetTable).add("key", id).add("reason", std::string(status.message()));
     m_core.log(line);
     m_core.metrics.count("relay_rows_unreadable_total");
-    return std::nullopt;
+}
+
+void Relay::applyPeerTarget(const TargetEntry &entry, MonotonicTime now)
+{
+    if (const auto status = checkTargetEntry(entry); !status.ok()) {
+        logUnreadableTarget(entry.id, status);
+        return;
+    }
+    applyTarget(entry, TargetTable::Source::Peer, now);
 }
 
 void Relay::applyTarget(const TargetEntry &entry, TargetTable::Source source, MonotonicTime now)
