Check planned stops in the soak

The soak was blind to requests that relays lose around SIGTERM: its generations last 0.6 s, its targets are never silent, all routes have a timeout of 3 s, checkLost looks at requests that ran once only, and other faults, which excuse a cut, go on all the time.

Callers keep their connections. Generations may last 39 s and take 1 to 14 s, right at the median of their X-Length-Hint, with pauses of 1 to 4 s in a quarter of them; calls take up to their route's timeout. PlannedLosses decides by the users' rule what is lost; a target's silence excuses nothing. Stand-in targets take the time of a request, and of each event, from a hook.

--- a/Tests/Soak/Harness/SoakLedger.cpp
+++ b/Tests/Soak/Harness/SoakLedger.cpp
@@ -12,8 +12,6 @@
 namespace
 {
 
-// Longest wait of every route in the soak's documents.
-constexpr std::chrono::milliseconds RouteTimeout {3000};
 constexpr size_t MostRuns = 2;
 
 // Statuses which say that a request was not run and will not be.
@@ -357,7 +355,7 @@
     auto &request = m_requests.at(id);
     request.answered = answer.status;
     ++m_statuses[answer.status];
-    const auto timeout = request.sentAt + std::min(request.sent.deadline, RouteTimeout);
+    const auto timeout = request.sentAt + std::min(request.sent.deadline, request.sent.routeTimeout);
     const auto latest = timeout + SoakBounds::AfterTimeout;
     // The bound holds for nodes that are in touch when it is reached.
     if (now > timeout && isInTouch(request.sent.relay, latest)) {
@@ -367,7 +365,9 @@
             reportTimed("timeout", absl::StrCat(id, " ended ", std::chrono::duration_cast<std::chrono::milliseconds>(now - latest).count(), " ms too late"));
         }
     }
-    checkLost(now, id, request, answer);
+    if (!m_options.plannedOnly) {
+        checkLost(now, id, request, answer);
+    }
     if (answer.status == 0) {
         return;
     }
@@ -401,7 +401,7 @@
     const bool isUndisturbed = !wasDisturbed(m_unplannedUntil, request.sent.relay, now) && !wasDisturbed(m_targetDisturbedUntil, request.lastTarget, now);
     // A relay ends an answer when the time of its route or of the request is over, as far as it knows that time.
     constexpr std::chrono::milliseconds EndOfTime {100};
-    const bool isOverTime = now >= request.sentAt + std::min(request.sent.deadline, RouteTimeout) - EndOfTime;
+    const bool isOverTime = now >= request.sentAt + std::min(request.sent.deadline, request.sent.routeTimeout) - EndOfTime;
     if (!answer.complete && !answer.gaveUp && !isOverTime && request.runs == 1 && isUndisturbed) {
         reportTimed("lost",
                     absl::StrCat(id,
--- a/Tests/Soak/Harness/SoakLedger.h
+++ b/Tests/Soak/Harness/SoakLedger.h
@@ -103,6 +103,8 @@
         FleetBounds bounds;
         // Whether promises with a time bound are checked. They hold only while the machine keeps up.
         bool timed = true;
+        // Whether requests that are cut are left to PlannedLosses.
+        bool plannedOnly = false;
     };
 
     struct Sent {
@@ -115,6 +117,8 @@
         // Set if some documents of the run allow it: what it needs of the document.
         std::optional<DocumentHistory::Subject> subject;
         std::chrono::milliseconds deadline {0};
+        // Longest wait of its route.
+        std::chrono::milliseconds routeTimeout {3000};
         // Whether it crashes each target that runs it.
         bool isFatal = false;
     };
--- a/Tests/Soak/Harness/SoakRelay.cpp
+++ b/Tests/Soak/Harness/SoakRelay.cpp
@@ -148,6 +148,21 @@
     sendReload();
 }
 
+void SoakRelay::changeSettings(const std::string &further) const
+{
+    writeSettings(further);
+    if ((m_state == State::Running || m_state == State::Ending) && m_process->isPreparedFor(SIGHUP)) {
+        m_process->signal(SIGHUP);
+    }
+}
+
+void SoakRelay::terminateAgain() const
+{
+    if (m_state == State::Ending) {
+        m_process->signal(SIGTERM);
+    }
+}
+
 void SoakRelay::sendReload()
 {
     if (m_reloadWanted && m_state == State::Running && m_process->isPreparedFor(SIGHUP)) {
--- a/Tests/Soak/Harness/SoakRelay.h
+++ b/Tests/Soak/Harness/SoakRelay.h
@@ -60,6 +60,10 @@
     // Writes another settings file, and sends SIGHUP. A process that the dynamic linker is still loading, which no program can protect from the signal, gets it
     // as soon as the kernel shows that it is prepared for it.
     void reload(unsigned variant, bool withSignal);
+    // Appends settings to the file and sends SIGHUP, to a relay that ends as well.
+    void changeSettings(const std::string &further) const;
+    // Sends SIGTERM once more to a relay that ends.
+    void terminateAgain() const;
 
     // Follows the process: restarts it when its time has come. Returns a description if it ended by itself or badly.
     std::string follow(MonotonicTime now);
--- a/Tests/Soak/Harness/SoakWorld.h
+++ b/Tests/Soak/Harness/SoakWorld.h
@@ -36,6 +36,8 @@
     int processors = 0;
     // Whether promises with a time bound are checked, and a full recovery is awaited.
     bool timed = true;
+    // Whether there is planned work only, which PlannedWorld plays.
+    bool plannedOnly = false;
     // Settings and logs of the relays and the log of faults are written here.
     std::string directory;
 };
--- a/Tests/Soak/Program/main.cpp
+++ b/Tests/Soak/Program/main.cpp
@@ -1,3 +1,4 @@
+#include "../Harness/PlannedWorld.h"
 #include "../Harness/SoakWorld.h"
 
 #include <absl/strings/numbers.h>
@@ -35,13 +36,44 @@
     sched_setaffinity(0, sizeof(set), &set);
 }
 
-// Runs one seed and prints its result. Returns whether it broke no promise; the logs are kept if it did.
-bool runSeed(SoakOptions options)
+void printViolations(const std::vector<std::string> &violations)
+{
+    std::cout << ", " << violations.size() << " promises broken\n";
+    for (const auto &violation : violations) {
+        std::cout << "  " << violation << "\n";
+    }
+    std::cout.flush();
+}
+
+// The same as playAll() for a run with planned work only.
+std::vector<std::string> playPlanned(const SoakOptions &options)
+{
+    const auto result = PlannedWorld({.seed = options.seed,
+                                      .relays = options.relays,
+                                      .callers = options.callers,
+                                      .targets = options.targets,
+                                      .length = options.length,
+                                      .relayProgram = options.relayProgram,
+                                      .processors = options.processors,
+                                      .timed = options.timed,
+                                      .directory = options.directory})
+                            .run();
+    const auto &counts = result.counts;
+    std::cout << "seed " << options.seed << ": " << result.requests << " requests, " << result.stops << " stops, " << counts.duringStops
+              << " requests ended during the stop of their relay, " << counts.sentAfterTerm << " of them sent after SIGTERM, " << counts.cut
+              << " cut, of these not counted " << counts.overTime << " whose time was over, " << counts.nearGraceEnd
+              << " sent early whose target worked near the end of the grace time, " << counts.crossed << " that crossed a close, loop late by "
+              << result.worstLateness.count() << " ms, relays used " << std::chrono::duration_cast<std::chrono::seconds>(result.relayTime.used).count()
+              << " s of processors and waited for them " << std::chrono::duration_cast<std::chrono::seconds>(result.relayTime.waited).count() << " s, statuses";
+    for (const auto &[status, count] : result.statuses) {
+        std::cout << " " << status << ":" << count;
+    }
+    return result.violations;
+}
+
+// Plays a run and prints its line. Returns the promises broken.
+std::vector<std::string> playAll(const SoakOptions &options)
 {
-    options.directory = absl::StrCat(options.directory, "/seed-", options.seed);
-    leaveProcessors(options.processors);
-    std::filesystem::remove_all(options.directory);
-    std::filesystem::create_directories(options.directory);
     const auto result = SoakWorld(options).run();
     std::cout << "seed " << options.seed << ": " << result.requests << " requests, " << result.served << " of " << result.owed
               << " served after the faults, loop late by " << result.worstLateness.count() << " ms, " << result.lateTurns << " times over 100 ms, store by "
@@ -54,15 +86,22 @@
     for (const auto &[status, count] : result.statuses) {
         std::cout << " " << status << ":" << count;
     }
-    std::cout << ", " << result.violations.size() << " promises broken\n";
-    for (const auto &violation : result.violations) {
-        std::cout << "  " << violation << "\n";
-    }
-    std::cout.flush();
-    if (result.violations.empty()) {
+    return result.violations;
+}
+
+// Runs one seed and prints its result. Returns whether it broke no promise; the logs are kept if it did.
+bool runSeed(SoakOptions options)
+{
+    options.directory = absl::StrCat(options.directory, "/seed-", options.seed);
+    leaveProcessors(options.processors);
+    std::filesystem::remove_all(options.directory);
+    std::filesystem::create_directories(options.directory);
+    const auto violations = options.plannedOnly ? playPlanned(options) : playAll(options);
+    printViolations(violations);
+    if (violations.empty()) {
         std::filesystem::remove_all(options.directory);
     }
-    return result.violations.empty();
+    return violations.empty();
 }
 
 SoakOptions optionsOf(const cxxopts::ParseResult &arguments)
@@ -79,6 +118,7 @@
             .storeMbit = arguments["store-mbit"].as<double>(),
             .processors = arguments["processors"].as<int>(),
             .timed = !arguments["untimed"].as<bool>(),
+            .plannedOnly = arguments["planned"].as<bool>(),
             .directory = arguments["out"].as<std::string>()};
 }
 
@@ -89,7 +129,7 @@
     const auto &[name, value] = option;
     return (name == "targets" && absl::SimpleAtoi(value, &options.targets)) || (name == "table-changes" && absl::SimpleAtod(value, &options.tableChanges))
         || (name == "routes" && absl::SimpleAtoi(value, &options.routes)) || (name == "processors" && absl::SimpleAtoi(value, &options.processors))
-        || (name == "store-mbit" && absl::SimpleAtod(value, &options.storeMbit));
+        || (name == "planned" && absl::SimpleAtob(value, &options.plannedOnly)) || (name == "store-mbit" && absl::SimpleAtod(value, &options.storeMbit));
 }
 
 // The runs of a file with lines "SEED RELAYS CALLERS SECONDS RATE [NAME=VALUE...]", each followed by a comment. Nothing if a line cannot be read.
@@ -162,6 +202,7 @@
     add("processors", "Processors for all relays together, while the soak itself uses the others; 0 for all", cxxopts::value<int>()->default_value("0"));
     add("relay-program", "Relay program; of this build unless the path is absolute", cxxopts::value<std::string>()->default_value("jujube-relay"));
     add("store-mbit", "Megabits a second on each relay's link to the store; 0 for no bound", cxxopts::value<double>()->default_value("0"));
+    add("planned", "Planned work only: relays are stopped in series, settings and documents change, and nothing fails");
     add("untimed", "Leave promises with a time bound out");
     add("out", "Directory for settings and logs, which are kept of runs that break a promise", cxxopts::value<std::string>()->default_value("soak-runs"));
     add("help", "Print this help");
--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -1,3 +1,4 @@
+#include "Harness/PlannedWorld.h"
 #include "Harness/SoakWorld.h"
 
 #include <csignal>
@@ -45,3 +46,18 @@
         std::filesystem::remove_all(directory);
     }
 }
+
+// Guards against relays that lose requests when they are stopped in series, get further signals while they stop, or their targets pause.
+TEST(Soak, PlannedStopsLoseNoRequest)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto directory = std::filesystem::temp_directory_path() / ("jujube-soak-" + std::to_string(getpid()) + "-planned");
+    std::filesystem::create_directories(directory);
+    const auto result = PlannedWorld({.seed = 1, .length = std::chrono::seconds(14), .timed = false, .directory = directory.string()}).run();
+    EXPECT_EQ(result.violations, std::vector<std::string>()) << "logs in " << directory;
+    EXPECT_GT(result.stops, 2U);
+    EXPECT_GT(result.counts.sentAfterTerm, 0U);
+    if (result.violations.empty()) {
+        std::filesystem::remove_all(directory);
+    }
+}
