Draw short and long generations alike in the planned soak, and describe it

Lengths are now 30 to 680 tokens, as many short ones as long ones, and half of the pauses come before the first event.

--- a/Tests/Soak/Harness/PlannedCaller.cpp
+++ b/Tests/Soak/Harness/PlannedCaller.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <cmath>
 #include <LibCore/AbslView.h>
 
 namespace Jujube
@@ -91,20 +92,22 @@
 
 SoakLedger::Sent PlannedCaller::drawGeneration(SoakKind kind)
 {
-    constexpr int64_t FewestTokens = 60;
-    constexpr uint64_t MostFurtherTokens = 640;
+    constexpr double FewestTokens = 30;
+    constexpr double Doublings = 4.5;
     constexpr std::chrono::microseconds TimePerToken {10500};
-    constexpr std::chrono::milliseconds Shortest {1000};
+    constexpr std::chrono::milliseconds Shortest {300};
     constexpr std::chrono::milliseconds Longest {14000};
     constexpr uint64_t PausePercent = 25;
     constexpr std::chrono::milliseconds ShortestPause {1000};
     constexpr uint64_t MostFurtherPauseMs = 3000;
     constexpr uint64_t Events = 30;
-    m_lengthHint = FewestTokens + static_cast<int64_t>(below(MostFurtherTokens));
+    // From 0.3 s to 7 s, and as many short ones as long ones.
+    m_lengthHint = static_cast<int64_t>(FewestTokens * std::exp2(std::uniform_real_distribution<double>(0, Doublings)(m_random)));
     const auto expected = std::chrono::duration_cast<std::chrono::milliseconds>(TimePerToken * m_lengthHint);
     PlannedWork work {.time = std::clamp(drawAround(expected), Shortest, Longest)};
     if (below(Percent) < PausePercent) {
-        work.pausesBefore = 1 + static_cast<int>(below(Events));
+        // Half of the pauses come before the first event, as those of an engine with a queue do.
+        work.pausesBefore = below(2) == 0 ? 1 : 1 + static_cast<int>(below(Events));
         work.pause = ShortestPause + std::chrono::milliseconds(below(MostFurtherPauseMs));
     }
     return {.kind = kind,
