Check cut requests in the soak whatever the number of their runs

SoakLedger::checkLost looked at requests that had run exactly once, and excused all that ended in the last 100 ms of their time. The users excuse neither: a request that was passed on is lost whether it ran once or twice, one that no target got is lost 200 ms after its last byte, and its time is over when it is over. Requests that ran more than once are excused if any of their targets was harmed; connections that were never made are no loss.

--- a/Tests/Soak/Harness/SoakCaller.cpp
+++ b/Tests/Soak/Harness/SoakCaller.cpp
@@ -215,6 +215,7 @@
     m_leave.cancel();
     auto exchange = *std::exchange(m_exchange, std::nullopt);
     exchange.answer.complete = end == ChannelEnd::Complete;
+    exchange.answer.wasSent = end != ChannelEnd::NotSent;
     m_ledger.onAnswer(monotonicNow(), exchange.id, exchange.answer);
     if (end == ChannelEnd::Complete) {
         m_pool.release(exchange.channel);
--- a/Tests/Soak/Harness/SoakFaults.cpp
+++ b/Tests/Soak/Harness/SoakFaults.cpp
@@ -564,7 +564,11 @@
                       std::chrono::seconds(1),
                       {.onHead = onHead,
                        .onBody = [answer](std::string_view bytes) { answer->body += bytes; },
-                       .onEnd = [onEnd](ChannelEnd end, const std::string &) { onEnd(end == ChannelEnd::Complete); }});
+                       .onEnd =
+                           [onEnd, answer](ChannelEnd end, const std::string &) {
+                               answer->wasSent = end != ChannelEnd::NotSent;
+                               onEnd(end == ChannelEnd::Complete);
+                           }});
     after(deadline + DeadlineSlack, [channel, onEnd, answer, hasEnded] {
         if (!*hasEnded) {
             answer->gaveUp = true;
--- a/Tests/Soak/Harness/SoakLedger.cpp
+++ b/Tests/Soak/Harness/SoakLedger.cpp
@@ -272,6 +272,7 @@
     }
     if (arrival != StandInTarget::Arrival::NotRun) {
         request.lastTarget = target;
+        request.targets.insert(target);
     }
     if (arrival != StandInTarget::Arrival::Run) {
         return;
@@ -398,11 +399,14 @@
 
 void SoakLedger::checkLost(MonotonicTime now, const std::string &id, const Request &request, const Answer &answer)
 {
-    const bool isUndisturbed = !wasDisturbed(m_unplannedUntil, request.sent.relay, now) && !wasDisturbed(m_targetDisturbedUntil, request.lastTarget, now);
-    // A relay ends an answer when the time of its route or of the request is over, as far as it knows that time.
-    constexpr std::chrono::milliseconds EndOfTime {100};
-    const bool isOverTime = now >= request.sentAt + std::min(request.sent.deadline, request.sent.routeTimeout) - EndOfTime;
-    if (!answer.complete && !answer.gaveUp && !isOverTime && request.runs == 1 && isUndisturbed) {
+    // A request that ran more than once may have lost any of its targets.
+    const auto wasHarmed = [&](const std::string &target) { return wasDisturbed(m_targetDisturbedUntil, target, now); };
+    const bool targetIsSound = request.runs > 1 ? std::none_of(request.targets.begin(), request.targets.end(), wasHarmed) : !wasHarmed(request.lastTarget);
+    const bool isUndisturbed = !wasDisturbed(m_unplannedUntil, request.sent.relay, now) && targetIsSound;
+    const bool isOverTime = now >= request.sentAt + std::min(request.sent.deadline, request.sent.routeTimeout);
+    // A request that no target got may have crossed the relay's close.
+    const bool wasRead = request.runs > 0 || (answer.wasSent && now > request.sentAt + SoakBounds::LossSlack);
+    if (!answer.complete && !answer.gaveUp && !isOverTime && wasRead && isUndisturbed) {
         reportTimed("lost",
                     absl::StrCat(id,
                                  " by ",
--- a/Tests/Soak/Harness/SoakLedger.h
+++ b/Tests/Soak/Harness/SoakLedger.h
@@ -20,6 +20,8 @@
 namespace SoakBounds
 {
 constexpr std::chrono::milliseconds Evacuation {5000};
+// A relay that closes a connection this long after a request's last byte has read it.
+constexpr std::chrono::milliseconds LossSlack {200};
 constexpr std::chrono::milliseconds AfterLeaving {500};
 constexpr std::chrono::milliseconds AfterTimeout {500};
 constexpr std::chrono::milliseconds NotReadyAfterTerm {4000};
@@ -130,6 +132,8 @@
         std::string seal;
         std::string body;
         bool complete = false;
+        // Whether the connection was made.
+        bool wasSent = true;
         // Whether the caller closed its connection because the answer took too long.
         bool gaveUp = false;
         // Whether the answer names the target's limit.
@@ -200,6 +204,7 @@
         size_t arrivals = 0;
         // Which target ran it last, or went on with it.
         std::string lastTarget;
+        std::set<std::string> targets;
         std::optional<MonotonicTime> leftAt;
         std::optional<int> answered;
         bool served = false;
--- a/Tests/Soak/TestSoakLedger.cpp
+++ b/Tests/Soak/TestSoakLedger.cpp
@@ -184,6 +184,30 @@
     EXPECT_TRUE(left.breaksOnly("gone"));
 }
 
+// Guards against cut requests that are excused because they ran twice or not at all.
+TEST(SoakLedger, FindsLostRequestsWithAnyNumberOfRuns)
+{
+    const auto lost = [](int runs, std::chrono::milliseconds end, const std::function<void(SoakLedger &)> &disturb, bool wasSent = true) {
+        World world(SoakKind::Repeatable);
+        for (int run = 0; run < runs; ++run) {
+            world.arrive();
+        }
+        disturb(world.ledger);
+        world.ledger.onAnswer(Start + end, world.id, {.complete = false, .wasSent = wasSent});
+        return world.breaksOnly("lost");
+    };
+    const auto nothing = [](SoakLedger &) {};
+    EXPECT_TRUE(lost(2, 1s, nothing));
+    EXPECT_FALSE(lost(2, 1s, [](SoakLedger &ledger) { ledger.disturbTarget("i-1", Start); }));
+    EXPECT_TRUE(lost(0, 201ms, nothing));
+    EXPECT_FALSE(lost(0, 200ms, nothing));
+    EXPECT_FALSE(lost(0, 201ms, nothing, false));
+    EXPECT_FALSE(lost(0, 201ms, [](SoakLedger &ledger) { ledger.disturb("n1", Start); }));
+    // The route's timeout.
+    EXPECT_TRUE(lost(1, 2999ms, nothing));
+    EXPECT_FALSE(lost(1, 3s, nothing));
+}
+
 // Guards against a retry bound that is not checked.
 TEST(SoakLedger, FindsTooManyRetries)
 {
