--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -12,8 +12,9 @@
 namespace
 {
 
-// The process exits this long before it would be killed.
-constexpr std::chrono::milliseconds ShutdownMargin {600};
+// Requests get their responses, and the process exits, this long before it would be killed. The first margin leaves time to write the responses.
+constexpr std::chrono::milliseconds StopMargin {600};
+constexpr std::chrono::milliseconds ExitMargin {300};
 // Responses of one target that are interrupted within this time are attributed to one crash.
 constexpr std::chrono::milliseconds CrashGroupingTime {100};
 // A target is not checked any more if its request limit has not allowed that for this time.
@@ -70,7 +71,12 @@
 
 MonotonicTime RelayCore::stopAt() const
 {
-    return *drainingSince + options.grace - ShutdownMargin;
+    return draining->since + draining->grace - StopMargin;
+}
+
+MonotonicTime RelayCore::exitAt() const
+{
+    return draining->since + draining->grace - ExitMargin;
 }
 
 LogLine RelayCore::line(EventKind kind) const
@@ -206,14 +212,14 @@
     return wait;
 }
 
-void RelayCore::noteInterruptedResponse(const std::string &target, uint64_t digest)
+void RelayCore::noteInterruptedResponse(const std::string &target, InterruptedRequest request)
 {
     const auto *known = targets.find(target);
     if (!known || known->leavingSince) {
         return;
     }
     const bool isFirst = m_interrupted.empty();
-    m_interrupted.try_emplace(target, Interruption {.since = monotonicNow()}).first->second.digests.push_back(digest);
+    m_interrupted.try_emplace(target, Interruption {.since = monotonicNow()}).first->second.requests.push_back(std::move(request));
     if (isFirst) {
         // Other requests on the target are interrupted at the same time.
         armInterruptedTimer();
@@ -234,7 +240,7 @@
 {
     for (auto &[target, interruption] : std::exchange(m_interrupted, {})) {
         if (balancer.requestLimits().mayContinue(target, now)) {
-            checkTarget(target, interruption.digests);
+            checkTarget(target, interruption.requests);
         } else if (now - interruption.since < MaxCheckDelay) {
             m_interrupted.emplace(target, std::move(interruption));
         }
@@ -244,7 +250,7 @@
     }
 }
 
-void RelayCore::checkTarget(const std::string &target, const std::vector<uint64_t> &interrupted)
+void RelayCore::checkTarget(const std::string &target, const std::vector<InterruptedRequest> &interrupted)
 {
     const auto *known = targets.find(target);
     const auto endpoint = known ? Endpoint::parse(known->entry.address) : std::nullopt;
@@ -264,12 +270,7 @@
             if (interrupted.empty()) {
                 return;
             }
-            crashSuspects.merge(
-                {.target = target, .incarnation = static_cast<uint64_t>(incarnation), .members = interrupted, .running = static_cast<int>(interrupted.size())},
-                now);
-            auto entry = line(EventKind::CrashSuspected);
-            entry.add("target", target).add("requests", static_cast<int64_t>(interrupted.size())).add("reason", response.error);
-            log(entry);
+            recordCrash(target, incarnation, interrupted, response.error, now);
             return;
         }
         const auto state = response.isSuccess() ? adapter.decodeState(response.body) : absl::StatusOr<EngineState>(EngineState {});
@@ -279,6 +280,24 @@
     });
 }
 
+void RelayCore::recordCrash(
+    const std::string &target, int64_t incarnation, const std::vector<InterruptedRequest> &interrupted, std::string_view reason, MonotonicTime now)
+{
+    TargetCrash crash {.target = target, .incarnation = static_cast<uint64_t>(incarnation), .members = {}, .running = static_cast<int>(interrupted.size())};
+    std::string requests;
+    for (const auto &request : interrupted) {
+        crash.members.push_back(request.digest);
+        absl::StrAppend(&requests, requests.empty() ? "" : " ", request.hasBegun ? "begun" : "not begun", "/", request.events, "/");
+        for (const auto part : request.parts) {
+            absl::StrAppend(&requests, part == request.parts.front() ? "" : ",", absl::Hex(part));
+        }
+    }
+    crashSuspects.merge(crash, now);
+    auto entry = line(EventKind::CrashSuspected);
+    entry.add("target", target).add("requests", static_cast<int64_t>(interrupted.size())).add("reason", reason).add("suspects", requests);
+    log(entry);
+}
+
 void RelayCore::releaseWaitingMigrations(MonotonicTime now)
 {
     bool released = false;
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -100,11 +100,16 @@
         return isDenial && m_core.documentAge(now) >= MaxDocumentAgeForDenial ? RelayOutcome::DocumentTooOld : *m_admission.rejection;
     }
     m_digest = CrashSuspects::fingerprint(m_admission.workspace ? m_admission.workspace->name : "", m_request.head.target, m_request.body);
+    m_promptParts = m_core.adapter.decodePromptParts(m_request.head.value(m_core.adapter.fields.promptParts));
+    if (!m_promptParts.empty()) {
+        // The last part belongs to the request alone.
+        m_promptParts.pop_back();
+    }
     const auto verdict = m_core.crashSuspects.verdict(m_digest, now).action;
     if (verdict == CrashVerdict::Action::Reject || verdict == CrashVerdict::Action::Wait) {
         return RelayOutcome::PoisonRequest;
     }
-    if (m_core.isDraining() && !DrainAdmission().admits(m_admission.demand, m_core.stopAt(), now)) {
+    if (m_core.isDraining() && !endsBeforeStop(m_admission.deadline, m_core.stopAt())) {
         return RelayOutcome::Draining;
     }
     return std::nullopt;
@@ -241,7 +246,7 @@
     m_isConnectionKept = m_targetConnection->isIdle();
     m_isResponseNamed = false;
     m_sentAt = now;
-    m_progressAt = now;
+    m_silentSince = now;
     if (m_attemptFailed) {
         m_core.balancer.onAttemptFailed(m_target, now);
         m_attemptFailed = false;
@@ -380,7 +385,7 @@
         return;
     }
     // Bytes that complete no event do not count as progress of a stream.
-    m_progressAt = now;
+    m_silentSince = now;
     if (m_admission.service->engine) {
         noteEvents(now);
     }
@@ -391,6 +396,7 @@
     const bool isFirst = m_eventsCounted == 0;
     const auto gap = now - (isFirst ? m_request.arrivedAt : m_lastEventAt);
     if (isFirst) {
+        m_firstEventAt = now;
         m_firstEventAfter = wholeMilliseconds(gap);
         m_core.metrics.observe("relay_first_event_seconds", std::chrono::duration<double>(gap).count());
     } else {
@@ -420,7 +426,12 @@
         if (end == ChannelEnd::NotSent) {
             m_core.balancer.markUnreachable(m_target, now);
         } else if (!m_session->isMigrating()) {
-            m_core.noteInterruptedResponse(m_target, m_digest);
+            m_core.noteInterruptedResponse(m_target,
+                                           {.digest = m_digest,
+                                            .hasBegun = m_isResponseNamed,
+                                            .events = m_eventsCounted,
+                                            .eventsFor = m_eventsCounted > 0 ? wholeMilliseconds(now - m_firstEventAt) : std::chrono::milliseconds(0),
+                                            .parts = m_promptParts});
             m_unexpectedFailures += m_core.targets.isLeaving(m_target) ? 0 : 1;
         }
     }
@@ -496,6 +507,13 @@
     finishRequest(RunEnd::Failed);
 }
 
+void RelayExchange::handleStop(MonotonicTime now)
+{
+    if (!m_isFinished) {
+        m_session->onStop(now);
+    }
+}
+
 void RelayExchange::logUnfinished(MonotonicTime now) const
 {
     auto line = m_core.line(EventKind::RelayUnfinished);
@@ -504,9 +522,9 @@
         .add("events", m_session->eventCount())
         .add("age_ms", wholeMilliseconds(now - m_request.arrivedAt).count())
         .add("time_left_ms", wholeMilliseconds(m_admission.deadline - now).count());
-    if (m_core.drainingSince) {
-        line.add("since_stop_ms", wholeMilliseconds(now - *m_core.drainingSince).count())
-            .add("arrived_after_stop_ms", wholeMilliseconds(m_request.arrivedAt - *m_core.drainingSince).count());
+    if (m_core.draining) {
+        line.add("since_stop_ms", wholeMilliseconds(now - m_core.draining->since).count())
+            .add("arrived_after_stop_ms", wholeMilliseconds(m_request.arrivedAt - m_core.draining->since).count());
     }
     m_core.log(line);
 }
@@ -558,7 +576,7 @@
         m_silenceTimer.cancel();
         return;
     }
-    m_silenceTimer.expires_at(m_progressAt + *limit);
+    m_silenceTimer.expires_at(m_silentSince + *limit);
     m_silenceTimer.async_wait([weak = weak_from_this()](const LoopError &error) {
         const auto self = weak.lock();
         if (!self || error || self->m_isFinished) {
@@ -566,7 +584,9 @@
         }
         const auto now = monotonicNow();
         const auto currentTimeout = self->silenceTimeout();
-        if (currentTimeout && now - self->m_progressAt >= *currentTimeout) {
+        if (currentTimeout && now - self->m_silentSince >= *currentTimeout) {
+            // Without an alternative the stream stays with its target, and the next look is a whole timeout later.
+            self->m_silentSince = now;
             self->m_session->onStreamTimeout(now);
         }
         if (!self->m_isFinished) {
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -43,6 +43,8 @@
         return m_target;
     }
 
+    // The process is about to stop: responds to the request if its response has not begun.
+    void handleStop(MonotonicTime now);
     // Logs that the request ends unfinished because the process exits.
     void logUnfinished(MonotonicTime now) const;
 
@@ -106,6 +108,8 @@
     int64_t m_targetIncarnation = 0;
     // Digest of workspace, request target and body, by which a poison request is recognized when it is sent again.
     uint64_t m_digest = 0;
+    // Parts of the prompt that other requests may share, in order.
+    std::vector<uint64_t> m_promptParts;
     std::unique_ptr<RelaySession> m_session;
     std::shared_ptr<TargetChannel> m_targetConnection;
     // Number of the current attempt. Events of earlier attempts are ignored.
@@ -116,11 +120,12 @@
     bool m_isResponseNamed = false;
     MessageHead m_responseHead;
     MonotonicTime m_sentAt;
-    // Time of the current attempt, or of the last complete event of its stream.
-    MonotonicTime m_progressAt;
+    // Time of the current attempt, of the last complete event of its stream, or of the last look at its silence.
+    MonotonicTime m_silentSince;
     // The last attempt got no usable response.
     bool m_attemptFailed = false;
     int64_t m_eventsCounted = 0;
+    MonotonicTime m_firstEventAt;
     MonotonicTime m_lastEventAt;
     std::chrono::milliseconds m_firstEventAfter {0};
     std::chrono::milliseconds m_maxGap {0};
