--- a/Tests/Soak/Harness/SoakLedger.h
+++ b/Tests/Soak/Harness/SoakLedger.h
@@ -20,6 +20,8 @@
 namespace SoakBounds
 {
 constexpr std::chrono::milliseconds Evacuation {5000};
+// A relay that closes a connection this long after a request's last byte has read it.
+constexpr std::chrono::milliseconds LossSlack {200};
 constexpr std::chrono::milliseconds AfterLeaving {500};
 constexpr std::chrono::milliseconds AfterTimeout {500};
 constexpr std::chrono::milliseconds NotReadyAfterTerm {4000};
@@ -103,6 +105,8 @@
         FleetBounds bounds;
         // Whether promises with a time bound are checked. They hold only while the machine keeps up.
         bool timed = true;
+        // Whether requests that are cut are left to PlannedLosses.
+        bool plannedOnly = false;
     };
 
     struct Sent {
@@ -115,6 +119,8 @@
         // Set if some documents of the run allow it: what it needs of the document.
         std::optional<DocumentHistory::Subject> subject;
         std::chrono::milliseconds deadline {0};
+        // Longest wait of its route.
+        std::chrono::milliseconds routeTimeout {3000};
         // Whether it crashes each target that runs it.
         bool isFatal = false;
     };
@@ -126,6 +132,8 @@
         std::string seal;
         std::string body;
         bool complete = false;
+        // Whether the connection was made.
+        bool wasSent = true;
         // Whether the caller closed its connection because the answer took too long.
         bool gaveUp = false;
         // Whether the answer names the target's limit.
@@ -196,6 +204,7 @@
         size_t arrivals = 0;
         // Which target ran it last, or went on with it.
         std::string lastTarget;
+        std::set<std::string> targets;
         std::optional<MonotonicTime> leftAt;
         std::optional<int> answered;
         bool served = false;
