Send prompts with a part that crashes engines in the soak

Nothing in the soak played a part of prompts that crashes each engine, whatever else the request holds: its fatal request is the same one each time. Generations now name the parts of their prompts, which have to reach targets unchanged. The ledger checks that the part is known in time after the fifth crash (BadPartCheck), and that sound generations of the same route, key or first part do not suffer for it. Its tests show for each bound that the check fires beyond it and not at it.

--- a/Tests/Soak/Harness/SoakCaller.cpp
+++ b/Tests/Soak/Harness/SoakCaller.cpp
@@ -26,6 +26,7 @@
     , m_options(std::move(options))
     , m_hooks(std::move(hooks))
     , m_random(m_options.seed)
+    , m_prompts(m_options.seed)
     , m_client(loop)
     , m_pool(loop)
     , m_pause(loop)
@@ -130,6 +131,9 @@
         sent.target = drawn % 2 == 0 ? "/nothing/x" : "/status/unknown-key";
         sent.proper = false;
     }
+    if (isGeneration(sent.kind)) {
+        sent.prompt = m_prompts.draw(sent.kind);
+    }
     return sent;
 }
 
@@ -142,7 +146,10 @@
     head.set("Host", "shop.example");
     head.set("X-Attempt-Id", id);
     head.set("X-Deadline-Ms", absl::StrCat(Deadline.count()));
-    head.set("X-Token-Usage", "1000,40");
+    head.set("X-Token-Usage", std::string(SoakPrompts::TokenUsage));
+    if (!sent.prompt.empty()) {
+        head.set("X-Prefix-Hash", sent.prompt);
+    }
     head.set("Authorization", sent.target == "/status/unknown-key" ? "Bearer key-unknown" : "Bearer key-1");
     head.set("X-Tenant", "forged");
     head.set("X-Hold", "forged");
--- a/Tests/Soak/Harness/SoakCaller.h
+++ b/Tests/Soak/Harness/SoakCaller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "SoakLedger.h"
+#include "SoakPrompts.h"
 
 #include <functional>
 #include <LibLoop/LoopClient.h>
@@ -77,6 +78,7 @@
     const Options m_options;
     const Hooks m_hooks;
     std::mt19937_64 m_random;
+    SoakPrompts m_prompts;
     LoopClient m_client;
     TargetChannelPool m_pool;
     boost::asio::steady_timer m_pause;
--- a/Tests/Soak/Harness/SoakFaults.cpp
+++ b/Tests/Soak/Harness/SoakFaults.cpp
@@ -524,7 +524,7 @@
     after(Pause, [this, until] { sendFatalRequests(until); });
 }
 
-void SoakWorld::ask(SoakRelay &relay, SoakLedger::Sent sent, std::function<void(int status)> onStatus)
+void SoakWorld::ask(SoakRelay &relay, SoakLedger::Sent sent, std::function<void(int status)> onStatus, const std::string &body)
 {
     // A caller waits this much longer than its deadline for the network.
     constexpr std::chrono::milliseconds DeadlineSlack {1000};
@@ -535,6 +535,13 @@
     head.set("X-Deadline-Ms", absl::StrCat(sent.deadline.count()));
     head.set("X-Own", "kept");
     head.set("Authorization", absl::StrCat("Bearer ", sent.subject ? sent.subject->key : "key-1"));
+    if (!sent.prompt.empty()) {
+        head.set("X-Token-Usage", std::string(SoakPrompts::TokenUsage));
+        head.set("X-Prefix-Hash", sent.prompt);
+    }
+    if (!body.empty()) {
+        head.set("Content-Length", absl::StrCat(body.size()));
+    }
     const auto deadline = sent.deadline;
     const bool isFatal = sent.isFatal;
     m_ledger.onSent(monotonicNow(), id, std::move(sent));
@@ -559,7 +566,7 @@
         answer->namesLimit = message.has("Server-Limit");
         return true;
     };
-    channel->exchange(requestText(head),
+    channel->exchange(requestText(head) + body,
                       false,
                       std::chrono::seconds(1),
                       {.onHead = onHead,
--- a/Tests/Soak/Harness/SoakLedger.cpp
+++ b/Tests/Soak/Harness/SoakLedger.cpp
@@ -51,6 +51,7 @@
 
 SoakLedger::SoakLedger(Options options)
     : m_options(std::move(options))
+    , m_badPart(m_options.bounds.contact)
 {
 }
 
@@ -98,6 +99,19 @@
     end = std::max(end, until);
 }
 
+void SoakLedger::harmTargetLink(const std::string &target, MonotonicTime until)
+{
+    auto &end = m_targetLinkHarmedUntil[target];
+    end = std::max(end, until);
+}
+
+bool SoakLedger::isCalm(const std::string &relay, MonotonicTime now) const
+{
+    return isInTouch(relay, now) && std::none_of(m_targetDisturbedUntil.begin(), m_targetDisturbedUntil.end(), [&](const auto &entry) {
+               return now < entry.second + m_options.bounds.contact;
+           });
+}
+
 bool SoakLedger::wasDisturbed(const std::map<std::string, MonotonicTime> &until, const std::string &name, MonotonicTime now) const
 {
     const auto found = until.find(name);
@@ -233,7 +247,17 @@
 {
     const auto service = sent.subject ? m_documents.serviceOf(sent.subject->route) : std::string();
     m_offered[service.empty() ? serviceOf(sent.kind) : service].push_back(now);
-    m_requests[id] = {.sent = std::move(sent), .sentAt = now};
+    if (sent.hasBadPart) {
+        m_badPart.onSent(now);
+    }
+    const bool inTouch = isInTouch(sent.relay, now);
+    const bool calm = isCalm(sent.relay, now);
+    m_requests[id] = {.sent = std::move(sent), .sentAt = now, .wasSentInTouch = inTouch, .wasCalm = calm};
+}
+
+void SoakLedger::onBadPartCrash(MonotonicTime now)
+{
+    m_badPart.onCrash(now);
 }
 
 void SoakLedger::onArrival(MonotonicTime now, const std::string &target, const std::string &service, const MessageHead &head, StandInTarget::Arrival arrival)
@@ -272,6 +296,9 @@
     if (request.sent.isFatal) {
         checkFatal(now, request, arrival);
     }
+    if (request.sent.hasBadPart && isInTouch(request.sent.relay, now) && !wasDisturbed(m_targetLinkHarmedUntil, target, now)) {
+        m_badPart.onArrival(now, id);
+    }
     if (arrival != StandInTarget::Arrival::NotRun) {
         request.lastTarget = target;
     }
@@ -299,6 +326,9 @@
     if (head.value("X-Tenant") != "workspace-1" || head.has("Authorization") || head.has("X-Hold") || head.value("X-Own") != "kept") {
         report("unasked", absl::StrCat(id, " reached a target with wrong fields"));
     }
+    if (head.value("X-Prefix-Hash") != request.sent.prompt) {
+        report("unasked", absl::StrCat(id, " reached a target with the prompt ", toAbsl(head.value("X-Prefix-Hash")), " instead of ", request.sent.prompt));
+    }
     checkTimeLeft(now, id, request, target, head);
 }
 
@@ -356,6 +386,7 @@
 {
     auto &request = m_requests.at(id);
     request.answered = answer.status;
+    request.wasCalm = request.wasCalm && isCalm(request.sent.relay, now);
     ++m_statuses[answer.status];
     const auto timeout = request.sentAt + std::min(request.sent.deadline, RouteTimeout);
     const auto latest = timeout + SoakBounds::AfterTimeout;
@@ -464,6 +495,26 @@
     checkShares();
     checkRetries();
     checkLimits();
+    checkBadPart();
+}
+
+void SoakLedger::checkBadPart()
+{
+    for (const auto &[id, request] : m_requests) {
+        if (request.sent.proper && isGeneration(request.sent.kind) && !request.sent.hasBadPart && request.wasSentInTouch) {
+            m_badPart.addSound({.sentAt = request.sentAt,
+                                .route = request.sent.target,
+                                .prompt = request.sent.prompt,
+                                .hasBegun = request.runs > 0,
+                                .wasCalm = request.wasCalm});
+        }
+    }
+    if (const auto text = m_badPart.excess()) {
+        report("crash", *text);
+    }
+    for (const auto &text : m_badPart.shutOut()) {
+        report("lost", text);
+    }
 }
 
 void SoakLedger::checkShares()
--- a/Tests/Soak/Harness/SoakLedger.h
+++ b/Tests/Soak/Harness/SoakLedger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../../Support/RequestLimitCheck.h"
+#include "BadPartCheck.h"
 #include "DocumentHistory.h"
 
 #include <functional>
@@ -117,6 +118,9 @@
         std::chrono::milliseconds deadline {0};
         // Whether it crashes each target that runs it.
         bool isFatal = false;
+        // Parts of a generation's prompt as the caller names them, and whether one of them crashes each engine that begins to write on it.
+        std::string prompt;
+        bool hasBadPart = false;
     };
 
     struct Answer {
@@ -142,6 +146,8 @@
     void excuseFromLimits(const std::string &relay, MonotonicTime until);
     // The same for a target and its link.
     void disturbTarget(const std::string &target, MonotonicTime until);
+    // A fault of a target's link, which may hold requests up on their way.
+    void harmTargetLink(const std::string &target, MonotonicTime until);
     bool isInTouch(const std::string &relay, MonotonicTime now) const;
     // Whether a relay was in touch all the while.
     bool wasInTouch(const std::string &relay, MonotonicTime from, MonotonicTime to) const;
@@ -153,6 +159,8 @@
     void onSent(MonotonicTime now, const std::string &id, Sent sent);
     void onArrival(MonotonicTime now, const std::string &target, const std::string &service, const MessageHead &head, StandInTarget::Arrival arrival);
     void onAnswer(MonotonicTime now, const std::string &id, const Answer &answer);
+    // A request with the bad part has crashed an engine.
+    void onBadPartCrash(MonotonicTime now);
     // A target names a limit in its answers from now on, or none.
     void onLimitNamed(MonotonicTime now, const std::string &target, std::optional<double> limit);
     // The lifetime of a target has ended. A new one begins without a limit.
@@ -176,6 +184,10 @@
     {
         return m_violations;
     }
+    const BadPartCheck &badPart() const
+    {
+        return m_badPart;
+    }
     size_t sentCount() const
     {
         return m_requests.size();
@@ -202,6 +214,9 @@
         // When the time that the first target was given ends.
         std::optional<MonotonicTime> firstArrivedAt;
         MonotonicTime firstEnd;
+        // Whether its relay was in touch when it was sent, and nothing at all was disturbed shortly before, or until its answer.
+        bool wasSentInTouch = false;
+        bool wasCalm = false;
     };
 
     bool wasDisturbed(const std::map<std::string, MonotonicTime> &until, const std::string &name, MonotonicTime now) const;
@@ -225,6 +240,9 @@
     size_t oldestKnownTo(const std::string &relay, MonotonicTime now) const;
     // The oldest document that may be in force at relays in touch.
     size_t oldestInForce(MonotonicTime now) const;
+    // Whether a request is at a relay in touch while no target has been disturbed for a while.
+    bool isCalm(const std::string &relay, MonotonicTime now) const;
+    void checkBadPart();
     void checkForbidden(MonotonicTime now, const std::string &id, const Request &request, const std::string &target);
     // A request that crashes targets, which has reached one more.
     void checkFatal(MonotonicTime now, const Request &request, StandInTarget::Arrival arrival);
@@ -244,6 +262,7 @@
     // Without planned shutdowns.
     std::map<std::string, MonotonicTime> m_unplannedUntil;
     std::map<std::string, MonotonicTime> m_targetDisturbedUntil;
+    std::map<std::string, MonotonicTime> m_targetLinkHarmedUntil;
     // For limits of targets: excused relays, and when a relay first passed on an answer of a target that names its limit.
     std::map<std::string, MonotonicTime> m_excusedUntil;
     std::map<std::pair<std::string, std::string>, MonotonicTime> m_limitPassedOnAt;
@@ -259,6 +278,7 @@
     // When the request that crashes targets had done so often enough to be known.
     std::optional<MonotonicTime> m_fatalKnownAt;
     size_t m_fatalPassed = 0;
+    BadPartCheck m_badPart;
     // Requests that were unanswered at the timeout of their route, and of these the ones without an answer some time later.
     size_t m_unanswered = 0;
     size_t m_answeredLate = 0;
--- a/Tests/Soak/Harness/SoakWorld.cpp
+++ b/Tests/Soak/Harness/SoakWorld.cpp
@@ -53,6 +53,7 @@
     , m_store(std::make_unique<SoakStore>(m_storeAddress))
     , m_client(m_loop)
     , m_random(m_options.seed)
+    , m_prompts(m_options.seed)
     , m_tick(m_loop)
 {
 }
@@ -94,6 +95,9 @@
     m_isProbing = m_options.tableChanges > 0;
     probeNext();
     after(m_options.length / 3, [this] { sendFatalRequests(monotonicNow() + m_options.length / 3); });
+    if (m_options.badPart) {
+        sendBadPartRequests(monotonicNow() + m_options.length);
+    }
     runFor(m_options.length);
     runFor(m_options.timed ? SoakBounds::Recovery : ShortRecovery);
     waitReady();
@@ -123,6 +127,10 @@
             .force = measureForce(),
             .documentBytes = m_documentBytes,
             .storeCalls = m_store->calls(),
+            .badPartRequests = m_ledger.badPart().sentCount(),
+            .badPartCrashes = m_ledger.badPart().crashCount(),
+            .badPartLate = m_ledger.badPart().lateCount(),
+            .sound = m_ledger.badPart().soundCounts(),
             .processorTime = std::chrono::milliseconds(std::clock() * 1000 / CLOCKS_PER_SEC),
             .relayTime = processorTime};
 }
@@ -148,23 +156,27 @@
 void SoakWorld::startTarget(Target &target)
 {
     const bool isEngine = target.service == "engine";
-    StandInTarget::Options options {.id = target.id,
-                                    .address = target.address,
-                                    .events = isEngine ? EventsOfGeneration : 0,
-                                    .eventInterval = std::chrono::milliseconds(20),
-                                    .work = std::chrono::milliseconds(60),
-                                    .body = isEngine ? [](const std::string &) { return soakEvents(EventsOfGeneration); } : soakBody,
-                                    .isFatal = [](const MessageHead &head) { return head.target == FatalTarget; },
-                                    .onFatal =
-                                        [this, &target] {
-                                            crashTarget(target);
-                                            after(FatalDowntime, [this, &target] { restartTarget(target); });
-                                        },
-                                    .canCopyTo = [this](const std::string &to) { return takesCopies(to); },
-                                    .onArrival =
-                                        [this, id = target.id, service = target.service](const MessageHead &head, StandInTarget::Arrival arrival) {
-                                            m_ledger.onArrival(monotonicNow(), id, service, head, arrival);
-                                        }};
+    StandInTarget::Options options {
+        .id = target.id,
+        .address = target.address,
+        .events = isEngine ? EventsOfGeneration : 0,
+        .eventInterval = std::chrono::milliseconds(20),
+        .work = std::chrono::milliseconds(60),
+        .body = isEngine ? [](const std::string &) { return soakEvents(EventsOfGeneration); } : soakBody,
+        .isFatal = [isEngine](const MessageHead &head) { return isEngine ? hasPart(head.value("X-Prefix-Hash"), BadPart) : head.target == FatalTarget; },
+        .onFatal =
+            [this, &target, isEngine] {
+                if (isEngine) {
+                    crashOnBadPart(target);
+                    return;
+                }
+                crashTarget(target);
+                after(FatalDowntime, [this, &target] { restartTarget(target); });
+            },
+        .crashOf = [this, isEngine](const MessageHead &) { return isEngine ? drawCrash() : StandInTarget::Crash(); },
+        .canCopyTo = [this](const std::string &to) { return takesCopies(to); },
+        .onArrival = [this, id = target.id, service = target.service](
+                         const MessageHead &head, StandInTarget::Arrival arrival) { m_ledger.onArrival(monotonicNow(), id, service, head, arrival); }};
     target.server = std::make_unique<StandInTarget>(m_loop, std::move(options));
     target.link->setListening(true);
     target.isDown = false;
@@ -384,6 +396,9 @@
         if (target->isDown || m_active["link of " + target->id] > 0 || m_active["behaviour of " + target->id] > 0) {
             m_ledger.disturbTarget(target->id, now);
         }
+        if (m_active["link of " + target->id] > 0) {
+            m_ledger.harmTargetLink(target->id, now);
+        }
     }
 }
 
--- a/Tests/Soak/Harness/SoakWorld.h
+++ b/Tests/Soak/Harness/SoakWorld.h
@@ -3,9 +3,11 @@
 #include "DocumentForce.h"
 #include "FaultPlan.h"
 #include "SoakCaller.h"
+#include "SoakPrompts.h"
 #include "SoakRelay.h"
 #include "SoakStore.h"
 
+#include <deque>
 #include <fstream>
 #include <platform/StandIns/StandInRows.h>
 
@@ -30,6 +32,8 @@
     size_t routes = 0;
     // The relay program, of this build unless the path is absolute.
     std::string relayProgram = "jujube-relay";
+    // Whether requests come with a part of the prompt that crashes engines, for as long as the faults last.
+    bool badPart = false;
     // Megabits a second on each relay's link to the store. Zero for no bound.
     double storeMbit = 0;
     // Processors for all relays together. Zero for all that the machine has.
@@ -57,6 +61,11 @@
     DocumentForce force;
     size_t documentBytes = 0;
     int storeCalls = 0;
+    // Requests with the bad part, crashes by it, and requests that reached targets after it had to be known.
+    size_t badPartRequests = 0;
+    size_t badPartCrashes = 0;
+    size_t badPartLate = 0;
+    BadPartCheck::Counts sound;
     // That the soak itself has used since its start.
     std::chrono::milliseconds processorTime {0};
     // Of the relays that run at the end, since the start of each. Waits near or above the time used put promises in time in doubt.
@@ -83,6 +92,11 @@
         int64_t born = 1;
         bool isDown = false;
     };
+    struct BadPartRequest {
+        SoakKind kind = SoakKind::Generation;
+        std::string prompt;
+        std::string body;
+    };
     // Faults of one kind on one subject that have not been lifted.
     using ActiveFaults = std::map<std::string, int>;
 
@@ -129,12 +143,17 @@
     // Kills, pauses or slows down relays that read the store, or harms their links to it.
     void strikeReader(Fault fault);
     // Sends a request straight to a relay, and tells the status of its answer.
-    void ask(SoakRelay &relay, SoakLedger::Sent sent, std::function<void(int status)> onStatus);
+    void ask(SoakRelay &relay, SoakLedger::Sent sent, std::function<void(int status)> onStatus, const std::string &body = {});
     void startLateRelays();
     DocumentForce measureForce() const;
     ChildProcess::ProcessorTime relayTime() const;
     // Sends the request that crashes targets to one relay after the other, until the faults end.
     void sendFatalRequests(MonotonicTime until);
+    // Sends requests with the bad part to any relays, no two alike but for repeats, until the faults end.
+    void sendBadPartRequests(MonotonicTime until);
+    void sendBadPart(SoakRelay &relay, const BadPartRequest &request);
+    void crashOnBadPart(Target &target);
+    StandInTarget::Crash drawCrash();
     void checkNotReadyAfterTerm(SoakRelay &relay);
 
     void tick();
@@ -172,6 +191,8 @@
     bool m_isProbing = false;
     std::vector<SoakRelay *> m_lateRelays;
     size_t m_fatalRelay = 0;
+    SoakPrompts m_prompts;
+    std::deque<BadPartRequest> m_badPartRepeats;
     std::map<std::string, MonotonicTime> m_evacuatedSince;
     boost::asio::steady_timer m_tick;
     MonotonicTime m_nextTick;
--- a/Tests/Soak/Program/main.cpp
+++ b/Tests/Soak/Program/main.cpp
@@ -54,6 +54,12 @@
     for (const auto &[status, count] : result.statuses) {
         std::cout << " " << status << ":" << count;
     }
+    if (options.badPart) {
+        const auto &sound = result.sound;
+        std::cout << ", bad part: " << result.badPartRequests << " requests, " << result.badPartCrashes << " crashes, " << result.badPartLate
+                  << " at targets too late, sound ones begun " << sound.calmBegun << " of " << sound.calm << " in calm times and " << sound.knownBegun << " of "
+                  << sound.known << " beside known crashes";
+    }
     std::cout << ", " << result.violations.size() << " promises broken\n";
     for (const auto &violation : result.violations) {
         std::cout << "  " << violation << "\n";
@@ -76,6 +82,7 @@
             .tableChanges = arguments["table-changes"].as<double>(),
             .routes = arguments["routes"].as<size_t>(),
             .relayProgram = arguments["relay-program"].as<std::string>(),
+            .badPart = arguments["bad-part"].as<bool>(),
             .storeMbit = arguments["store-mbit"].as<double>(),
             .processors = arguments["processors"].as<int>(),
             .timed = !arguments["untimed"].as<bool>(),
@@ -89,7 +96,7 @@
     const auto &[name, value] = option;
     return (name == "targets" && absl::SimpleAtoi(value, &options.targets)) || (name == "table-changes" && absl::SimpleAtod(value, &options.tableChanges))
         || (name == "routes" && absl::SimpleAtoi(value, &options.routes)) || (name == "processors" && absl::SimpleAtoi(value, &options.processors))
-        || (name == "store-mbit" && absl::SimpleAtod(value, &options.storeMbit));
+        || (name == "bad-part" && absl::SimpleAtob(value, &options.badPart)) || (name == "store-mbit" && absl::SimpleAtod(value, &options.storeMbit));
 }
 
 // The runs of a file with lines "SEED RELAYS CALLERS SECONDS RATE [NAME=VALUE...]", each followed by a comment. Nothing if a line cannot be read.
@@ -162,6 +169,7 @@
     add("processors", "Processors for all relays together, while the soak itself uses the others; 0 for all", cxxopts::value<int>()->default_value("0"));
     add("relay-program", "Relay program; of this build unless the path is absolute", cxxopts::value<std::string>()->default_value("jujube-relay"));
     add("store-mbit", "Megabits a second on each relay's link to the store; 0 for no bound", cxxopts::value<double>()->default_value("0"));
+    add("bad-part", "Send requests with a part of the prompt that crashes engines");
     add("untimed", "Leave promises with a time bound out");
     add("out", "Directory for settings and logs, which are kept of runs that break a promise", cxxopts::value<std::string>()->default_value("soak-runs"));
     add("help", "Print this help");
--- a/Tests/Soak/TestSoakLedger.cpp
+++ b/Tests/Soak/TestSoakLedger.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <set>
 
@@ -399,3 +400,178 @@
     EXPECT_EQ(broken("2990", 3400ms), "");
     EXPECT_EQ(broken("2990", 3600ms), "timeout");
 }
+
+namespace
+{
+
+// Engines that crash on one part of prompts, and sound requests beside it.
+struct BadPartWorld {
+    SoakLedger ledger {{.events = Events, .retrySlack = 1000}};
+    int sent = 0;
+
+    static constexpr auto Contact = fleetBounds(1).contact;
+    // Within the time in which the part comes and is known.
+    static constexpr auto Known = Start + 2 * Contact + 2s;
+
+    std::string send(MonotonicTime now, const std::string &prompt, bool hasBadPart, const std::string &relay = "n1")
+    {
+        const auto id = absl::StrCat("g-", ++sent);
+        ledger.onSent(
+            now,
+            id,
+            {.relay = relay, .kind = SoakKind::Generation, .method = "POST", .target = "/draft/x", .deadline = 5s, .prompt = prompt, .hasBadPart = hasBadPart});
+        return id;
+    }
+
+    void arrive(MonotonicTime now, const std::string &id, const std::string &prompt, StandInTarget::Arrival arrival = StandInTarget::Arrival::Run)
+    {
+        MessageHead head {.method = "POST", .target = "/draft/x"};
+        head.set("X-Attempt-Id", id);
+        head.set("X-Deadline-Ms", "3000");
+        head.set("X-Tenant", "workspace-1");
+        head.set("X-Own", "kept");
+        head.set("X-Prefix-Hash", prompt);
+        ledger.onArrival(now, "i-1", "engine", head, arrival);
+    }
+
+    void sendBad(MonotonicTime now, const std::string &relay = "n1")
+    {
+        const std::string prompt = "a1:500,bad:120,e1:380";
+        arrive(now, send(now, prompt, true, relay), prompt);
+    }
+
+    void crash(int times)
+    {
+        for (int number = 0; number < times; ++number) {
+            sendBad(Start);
+            ledger.onBadPartCrash(Start);
+        }
+    }
+
+    // Sound requests of which some begin.
+    void sendSound(MonotonicTime now, int count, int begin, const std::string &firstPart = "a1", const std::string &relay = "n1")
+    {
+        for (int number = 0; number < count; ++number) {
+            const auto prompt = firstPart + ":500,e2:500";
+            const auto id = send(now, prompt, false, relay);
+            if (number < begin) {
+                arrive(now, id, prompt);
+            }
+        }
+    }
+
+    size_t count(const std::string &promise)
+    {
+        ledger.finish();
+        const auto &all = ledger.violations();
+        return static_cast<size_t>(std::count_if(all.begin(), all.end(), [&](const auto &text) { return absl::StartsWith(text, promise + ":"); }));
+    }
+};
+
+} // namespace
+
+// Guards against requests with a part that crashes engines which go on to reach them and are not noticed, and against blame for what is not counted: the
+// first three, what arrives within the bound, comes from relays out of touch, or after fewer crashes.
+TEST(SoakLedger, FindsABadPartThatGoesOnCrashingEngines)
+{
+    const auto broken = [](int crashes, std::chrono::milliseconds afterCrash, int requests, const std::function<void(SoakLedger &)> &disturb) {
+        BadPartWorld world;
+        world.crash(crashes);
+        disturb(world.ledger);
+        for (int number = 0; number < requests; ++number) {
+            world.sendBad(Start + afterCrash);
+        }
+        return world.count("crash") == 1;
+    };
+    const auto nothing = [](SoakLedger &) {};
+    constexpr auto Contact = BadPartWorld::Contact;
+    EXPECT_TRUE(broken(5, Contact + 1ms, 4, nothing));
+    EXPECT_FALSE(broken(5, Contact + 1ms, 3, nothing));
+    EXPECT_FALSE(broken(5, Contact, 50, nothing));
+    EXPECT_FALSE(broken(4, Contact + 1ms, 50, nothing));
+    EXPECT_FALSE(broken(5, Contact + 1ms, 50, [](SoakLedger &ledger) { ledger.disturb("n1", Start + 10ms); }));
+    EXPECT_FALSE(broken(5, Contact + 1ms, 50, [](SoakLedger &ledger) { ledger.harmTargetLink("i-1", Start + 10ms); }));
+    // A target that has just crashed excuses nothing.
+    EXPECT_TRUE(broken(5, Contact + 1ms, 4, [](SoakLedger &ledger) { ledger.disturbTarget("i-1", Start + 10ms); }));
+}
+
+// Guards against the same where the requests reach targets by repeats only.
+TEST(SoakLedger, CountsRepeatsOfRequestsWithABadPart)
+{
+    BadPartWorld world;
+    world.crash(5);
+    const auto now = Start + BadPartWorld::Contact + 1ms;
+    const std::string prompt = "bad:500,e1:500";
+    const auto id = world.send(now, prompt, true);
+    for (int number = 0; number < 4; ++number) {
+        world.arrive(now, id, prompt, StandInTarget::Arrival::NotRun);
+    }
+    EXPECT_EQ(world.count("crash"), 1U);
+}
+
+// Guards against sound requests that are turned away for what they share with those that crash engines, by route or by first part, which is not noticed.
+TEST(SoakLedger, FindsSoundRequestsThatSufferForABadPart)
+{
+    const auto lost = [](int calmBegun, int knownBegun, int count, std::chrono::milliseconds before) {
+        BadPartWorld world;
+        world.sendSound(Start - 1s, count, calmBegun);
+        world.ledger.disturbTarget("i-1", Start);
+        world.crash(5);
+        world.sendSound(BadPartWorld::Known - before, count, knownBegun);
+        world.sendBad(BadPartWorld::Known);
+        return world.count("lost");
+    };
+    // By route, and by its only first part.
+    EXPECT_EQ(lost(20, 9, 20, 0s), 2U);
+    EXPECT_EQ(lost(20, 10, 20, 0s), 0U);
+    EXPECT_EQ(lost(10, 4, 20, 0s), 2U);
+    EXPECT_EQ(lost(10, 5, 20, 0s), 0U);
+    // Too few, or too early.
+    EXPECT_EQ(lost(19, 0, 19, 0s), 0U);
+    EXPECT_EQ(lost(20, 0, 20, 2001ms), 0U);
+}
+
+// Guards against a first part whose sound requests are turned away among others that are served, against blame for requests at relays out of touch, for those
+// sent after the last one with the bad part, and for calm times in which as little was served.
+TEST(SoakLedger, ComparesSoundRequestsByFirstPart)
+{
+    const auto lost = [](const std::function<void(BadPartWorld &)> &sendKnown) {
+        BadPartWorld world;
+        world.sendSound(Start - 1s, 40, 40, "a1");
+        world.sendSound(Start - 1s, 100, 100, "a2");
+        world.ledger.disturbTarget("i-1", Start);
+        // Fewer than five crashes: the last one counts.
+        world.crash(2);
+        world.sendBad(BadPartWorld::Known);
+        sendKnown(world);
+        return world.count("lost");
+    };
+    EXPECT_EQ(lost([](BadPartWorld &world) {
+                  world.sendSound(BadPartWorld::Known, 20, 0, "a1");
+                  world.sendSound(BadPartWorld::Known, 100, 100, "a2");
+              }),
+              1U);
+    EXPECT_EQ(lost([](BadPartWorld &world) {
+                  world.ledger.disturb("n1", BadPartWorld::Known);
+                  world.sendSound(BadPartWorld::Known, 50, 0, "a1");
+              }),
+              0U);
+    EXPECT_EQ(lost([](BadPartWorld &world) { world.sendSound(BadPartWorld::Known + 1ms, 50, 0, "a1"); }), 0U);
+    BadPartWorld disturbed;
+    disturbed.ledger.disturbTarget("i-1", Start - 2s);
+    disturbed.sendSound(Start - 1s, 40, 40);
+    disturbed.crash(5);
+    disturbed.sendSound(BadPartWorld::Known, 40, 0);
+    disturbed.sendBad(BadPartWorld::Known);
+    EXPECT_EQ(disturbed.count("lost"), 0U);
+}
+
+// Guards against a prompt that reaches a target with other parts than the caller's.
+TEST(SoakLedger, FindsChangedPrompts)
+{
+    BadPartWorld world;
+    world.arrive(Start, world.send(Start, "a1:500,e1:500", false), "a1:500,e1:500");
+    EXPECT_EQ(world.ledger.violations().size(), 0U);
+    world.arrive(Start, world.send(Start, "a1:500,e1:500", false), "a1:500");
+    EXPECT_EQ(world.count("unasked"), 1U);
+}
