Let one target in three of the soak end its responses with the connection

A response may come with neither a length nor chunks and end with its connection; no target of the soak sent one. One in three of each service now does, and truncation has a second form, a reset. Relay.ResponsesWhoseConnectionIsResetAreNotWhole plays a stream and a plain response of that kind (passes; nothing had to change in the relay for it).

--- a/Libraries/LibLoop/CallerChannel.cpp
+++ b/Libraries/LibLoop/CallerChannel.cpp
@@ -257,6 +257,13 @@
     close();
 }
 
+void CallerChannel::reset()
+{
+    LoopError ignored;
+    m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    cut();
+}
+
 void CallerChannel::closeIfIdle()
 {
     if (m_state == State::Idle && m_input.empty() && m_writing.empty()) {
--- a/Libraries/LibLoop/CallerChannel.h
+++ b/Libraries/LibLoop/CallerChannel.h
@@ -67,6 +67,8 @@
     void finish();
     // Ends the channel without completing the answer.
     void cut();
+    // The same, in a way that shows even if only the end of the channel ends the answer.
+    void reset();
 
     // Closes the channel if no request is being read or answered.
     void closeIfIdle();
--- a/Tests/Platform/TestRelay.cpp
+++ b/Tests/Platform/TestRelay.cpp
@@ -192,6 +192,28 @@
     EXPECT_EQ(desk.runCount(), 1);
 }
 
+// Guards against responses that look whole although the connection that would end them was reset.
+TEST(Relay, ResponsesWhoseConnectionIsResetAreNotWhole)
+{
+    constexpr int Events = 40;
+    RelayTestBed testBed;
+    testBed.writeDocument(1);
+    auto &engine = testBed.addTarget("i-1", "engine", Events);
+    auto &desk = testBed.addTarget("i-2", "desk");
+    for (auto *target : {&engine, &desk}) {
+        target->setEndsResponsesWithConnection();
+        target->setBehaviour(StandInTarget::Behaviour::Reset);
+    }
+    testBed.addRelay("n1");
+    ASSERT_TRUE(testBed.waitUntilReady("n1"));
+    for (const auto *path : {"/draft/x", "/commit/x"}) {
+        const auto response = testBed.call("n1", {.path = path});
+        EXPECT_FALSE(response.status == 200 && response.end == ChannelEnd::Complete) << path << ", " << response.body.size() << " bytes";
+    }
+    EXPECT_EQ(engine.runCount(), 1);
+    EXPECT_EQ(desk.runCount(), 1);
+}
+
 // Guards against a draft that is lost, mixed with another run or run twice when its engine terminates.
 TEST(Relay, DraftMigratesWithItsKvCacheWhenItsEngineLeaves)
 {
--- a/Tests/Soak/Harness/SoakFaults.cpp
+++ b/Tests/Soak/Harness/SoakFaults.cpp
@@ -31,6 +31,13 @@
     return variant % 2 == 1;
 }
 
+StandInTarget::Behaviour behaviourOf(unsigned variant)
+{
+    const auto behaviour = Behaviours[variant % Behaviours.size()];
+    const bool isRarer = isOdd(variant / Behaviours.size());
+    return behaviour == StandInTarget::Behaviour::Truncate && isRarer ? StandInTarget::Behaviour::Reset : behaviour;
+}
+
 } // namespace
 
 void SoakWorld::strike(const Fault &fault, const std::string &name, const std::function<void()> &begin, std::function<void()> end)
@@ -233,7 +240,7 @@
         strike(
             fault,
             "behaviour of " + target.id,
-            [&] { target.server->setBehaviour(Behaviours[fault.variant % Behaviours.size()]); },
+            [&] { target.server->setBehaviour(behaviourOf(fault.variant)); },
             [&target] {
                 if (target.server) {
                     target.server->setBehaviour(StandInTarget::Behaviour::Serve);
--- a/Tests/Soak/Harness/SoakWorld.cpp
+++ b/Tests/Soak/Harness/SoakWorld.cpp
@@ -31,6 +31,8 @@
 constexpr const char *SecondService = "annex";
 // One relay in so many starts while the faults are on.
 constexpr size_t LateRelayInterval = 12;
+// One target of a service in so many sends its responses with neither a length nor chunks.
+constexpr size_t UnframedInterval = 3;
 constexpr double BytesPerMbit = 125000;
 constexpr std::chrono::milliseconds NotableLateness {100};
 
@@ -146,6 +148,7 @@
             target->service = service;
             target->dataCentre = Places[number % Places.size()].dataCentre;
             target->address = ownLoopbackEndpoint();
+            target->endsResponsesWithConnection = number % UnframedInterval == UnframedInterval - 1;
             target->link = std::make_unique<LoopbackProxy>(m_loop, ownLoopbackEndpoint(), target->address);
             startTarget(*target);
             m_targets.push_back(std::move(target));
@@ -178,6 +181,9 @@
         .onArrival = [this, id = target.id, service = target.service](
                          const MessageHead &head, StandInTarget::Arrival arrival) { m_ledger.onArrival(monotonicNow(), id, service, head, arrival); }};
     target.server = std::make_unique<StandInTarget>(m_loop, std::move(options));
+    if (target.endsResponsesWithConnection) {
+        target.server->setEndsResponsesWithConnection();
+    }
     target.link->setListening(true);
     target.isDown = false;
     if (const auto evacuated = m_evacuatedSince.find(target.dataCentre); evacuated != m_evacuatedSince.end()) {
--- a/Tests/Soak/Harness/SoakWorld.h
+++ b/Tests/Soak/Harness/SoakWorld.h
@@ -91,6 +91,7 @@
         std::unique_ptr<StandInTarget> server;
         int64_t born = 1;
         bool isDown = false;
+        bool endsResponsesWithConnection = false;
     };
     struct BadPartRequest {
         SoakKind kind = SoakKind::Generation;
