--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -45,3 +45,29 @@
         std::filesystem::remove_all(directory);
     }
 }
+
+// Guards against engines that crash one after the other, and sound generations that suffer, because of one part of prompts that crashes them.
+TEST(Soak, BadPartBreaksNoPromise)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto directory = std::filesystem::temp_directory_path() / ("jujube-soak-" + std::to_string(getpid()) + "-bad-part");
+    std::filesystem::create_directories(directory);
+    const auto result = SoakWorld({.seed = 4,
+                                   .relays = 8,
+                                   .callers = 25,
+                                   .targets = 8,
+                                   .length = std::chrono::seconds(13),
+                                   .faultRate = 0.2,
+                                   .badPart = true,
+                                   .timed = false,
+                                   .directory = directory.string()})
+                            .run();
+    EXPECT_EQ(result.violations, std::vector<std::string>()) << "logs in " << directory;
+    // Otherwise the run shows nothing.
+    constexpr size_t LeastCompared = 40;
+    EXPECT_GT(result.badPartCrashes, 0U);
+    EXPECT_GE(result.sound.calm, LeastCompared);
+    if (result.violations.empty()) {
+        std::filesystem::remove_all(directory);
+    }
+}
