--- a/Libraries/LibEvents/EventKind.cpp
+++ b/Libraries/LibEvents/EventKind.cpp
@@ -57,6 +57,10 @@
     EventKindInfo {EventKind::OrderRefused, "order_refused", "An engine refused an order because of its fencing number."},
     EventKindInfo {EventKind::CrashSuspected, "crash_suspected", "A target died while it ran this request."},
     EventKindInfo {EventKind::CrashRefused, "crash_refused", "A request was refused because targets crashed while they ran it."},
+    EventKindInfo {
+        EventKind::PromptPartRejected, "prompt_part_rejected", "A part of prompts is rejected, because targets crashed when they began to respond to it."},
+    EventKindInfo {
+        EventKind::PromptPartAllowed, "prompt_part_allowed", "A part of prompts is not rejected any more: a target has responded to it, or its time is over."},
     EventKindInfo {EventKind::RelayAccepted, "relay_accepted", "A request on a relayed route was admitted."},
     EventKindInfo {EventKind::RelayRejected, "relay_rejected", "A relayed request ended with an answer of the gateway's own."},
     EventKindInfo {EventKind::RelayFinished, "relay_finished", "A target's whole answer was passed on."},
@@ -66,6 +70,7 @@
     EventKindInfo {EventKind::RelayDecision, "relay_decision", "A decision about a relayed request after its first send: a retry, a copy, a continuation."},
     EventKindInfo {EventKind::RelayCallerGone, "relay_caller_gone", "The caller closed its channel before the answer was complete."},
     EventKindInfo {EventKind::RelayCopied, "relay_copied", "An engine has answered an order to copy a running generation."},
+    EventKindInfo {EventKind::RelayUnfinished, "relay_unfinished", "The process exits while the request is running at its target."},
     EventKindInfo {EventKind::TargetListed, "target_listed", "A target has appeared in the list of targets, or under a new incarnation."},
     EventKindInfo {EventKind::TargetLeft, "target_left", "A target is leaving: the list, the target itself or another gateway says so."},
     EventKindInfo {EventKind::RowUnreadable, "row_unreadable", "A row of the store could not be read; what was known before stays in force."},
--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -269,15 +269,18 @@
 bool RelaySession::tryRetry(std::string_view reason, bool countsAgainstBudget, MonotonicTime now)
 {
     if (m_request.deadline - now < MinTimeForRetry) {
+        m_hooks.record("no_retry", "no time");
         return false;
     }
     // The current response is discarded only if another target can take the request.
     const auto choice = m_hooks.choose(m_excluded, now);
     if (!choice.target) {
         m_retryAfter = choice.retryAfter;
+        m_hooks.record("no_retry", "no target");
         return false;
     }
     if (countsAgainstBudget && !m_hooks.tryTakeRetry(now)) {
+        m_hooks.record("no_retry", "budget");
         return false;
     }
     m_hooks.record("retry", reason);
@@ -423,6 +426,16 @@
     fail(mayHaveRun ? RelayOutcome::TimedOut : RelayOutcome::TimedOutNotRun, std::chrono::milliseconds(300));
 }
 
+void RelaySession::onStop(MonotonicTime)
+{
+    if (m_isOver || m_hasBegun) {
+        return;
+    }
+    const bool mayHaveRun = m_mayHaveRun || m_target;
+    m_hooks.record("stop", m_target ? m_target->id : "");
+    fail(mayHaveRun ? RelayOutcome::TimedOut : RelayOutcome::Draining, m_retryAfter);
+}
+
 void RelaySession::onCallerDisconnected()
 {
     if (m_isOver) {
@@ -438,8 +451,32 @@
         return;
     }
     m_hooks.record("silent", m_target ? m_target->id : "");
-    m_hooks.abortAttempt();
-    onFailure(ExchangeResult::Broken, false, now);
+    if (!tryLeaveSilentTarget(now)) {
+        // The target may still be at work, so its response is not given up without an alternative.
+        m_hooks.record("wait", m_target ? m_target->id : "");
+    }
+}
+
+bool RelaySession::tryLeaveSilentTarget(MonotonicTime now)
+{
+    // There is no backup of a run that has not begun.
+    if (continueAtSource(now) || (m_isResponseAccepted && continueFromBackup(now))) {
+        return true;
+    }
+    // The silent run counts as one, so that another one must be left.
+    const bool mayRunAgain = m_target && m_request.isRepeatable() && m_runs + 1 < m_request.maxAttempts && (!m_hasBegun || m_request.resumable);
+    if (!mayRunAgain) {
+        return false;
+    }
+    const auto silent = m_target->id;
+    m_excluded.insert(silent);
+    if (!tryRetry("silent", true, now)) {
+        m_excluded.erase(silent);
+        return false;
+    }
+    m_mayHaveRun = true;
+    ++m_runs;
+    return true;
 }
 
 } // namespace Jujube
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -83,6 +83,7 @@
     relay->m_ownReadDelay = std::chrono::milliseconds(static_cast<int64_t>(relay->m_core.random() % MaxOwnReadDelayMs));
     relay->followStore();
     relay->m_core.onMigrationEnded = [raw = relay.get()] { raw->m_peers.scheduleHeartbeat(NotificationScope::All); };
+    relay->m_core.onCrashObserved = [raw = relay.get()] { raw->m_peers.scheduleHeartbeat(NotificationScope::All); };
     relay->m_core.documentAge = [raw = relay.get()](MonotonicTime now) { return raw->m_documents->age(now); };
     relay->m_core.detectFreeze = [raw = relay.get()](MonotonicTime now) { raw->detectFreeze(now); };
     relay->m_core.onRequestLimitLowered = [raw = relay.get()] { raw->m_peers.scheduleHeartbeat(NotificationScope::All); };
@@ -245,6 +246,8 @@
         m_core.client.expire(now);
         m_core.balancer.expire(now);
         m_core.crashSuspects.expire(now);
+        m_core.promptParts.expire(now);
+        m_core.logRejectedParts(now);
         m_core.migrations.expire(now);
         m_core.metrics.set("relay_open_channels", static_cast<double>(m_callers->channelCount()));
         m_core.metrics.set("relay_requests_running", static_cast<double>(m_core.running.size()));
@@ -338,7 +341,7 @@
     if (m_core.isDraining()) {
         return;
     }
-    m_core.drainingSince = monotonicNow();
+    m_core.draining = {.since = monotonicNow(), .grace = m_core.options.grace};
     auto line = m_core.line(EventKind::ProcessDraining);
     line.add("requests", static_cast<int64_t>(m_core.running.size()));
     m_core.log(line);
@@ -350,16 +353,34 @@
     if (!m_core.isDraining()) {
         return;
     }
-    const auto since = now - *m_core.drainingSince;
+    const auto since = now - m_core.draining->since;
+    if (now >= m_core.stopAt()) {
+        endRequests(now);
+    }
     const bool idle = m_callers->busyCount() == 0;
-    if ((idle && since >= MinDrainTime) || now >= m_core.stopAt()) {
+    if ((idle && since >= MinDrainTime) || now >= m_core.exitAt()) {
+        for (const auto *exchange : m_core.running) {
+            exchange->logUnfinished(now);
+        }
         auto line = m_core.line(EventKind::ProcessStopped);
-        line.add("requests", static_cast<int64_t>(m_callers->busyCount()));
+        line.add("requests", static_cast<int64_t>(m_callers->busyCount())).add("unsent_bytes", static_cast<int64_t>(m_callers->unsentBytes()));
         m_core.log(line);
         m_core.loop.stop();
     }
 }
 
+void Relay::endRequests(MonotonicTime now)
+{
+    std::vector<std::shared_ptr<RelayExchange>> exchanges;
+    exchanges.reserve(m_core.running.size());
+    for (auto *exchange : m_core.running) {
+        exchanges.push_back(exchange->shared_from_this());
+    }
+    for (const auto &exchange : exchanges) {
+        exchange->handleStop(now);
+    }
+}
+
 void Relay::reloadSettings()
 {
     auto options = m_settings.read();
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -12,13 +12,16 @@
 namespace
 {
 
-// The process exits this long before it would be killed.
-constexpr std::chrono::milliseconds ShutdownMargin {600};
+// Requests get their responses, and the process exits, this long before it would be killed. The first margin leaves time to write the responses.
+constexpr std::chrono::milliseconds StopMargin {600};
+constexpr std::chrono::milliseconds ExitMargin {300};
 // Responses of one target that are interrupted within this time are attributed to one crash.
 constexpr std::chrono::milliseconds CrashGroupingTime {100};
 // A target is not checked any more if its request limit has not allowed that for this time.
 constexpr std::chrono::milliseconds MaxCheckDelay {1000};
 constexpr std::chrono::milliseconds StateTimeout {400};
+// A request that crashes its target does so within this time after its first event.
+constexpr std::chrono::milliseconds MaxTimeToCrash {500};
 constexpr double MillisecondsPerSecond = 1000;
 // A limit that falls below this part of the previous one is reported to peers at once.
 constexpr double SignificantReduction = 0.8;
@@ -37,6 +40,7 @@
     , targets({})
     , balancer({.region = options.region, .regions = options.regions, .cooldowns = {.maxCooldown = options.maxCooldown}})
     , peers({.ownAddress = options.peers.toText(), .ownName = options.node, .region = options.region, .regions = options.regions}, monotonicNow())
+    , promptParts({})
     , m_lines(lines)
     , m_random(std::random_device {}())
     , m_interruptedTimer(loopInUse)
@@ -70,7 +74,12 @@
 
 MonotonicTime RelayCore::stopAt() const
 {
-    return *drainingSince + options.grace - ShutdownMargin;
+    return draining->since + draining->grace - StopMargin;
+}
+
+MonotonicTime RelayCore::exitAt() const
+{
+    return draining->since + draining->grace - ExitMargin;
 }
 
 LogLine RelayCore::line(EventKind kind) const
@@ -206,14 +215,14 @@
     return wait;
 }
 
-void RelayCore::noteInterruptedResponse(const std::string &target, uint64_t digest)
+void RelayCore::noteInterruptedResponse(const std::string &target, InterruptedRequest request)
 {
     const auto *known = targets.find(target);
     if (!known || known->leavingSince) {
         return;
     }
     const bool isFirst = m_interrupted.empty();
-    m_interrupted.try_emplace(target, Interruption {.since = monotonicNow()}).first->second.digests.push_back(digest);
+    m_interrupted.try_emplace(target, Interruption {.since = monotonicNow()}).first->second.requests.push_back(std::move(request));
     if (isFirst) {
         // Other requests on the target are interrupted at the same time.
         armInterruptedTimer();
@@ -234,7 +243,7 @@
 {
     for (auto &[target, interruption] : std::exchange(m_interrupted, {})) {
         if (balancer.requestLimits().mayContinue(target, now)) {
-            checkTarget(target, interruption.digests);
+            checkTarget(target, interruption.requests);
         } else if (now - interruption.since < MaxCheckDelay) {
             m_interrupted.emplace(target, std::move(interruption));
         }
@@ -244,7 +253,7 @@
     }
 }
 
-void RelayCore::checkTarget(const std::string &target, const std::vector<uint64_t> &interrupted)
+void RelayCore::checkTarget(const std::string &target, const std::vector<InterruptedRequest> &interrupted)
 {
     const auto *known = targets.find(target);
     const auto endpoint = known ? Endpoint::parse(known->entry.address) : std::nullopt;
@@ -264,21 +273,78 @@
             if (interrupted.empty()) {
                 return;
             }
-            crashSuspects.merge(
-                {.target = target, .incarnation = static_cast<uint64_t>(incarnation), .members = interrupted, .running = static_cast<int>(interrupted.size())},
-                now);
-            auto entry = line(EventKind::CrashSuspected);
-            entry.add("target", target).add("requests", static_cast<int64_t>(interrupted.size())).add("reason", response.error);
-            log(entry);
+            recordCrash(target, incarnation, interrupted, response.error, now);
             return;
         }
         const auto state = response.isSuccess() ? adapter.decodeState(response.body) : absl::StatusOr<EngineState>(EngineState {});
+        const bool isBackAlready = response.isSuccess() && state.ok() && state->incarnation != incarnation;
+        if (!interrupted.empty() && (isBackAlready || response.end != ChannelEnd::Complete)) {
+            recordCrash(target, incarnation, interrupted, isBackAlready ? "new incarnation" : response.error, now);
+            return;
+        }
         if (state.ok() && state->leaving) {
             recordLeaving(target, state->incarnation, "own report", now);
         }
     });
 }
 
+void RelayCore::recordCrash(
+    const std::string &target, int64_t incarnation, const std::vector<InterruptedRequest> &interrupted, std::string_view reason, MonotonicTime now)
+{
+    TargetCrash crash {.target = target, .incarnation = static_cast<uint64_t>(incarnation), .members = {}, .running = static_cast<int>(interrupted.size())};
+    PromptPartCrash promptCrash {.target = target, .incarnation = static_cast<uint64_t>(incarnation), .age = {}, .requests = {}};
+    std::string requests;
+    for (const auto &request : interrupted) {
+        // A target that has been writing a response for a while crashes for another reason.
+        if (!request.parts.empty() && (request.events == 0 || request.eventsFor < MaxTimeToCrash)) {
+            promptCrash.requests.push_back({.digest = request.digest, .hasBegun = request.hasBegun, .parts = request.parts});
+        }
+        crash.members.push_back(request.digest);
+        absl::StrAppend(&requests, requests.empty() ? "" : " ", request.hasBegun ? "begun" : "not begun", "/", request.events, "/");
+        for (const auto part : request.parts) {
+            absl::StrAppend(&requests, part == request.parts.front() ? "" : ",", absl::Hex(part));
+        }
+    }
+    crashSuspects.merge(crash, now);
+    if (promptParts.recordCrash(promptCrash, now)) {
+        onCrashObserved();
+    }
+    auto entry = line(EventKind::CrashSuspected);
+    entry.add("target", target).add("requests", static_cast<int64_t>(interrupted.size())).add("reason", reason).add("suspects", requests);
+    log(entry);
+}
+
+bool RelayCore::triesPart(uint64_t part, MonotonicTime now) const
+{
+    const auto weight = [part](const std::string &node) { return XXH3_64bits_withSeed(node.data(), node.size(), part); };
+    const auto own = weight(options.node);
+    const auto live = peers.livePeers(now);
+    return std::none_of(live.begin(), live.end(), [&](const Peer *peer) { return weight(peer->latestHeartbeat.node) > own; });
+}
+
+void RelayCore::logRejectedParts(MonotonicTime now)
+{
+    const auto parts = promptParts.rejectedParts(now);
+    absl::flat_hash_set<uint64_t> rejected(parts.begin(), parts.end());
+    const auto logPart = [this](EventKind kind, uint64_t part) {
+        auto entry = line(kind);
+        entry.add("part", absl::StrCat(absl::Hex(part)));
+        log(entry);
+    };
+    for (const auto part : rejected) {
+        if (!m_rejectedParts.contains(part)) {
+            logPart(EventKind::PromptPartRejected, part);
+        }
+    }
+    for (const auto part : m_rejectedParts) {
+        if (!rejected.contains(part)) {
+            logPart(EventKind::PromptPartAllowed, part);
+        }
+    }
+    metrics.set("relay_rejected_prompt_parts", static_cast<double>(rejected.size()));
+    m_rejectedParts = std::move(rejected);
+}
+
 void RelayCore::releaseWaitingMigrations(MonotonicTime now)
 {
     bool released = false;
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -7,6 +7,7 @@
 #include <LibLoop/LoopClient.h>
 #include <LibMetrics/Metrics.h>
 #include <LibPolicy/CrashSuspects.h>
+#include <LibPolicy/PromptPartSuspects.h>
 #include <LibRelay/MigrationSchedule.h>
 #include <LibRelay/PeerTable.h>
 #include <LibRelay/RouteTable.h>
@@ -21,6 +22,18 @@
 
 class RelayExchange;
 
+// A request whose response was interrupted, as far as it may tell why.
+struct InterruptedRequest {
+    uint64_t digest = 0;
+    // Whether the target had begun to respond.
+    bool hasBegun = false;
+    // Events that had arrived, and the time since the first one.
+    int64_t events = 0;
+    std::chrono::milliseconds eventsFor {0};
+    // Parts of its prompt that other requests may share.
+    std::vector<uint64_t> parts;
+};
+
 // State that all requests of a relay share: the document and the targets in force, the state of the decisions, connections, log and metrics. Used only on the
 // loop's thread.
 class RelayCore
@@ -39,9 +52,17 @@
     TargetBalancer balancer;
     PeerTable peers;
     CrashSuspects crashSuspects;
+    PromptPartSuspects promptParts;
+    // Parts of prompts that this relay is trying again, each with one request.
+    absl::flat_hash_set<uint64_t> triedParts;
     MigrationSchedule migrations;
-    // Time of the SIGTERM.
-    std::optional<MonotonicTime> drainingSince;
+    // A graceful shutdown in progress. Its grace period is the one in force at its beginning, because requests were taken in reliance on it.
+    struct Drain {
+        // Time of the SIGTERM.
+        MonotonicTime since;
+        std::chrono::milliseconds grace {0};
+    };
+    std::optional<Drain> draining;
     // Requests that have been sent to a target and have not ended.
     absl::flat_hash_set<RelayExchange *> running;
 
@@ -50,12 +71,14 @@
     double randomUnit();
     int liveRelays(MonotonicTime now) const;
 
-    // Latest time at which the process exits after a SIGTERM.
+    // Time after a SIGTERM at which requests whose response has not begun get a response of the relay's own, because the process is about to exit.
     MonotonicTime stopAt() const;
+    // Latest time at which the process exits after a SIGTERM.
+    MonotonicTime exitAt() const;
 
     bool isDraining() const
     {
-        return drainingSince.has_value();
+        return draining.has_value();
     }
 
     LogLine line(EventKind kind) const;
@@ -77,10 +100,15 @@
     // Sets the metrics of the request limits in force.
     void exportRequestLimits(MonotonicTime now);
 
-    // Reads an engine's state to detect that it is leaving or has crashed. `interrupted` are digests of requests whose responses were interrupted there.
-    void checkTarget(const std::string &target, const std::vector<uint64_t> &interrupted);
+    // Whether this relay is the one that tries a part of prompts again that crashed targets long ago. All relays that know each other agree on one.
+    bool triesPart(uint64_t part, MonotonicTime now) const;
+    // Logs which parts of prompts have been rejected since the last call, and which are not any more.
+    void logRejectedParts(MonotonicTime now);
+
+    // Reads an engine's state to detect that it is leaving or has crashed. `interrupted` are the requests whose responses were interrupted there.
+    void checkTarget(const std::string &target, const std::vector<InterruptedRequest> &interrupted);
     // Handles an interrupted response of a target that was not known to be leaving.
-    void noteInterruptedResponse(const std::string &target, uint64_t digest);
+    void noteInterruptedResponse(const std::string &target, InterruptedRequest request);
 
     // Called when this relay has placed a request, so that peers are notified of the load.
     std::function<void(bool isGeneration)> onLoadChanged = [](bool) {};
@@ -90,6 +118,8 @@
     std::function<void(MonotonicTime now)> detectFreeze = [](MonotonicTime) {};
     // Called when a target has named to this relay a limit that peers do not know, or a lower one.
     std::function<void()> onRequestLimitLowered = [] {};
+    // Called when this relay has observed a crash that peers do not know.
+    std::function<void()> onCrashObserved = [] {};
     // Called when a generation has left a target that is leaving, because another relay may be waiting for that.
     std::function<void()> onMigrationEnded = [] {};
 
@@ -104,6 +134,9 @@
 private:
     std::chrono::milliseconds migrationDelay(const std::string &target, MonotonicTime now) const;
     RequestLimitParticipants requestLimitParticipants(const std::string &target, MonotonicTime now);
+    // Handles a target that has crashed while it ran requests or was about to.
+    void
+    recordCrash(const std::string &target, int64_t incarnation, const std::vector<InterruptedRequest> &interrupted, std::string_view reason, MonotonicTime now);
     void armInterruptedTimer();
     // Checks targets whose responses were interrupted, as far as their request limits allow it.
     void checkInterruptedTargets(MonotonicTime now);
@@ -113,13 +146,13 @@
     std::mt19937_64 m_random;
     struct Interruption {
         MonotonicTime since;
-        // Digests of the interrupted requests.
-        std::vector<uint64_t> digests;
+        std::vector<InterruptedRequest> requests;
     };
     // Recently interrupted requests, by target, until the target has been checked.
     absl::flat_hash_map<std::string, Interruption> m_interrupted;
     // The relays among which the limit of the target is divided that was asked for last.
     std::vector<RequestLimitParticipants::Relay> m_limitSharers;
+    absl::flat_hash_set<uint64_t> m_rejectedParts;
     boost::asio::steady_timer m_interruptedTimer;
     boost::asio::steady_timer m_migrationTimer;
     absl::flat_hash_map<std::string, std::unique_ptr<ServiceRetryBudget>> m_retryBudgets;
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -29,6 +29,10 @@
 constexpr std::chrono::milliseconds MaxWaitForRequestLimit {1000};
 // A relay that has not known its document to be current for this time does not turn requests away for good, because a newer document may allow them.
 constexpr std::chrono::milliseconds MaxDocumentAgeForDenial {2500};
+// Time for which others wait while a part of prompts is tried again that crashed targets.
+constexpr std::chrono::milliseconds TrialTime {5000};
+// A target that lives on for this time after its first event has responded well.
+constexpr std::chrono::milliseconds SoundResponseTime {1000};
 constexpr int FirstServerError = 500;
 
 std::chrono::milliseconds wholeMilliseconds(MonotonicTime::duration time)
@@ -100,11 +104,15 @@
         return isDenial && m_core.documentAge(now) >= MaxDocumentAgeForDenial ? RelayOutcome::DocumentTooOld : *m_admission.rejection;
     }
     m_digest = CrashSuspects::fingerprint(m_admission.workspace ? m_admission.workspace->name : "", m_request.head.target, m_request.body);
-    const auto verdict = m_core.crashSuspects.verdict(m_digest, now).action;
-    if (verdict == CrashVerdict::Action::Reject || verdict == CrashVerdict::Action::Wait) {
+    m_promptParts = m_core.adapter.decodePromptParts(m_request.head.value(m_core.adapter.fields.promptParts));
+    if (!m_promptParts.empty()) {
+        // The last part belongs to the request alone.
+        m_promptParts.pop_back();
+    }
+    if (poisonousUntil(now)) {
         return RelayOutcome::PoisonRequest;
     }
-    if (m_core.isDraining() && !DrainAdmission().admits(m_admission.demand, m_core.stopAt(), now)) {
+    if (m_core.isDraining() && !endsBeforeStop(m_admission.deadline, m_core.stopAt())) {
         return RelayOutcome::Draining;
     }
     return std::nullopt;
@@ -126,18 +134,50 @@
     m_core.metrics.count("relay_requests_total");
 }
 
-std::chrono::milliseconds RelayExchange::retryAfterFor(RelayOutcome outcome, MonotonicTime now) const
+std::chrono::milliseconds RelayExchange::retryAfterFor(RelayOutcome outcome, MonotonicTime now)
 {
     if (outcome == RelayOutcome::Draining) {
         return OtherRelayRetryAfter;
     }
     if (outcome == RelayOutcome::PoisonRequest) {
-        const auto until = m_core.crashSuspects.verdict(m_digest, now).until;
-        return std::max(DefaultRetryAfter, wholeMilliseconds(until - now));
+        return std::max(DefaultRetryAfter, wholeMilliseconds(poisonousUntil(now).value_or(now) - now));
     }
     return DefaultRetryAfter;
 }
 
+std::optional<MonotonicTime> RelayExchange::poisonousUntil(MonotonicTime now)
+{
+    if (const auto verdict = m_core.crashSuspects.verdict(m_digest, now);
+        verdict.action == CrashVerdict::Action::Reject || verdict.action == CrashVerdict::Action::Wait) {
+        return verdict.until;
+    }
+    const auto verdict = m_core.promptParts.verdict(m_promptParts, now);
+    switch (verdict.action) {
+    case PromptPartVerdict::Action::Run:
+        break;
+    case PromptPartVerdict::Action::Reject:
+        return verdict.until;
+    case PromptPartVerdict::Action::Try:
+        if (m_triedPart == verdict.part) {
+            break;
+        }
+        if (!m_core.triesPart(verdict.part, now) || !m_core.triedParts.insert(verdict.part).second) {
+            return now + TrialTime;
+        }
+        m_triedPart = verdict.part;
+        break;
+    }
+    return std::nullopt;
+}
+
+void RelayExchange::noteSoundResponse(MonotonicTime now)
+{
+    if (!m_isSound && !m_promptParts.empty()) {
+        m_isSound = true;
+        m_core.promptParts.recordSound(m_promptParts, {}, now);
+    }
+}
+
 void RelayExchange::createSession()
 {
     const RequestProperties facts {.id = m_id,
@@ -176,6 +216,13 @@
     if (m_core.balancer.requestLimits().hasLimits()) {
         m_core.detectFreeze(now);
     }
+    if (const auto until = poisonousUntil(now)) {
+        return {.rejection = RelayOutcome::PoisonRequest, .retryAfter = std::max(DefaultRetryAfter, wholeMilliseconds(*until - now))};
+    }
+    if (m_mayHaveCrashedTarget && !m_core.promptParts.areSound(m_promptParts, now)) {
+        // Another target may crash as well.
+        return {};
+    }
     const TargetBalancer::Query query {.demand = m_admission.demand,
                                        .excluded = excluded,
                                        .homeRegions = m_admission.homeRegions,
@@ -241,7 +288,7 @@
     m_isConnectionKept = m_targetConnection->isIdle();
     m_isResponseNamed = false;
     m_sentAt = now;
-    m_progressAt = now;
+    m_silentSince = now;
     if (m_attemptFailed) {
         m_core.balancer.onAttemptFailed(m_target, now);
         m_attemptFailed = false;
@@ -380,7 +427,7 @@
         return;
     }
     // Bytes that complete no event do not count as progress of a stream.
-    m_progressAt = now;
+    m_silentSince = now;
     if (m_admission.service->engine) {
         noteEvents(now);
     }
@@ -391,6 +438,7 @@
     const bool isFirst = m_eventsCounted == 0;
     const auto gap = now - (isFirst ? m_request.arrivedAt : m_lastEventAt);
     if (isFirst) {
+        m_firstEventAt = now;
         m_firstEventAfter = wholeMilliseconds(gap);
         m_core.metrics.observe("relay_first_event_seconds", std::chrono::duration<double>(gap).count());
     } else {
@@ -400,6 +448,9 @@
     m_core.balancer.onTokensProduced(m_id, (events - m_eventsCounted) * m_admission.service->engine->tokensPerEvent);
     m_lastEventAt = now;
     m_eventsCounted = events;
+    if (now - m_firstEventAt >= SoundResponseTime) {
+        noteSoundResponse(now);
+    }
 }
 
 void RelayExchange::onEnd(ChannelEnd end, const std::string &error)
@@ -420,7 +471,13 @@
         if (end == ChannelEnd::NotSent) {
             m_core.balancer.markUnreachable(m_target, now);
         } else if (!m_session->isMigrating()) {
-            m_core.noteInterruptedResponse(m_target, m_digest);
+            m_mayHaveCrashedTarget = m_isResponseNamed && m_eventsCounted == 0 && !m_promptParts.empty();
+            m_core.noteInterruptedResponse(m_target,
+                                           {.digest = m_digest,
+                                            .hasBegun = m_isResponseNamed,
+                                            .events = m_eventsCounted,
+                                            .eventsFor = m_eventsCounted > 0 ? wholeMilliseconds(now - m_firstEventAt) : std::chrono::milliseconds(0),
+                                            .parts = m_promptParts});
             m_unexpectedFailures += m_core.targets.isLeaving(m_target) ? 0 : 1;
         }
     }
@@ -449,6 +506,9 @@
 
 void RelayExchange::finishResponse()
 {
+    if (m_eventsCounted > 0) {
+        noteSoundResponse(monotonicNow());
+    }
     auto line = m_core.line(EventKind::RelayFinished);
     const auto took = wholeMilliseconds(monotonicNow() - m_request.arrivedAt);
     line.add("request", m_id)
@@ -496,6 +556,28 @@
     finishRequest(RunEnd::Failed);
 }
 
+void RelayExchange::handleStop(MonotonicTime now)
+{
+    if (!m_isFinished) {
+        m_session->onStop(now);
+    }
+}
+
+void RelayExchange::logUnfinished(MonotonicTime now) const
+{
+    auto line = m_core.line(EventKind::RelayUnfinished);
+    line.add("request", m_id)
+        .add("target", m_target)
+        .add("events", m_session->eventCount())
+        .add("age_ms", wholeMilliseconds(now - m_request.arrivedAt).count())
+        .add("time_left_ms", wholeMilliseconds(m_admission.deadline - now).count());
+    if (m_core.draining) {
+        line.add("since_stop_ms", wholeMilliseconds(now - m_core.draining->since).count())
+            .add("arrived_after_stop_ms", wholeMilliseconds(m_request.arrivedAt - m_core.draining->since).count());
+    }
+    m_core.log(line);
+}
+
 void RelayExchange::record(std::string_view decision, std::string_view reason)
 {
     auto line = m_core.line(EventKind::RelayDecision);
@@ -543,7 +625,7 @@
         m_silenceTimer.cancel();
         return;
     }
-    m_silenceTimer.expires_at(m_progressAt + *limit);
+    m_silenceTimer.expires_at(m_silentSince + *limit);
     m_silenceTimer.async_wait([weak = weak_from_this()](const LoopError &error) {
         const auto self = weak.lock();
         if (!self || error || self->m_isFinished) {
@@ -551,7 +633,9 @@
         }
         const auto now = monotonicNow();
         const auto currentTimeout = self->silenceTimeout();
-        if (currentTimeout && now - self->m_progressAt >= *currentTimeout) {
+        if (currentTimeout && now - self->m_silentSince >= *currentTimeout) {
+            // Without an alternative the stream stays with its target, and the next look is a whole timeout later.
+            self->m_silentSince = now;
             self->m_session->onStreamTimeout(now);
         }
         if (!self->m_isFinished) {
@@ -566,6 +650,9 @@
         return;
     }
     m_isFinished = true;
+    if (m_triedPart) {
+        m_core.triedParts.erase(*m_triedPart);
+    }
     m_core.balancer.onRunEnded(m_id, end, monotonicNow());
     m_core.balancer.dropCopy(m_id);
     m_core.running.erase(this);
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -43,6 +43,11 @@
         return m_target;
     }
 
+    // The process is about to stop: responds to the request if its response has not begun.
+    void handleStop(MonotonicTime now);
+    // Logs that the request ends unfinished because the process exits.
+    void logUnfinished(MonotonicTime now) const;
+
     const std::string &requestId() const
     {
         return m_id;
@@ -53,7 +58,7 @@
     // Returns how the request must be rejected, or nothing if it is admitted.
     std::optional<RelayOutcome> admit(MonotonicTime now);
     void logAccepted(MonotonicTime now);
-    std::chrono::milliseconds retryAfterFor(RelayOutcome outcome, MonotonicTime now) const;
+    std::chrono::milliseconds retryAfterFor(RelayOutcome outcome, MonotonicTime now);
     void createSession();
     TargetChoice choose(const std::set<std::string> &excluded, MonotonicTime now);
     // Makes the request wait for the next request that a limit allows, or returns when the caller may come back.
@@ -103,6 +108,18 @@
     int64_t m_targetIncarnation = 0;
     // Digest of workspace, request target and body, by which a poison request is recognized when it is sent again.
     uint64_t m_digest = 0;
+    // Until when the request must not run because it, or a part of its prompt, crashes targets. Nothing if it may run.
+    std::optional<MonotonicTime> poisonousUntil(MonotonicTime now);
+    // The target has responded well for long enough to clear the parts of the prompt.
+    void noteSoundResponse(MonotonicTime now);
+    // Whether the target crashed when it had just begun to respond, so that the request may be the cause.
+    bool m_mayHaveCrashedTarget = false;
+    // Whether the response has cleared the parts of the prompt.
+    bool m_isSound = false;
+    // A part of the prompt that this request tries again.
+    std::optional<uint64_t> m_triedPart;
+    // Parts of the prompt that other requests may share, in order.
+    std::vector<uint64_t> m_promptParts;
     std::unique_ptr<RelaySession> m_session;
     std::shared_ptr<TargetChannel> m_targetConnection;
     // Number of the current attempt. Events of earlier attempts are ignored.
@@ -113,11 +130,12 @@
     bool m_isResponseNamed = false;
     MessageHead m_responseHead;
     MonotonicTime m_sentAt;
-    // Time of the current attempt, or of the last complete event of its stream.
-    MonotonicTime m_progressAt;
+    // Time of the current attempt, of the last complete event of its stream, or of the last look at its silence.
+    MonotonicTime m_silentSince;
     // The last attempt got no usable response.
     bool m_attemptFailed = false;
     int64_t m_eventsCounted = 0;
+    MonotonicTime m_firstEventAt;
     MonotonicTime m_lastEventAt;
     std::chrono::milliseconds m_firstEventAfter {0};
     std::chrono::milliseconds m_maxGap {0};
