--- a/Tests/Soak/Harness/SoakFaults.cpp
+++ b/Tests/Soak/Harness/SoakFaults.cpp
@@ -31,6 +31,13 @@
     return variant % 2 == 1;
 }
 
+StandInTarget::Behaviour behaviourOf(unsigned variant)
+{
+    const auto behaviour = Behaviours[variant % Behaviours.size()];
+    const bool isRarer = isOdd(variant / Behaviours.size());
+    return behaviour == StandInTarget::Behaviour::Truncate && isRarer ? StandInTarget::Behaviour::Reset : behaviour;
+}
+
 } // namespace
 
 void SoakWorld::strike(const Fault &fault, const std::string &name, const std::function<void()> &begin, std::function<void()> end)
@@ -233,7 +240,7 @@
         strike(
             fault,
             "behaviour of " + target.id,
-            [&] { target.server->setBehaviour(Behaviours[fault.variant % Behaviours.size()]); },
+            [&] { target.server->setBehaviour(behaviourOf(fault.variant)); },
             [&target] {
                 if (target.server) {
                     target.server->setBehaviour(StandInTarget::Behaviour::Serve);
@@ -524,7 +531,7 @@
     after(Pause, [this, until] { sendFatalRequests(until); });
 }
 
-void SoakWorld::ask(SoakRelay &relay, SoakLedger::Sent sent, std::function<void(int status)> onStatus)
+void SoakWorld::ask(SoakRelay &relay, SoakLedger::Sent sent, std::function<void(int status)> onStatus, const std::string &body)
 {
     // A caller waits this much longer than its deadline for the network.
     constexpr std::chrono::milliseconds DeadlineSlack {1000};
@@ -535,6 +542,13 @@
     head.set("X-Deadline-Ms", absl::StrCat(sent.deadline.count()));
     head.set("X-Own", "kept");
     head.set("Authorization", absl::StrCat("Bearer ", sent.subject ? sent.subject->key : "key-1"));
+    if (!sent.prompt.empty()) {
+        head.set("X-Token-Usage", std::string(SoakPrompts::TokenUsage));
+        head.set("X-Prefix-Hash", sent.prompt);
+    }
+    if (!body.empty()) {
+        head.set("Content-Length", absl::StrCat(body.size()));
+    }
     const auto deadline = sent.deadline;
     const bool isFatal = sent.isFatal;
     m_ledger.onSent(monotonicNow(), id, std::move(sent));
@@ -559,7 +573,7 @@
         answer->namesLimit = message.has("Server-Limit");
         return true;
     };
-    channel->exchange(requestText(head),
+    channel->exchange(requestText(head) + body,
                       false,
                       std::chrono::seconds(1),
                       {.onHead = onHead,
--- a/Tests/Soak/Harness/SoakWorld.cpp
+++ b/Tests/Soak/Harness/SoakWorld.cpp
@@ -31,6 +31,8 @@
 constexpr const char *SecondService = "annex";
 // One relay in so many starts while the faults are on.
 constexpr size_t LateRelayInterval = 12;
+// One target of a service in so many sends its responses with neither a length nor chunks.
+constexpr size_t UnframedInterval = 3;
 constexpr double BytesPerMbit = 125000;
 constexpr std::chrono::milliseconds NotableLateness {100};
 
@@ -53,6 +55,7 @@
     , m_store(std::make_unique<SoakStore>(m_storeAddress))
     , m_client(m_loop)
     , m_random(m_options.seed)
+    , m_prompts(m_options.seed)
     , m_tick(m_loop)
 {
 }
@@ -94,6 +97,9 @@
     m_isProbing = m_options.tableChanges > 0;
     probeNext();
     after(m_options.length / 3, [this] { sendFatalRequests(monotonicNow() + m_options.length / 3); });
+    if (m_options.badPart) {
+        sendBadPartRequests(monotonicNow() + m_options.length);
+    }
     runFor(m_options.length);
     runFor(m_options.timed ? SoakBounds::Recovery : ShortRecovery);
     waitReady();
@@ -123,6 +129,10 @@
             .force = measureForce(),
             .documentBytes = m_documentBytes,
             .storeCalls = m_store->calls(),
+            .badPartRequests = m_ledger.badPart().sentCount(),
+            .badPartCrashes = m_ledger.badPart().crashCount(),
+            .badPartLate = m_ledger.badPart().lateCount(),
+            .sound = m_ledger.badPart().soundCounts(),
             .processorTime = std::chrono::milliseconds(std::clock() * 1000 / CLOCKS_PER_SEC),
             .relayTime = processorTime};
 }
@@ -138,6 +148,7 @@
             target->service = service;
             target->dataCentre = Places[number % Places.size()].dataCentre;
             target->address = ownLoopbackEndpoint();
+            target->endsResponsesWithConnection = number % UnframedInterval == UnframedInterval - 1;
             target->link = std::make_unique<LoopbackProxy>(m_loop, ownLoopbackEndpoint(), target->address);
             startTarget(*target);
             m_targets.push_back(std::move(target));
@@ -148,24 +159,31 @@
 void SoakWorld::startTarget(Target &target)
 {
     const bool isEngine = target.service == "engine";
-    StandInTarget::Options options {.id = target.id,
-                                    .address = target.address,
-                                    .events = isEngine ? EventsOfGeneration : 0,
-                                    .eventInterval = std::chrono::milliseconds(20),
-                                    .work = std::chrono::milliseconds(60),
-                                    .body = isEngine ? [](const std::string &) { return soakEvents(EventsOfGeneration); } : soakBody,
-                                    .isFatal = [](const MessageHead &head) { return head.target == FatalTarget; },
-                                    .onFatal =
-                                        [this, &target] {
-                                            crashTarget(target);
-                                            after(FatalDowntime, [this, &target] { restartTarget(target); });
-                                        },
-                                    .canCopyTo = [this](const std::string &to) { return takesCopies(to); },
-                                    .onArrival =
-                                        [this, id = target.id, service = target.service](const MessageHead &head, StandInTarget::Arrival arrival) {
-                                            m_ledger.onArrival(monotonicNow(), id, service, head, arrival);
-                                        }};
+    StandInTarget::Options options {
+        .id = target.id,
+        .address = target.address,
+        .events = isEngine ? EventsOfGeneration : 0,
+        .eventInterval = std::chrono::milliseconds(20),
+        .work = std::chrono::milliseconds(60),
+        .body = isEngine ? [](const std::string &) { return soakEvents(EventsOfGeneration); } : soakBody,
+        .isFatal = [isEngine](const MessageHead &head) { return isEngine ? hasPart(head.value("X-Prefix-Hash"), BadPart) : head.target == FatalTarget; },
+        .onFatal =
+            [this, &target, isEngine] {
+                if (isEngine) {
+                    crashOnBadPart(target);
+                    return;
+                }
+                crashTarget(target);
+                after(FatalDowntime, [this, &target] { restartTarget(target); });
+            },
+        .crashOf = [this, isEngine](const MessageHead &) { return isEngine ? drawCrash() : StandInTarget::Crash(); },
+        .canCopyTo = [this](const std::string &to) { return takesCopies(to); },
+        .onArrival = [this, id = target.id, service = target.service](
+                         const MessageHead &head, StandInTarget::Arrival arrival) { m_ledger.onArrival(monotonicNow(), id, service, head, arrival); }};
     target.server = std::make_unique<StandInTarget>(m_loop, std::move(options));
+    if (target.endsResponsesWithConnection) {
+        target.server->setEndsResponsesWithConnection();
+    }
     target.link->setListening(true);
     target.isDown = false;
     if (const auto evacuated = m_evacuatedSince.find(target.dataCentre); evacuated != m_evacuatedSince.end()) {
@@ -384,6 +402,9 @@
         if (target->isDown || m_active["link of " + target->id] > 0 || m_active["behaviour of " + target->id] > 0) {
             m_ledger.disturbTarget(target->id, now);
         }
+        if (m_active["link of " + target->id] > 0) {
+            m_ledger.harmTargetLink(target->id, now);
+        }
     }
 }
 
