--- a/Tests/Platform/TestOddEntries.cpp
+++ b/Tests/Platform/TestOddEntries.cpp
@@ -151,6 +151,15 @@
     }
 }
 
+// Guards against a row of another part of a table that is taken for the row with the same key.
+TEST(OddEntries, RowsOfOtherPartsAreNotRead)
+{
+    const auto rows = decodeStoreRows(R"({"rows":[{"part":"x","key":"k","ver":4,"deleted":true},{"part":"","key":"k","ver":3,"value":"aGk="}],"ver":9})");
+    ASSERT_TRUE(rows.ok());
+    ASSERT_EQ(rows->rows.size(), 1U);
+    EXPECT_EQ(rows->rows[0].version, 3);
+}
+
 // Guards against a target that is used on a peer's word although the same entry in the list would be refused.
 TEST(OddEntries, EntriesOfPeersAreCheckedToo)
 {
