--- a/Tests/Platform/TestOddEntries.cpp
+++ b/Tests/Platform/TestOddEntries.cpp
@@ -16,8 +16,9 @@
 namespace
 {
 
-// Size of a value that a row of the store may have.
+// Sizes of values that a row of the store may have.
 constexpr size_t SmallRowBytes = 64 * 1024;
+constexpr size_t LargeRowBytes = 1024 * 1024;
 
 // An entry of a target with one field set to the JSON text `value`.
 std::string entryWith(const std::string &field, const std::string &value)
@@ -37,6 +38,24 @@
     return text + "}";
 }
 
+// Arrays or objects in each other, of about this many bytes.
+std::string nested(const std::string &open, const std::string &close, size_t bytes)
+{
+    std::string text;
+    std::string end;
+    for (size_t depth = 0; depth < bytes / (open.size() + close.size()); ++depth) {
+        text += open;
+        end += close;
+    }
+    return text + "0" + end;
+}
+
+// Values that are deeply nested, at the sizes of rows. The last one is not closed.
+std::vector<std::string> nestedValues()
+{
+    return {nested("[", "]", SmallRowBytes), nested("[", "]", LargeRowBytes), nested("{\"a\":", "}", LargeRowBytes), std::string(LargeRowBytes, '[')};
+}
+
 // Entries with a number that is too large.
 std::vector<std::string> entriesWithLargeNumbers()
 {
@@ -160,6 +179,22 @@
     EXPECT_EQ(rows->rows[0].version, 3);
 }
 
+// Guards against a handle in the response to a copy that ends the relay or adds a header field to the request that carries it.
+TEST(OddEntries, HandleIsAPlainText)
+{
+    const auto adapter = createPlatformAdapter();
+    const auto handleOf = [&](const std::string &value) {
+        return adapter.decodeCopy({.end = ChannelEnd::Complete, .status = 200, .body = "{\"handle\":" + value + "}"}).handle;
+    };
+    EXPECT_EQ(handleOf("\"h-1\""), "h-1");
+    EXPECT_EQ(handleOf("7"), "7");
+    EXPECT_EQ(handleOf("\"h\\r\\nX-Tenant: other\""), "");
+    EXPECT_EQ(handleOf("\"" + std::string(SmallRowBytes, 'x') + "\""), "");
+    for (const auto &value : nestedValues()) {
+        EXPECT_EQ(handleOf(value), "");
+    }
+}
+
 // Guards against a target that is used on a peer's word although the same entry in the list would be refused.
 TEST(OddEntries, EntriesOfPeersAreCheckedToo)
 {
