--- a/Tests/Platform/TestOddEntries.cpp
+++ b/Tests/Platform/TestOddEntries.cpp
@@ -195,6 +195,17 @@
     }
 }
 
+// Guards against a response to a copy that was broken off, and whose connection ended in order, that counts as a copy.
+TEST(OddEntries, CopyNeedsAHandle)
+{
+    const std::string body = R"({"handle":"h-1","created":35})";
+    const auto adapter = createPlatformAdapter();
+    for (size_t size = 0; size <= body.size(); ++size) {
+        const auto result = adapter.decodeCopy({.end = ChannelEnd::Complete, .status = 200, .body = body.substr(0, size)});
+        EXPECT_EQ(result.kind, size == body.size() ? CopyResult::Kind::Copied : CopyResult::Kind::Unknown) << size;
+    }
+}
+
 // Guards against a target that is used on a peer's word although the same entry in the list would be refused.
 TEST(OddEntries, EntriesOfPeersAreCheckedToo)
 {
