--- a/Tests/Platform/TestOddEntries.cpp
+++ b/Tests/Platform/TestOddEntries.cpp
@@ -206,6 +206,20 @@
     }
 }
 
+// Guards against numbers without a meaning in a report of a target's state.
+TEST(OddEntries, StateNeedsAWholeNumber)
+{
+    const auto adapter = createPlatformAdapter();
+    EXPECT_TRUE(adapter.decodeState(R"({"born":1769571039051})").ok());
+    for (const std::string text : {R"({"born":1e300})", R"({"born":18446744073709551615})", R"({"born":true})", "[]", "7", R"({"born":1,"state":7})"}) {
+        EXPECT_FALSE(adapter.decodeState(text).ok()) << text;
+    }
+    for (const auto &value : nestedValues()) {
+        EXPECT_FALSE(adapter.decodeState(value).ok());
+        EXPECT_FALSE(adapter.decodeState("{\"born\":" + value + "}").ok());
+    }
+}
+
 // Guards against a target that is used on a peer's word although the same entry in the list would be refused.
 TEST(OddEntries, EntriesOfPeersAreCheckedToo)
 {
