Bound the times of a document

Cause: times were converted without a look at their size, and overflowed when they were added to the present time. The store accepts only valid documents, so this needs a number that is valid there.

After: it passes; times are at most a year.

--- a/Tests/Platform/TestOddEntries.cpp
+++ b/Tests/Platform/TestOddEntries.cpp
@@ -220,6 +220,25 @@
     }
 }
 
+// Guards against times of a document that overflow when they are added to the present time.
+TEST(OddEntries, TimesOfADocumentAreBounded)
+{
+    for (const std::string number : {"1e300", "-1e300", "9223372036854775807", "18446744073709551615"}) {
+        const auto document = decodeRelayDocument(R"({"version":1,"routes":[{"host":"h","prefix":"/","service":"s","timeout_ms":)" + number + R"(,"goal_ms":)"
+                                                  + number + R"(}],"services":[{"name":"s","engine":{"handle_s":)" + number + R"(}}]})");
+        if (document.ok()) {
+            constexpr std::chrono::hours LongestTime {24 * 366};
+            for (const auto time : {document->routes[0].timeout, document->routes[0].latencyGoal, document->services[0].engine->copyLifetime}) {
+                EXPECT_LE(std::chrono::abs(time), LongestTime) << number;
+            }
+        }
+    }
+    for (const auto &value : nestedValues()) {
+        EXPECT_FALSE(decodeRelayDocument(value).ok());
+        EXPECT_FALSE(decodeRelayDocument(R"({"version":1,"services":[],"routes":)" + value + "}").ok());
+    }
+}
+
 // Guards against a target that is used on a peer's word although the same entry in the list would be refused.
 TEST(OddEntries, EntriesOfPeersAreCheckedToo)
 {
