Play odd entries beside good ones, and damaged texts for each decoder

OddEntries.RelayFollowsTheListBesideThem puts entries with large numbers, without an address, with odd texts and with nesting of 64 KB and 1 MB beside good ones, at the start of a relay and as changes: the relay goes on, uses the other targets and a new one, and later the targets whose entries were odd.

--- a/Tests/Platform/TestOddEntries.cpp
+++ b/Tests/Platform/TestOddEntries.cpp
@@ -12,10 +12,14 @@
 
 using namespace Jujube;
 using namespace std::chrono_literals;
+using namespace std::string_view_literals;
 
 namespace
 {
 
+// Maximum time until a change in the store is in force.
+constexpr auto MaxPropagationTime = 2500ms;
+
 // Sizes of values that a row of the store may have.
 constexpr size_t SmallRowBytes = 64 * 1024;
 constexpr size_t LargeRowBytes = 1024 * 1024;
@@ -99,6 +103,18 @@
     return entries;
 }
 
+// Entries whose texts are deeply nested values.
+std::vector<std::string> nestedEntries()
+{
+    std::vector<std::string> entries;
+    for (const auto *field : {"service", "address", "zone", "state"}) {
+        for (const auto &value : nestedValues()) {
+            entries.push_back(entryWith(field, value));
+        }
+    }
+    return entries;
+}
+
 // Whether the relay would use the target of an entry in the list.
 bool isUsable(const std::string &text)
 {
@@ -111,6 +127,41 @@
     return text.substr(0, 200);
 }
 
+// Random bytes, or a valid text with some bytes changed, left out or repeated.
+std::string damaged(const std::string &valid, std::mt19937 &random)
+{
+    std::string text = valid;
+    if (random() % 8 == 0) {
+        text.resize(random() % 300);
+        for (auto &character : text) {
+            character = static_cast<char>(random() % 256);
+        }
+        return text;
+    }
+    for (auto changes = 1 + random() % 4; changes > 0 && !text.empty(); --changes) {
+        constexpr std::string_view Characters = "{}[]\",:0123456789.-+eE\\untrlfas \n\0\xff"sv;
+        const auto position = random() % text.size();
+        const auto length = std::min<size_t>(random() % 40, text.size() - position);
+        switch (random() % 5) {
+        case 0:
+            text[position] = Characters[random() % Characters.size()];
+            break;
+        case 1:
+            text.erase(position, length);
+            break;
+        case 2:
+            text.insert(position, text.substr(random() % text.size(), length));
+            break;
+        case 3:
+            text.insert(position, std::string(1 + random() % 30, "9[{"[random() % 3]));
+            break;
+        default:
+            text.insert(position, 1, Characters[random() % Characters.size()]);
+        }
+    }
+    return text;
+}
+
 } // namespace
 
 // Guards against a number that is too large, which would overflow when it is used, or keep later entries of the target from being used.
@@ -144,6 +195,17 @@
     EXPECT_FALSE(checkTargetEntry(*entry).ok());
 }
 
+// Guards against a deeply nested entry that exhausts the stack. A field that the relay does not read leaves the entry usable.
+TEST(OddEntries, DeeplyNestedEntryDoesNotExhaustTheStack)
+{
+    for (const auto &text : nestedEntries()) {
+        EXPECT_FALSE(isUsable(text)) << shortened(text);
+    }
+    for (const auto &value : {nested("[", "]", LargeRowBytes), nested("{\"a\":", "}", LargeRowBytes)}) {
+        EXPECT_TRUE(isUsable(entryWith("version", value)));
+    }
+}
+
 // Guards against one row of another shape for which all rows of its page are given up.
 TEST(OddEntries, RowOfAnotherShapeDoesNotAffectOthers)
 {
@@ -239,6 +301,89 @@
     }
 }
 
+// Guards against bytes of another writer that end a decoder in any other way than by a status. The seed is fixed, so that a failure can be repeated.
+TEST(OddEntries, DecodersRefuseOrReadDamagedTexts)
+{
+    constexpr int Texts = 20000;
+    const auto adapter = createPlatformAdapter();
+    const auto document = StandInDocument {.keys = {"key-1"}}.toText();
+    const auto entry = entryWith("version", "\"v1\"");
+    const std::string page
+        = R"({"rows":[{"table":"t","part":"","key":"k","value":"aGk=","ver":4},{"key":"g","ver":5,"deleted":true}],"ver":9,"has_more":false})";
+    std::mt19937 random(29);
+    int usable = 0;
+    for (int count = 0; count < Texts; ++count) {
+        const auto target = adapter.decodeTarget("i-1", damaged(entry, random));
+        if (target.ok() && checkTargetEntry(*target).ok()) {
+            ++usable;
+            ASSERT_TRUE(Endpoint::parse(target->address)) << count;
+            ASSERT_LE(std::abs(target->coldLeft.count()), std::chrono::milliseconds(24h).count()) << count;
+        }
+        if (const auto rows = adapter.decodeRows(damaged(page, random)); rows.ok()) {
+            for (const auto &row : rows->rows) {
+                ASSERT_FALSE(row.key.empty()) << count;
+            }
+        }
+        [[maybe_unused]] const auto decodedDocument = adapter.decodeDocument(damaged(document, random));
+        [[maybe_unused]] const auto state = adapter.decodeState(damaged(R"({"state":"ready","born":1769571039051,"leaves_ms":1500})", random));
+        [[maybe_unused]] const auto copy
+            = adapter.decodeCopy({.end = ChannelEnd::Complete, .status = 200, .body = damaged(R"({"handle":"h-1","created":35})", random)});
+        [[maybe_unused]] const auto query = adapter.decodeDirectoryQuery(damaged("zone=lahore&region=punjab", random));
+    }
+    // Neither all nor none, or the texts would show nothing.
+    EXPECT_GT(usable, Texts / 100);
+    EXPECT_LT(usable, Texts);
+}
+
+// Guards against a relay that ends, stops following the list or ignores a later good version of a row because of one odd entry.
+TEST(OddEntries, RelayFollowsTheListBesideThem)
+{
+    constexpr auto Rounds = 60;
+    RelayTestBed testBed;
+    testBed.writeDocument(1);
+    auto &first = testBed.addTarget("i-1", "desk");
+    std::vector<std::string> entries;
+    for (const auto &some : {entriesWithLargeNumbers(), entriesWithoutAddress(), entriesWithOddTexts(), nestedEntries()}) {
+        entries.insert(entries.end(), some.begin(), some.end());
+    }
+    const auto key = [](size_t number) { return "odd-" + std::to_string(number); };
+    const auto putOdd = [&](size_t begin, size_t end) {
+        for (size_t number = begin; number < end; ++number) {
+            testBed.store->put("servers", key(number), entries[number]);
+        }
+    };
+    int requests = 0;
+    const auto call = [&] { return testBed.call("n1", {.path = "/commit/x", .id = "r" + std::to_string(++requests)}).status; };
+    // One half is in the table at the start, the other arrives as changes.
+    putOdd(0, entries.size() / 2);
+    testBed.addRelay("n1");
+    ASSERT_TRUE(testBed.waitUntilReady("n1"));
+    EXPECT_EQ(call(), 200);
+    putOdd(entries.size() / 2, entries.size());
+    testBed.runFor(MaxPropagationTime);
+    EXPECT_EQ(call(), 200);
+    EXPECT_EQ(first.runCount(), 2);
+    // A new target is used beside them, and one whose row was odd before.
+    auto &second = testBed.addTarget("i-2", "desk");
+    std::vector<StandInTarget *> mended;
+    for (size_t number = 0; number < entries.size(); number += 3) {
+        mended.push_back(&testBed.addTarget(key(number), "desk"));
+    }
+    testBed.runFor(MaxPropagationTime);
+    for (int round = 0; round < Rounds; ++round) {
+        for (size_t count = 0; count < mended.size(); ++count) {
+            ASSERT_EQ(call(), 200);
+        }
+        if (second.runCount() > 0 && std::all_of(mended.begin(), mended.end(), [](const auto *target) { return target->runCount() > 0; })) {
+            break;
+        }
+    }
+    EXPECT_GT(second.runCount(), 0);
+    for (size_t index = 0; index < mended.size(); ++index) {
+        EXPECT_GT(mended[index]->runCount(), 0) << shortened(entries[3 * index]);
+    }
+}
+
 // Guards against a target that is used on a peer's word although the same entry in the list would be refused.
 TEST(OddEntries, EntriesOfPeersAreCheckedToo)
 {
