Wait for the gateway's own knowledge that a target leaves by the VM list

Its wait accepted one draft at engine-2 as the sign that the gateway knew. From reading, such a draft may go there for another reason.

Change: the gateway records "target_leaving" also when the VM list makes a target leaving, and the test waits for that event. The six drafts are checked as before, without any draft that the wait may choose by.

--- a/Libraries/LibGateway/FleetManager.cpp
+++ b/Libraries/LibGateway/FleetManager.cpp
@@ -372,6 +372,20 @@
     }
 }
 
+void FleetManager::setVmState(const Vm &vm)
+{
+    auto &fleet = m_policy->fleet();
+    const auto index = fleet.find(vm.name);
+    if (!index) {
+        return;
+    }
+    const bool wasLeaving = fleet.target(*index).leavingByVmList;
+    fleet.setVmState(vm.name, vm.incarnation, vm.state == VmState::Leaving);
+    if (!wasLeaving && fleet.target(*index).leavingByVmList) {
+        m_options.events->record({.kind = EventKind::TargetLeaving, .target = vm.name}, wallMsNow());
+    }
+}
+
 void FleetManager::readVmList()
 {
     const auto list = m_vmList.read();
@@ -381,7 +395,7 @@
     {
         const std::lock_guard lock(m_mutex);
         for (const auto &vm : list.vms) {
-            m_policy->fleet().setVmState(vm.name, vm.incarnation, vm.state == VmState::Leaving);
+            setVmState(vm);
         }
     }
     if (m_options.onVmList) {
--- a/Libraries/LibGateway/FleetManager.h
+++ b/Libraries/LibGateway/FleetManager.h
@@ -87,6 +87,7 @@
     void run();
     void startLoadReads();
     void readVmList();
+    void setVmState(const Vm &vm);
     void finishLoadRead();
     void processLoadResponse(const std::string &target, const HttpAnswer &response, MonotonicTime sentAt);
     void recordChanges(const std::string &target, const LoadReport &before, bool hadReport, const LoadReport &after) const;
--- a/Tests/System/TestOperations.cpp
+++ b/Tests/System/TestOperations.cpp
@@ -2,6 +2,7 @@
 #include "TestFleet.h"
 
 #include <absl/strings/str_replace.h>
+#include <algorithm>
 #include <gtest/gtest.h>
 
 namespace Jujube
@@ -74,7 +75,11 @@
         {"incarnation", 1},
     };
     fleet.post(fleet.platform(), "/vms", {{"vms", nlohmann::json::array({vm})}});
-    ASSERT_TRUE(TestFleet::waitFor([&fleet] { return targetsOfNewDrafts(fleet, 0, 1) == std::vector<std::string> {"engine-2"}; }));
+    // A draft may go to engine-2 before the gateway has read the list.
+    ASSERT_TRUE(TestFleet::waitFor([&fleet] {
+        const auto names = fleet.eventNames(0);
+        return std::find(names.begin(), names.end(), "target_leaving") != names.end();
+    }));
     for (const auto &target : targetsOfNewDrafts(fleet, 0, 6)) {
         EXPECT_EQ(target, "engine-2");
     }
