Suspect requests that were not seen to begin as well

Cause: if the relays had seen the response to any request on the crashed target begin, those that had not been seen to begin were left out. The request that crashes its target is often among these, because the target crashes before the beginning of its response has left it, while sound ones had begun.

PromptPartSuspects.PartOfARequestThatWasNotSeenToBeginIsFound failed before and passes.

--- a/Libraries/LibPolicy/PromptPartSuspects.cpp
+++ b/Libraries/LibPolicy/PromptPartSuspects.cpp
@@ -77,8 +77,8 @@
         entry->second = std::max(entry->second, time);
         for (const auto &[key, crash] : m_crashes) {
             const bool isCleared = crash.time > before && crash.time <= time;
-            wasSuspected = wasSuspected || (isCleared && std::ranges::any_of(suspects(crash), [part](const auto &suspect) {
-                                                return std::ranges::find(suspect.second->parts, part) != suspect.second->parts.end();
+            wasSuspected = wasSuspected || (isCleared && std::ranges::any_of(crash.requests, [part](const auto &suspect) {
+                                                return std::ranges::find(suspect.second.parts, part) != suspect.second.parts.end();
                                             }));
         }
         if (const auto probation = m_probations.find(part);
@@ -163,9 +163,9 @@
         const auto &crash = m_crashes.at(key);
         PromptPartCrash report {
             .target = key.first, .incarnation = key.second, .age = std::chrono::duration_cast<std::chrono::milliseconds>(now - crash.time), .requests = {}};
-        for (const auto &[digest, request] : suspects(crash)) {
+        for (const auto &[digest, request] : crash.requests) {
             if (report.requests.size() < MaxReportedRequests) {
-                report.requests.push_back({.digest = digest, .hasBegun = request->hasBegun, .parts = request->parts});
+                report.requests.push_back({.digest = digest, .hasBegun = request.hasBegun, .parts = request.parts});
             }
         }
         reports.push_back(std::move(report));
@@ -212,18 +212,6 @@
     return now - crash.time < m_options.memory;
 }
 
-std::vector<std::pair<uint64_t, const PromptPartSuspects::Request *>> PromptPartSuspects::suspects(const Crash &crash)
-{
-    const bool anyBegun = std::ranges::any_of(crash.requests, [](const auto &entry) { return entry.second.hasBegun; });
-    std::vector<std::pair<uint64_t, const Request *>> result;
-    for (const auto &[digest, request] : crash.requests) {
-        if (request.hasBegun || !anyBegun) {
-            result.emplace_back(digest, &request);
-        }
-    }
-    return result;
-}
-
 std::optional<MonotonicTime> PromptPartSuspects::soundAt(uint64_t part, MonotonicTime now) const
 {
     const auto found = m_soundAt.find(part);
@@ -243,8 +231,8 @@
         if (!counts(crash, now) || explained.contains(key)) {
             continue;
         }
-        for (const auto &[digest, request] : suspects(crash)) {
-            for (const auto part : request->parts) {
+        for (const auto &[digest, request] : crash.requests) {
+            for (const auto part : request.parts) {
                 if (const auto sound = soundAt(part, now); sound && *sound >= crash.time) {
                     continue;
                 }
@@ -253,6 +241,7 @@
                 evidence.last = std::max(evidence.last, crash.time);
                 evidence.crashes.insert(key);
                 evidence.requests.insert(digest);
+                evidence.begunRequests += request.hasBegun ? 1 : 0;
             }
         }
     }
@@ -263,7 +252,7 @@
 {
     const auto isSoundOrPart = [&](uint64_t other) { return other == part || soundAt(other, now); };
     const auto count = std::ranges::count_if(evidence.crashes, [&](const Key &key) {
-        return std::ranges::all_of(suspects(m_crashes.at(key)), [&](const auto &suspect) { return std::ranges::all_of(suspect.second->parts, isSoundOrPart); });
+        return std::ranges::all_of(m_crashes.at(key).requests, [&](const auto &suspect) { return std::ranges::all_of(suspect.second.parts, isSoundOrPart); });
     });
     return static_cast<size_t>(count) >= m_options.minCrashes;
 }
@@ -315,7 +304,7 @@
     const auto rank = [&](uint64_t part) {
         const auto &evidence = all.at(part);
         const auto crashCount = static_cast<double>(evidence.crashes.size());
-        return std::make_tuple(static_cast<double>(evidence.requests.size()) / crashCount, -crashCount, part);
+        return std::make_tuple(static_cast<double>(evidence.requests.size()) / crashCount, -crashCount, -static_cast<double>(evidence.begunRequests), part);
     };
     std::optional<uint64_t> best;
     for (const auto part : candidates) {
--- a/Libraries/LibPolicy/PromptPartSuspects.h
+++ b/Libraries/LibPolicy/PromptPartSuspects.h
@@ -20,7 +20,7 @@
 struct CrashSuspectRequest {
     // Digest of the whole request, so that repeats of one request are told from different requests.
     uint64_t digest = 0;
-    // Whether the target had begun to respond. Others may have waited in its queue.
+    // Whether the relay had seen the target begin to respond. A target may crash before the beginning of its response has left it.
     bool hasBegun = false;
     PromptPartIds parts;
 };
@@ -121,13 +121,12 @@
     struct Evidence {
         std::set<Key> crashes;
         std::set<uint64_t> requests;
+        size_t begunRequests = 0;
         MonotonicTime first;
         MonotonicTime last;
     };
 
     bool counts(const Crash &crash, MonotonicTime now) const;
-    // Requests of a crash that may be its cause.
-    static std::vector<std::pair<uint64_t, const Request *>> suspects(const Crash &crash);
     std::optional<MonotonicTime> soundAt(uint64_t part, MonotonicTime now) const;
     bool isOnProbation(uint64_t part, MonotonicTime now) const;
     std::map<uint64_t, Evidence> evidence(const std::set<Key> &explained, MonotonicTime now) const;
--- a/Tests/LibPolicy/TestPromptPartSuspects.cpp
+++ b/Tests/LibPolicy/TestPromptPartSuspects.cpp
@@ -215,3 +215,18 @@
     crashes.now += 1h;
     EXPECT_FALSE(crashes.suspects.areSound({Shared}, crashes.now));
 }
+
+// Guards against overlooking the cause of crashes because its response had not left the target, while the responses of sound requests had begun.
+TEST(PromptPartSuspects, PartOfARequestThatWasNotSeenToBeginIsFound)
+{
+    Crashes crashes;
+    crashes.addSound({Shared, Common});
+    for (uint64_t index = 0; index < 4; ++index) {
+        crashes.addAll({{.digest = Unique + index, .hasBegun = false, .parts = {Shared, Bad}},
+                        {.digest = Unique + 100 + index, .hasBegun = true, .parts = {Shared, Unique + index}}});
+    }
+    crashes.settle();
+    EXPECT_EQ(crashes.action({Shared, Bad}), Action::Reject);
+    EXPECT_EQ(crashes.action({Shared, Unique + 1}), Action::Run);
+    EXPECT_EQ(crashes.action({Shared, Common}), Action::Run);
+}
