Write the last responses before the process exits

Found by review, shown by a trial: if the loop was held up until after the exit time, one look both responded to the remaining requests and stopped the loop, whose next turn would have written the responses. The process now exits at a later look than the one that made them. Drain.ResponsesAtTheStopAreWrittenBeforeTheExit failed before (status 0 at the caller).

--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -354,11 +354,14 @@
         return;
     }
     const auto since = now - m_core.draining->since;
+    // What is appended to a connection leaves in a later turn of the loop. The process exits at a later look, even if the loop was held up past the exit.
+    const bool hadEndedRequests = m_hasEndedRequests;
     if (now >= m_core.stopAt()) {
         endRequests(now);
+        m_hasEndedRequests = true;
     }
     const bool idle = m_callers->busyCount() == 0;
-    if ((idle && since >= MinDrainTime) || now >= m_core.exitAt()) {
+    if ((idle && since >= MinDrainTime) || (now >= m_core.exitAt() && hadEndedRequests)) {
         for (const auto *exchange : m_core.running) {
             exchange->logUnfinished(now);
         }
--- a/Libraries/LibRelayServer/Relay.h
+++ b/Libraries/LibRelayServer/Relay.h
@@ -109,6 +109,8 @@
     std::chrono::nanoseconds m_lastSuspendedTime {0};
     uint64_t m_ticks = 0;
     bool m_wasReading = false;
+    // Whether the requests that outlast the grace period have got their responses.
+    bool m_hasEndedRequests = false;
     bool m_isRequestingDocument = false;
     bool m_isRequestingTargets = false;
     StoreReaderElection m_readers;
--- a/Tests/Platform/TestDrain.cpp
+++ b/Tests/Platform/TestDrain.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/numbers.h>
 #include <gtest/gtest.h>
+#include <thread>
 
 using namespace Jujube;
 using namespace std::chrono_literals;
@@ -131,6 +132,25 @@
     EXPECT_EQ(repeatable->status, 504);
 }
 
+// Guards against last responses that are made in the moment of the exit and never written, because the loop was held up until then.
+TEST(Drain, ResponsesAtTheStopAreWrittenBeforeTheExit)
+{
+    RelayTestBed testBed;
+    testBed.writeDocument(1, "key-1", LongTimeout);
+    testBed.addTarget("i-1", "desk").setBehaviour(StandInTarget::Behaviour::Hang);
+    auto &relay = testBed.addRelay("n1", 2s);
+    ASSERT_TRUE(testBed.waitUntilReady("n1"));
+    const auto response = std::make_shared<RelayTestBed::Response>();
+    const auto channel = testBed.begin("n1", {.path = "/commit/x", .fields = {LongDeadline}}, response);
+    testBed.runFor(300ms);
+    relay.drain();
+    testBed.runFor(1200ms);
+    std::this_thread::sleep_for(700ms);
+    // Ends when the relay stops the loop.
+    testBed.runFor(2s);
+    EXPECT_EQ(response->status, 504);
+}
+
 // Guards against a shorter grace period in reloaded settings that cuts what was taken before it.
 TEST(Drain, ReloadedSettingsDoNotShortenTheGracePeriod)
 {
