Do not stop a generation for a migration that nobody may continue

Found by review, shown by a test of the session: the order that stops a run was given without asking whether the destination or the source may continue it. If neither may (request limit, cooldown, data centre out of service), a healthy stream was cut. RelaySession.DraftIsNotStoppedIfNobodyMayContinueIt failed before and passes.

--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -381,7 +381,8 @@
         return;
     }
     if (m_migration == Migration::Copying) {
-        if (result.kind == CopyResult::Kind::Copied) {
+        const bool mayGoOn = m_hooks.mayContinue(m_destination, now) || m_hooks.mayContinue(*m_target, now);
+        if (result.kind == CopyResult::Kind::Copied && mayGoOn) {
             m_migration = Migration::Stopping;
             m_source = *m_target;
             m_hooks.record("stop_and_copy", m_destination.id);
@@ -389,6 +390,9 @@
             return;
         }
         m_migration = Migration::None;
+        if (!mayGoOn) {
+            m_hooks.record("stay", "no continuation");
+        }
         if (result.kind == CopyResult::Kind::DestinationUnavailable) {
             m_excluded.insert(m_destination.id);
         }
--- a/Tests/LibRelay/TestRelaySession.cpp
+++ b/Tests/LibRelay/TestRelaySession.cpp
@@ -671,3 +671,19 @@
     EXPECT_EQ(harness.receivedIds(), idsUpTo(4));
     EXPECT_EQ(harness.finished, 1);
 }
+
+// Guards against stopping a healthy generation for a migration that neither its destination nor its source may continue.
+TEST(RelaySession, DraftIsNotStoppedIfNobodyMayContinueIt)
+{
+    SessionHarness harness(Draft);
+    harness.startStream(SessionHarness::events(1, 2));
+    harness.session().onTargetLeaving(harness.now());
+    harness.continuationExcluded = {harness.attempts.front().target.id, "d"};
+    harness.session().onCopied({.kind = CopyResult::Kind::Copied, .handle = "h"}, harness.now());
+    EXPECT_EQ(harness.copyOrders, std::vector<bool>({false}));
+    EXPECT_FALSE(harness.session().isMigrating());
+    harness.session().onBody(SessionHarness::events(3, 4), harness.now());
+    harness.session().onEnd(ExchangeResult::Complete, harness.now());
+    EXPECT_EQ(harness.receivedIds(), idsUpTo(4));
+    EXPECT_EQ(harness.cuts, 0);
+}
