Do not send a draft back to the destination that was silent

Cause: the silent target was excluded only for repeatable requests. It is excluded in all cases now, unless the stream stays with it.

Also, from the review: a request whose target was leaving is retried as before; a request that tries a second part of its prompt releases the first one; a relay that is stopping is not the one that tries parts; a generation that has already cleared its parts may be continued. These have no tests of their own.

--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -478,24 +478,26 @@
 
 bool RelaySession::tryLeaveSilentTarget(MonotonicTime now)
 {
+    if (!m_target) {
+        return false;
+    }
+    const auto silent = m_target->id;
+    const bool isNewlyExcluded = m_excluded.insert(silent).second;
     // There is no backup of a run that has not begun.
     if (continueAtSource(now) || (m_isResponseAccepted && continueFromBackup(now))) {
         return true;
     }
     // The silent run counts as one, so that another one must be left.
-    const bool mayRunAgain = m_target && m_request.isRepeatable() && m_runs + 1 < m_request.maxAttempts && (!m_hasBegun || m_request.resumable);
-    if (!mayRunAgain) {
-        return false;
+    const bool mayRunAgain = m_request.isRepeatable() && m_runs + 1 < m_request.maxAttempts && (!m_hasBegun || m_request.resumable);
+    if (mayRunAgain && tryRetry("silent", true, now)) {
+        m_mayHaveRun = true;
+        ++m_runs;
+        return true;
     }
-    const auto silent = m_target->id;
-    m_excluded.insert(silent);
-    if (!tryRetry("silent", true, now)) {
+    if (isNewlyExcluded) {
         m_excluded.erase(silent);
-        return false;
     }
-    m_mayHaveRun = true;
-    ++m_runs;
-    return true;
+    return false;
 }
 
 } // namespace Jujube
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -319,7 +319,8 @@
     const auto weight = [part](const std::string &node) { return XXH3_64bits_withSeed(node.data(), node.size(), part); };
     const auto own = weight(options.node);
     const auto live = peers.livePeers(now);
-    return std::none_of(live.begin(), live.end(), [&](const Peer *peer) { return weight(peer->latestHeartbeat.node) > own; });
+    return std::none_of(
+        live.begin(), live.end(), [&](const Peer *peer) { return peer->latestHeartbeat.accepting && weight(peer->latestHeartbeat.node) > own; });
 }
 
 void RelayCore::logRejectedParts(MonotonicTime now)
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -164,6 +164,9 @@
         if (!m_core.triesPart(verdict.part, now) || !m_core.triedParts.insert(verdict.part).second) {
             return now + TrialTime;
         }
+        if (m_triedPart) {
+            m_core.triedParts.erase(*m_triedPart);
+        }
         m_triedPart = verdict.part;
         break;
     }
@@ -471,7 +474,7 @@
         if (end == ChannelEnd::NotSent) {
             m_core.balancer.markUnreachable(m_target, now);
         } else if (!m_session->isMigrating()) {
-            m_mayHaveCrashedTarget = m_isResponseNamed && m_eventsCounted == 0 && !m_promptParts.empty();
+            m_mayHaveCrashedTarget = m_isResponseNamed && m_eventsCounted == 0 && !m_promptParts.empty() && !m_core.targets.isLeaving(m_target);
             m_core.noteInterruptedResponse(m_target,
                                            {.digest = m_digest,
                                             .hasBegun = m_isResponseNamed,
--- a/Libraries/LibRelayServer/RelayExchangeMigration.cpp
+++ b/Libraries/LibRelayServer/RelayExchangeMigration.cpp
@@ -76,7 +76,7 @@
     }
     // A generation that crashes the engines that run it must not continue on another one.
     if (m_unexpectedFailures > MaxUnexpectedFailures || m_core.crashSuspects.verdict(m_digest, now).action == CrashVerdict::Action::Reject
-        || m_core.promptParts.verdict(m_promptParts, now).action == PromptPartVerdict::Action::Reject) {
+        || (!m_isSound && m_core.promptParts.verdict(m_promptParts, now).action == PromptPartVerdict::Action::Reject)) {
         return false;
     }
     const auto *known = m_core.targets.find(holder.id);
