--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -58,6 +58,10 @@
     // Returns how the request must be rejected, or nothing if it is admitted.
     std::optional<RelayOutcome> admit(MonotonicTime now);
     void logAccepted(MonotonicTime now);
+    // Until when the request must not run because it, or a part of its prompt, crashes targets. Nothing if it may run.
+    std::optional<MonotonicTime> poisonousUntil(MonotonicTime now);
+    // The target has responded well for long enough to clear the parts of the prompt.
+    void noteSoundResponse(MonotonicTime now);
     std::chrono::milliseconds retryAfterFor(RelayOutcome outcome, MonotonicTime now);
     void createSession();
     TargetChoice choose(const std::set<std::string> &excluded, MonotonicTime now);
@@ -108,10 +112,6 @@
     int64_t m_targetIncarnation = 0;
     // Digest of workspace, request target and body, by which a poison request is recognized when it is sent again.
     uint64_t m_digest = 0;
-    // Until when the request must not run because it, or a part of its prompt, crashes targets. Nothing if it may run.
-    std::optional<MonotonicTime> poisonousUntil(MonotonicTime now);
-    // The target has responded well for long enough to clear the parts of the prompt.
-    void noteSoundResponse(MonotonicTime now);
     // Whether the target crashed when it had just begun to respond, so that the request may be the cause.
     bool m_mayHaveCrashedTarget = false;
     // Whether the response has cleared the parts of the prompt.
