--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,9 +9,9 @@
 import deployment as d
 import world as w
 
-DRAFTS_PER_S = 7
-# Answers are lost three times for some seconds: those of a twentieth of the requests on half of the servers.
-LOST_AT_S, LOST_FOR_S = (10, 20, 30), 4
+DRAFTS_PER_S = 6
+# Answers are lost four times for some seconds: those of a twentieth of the requests on half of the servers.
+LOST_AT_S, LOST_FOR_S = (10, 20, 30, 40), 4
 SHARE_OF_SERVERS, SHARE_OF_REQUESTS = 0.5, 0.05
 # For so long may a server go on with a request that has gone on at another server.
 ALLOWED_S = 0.4
@@ -30,7 +30,8 @@
         if window != state["window"]:
             state.update(window=window, seen=set(), lost=set())
         state["seen"].add(request)
-        if len(state["lost"]) + 1 > SHARE_OF_REQUESTS * len(state["seen"]):
+        # Only in the first half of an answer, so that the run has seconds to go.
+        if len(state["lost"]) + 1 > SHARE_OF_REQUESTS * len(state["seen"]) or number > d.DRAFT_EVENTS / 2:
             return False
         state["lost"].add(request)
         broken.add(request)
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -58,7 +58,7 @@
     def generate(self, kind, route, subject, own=None, body=None, deadline_s=6.0):
         """A generation. Its prompt has the shared parts, that of a subject, and one of its own."""
         parts = [f"{part}:{1500 // len(self.first_parts)}" for part in self.first_parts] + [f"{subject}:140", f"{own or secrets.token_hex(4)}:560"]
-        fields = {"X-Model": "m", "X-Token-Usage": "2200,16" if route == HINTS else "2200,800", "X-Prefix-Hash": ",".join(parts)}
+        fields = {"X-Model": "m", "X-Token-Usage": "2200,16" if route == HINTS else "2200,400", "X-Prefix-Hash": ",".join(parts)}
         return self.send(kind, "POST", route + "2f", fields, body or secrets.token_hex(40).encode(), deadline_s)
 
     def bad_part(self):
