--- a/review/common/world.py
+++ b/review/common/world.py
@@ -16,8 +16,20 @@
 import time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-# A loopback address of its own for each case, so that cases that run at the same time don't take each other's ports.
-HOST = "127.{}.{}.1".format(*(random.SystemRandom().randrange(1, 255) for _ in range(2)))
+
+
+def own_loopback_address():
+    """A loopback address of its own for each case, so that cases that run at the same time don't take each other's ports."""
+    address = "127.{}.{}.1".format(*(random.SystemRandom().randrange(1, 255) for _ in range(2)))
+    try:
+        with socket.socket() as probe:
+            probe.bind((address, 0))
+        return address
+    except OSError:
+        return "127.0.0.1"
+
+
+HOST = own_loopback_address()
 # Zones and regions of the site qalamkar-orders, and the number of machines in each.
 ZONES = {"lahore-a": ("lahore", 3), "karachi-a": ("karachi", 2), "islamabad-a": ("islamabad", 2)}
 CONTACT_S = 3.0
