Let a generation go on elsewhere only when its former run has ended

Callers got whole drafts, but two engines worked on one for up to 5 s: an engine reset the connection of a draft and went on with the run, and the relay continued the draft from its backup in the same millisecond.

Cause: RelaySession took the end of a connection for the end of the run. The logs rule the others out: no crash_suspected for the engine, and no order to stop it. The same held for resumed and repeated streams, silent streams that were left, migrated drafts that returned to their source, and migrations whose order to stop had no response.

Change: RelaySession asks the target what it runs before the request goes on (TargetRunsReader, one call for all requests that ask at the same time). A run has ended if its target refuses connections, is another process, is out of reach twice in a row or does not list the run in a statement that can know it. A run that is listed is ordered to stop and to copy itself; no response to that proves nothing, and the target is asked again.

Evidence: InterruptedRequests.DraftIsAtOneEngineAtATime and .SuggestionIsAtOneEngineAtATime failed before with 971 ms at two engines (400 ms allowed), and pass.

Tests that changed: engines of TestBrokenTargets state that they run nothing, and the session's harness has targets that have crashed unless a test says otherwise. No expectation changed.

--- a/Libraries/LibLoop/LoopClient.cpp
+++ b/Libraries/LibLoop/LoopClient.cpp
@@ -94,7 +94,7 @@
     PendingCall::armTimer(pending);
     pending->channel->exchange(textOf(address, call),
                                call.method == "HEAD",
-                               call.timeout,
+                               call.connectTimeout.value_or(call.timeout),
                                {.onHead =
                                     [pending](const MessageHead &head, const std::optional<uint64_t> &) {
                                         pending->answer.status = head.status;
@@ -112,6 +112,7 @@
                                     [this, pending](ChannelEnd end, const std::string &error) {
                                         pending->answer.end = end;
                                         pending->answer.error = error;
+                                        pending->answer.connectFailure = pending->channel->connectFailure();
                                         if (end != ChannelEnd::Complete) {
                                             pending->answer.status = 0;
                                         }
--- a/Libraries/LibLoop/LoopClient.h
+++ b/Libraries/LibLoop/LoopClient.h
@@ -12,6 +12,8 @@
     std::vector<HeaderField> fields;
     std::string body;
     std::chrono::milliseconds timeout {1000};
+    // Time to connect, if it is shorter than the timeout.
+    std::optional<std::chrono::milliseconds> connectTimeout;
     // Called for each part of the answer. If it is set, the timeout starts anew with each part, so that a long answer may take its time on a slow link.
     std::function<void()> onProgress;
     // A longer answer ends the call as Broken.
@@ -26,6 +28,7 @@
     int status = 0;
     std::string body;
     std::string error;
+    ConnectFailure connectFailure = ConnectFailure::None;
 
     bool isSuccess() const
     {
--- a/Libraries/LibLoop/TargetChannel.cpp
+++ b/Libraries/LibLoop/TargetChannel.cpp
@@ -67,6 +67,7 @@
     m_timer.async_wait([weak = weak_from_this()](const LoopError &error) {
         const auto self = weak.lock();
         if (!error && self && self->m_state == State::Connecting) {
+            self->m_connectFailure = ConnectFailure::TimedOut;
             self->end(ChannelEnd::NotSent, "connect timeout");
         }
     });
@@ -80,6 +81,7 @@
     }
     m_timer.cancel();
     if (error) {
+        m_connectFailure = error == boost::asio::error::connection_refused ? ConnectFailure::Refused : ConnectFailure::Other;
         end(ChannelEnd::NotSent, error.message());
         return;
     }
--- a/Libraries/LibLoop/TargetChannel.h
+++ b/Libraries/LibLoop/TargetChannel.h
@@ -20,6 +20,16 @@
     Broken,
 };
 
+// Why a connection could not be made.
+enum class ConnectFailure {
+    None,
+    // Nothing listens at the address.
+    Refused,
+    TimedOut,
+    // For example no free descriptor in this process.
+    Other,
+};
+
 // One connection to a target, the store or a peer. It carries one exchange at a time and never repeats a request. Used on the loop's thread only.
 class TargetChannel : public std::enable_shared_from_this<TargetChannel>
 {
@@ -70,6 +80,12 @@
         return m_address;
     }
 
+    // Why an exchange was not sent.
+    ConnectFailure connectFailure() const
+    {
+        return m_connectFailure;
+    }
+
 private:
     enum class State {
         New,
@@ -111,6 +127,7 @@
     bool m_reading = false;
     bool m_paused = false;
     bool m_headSeen = false;
+    ConnectFailure m_connectFailure = ConnectFailure::None;
     int m_interimAnswers = 0;
     bool m_keep = true;
     std::chrono::milliseconds m_keepAlive;
--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -19,10 +19,10 @@
 constexpr int MaxRejections = 3;
 // Unreachable targets that one request may meet before the relay gives up. Retries after them take no budget, only time.
 constexpr int MaxUnreachableTargets = 8;
-// A response that is not a stream is buffered up to this size, so that one that breaks can still be replaced.
-constexpr size_t MaxBufferedResponseBytes = 64 * 1024;
 // A request is not retried with less time left than this.
 constexpr std::chrono::milliseconds MinTimeForRetry {60};
+// A response that is not a stream is buffered up to this size, so that one that breaks can still be replaced.
+constexpr size_t MaxBufferedResponseBytes = 64 * 1024;
 
 bool isSuccess(int status)
 {
@@ -82,6 +82,11 @@
     m_bufferedBody.clear();
     m_response = {};
     m_events.discardPartialEvent();
+    m_interruption.reset();
+    m_isReadingRuns = false;
+    m_hasKvCache = !kvCacheSource.empty();
+    m_sentAt = now;
+    m_firstEventAt.reset();
     ++m_attempts;
     m_isContinuation = m_hasBegun;
     m_backup = m_hooks.chooseBackup(target, now);
@@ -163,6 +168,9 @@
     const bool hadEvents = m_events.count() > 0;
     const auto events = m_events.feed(bytes);
     if (!events.empty()) {
+        m_firstEventAt = m_firstEventAt.value_or(now);
+        m_lastEventAt = now;
+        resumeInterruptedRun();
         writeEvents(events);
     }
     if (m_events.isOutOfOrder()) {
@@ -179,7 +187,7 @@
         return;
     }
     // The generation has just produced its first event, so its copy can start now.
-    if (m_isTargetLeaving && m_migration == Migration::None && !hadEvents && m_events.count() > 0 && !m_backup) {
+    if (m_isTargetLeaving && m_migration == Migration::None && !m_interruption && !hadEvents && m_events.count() > 0 && !m_backup) {
         startMigration(now);
     }
 }
@@ -209,6 +217,14 @@
         continueAt(m_destination, m_copyHandle, now);
         return;
     }
+    if (m_interruption) {
+        if (isWhole(result)) {
+            complete();
+        } else {
+            closeInterruptedRun(std::exchange(m_isResponseAccepted, false));
+        }
+        return;
+    }
     if (m_migration == Migration::Stopping) {
         m_hasWholeEnd = isWhole(result);
         if (m_hasWholeEnd && !m_response.endsWithConnection) {
@@ -233,6 +249,22 @@
     if (m_target) {
         m_excluded.insert(m_target->id);
     }
+    const bool mayBeRunning = m_request.hasReportedRuns && result != ExchangeResult::NotSent && !notRun && m_target;
+    if (mayBeRunning && m_interruption) {
+        closeInterruptedRun(hadResponse);
+        return;
+    }
+    if (mayBeRunning && mayGoOn(hadResponse, now)) {
+        awaitRunEnd(now);
+        closeInterruptedRun(hadResponse);
+        readRuns(now);
+        return;
+    }
+    leaveTarget(hadResponse, result, notRun, now);
+}
+
+void RelaySession::leaveTarget(bool hadResponse, ExchangeResult result, bool notRun, MonotonicTime now)
+{
     if (m_hasBegun && !m_begunResponse.isStream) {
         // Nothing says at which byte another target would have to continue.
         fail(RelayOutcome::TargetFailed, {});
@@ -263,18 +295,24 @@
         fail(m_mayHaveRun ? RelayOutcome::TargetFailed : rejection, m_retryAfter);
         return;
     }
+    const bool runsAgain = mayRunAgain();
     m_mayHaveRun = true;
     ++m_runs;
     if (continueFromBackup(now)) {
         return;
     }
-    const bool mayRunAgain = m_request.isRepeatable() && m_runs < m_request.maxAttempts && (!m_hasBegun || m_request.resumable);
-    if (mayRunAgain && tryRetry("broken response", true, now)) {
+    const bool countsAgainstBudget = !m_interruption || !m_interruption->hasRetry;
+    if (runsAgain && tryRetry("broken response", countsAgainstBudget, now)) {
         return;
     }
     fail(RelayOutcome::TargetFailed, {});
 }
 
+bool RelaySession::mayRunAgain() const
+{
+    return m_request.isRepeatable() && m_runs + 1 < m_request.maxAttempts && (!m_hasBegun || m_request.resumable);
+}
+
 bool RelaySession::tryRetry(std::string_view reason, bool countsAgainstBudget, MonotonicTime now)
 {
     if (m_request.deadline - now < MinTimeForRetry) {
@@ -300,7 +338,7 @@
 
 bool RelaySession::continueFromBackup(MonotonicTime now)
 {
-    if (!m_backup || m_request.deadline - now < MinTimeForRetry || !m_hooks.mayContinue(*m_backup, now)) {
+    if (!mayContinueFromBackup(now)) {
         return false;
     }
     const auto holder = *std::exchange(m_backup, std::nullopt);
@@ -317,7 +355,7 @@
 
 bool RelaySession::continueAtSource(MonotonicTime now)
 {
-    if (!isAwaitingMigratedRun() || m_request.deadline - now < MinTimeForRetry || !m_hooks.mayContinue(m_source, now)) {
+    if (!mayContinueAtSource(now)) {
         return false;
     }
     m_hooks.record("continue_at_source", m_source.id);
@@ -326,6 +364,16 @@
     return true;
 }
 
+bool RelaySession::mayContinueFromBackup(MonotonicTime now) const
+{
+    return m_backup && m_request.deadline - now >= MinTimeForRetry && m_hooks.mayContinue(*m_backup, now);
+}
+
+bool RelaySession::mayContinueAtSource(MonotonicTime now) const
+{
+    return isAwaitingMigratedRun() && m_request.deadline - now >= MinTimeForRetry && m_hooks.mayContinue(m_source, now);
+}
+
 void RelaySession::continueAt(const RelayTarget &target, const std::string &kvCacheSource, MonotonicTime now)
 {
     m_migration = Migration::None;
@@ -340,6 +388,7 @@
 void RelaySession::fail(RelayOutcome outcome, std::chrono::milliseconds retryAfter)
 {
     m_isOver = true;
+    m_interruption.reset();
     m_hooks.abortAttempt();
     if (m_hasBegun) {
         m_hooks.cutResponse(RelayOutcome::ResponseBroken);
@@ -350,7 +399,7 @@
 
 void RelaySession::onTargetLeaving(MonotonicTime now)
 {
-    if (m_isOver || m_request.kind != RouteKind::Stream || !m_target) {
+    if (m_isOver || m_request.kind != RouteKind::Stream || !m_target || m_interruption) {
         return;
     }
     m_isTargetLeaving = true;
@@ -372,21 +421,32 @@
     m_destination = *destination;
     m_migration = Migration::Copying;
     m_hooks.record("copy", m_destination.id);
-    m_hooks.startCopy(*m_target, m_destination, false);
+    startCopy(*m_target, m_destination, false);
+}
+
+void RelaySession::startCopy(const RelayTarget &source, const RelayTarget &destination, bool stop)
+{
+    ++m_copyOrders;
+    m_hooks.startCopy(source, destination, stop);
 }
 
 void RelaySession::onCopied(const CopyResult &result, MonotonicTime now)
 {
+    --m_copyOrders;
     if (m_isOver) {
         return;
     }
+    if (m_interruption) {
+        onInterruptedRunCopied(result, now);
+        return;
+    }
     if (m_migration == Migration::Copying) {
         const bool mayGoOn = m_hooks.mayContinue(m_destination, now) || m_hooks.mayContinue(*m_target, now);
         if (result.kind == CopyResult::Kind::Copied && mayGoOn) {
             m_migration = Migration::Stopping;
             m_source = *m_target;
             m_hooks.record("stop_and_copy", m_destination.id);
-            m_hooks.startCopy(m_source, m_destination, true);
+            startCopy(m_source, m_destination, true);
             return;
         }
         m_migration = Migration::None;
@@ -466,7 +526,7 @@
 
 void RelaySession::onStreamTimeout(MonotonicTime now)
 {
-    if (m_isOver || m_migration != Migration::None) {
+    if (m_isOver || m_migration != Migration::None || m_interruption) {
         return;
     }
     m_hooks.record("silent", m_target ? m_target->id : "");
@@ -481,15 +541,26 @@
     if (!m_target) {
         return false;
     }
+    if (!m_request.hasReportedRuns) {
+        return tryGoOnElsewhere(now);
+    }
+    if (!mayGoOn(m_isResponseAccepted, now)) {
+        return false;
+    }
+    awaitRunEnd(now);
+    readRuns(now);
+    return true;
+}
+
+bool RelaySession::tryGoOnElsewhere(MonotonicTime now)
+{
     const auto silent = m_target->id;
     const bool isNewlyExcluded = m_excluded.insert(silent).second;
     // There is no backup of a run that has not begun.
     if (continueAtSource(now) || (m_isResponseAccepted && continueFromBackup(now))) {
         return true;
     }
-    // The silent run counts as one, so that another one must be left.
-    const bool mayRunAgain = m_request.isRepeatable() && m_runs + 1 < m_request.maxAttempts && (!m_hasBegun || m_request.resumable);
-    if (mayRunAgain && tryRetry("silent", true, now)) {
+    if (mayRunAgain() && tryRetry("silent", true, now)) {
         m_mayHaveRun = true;
         ++m_runs;
         return true;
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -5,6 +5,7 @@
 #include <LibRelay/EventSplitter.h>
 #include <LibRelay/RelayDocument.h>
 #include <LibRelay/RelayOutcome.h>
+#include <LibRelay/TargetRuns.h>
 #include <LibRelay/TargetTable.h>
 #include <optional>
 #include <set>
@@ -34,6 +35,8 @@
     // Only for streams: another target may continue after the last event, by processing the whole prompt again.
     bool resumable = false;
     int maxAttempts = 1;
+    // Whether the targets report what they run. The request then goes on elsewhere only when its former run is known to have ended.
+    bool hasReportedRuns = false;
     // When the caller must have its final response.
     MonotonicTime deadline;
 
@@ -52,6 +55,8 @@
     std::chrono::milliseconds timeLeft {0};
     // The stream continues after this event.
     std::optional<int64_t> lastEventId;
+    // Closes the connection of a silent run that may run again. Most targets drop a request with its connection.
+    void dropInterruptedRun(MonotonicTime now);
     // Where the KV cache of the running generation is copied from: the address of an engine and the name of the copy. Empty for a run from the start.
     std::string kvCacheSource;
     // The engine that keeps a backup of the generation. Nothing for none.
@@ -140,6 +145,8 @@
         std::function<void()> abortAttempt;
         // Orders the engine that runs the generation to copy it; the result is passed to onCopied().
         std::function<void(const RelayTarget &source, const RelayTarget &destination, bool stop)> startCopy;
+        // Asks a target what it runs, at a time or later; the result is passed to onRunsRead().
+        std::function<void(const RelayTarget &target, MonotonicTime at)> readRuns;
         // Passes the header section of the target's current response on to the caller. Without a length the body follows in chunks.
         std::function<void(std::optional<uint64_t> length)> beginResponse;
         std::function<void(std::string_view bytes)> write;
@@ -167,6 +174,7 @@
     // The target that runs the request is leaving, and the request may be migrated to another one now. May be called again after a failed copy.
     void onTargetLeaving(MonotonicTime now);
     void onCopied(const CopyResult &result, MonotonicTime now);
+    void onRunsRead(const TargetRuns &runs, MonotonicTime now);
     // The backup must not be relied on any more.
     void onBackupLost();
     const std::optional<RelayTarget> &backup() const
@@ -203,6 +211,12 @@
         return m_migration != Migration::None;
     }
 
+    // Whether the response broke off or went silent, and it is not known yet whether the run has ended.
+    bool isInterrupted() const
+    {
+        return m_interruption.has_value();
+    }
+
     // Whether a migrated generation has been sent to its destination, and the destination has not responded.
     bool isAwaitingMigratedRun() const;
 
@@ -222,15 +236,63 @@
         Draining,
     };
 
+    // A run whose response broke off or went silent, until it is known whether the run has ended.
+    struct Interruption {
+        MonotonicTime since;
+        // Whether the connection is open, so that the response may go on.
+        bool isOpen = true;
+        // Whether a response had been accepted when the connection ended.
+        bool hadResponse = false;
+        // Whether the retry that follows has been taken from the budget.
+        bool hasRetry = false;
+        std::chrono::milliseconds readInterval {0};
+        // Orders to stop the run. The last one is in progress if it has a destination.
+        int stopOrders = 0;
+        std::optional<RelayTarget> stopDestination;
+        // From this time on the target's statements take the last order into account.
+        MonotonicTime nextStopAt;
+    };
+
     void startRun(MonotonicTime now);
     void send(const RelayTarget &target, const std::string &kvCacheSource, MonotonicTime now);
     // Handles an exchange that produced no usable response.
     void onFailure(ExchangeResult result, bool notRun, MonotonicTime now);
+    // Goes on elsewhere after an exchange that produced no usable response, or gives up.
+    void leaveTarget(bool hadResponse, ExchangeResult result, bool notRun, MonotonicTime now);
+    // Whether another target may continue the request, or run it again, once its run has ended.
+    bool mayGoOn(bool hadResponse, MonotonicTime now) const;
+    bool mayRunAgain() const;
+    bool mayContinueFromBackup(MonotonicTime now) const;
+    bool mayContinueAtSource(MonotonicTime now) const;
+    void awaitRunEnd(MonotonicTime now);
+    // The connection of the interrupted run has ended or is of no use any more.
+    void closeInterruptedRun(bool hadResponse);
+    bool hasInterruptedRunResponded() const;
+    void readRuns(MonotonicTime at);
+    // What a target's statement tells about the interrupted run.
+    RunState stateOf(const TargetRuns &runs) const;
+    // When the target has listed the run at the latest.
+    MonotonicTime runBegunAt() const;
+    // Whether the run was not waiting in its target's queue when it was interrupted.
+    bool wasRunning() const;
+    void onInterruptedRunEnded(std::string_view reason, MonotonicTime now);
+    // Makes the target stop the interrupted run, by an order to copy it or by closing its connection. Returns false if it can only be waited for.
+    bool stopInterruptedRun(MonotonicTime now);
+    // Closes the connection of a silent run that may run again. Most targets drop a request with its connection.
+    void dropInterruptedRun(MonotonicTime now);
+    // Where the KV cache of the interrupted run would be copied.
+    std::optional<RelayTarget> chooseStopDestination(MonotonicTime now) const;
+    void onInterruptedRunCopied(const CopyResult &result, MonotonicTime now);
+    // The response of the interrupted run goes on.
+    void resumeInterruptedRun();
+    void startCopy(const RelayTarget &source, const RelayTarget &destination, bool stop);
     // Sends the request to another target if there is enough time and, with `countsAgainstBudget`, if the budget allows it.
     bool tryRetry(std::string_view reason, bool countsAgainstBudget, MonotonicTime now);
     bool continueFromBackup(MonotonicTime now);
-    // Sends a request whose target is silent elsewhere, or returns false and leaves it there.
+    // Makes a request whose target is silent go on elsewhere, at once or when its run has ended. Returns false if it stays there.
     bool tryLeaveSilentTarget(MonotonicTime now);
+    // The same for a run that has ended or need not end first.
+    bool tryGoOnElsewhere(MonotonicTime now);
     // Continues at the source of a migration whose destination has not begun: the source keeps the KV cache of a generation that it stopped, until its copy is
     // used.
     bool continueAtSource(MonotonicTime now);
@@ -279,6 +341,15 @@
     RelayTarget m_source;
     RelayTarget m_destination;
     std::string m_copyHandle;
+    std::optional<Interruption> m_interruption;
+    bool m_isReadingRuns = false;
+    // Orders to copy that have no result yet.
+    int m_copyOrders = 0;
+    // Of the current attempt.
+    bool m_hasKvCache = false;
+    MonotonicTime m_sentAt;
+    std::optional<MonotonicTime> m_firstEventAt;
+    MonotonicTime m_lastEventAt;
 };
 
 } // namespace Jujube
--- a/Libraries/LibRelayServer/PlatformAdapter.h
+++ b/Libraries/LibRelayServer/PlatformAdapter.h
@@ -35,6 +35,10 @@
 struct EngineState {
     int64_t incarnation = 0;
     bool leaving = false;
+    // Requests that wait to run.
+    int64_t queued = 0;
+    // Ids of the requests that have begun to run. Nothing if the list is missing or cannot be read.
+    std::optional<std::vector<std::string>> runs;
 };
 
 // Names of the header fields that callers and targets use.
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -244,6 +244,7 @@
         m_core.balancer.requestLimits().expire([this](const std::string &target) { return m_core.targets.find(target) != nullptr; }, now);
         m_core.channels.expire(now);
         m_core.client.expire(now);
+        m_core.targetRuns.expire(now);
         m_core.balancer.expire(now);
         m_core.crashSuspects.expire(now);
         m_core.promptParts.expire(now);
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -39,6 +39,17 @@
     , client(loopInUse)
     , targets({})
     , balancer({.region = options.region, .regions = options.regions, .cooldowns = {.maxCooldown = options.maxCooldown}})
+    , targetRuns(client,
+                 adapter,
+                 {.tryTakeCall =
+                      [this](const std::string &target, MonotonicTime now) {
+                          const bool isAllowed = balancer.requestLimits().mayContinue(target, now);
+                          if (isAllowed) {
+                              balancer.requestLimits().recordSend(target, now);
+                          }
+                          return isAllowed;
+                      },
+                  .onUnreachable = [this](const std::string &target, MonotonicTime now) { balancer.markUnreachable(target, now); }})
     , peers({.ownAddress = options.peers.toText(), .ownName = options.node, .region = options.region, .regions = options.regions}, monotonicNow())
     , promptParts({})
     , m_lines(lines)
@@ -262,6 +273,10 @@
     if (!endpoint || (isStateCheck && (balancer.cooldowns().until(target, startedAt) || !balancer.requestLimits().maySend(target, startedAt)))) {
         return;
     }
+    if (!isStateCheck && targetRuns.isGone(target, known->entry.incarnation)) {
+        recordCrash(target, known->entry.incarnation, interrupted, "gone", startedAt);
+        return;
+    }
     balancer.requestLimits().recordSend(target, startedAt);
     auto call = adapter.buildStateCall();
     call.timeout = StateTimeout;
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -15,6 +15,7 @@
 #include <LibRelay/TargetBalancer.h>
 #include <LibRelayServer/PlatformAdapter.h>
 #include <LibRelayServer/RelayOptions.h>
+#include <LibRelayServer/TargetRunsReader.h>
 #include <random>
 
 namespace Jujube
@@ -50,6 +51,7 @@
     std::shared_ptr<const RouteTable> routes;
     TargetTable targets;
     TargetBalancer balancer;
+    TargetRunsReader targetRuns;
     PeerTable peers;
     CrashSuspects crashSuspects;
     PromptPartSuspects promptParts;
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -52,6 +52,7 @@
     , m_deadlineTimer(core.loop)
     , m_silenceTimer(core.loop)
     , m_migrationTimer(core.loop)
+    , m_runsTimer(core.loop)
 {
 }
 
@@ -187,6 +188,7 @@
                                    .kind = m_admission.route->kind,
                                    .resumable = m_admission.route->resumable,
                                    .maxAttempts = m_admission.route->maxAttempts,
+                                   .hasReportedRuns = m_admission.service->engine.has_value(),
                                    .deadline = m_admission.deadline - DeadlineMargin};
     m_session = std::make_unique<RelaySession>(
         facts,
@@ -200,6 +202,7 @@
                              .wait = [this](MonotonicTime until) { armWaitTimer(until); },
                              .abortAttempt = [this] { abortAttempt(); },
                              .startCopy = [this](const RelayTarget &source, const RelayTarget &destination, bool stop) { copy(source, destination, stop); },
+                             .readRuns = [this](const RelayTarget &target, MonotonicTime at) { readRuns(target, at); },
                              .beginResponse = [this](std::optional<uint64_t> length) { beginResponse(length); },
                              .write =
                                  [this](std::string_view bytes) {
@@ -664,6 +667,7 @@
     m_deadlineTimer.cancel();
     m_silenceTimer.cancel();
     m_migrationTimer.cancel();
+    m_runsTimer.cancel();
 }
 
 } // namespace Jujube
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -89,6 +89,7 @@
     // Orders the copy once the request limit of the source allows it, or gives it up.
     void waitForCopy(const RelayTarget &source, const RelayTarget &destination, bool stop, MonotonicTime now);
     void handleCopied(const CopyResult &result, MonotonicTime now);
+    void readRuns(const RelayTarget &target, MonotonicTime at);
     void beginResponse(std::optional<uint64_t> length);
     void answer(RelayOutcome outcome, std::chrono::milliseconds retryAfter);
     void finishResponse();
@@ -148,6 +149,7 @@
     boost::asio::steady_timer m_deadlineTimer;
     boost::asio::steady_timer m_silenceTimer;
     boost::asio::steady_timer m_migrationTimer;
+    boost::asio::steady_timer m_runsTimer;
 };
 
 } // namespace Jujube
--- a/Libraries/LibRelayServer/RelayExchangeMigration.cpp
+++ b/Libraries/LibRelayServer/RelayExchangeMigration.cpp
@@ -142,14 +142,32 @@
     if (m_isFinished) {
         return;
     }
+    const bool wasInterrupted = m_session->isInterrupted();
     m_session->onCopied(result, now);
-    if (!m_isFinished && !m_session->isMigrating()) {
+    if (!wasInterrupted && !m_isFinished && !m_session->isMigrating()) {
         m_core.migrations.remove(m_id);
         retryMigrationAfter(result.kind);
         m_core.runMigrations();
     }
 }
 
+void RelayExchange::readRuns(const RelayTarget &target, MonotonicTime at)
+{
+    m_runsTimer.expires_at(at);
+    // After the end of its connection, nothing else keeps the exchange alive.
+    m_runsTimer.async_wait([self = shared_from_this(), target, attempt = m_session->attemptCount()](const LoopError &error) {
+        if (error || self->m_isFinished) {
+            return;
+        }
+        const auto onRead = [self, attempt](const TargetRuns &runs) {
+            if (!self->m_isFinished && attempt == self->m_session->attemptCount()) {
+                self->m_session->onRunsRead(runs, monotonicNow());
+            }
+        };
+        self->m_core.targetRuns.read(target, onRead, monotonicNow());
+    });
+}
+
 void RelayExchange::waitForCopy(const RelayTarget &source, const RelayTarget &destination, bool stop, MonotonicTime now)
 {
     const auto next = m_core.balancer.requestLimits().nextContinueTime(source.id, now);
@@ -212,7 +230,7 @@
     }
     m_migrationTimer.expires_after(MigrationRetryDelay);
     m_migrationTimer.async_wait([weak = weak_from_this()](const LoopError &error) {
-        if (const auto self = weak.lock(); self && !error && !self->m_isFinished && !self->m_session->isMigrating()) {
+        if (const auto self = weak.lock(); self && !error && !self->m_isFinished && !self->m_session->isMigrating() && !self->m_session->isInterrupted()) {
             self->queueMigration();
             self->m_core.runMigrations();
         }
--- a/Tests/LibRelay/SessionHarness.cpp
+++ b/Tests/LibRelay/SessionHarness.cpp
@@ -13,7 +13,6 @@
                                  [this](const std::set<std::string> &excluded, MonotonicTime) {
                                      TargetChoice choice;
                                      if (targetsLeft > 0) {
-                                         --targetsLeft;
                                          const auto id = "t" + std::to_string(attempts.size() + excluded.size());
                                          choice.target = RelayTarget {.id = id, .incarnation = 1, .address = id + ":1"};
                                      }
@@ -32,9 +31,20 @@
                                  },
                              .mayContinue = [this](const RelayTarget &target, MonotonicTime) { return !continuationExcluded.contains(target.id); },
                              .tryTakeRetry = [this](MonotonicTime) { return retriesLeft-- > 0; },
-                             .sendAttempt = [this](const RelayAttempt &send) { attempts.push_back(send); },
+                             .sendAttempt =
+                                 [this](const RelayAttempt &send) {
+                                     attempts.push_back(send);
+                                     targetsLeft -= send.kvCacheSource.empty() ? 1 : 0;
+                                 },
                              .abortAttempt = [this] { ++aborts; },
                              .startCopy = [this](const RelayTarget &, const RelayTarget &, bool stop) { copyOrders.push_back(stop); },
+                             .readRuns =
+                                 [this](const RelayTarget &, MonotonicTime at) {
+                                     reads.push_back(at);
+                                     if (statement) {
+                                         m_session->onRunsRead(statement(at), m_now);
+                                     }
+                                 },
                              .beginResponse = [this](std::optional<uint64_t>) { ++begun; },
                              .write = [this](std::string_view bytes) { received += bytes; },
                              .finishResponse = [this] { ++finished; },
--- a/Tests/LibRelay/SessionHarness.h
+++ b/Tests/LibRelay/SessionHarness.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <LibRelay/RelaySession.h>
 #include <random>
 #include <string>
@@ -44,6 +45,16 @@
     }
 
     std::vector<RelayAttempt> attempts;
+    // What a target states when it is asked what it runs. It has crashed unless told otherwise; an empty function never answers.
+    std::function<TargetRuns(MonotonicTime at)> statement
+        = [](MonotonicTime at) { return TargetRuns {.kind = TargetRuns::Kind::Gone, .askedAt = at, .requests = {}}; };
+    // The times for which targets were asked.
+    std::vector<MonotonicTime> reads;
+    // The statement of a target that runs these requests.
+    static TargetRuns listed(MonotonicTime at, std::vector<std::string> requests, int64_t queued = 0)
+    {
+        return {.kind = TargetRuns::Kind::Listed, .askedAt = at, .requests = std::move(requests), .queued = queued};
+    }
     std::vector<RelayOutcome> ownResponses;
     std::vector<bool> copyOrders;
     std::string received;
--- a/Tests/LibRelay/TestRelaySession.cpp
+++ b/Tests/LibRelay/TestRelaySession.cpp
@@ -11,8 +11,8 @@
 
 constexpr RequestProperties OneTime {.kind = RouteKind::OneTime, .maxAttempts = 1};
 constexpr RequestProperties Repeatable {.kind = RouteKind::Repeatable, .maxAttempts = 2};
-constexpr RequestProperties Draft {.kind = RouteKind::Stream, .resumable = false, .maxAttempts = 1};
-constexpr RequestProperties Suggestion {.kind = RouteKind::Stream, .resumable = true, .maxAttempts = 2};
+constexpr RequestProperties Draft {.kind = RouteKind::Stream, .resumable = false, .maxAttempts = 1, .hasReportedRuns = true};
+constexpr RequestProperties Suggestion {.kind = RouteKind::Stream, .resumable = true, .maxAttempts = 2, .hasReportedRuns = true};
 
 std::vector<int> idsUpTo(int last)
 {
--- a/Tests/Platform/TestBrokenTargets.cpp
+++ b/Tests/Platform/TestBrokenTargets.cpp
@@ -38,14 +38,21 @@
 class BrokenTargets : public testing::Test
 {
 protected:
-    // Adds a target whose script gets the header sections of callers' requests only; questions about its state are answered.
+    // Adds a target whose script gets the header sections of callers' requests only; questions about its state are answered. It runs nothing behind the end of
+    // a connection.
     void
     addTarget(const std::string &id, const std::string &service, const std::function<void(ByteServer::Connection &, const std::string &request)> &onRequest)
     {
         m_targets.push_back(std::make_unique<ByteServer>([onRequest](ByteServer::Connection &connection) {
             for (auto request = connection.readHead(); !request.empty(); request = connection.readHead()) {
                 if (request.starts_with("GET /-/") || request.starts_with("GET /healthz")) {
-                    connection.write("HTTP/1.1 200 OK\r\nContent-Length: 28\r\n\r\n{\"state\":\"ready\",\"born\":1}  ");
+                    const std::string state = R"({"state":"ready","born":1,"queued":0,"runs":[]})";
+                    connection.write(absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", state.size(), "\r\n\r\n", state));
+                    continue;
+                }
+                if (request.starts_with("POST /-/")) {
+                    connection.readBody(request);
+                    connection.write("HTTP/1.1 404 None\r\nContent-Length: 0\r\n\r\n");
                     continue;
                 }
                 onRequest(connection, request);
