Let the soak check that no two targets work on one generation

Targets reset generations and go on with them, with and without heed to orders to stop, and 400 ms after each arrival no other target may be at work on the same generation. Generations are long enough for backups now. The limited rate of links to the store goes: it was never played since it was written.

Targets that had been started again reported their first start in their state, so that the soak's relays took each broken response there for a crash; they report the right one.

--- a/Tests/Soak/Harness/LoopbackProxy.cpp
+++ b/Tests/Soak/Harness/LoopbackProxy.cpp
@@ -97,23 +97,7 @@
             if (forward) {
                 self->m_proxy.m_hooks.onForward({from.buffer.data(), bytes});
             }
-            self->pace(from, to, forward, bytes);
-        });
-    }
-
-    // Waits until the bytes that were read have passed a link of limited rate.
-    void pace(Side &from, Side &to, bool forward, size_t bytes)
-    {
-        const auto time = m_proxy.passageTime(forward, bytes);
-        if (time <= std::chrono::nanoseconds(0)) {
-            deliver(from, to, forward, bytes);
-            return;
-        }
-        from.timer.expires_after(time);
-        from.timer.async_wait([self = shared_from_this(), &from, &to, forward, bytes](const LoopError &error) {
-            if (!error) {
-                self->deliver(from, to, forward, bytes);
-            }
+            self->deliver(from, to, forward, bytes);
         });
     }
 
@@ -197,11 +181,6 @@
     });
 }
 
-void LoopbackProxy::setRate(size_t bytesPerSecond)
-{
-    m_hooks.run([this, bytesPerSecond] { m_bytesPerSecond = bytesPerSecond; });
-}
-
 void LoopbackProxy::resetAll()
 {
     m_hooks.run([this] { resetConnections(); });
@@ -255,18 +234,6 @@
     });
 }
 
-std::chrono::nanoseconds LoopbackProxy::passageTime(bool forward, size_t bytes)
-{
-    if (m_bytesPerSecond == 0) {
-        return std::chrono::nanoseconds(0);
-    }
-    const auto now = monotonicNow();
-    auto &passedAt = forward ? m_forwardPassedAt : m_backwardPassedAt;
-    passedAt
-        = std::max(passedAt, now) + std::chrono::nanoseconds(std::chrono::seconds(1)) * static_cast<int64_t>(bytes) / static_cast<int64_t>(m_bytesPerSecond);
-    return passedAt - now;
-}
-
 bool LoopbackProxy::passes(bool forward) const
 {
     return m_fault != LinkFault::Silence && m_fault != (forward ? LinkFault::CutForward : LinkFault::CutBackward);
--- a/Tests/Soak/Harness/LoopbackProxy.h
+++ b/Tests/Soak/Harness/LoopbackProxy.h
@@ -48,9 +48,6 @@
     // Whether anybody listens at the address. A program that is down refuses connections.
     void setListening(bool isListening);
 
-    // Bytes a second that pass in each direction over all connections. Zero for no bound.
-    void setRate(size_t bytesPerSecond);
-
     const Endpoint &address() const
     {
         return m_listen;
@@ -64,8 +61,6 @@
     void accept();
     // Whether bytes may pass in a direction.
     bool passes(bool forward) const;
-    // How long bytes take to pass, those before them included.
-    std::chrono::nanoseconds passageTime(bool forward, size_t bytes);
 
     boost::asio::io_context &m_loop;
     const Endpoint m_listen;
@@ -73,10 +68,6 @@
     const LoopbackProxyHooks m_hooks;
     Tcp::acceptor m_acceptor;
     LinkFault m_fault = LinkFault::None;
-    size_t m_bytesPerSecond = 0;
-    // When all bytes of a direction so far have passed.
-    MonotonicTime m_forwardPassedAt;
-    MonotonicTime m_backwardPassedAt;
     std::vector<std::shared_ptr<Connection>> m_connections;
 };
 
--- a/Tests/Soak/Harness/SoakFaults.cpp
+++ b/Tests/Soak/Harness/SoakFaults.cpp
@@ -34,8 +34,19 @@
 StandInTarget::Behaviour behaviourOf(unsigned variant)
 {
     const auto behaviour = Behaviours[variant % Behaviours.size()];
-    const bool isRarer = isOdd(variant / Behaviours.size());
-    return behaviour == StandInTarget::Behaviour::Truncate && isRarer ? StandInTarget::Behaviour::Reset : behaviour;
+    if (!isOdd(variant / Behaviours.size())) {
+        return behaviour;
+    }
+    switch (behaviour) {
+    case StandInTarget::Behaviour::Truncate:
+        return StandInTarget::Behaviour::Reset;
+    case StandInTarget::Behaviour::DropResponse:
+        return StandInTarget::Behaviour::Detach;
+    case StandInTarget::Behaviour::Fail:
+        return StandInTarget::Behaviour::DetachAndIgnoreOrders;
+    default:
+        return behaviour;
+    }
 }
 
 } // namespace
--- a/Tests/Soak/Harness/SoakLedger.cpp
+++ b/Tests/Soak/Harness/SoakLedger.cpp
@@ -480,6 +480,15 @@
     }
 }
 
+void SoakLedger::onRunElsewhere(MonotonicTime now, const std::string &id, const std::string &target, const std::string &current)
+{
+    const auto request = m_requests.find(id);
+    if (request != m_requests.end() && request->second.lastTarget == current && isInTouch(request->second.sent.relay, now)
+        && !wasDisturbed(m_targetLinkHarmedUntil, target, now)) {
+        report("twice", absl::StrCat(id, " went on at ", current, ", and ", target, " still works on it"));
+    }
+}
+
 void SoakLedger::forbidTarget(const std::string &target, const std::string &promise, MonotonicTime from)
 {
     m_forbiddenFrom.try_emplace({target, promise}, from);
--- a/Tests/Soak/Harness/SoakLedger.h
+++ b/Tests/Soak/Harness/SoakLedger.h
@@ -25,6 +25,8 @@
 constexpr std::chrono::milliseconds LossSlack {200};
 constexpr std::chrono::milliseconds AfterLeaving {500};
 constexpr std::chrono::milliseconds AfterTimeout {500};
+// A target may be at work on a generation for so long after it has gone on at another one.
+constexpr std::chrono::milliseconds TwoTargets {400};
 constexpr std::chrono::milliseconds NotReadyAfterTerm {4000};
 constexpr std::chrono::milliseconds Recovery {12000};
 // Retries of a service in a window, beside a fifth of its requests.
@@ -178,6 +180,9 @@
     // Checks some time after a caller left that no target works on its request.
     void onStillRunning(MonotonicTime now, const std::string &id, const std::string &target);
 
+    // A generation has gone on at a target some time ago, and another one is still at work on it.
+    void onRunElsewhere(MonotonicTime now, const std::string &id, const std::string &target, const std::string &current);
+
     // From a time on, until it is allowed again, requests that reach a target break a promise.
     void forbidTarget(const std::string &target, const std::string &promise, MonotonicTime from);
     void allowTarget(const std::string &target, const std::string &promise);
--- a/Tests/Soak/Harness/SoakPrompts.h
+++ b/Tests/Soak/Harness/SoakPrompts.h
@@ -28,7 +28,7 @@
     std::string drawWithBadPart(SoakKind kind);
 
     // Prompt tokens of each request, and the most that it may generate, as callers state them.
-    static constexpr std::string_view TokenUsage = "1000,40";
+    static constexpr std::string_view TokenUsage = "1000,400";
 
 private:
     struct Part {
--- a/Tests/Soak/Harness/SoakRelay.cpp
+++ b/Tests/Soak/Harness/SoakRelay.cpp
@@ -35,7 +35,6 @@
     , m_options(std::move(options))
     , m_metrics(ownLoopbackEndpoint())
 {
-    storeLink.setRate(m_options.storeRate);
     writeSettings({});
 }
 
--- a/Tests/Soak/Harness/SoakRelay.h
+++ b/Tests/Soak/Harness/SoakRelay.h
@@ -30,8 +30,6 @@
         double retrySlack = 0;
         // The program, of this build unless the path is absolute.
         std::string program = "jujube-relay";
-        // Bytes a second on the link to the store, in each direction. Zero for no bound.
-        size_t storeRate = 0;
         // Number of processors on which the process may run. Zero for all.
         int processors = 0;
     };
--- a/Tests/Soak/Harness/SoakWorld.cpp
+++ b/Tests/Soak/Harness/SoakWorld.cpp
@@ -33,7 +33,6 @@
 constexpr size_t LateRelayInterval = 12;
 // One target of a service in so many sends its responses with neither a length nor chunks.
 constexpr size_t UnframedInterval = 3;
-constexpr double BytesPerMbit = 125000;
 constexpr std::chrono::milliseconds NotableLateness {100};
 
 struct Place {
@@ -162,6 +161,7 @@
     StandInTarget::Options options {
         .id = target.id,
         .address = target.address,
+        .born = target.born,
         .events = isEngine ? EventsOfGeneration : 0,
         .eventInterval = std::chrono::milliseconds(20),
         .work = std::chrono::milliseconds(60),
@@ -178,8 +178,7 @@
             },
         .crashOf = [this, isEngine](const MessageHead &) { return isEngine ? drawCrash() : StandInTarget::Crash(); },
         .canCopyTo = [this](const std::string &to) { return takesCopies(to); },
-        .onArrival = [this, id = target.id, service = target.service](
-                         const MessageHead &head, StandInTarget::Arrival arrival) { m_ledger.onArrival(monotonicNow(), id, service, head, arrival); }};
+        .onArrival = [this, &target](const MessageHead &head, StandInTarget::Arrival arrival) { noteArrival(target, head, arrival); }};
     target.server = std::make_unique<StandInTarget>(m_loop, std::move(options));
     if (target.endsResponsesWithConnection) {
         target.server->setEndsResponsesWithConnection();
@@ -192,6 +191,20 @@
     registerTarget(target, "ready");
 }
 
+void SoakWorld::noteArrival(const Target &target, const MessageHead &head, StandInTarget::Arrival arrival)
+{
+    m_ledger.onArrival(monotonicNow(), target.id, target.service, head, arrival);
+    if (target.service == "engine" && arrival != StandInTarget::Arrival::NotRun) {
+        after(SoakBounds::TwoTargets, [this, request = std::string(head.value("X-Attempt-Id")), current = target.id] {
+            for (const auto &other : m_targets) {
+                if (other->id != current && !other->isDown && other->server->isRunning(request)) {
+                    m_ledger.onRunElsewhere(monotonicNow(), request, other->id, current);
+                }
+            }
+        });
+    }
+}
+
 bool SoakWorld::takesCopies(const std::string &address) const
 {
     return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto &target) { return target->link->address().toText() == address && !target->isDown; });
@@ -248,7 +261,6 @@
                                                                            .directory = m_options.directory,
                                                                            .retrySlack = RetrySlack,
                                                                            .program = m_options.relayProgram,
-                                                                           .storeRate = static_cast<size_t>(m_options.storeMbit * BytesPerMbit),
                                                                            .processors = m_options.processors}));
         if (seeds.size() < MostSeeds) {
             seeds.push_back(m_relays.back()->peers.toText());
--- a/Tests/Soak/Harness/SoakWorld.h
+++ b/Tests/Soak/Harness/SoakWorld.h
@@ -34,8 +34,6 @@
     std::string relayProgram = "jujube-relay";
     // Whether requests come with a part of the prompt that crashes engines, for as long as the faults last.
     bool badPart = false;
-    // Megabits a second on each relay's link to the store. Zero for no bound.
-    double storeMbit = 0;
     // Processors for all relays together. Zero for all that the machine has.
     int processors = 0;
     // Whether promises with a time bound are checked, and a full recovery is awaited.
@@ -105,6 +103,8 @@
 
     void startTargets();
     void startTarget(Target &target);
+    // Checks that no other target is at work any more on a generation that goes on at this one.
+    void noteArrival(const Target &target, const MessageHead &head, StandInTarget::Arrival arrival);
     void registerTarget(const Target &target, const std::string &state);
     void crashTarget(Target &target);
     void restartTarget(Target &target);
--- a/Tests/Soak/Program/main.cpp
+++ b/Tests/Soak/Program/main.cpp
@@ -122,7 +122,6 @@
             .routes = arguments["routes"].as<size_t>(),
             .relayProgram = arguments["relay-program"].as<std::string>(),
             .badPart = arguments["bad-part"].as<bool>(),
-            .storeMbit = arguments["store-mbit"].as<double>(),
             .processors = arguments["processors"].as<int>(),
             .timed = !arguments["untimed"].as<bool>(),
             .plannedOnly = arguments["planned"].as<bool>(),
@@ -136,8 +135,7 @@
     const auto &[name, value] = option;
     return (name == "targets" && absl::SimpleAtoi(value, &options.targets)) || (name == "table-changes" && absl::SimpleAtod(value, &options.tableChanges))
         || (name == "routes" && absl::SimpleAtoi(value, &options.routes)) || (name == "processors" && absl::SimpleAtoi(value, &options.processors))
-        || (name == "planned" && absl::SimpleAtob(value, &options.plannedOnly)) || (name == "bad-part" && absl::SimpleAtob(value, &options.badPart))
-        || (name == "store-mbit" && absl::SimpleAtod(value, &options.storeMbit));
+        || (name == "planned" && absl::SimpleAtob(value, &options.plannedOnly)) || (name == "bad-part" && absl::SimpleAtob(value, &options.badPart));
 }
 
 // The runs of a file with lines "SEED RELAYS CALLERS SECONDS RATE [NAME=VALUE...]", each followed by a comment. Nothing if a line cannot be read.
@@ -209,7 +207,6 @@
     add("routes", "Routes of the document beside those that callers use", cxxopts::value<size_t>()->default_value("0"));
     add("processors", "Processors for all relays together, while the soak itself uses the others; 0 for all", cxxopts::value<int>()->default_value("0"));
     add("relay-program", "Relay program; of this build unless the path is absolute", cxxopts::value<std::string>()->default_value("jujube-relay"));
-    add("store-mbit", "Megabits a second on each relay's link to the store; 0 for no bound", cxxopts::value<double>()->default_value("0"));
     add("planned", "Planned work only: relays are stopped in series, settings and documents change, and nothing fails");
     add("bad-part", "Send requests with a part of the prompt that crashes engines");
     add("untimed", "Leave promises with a time bound out");
