Do not return to a silent target whose connection was closed

A silent stream whose target could not copy it was closed, its end was awaited, and the retry could choose the same target: it was excluded only when its response had broken off. Callers got a stream that was cut for events out of order. InterruptedRuns.SilentRunThatCannotBeCopiedIsClosedAndAwaited checks the exclusion, and fails without the change.

--- a/Libraries/LibRelay/RelaySessionInterruption.cpp
+++ b/Libraries/LibRelay/RelaySessionInterruption.cpp
@@ -44,6 +44,7 @@
 {
     if (std::exchange(m_interruption->isOpen, false)) {
         m_interruption->hadResponse = hadResponse;
+        m_excluded.insert(m_target->id);
         m_hooks.abortAttempt();
     }
 }
--- a/Tests/LibRelay/SessionHarness.cpp
+++ b/Tests/LibRelay/SessionHarness.cpp
@@ -11,6 +11,7 @@
         facts,
         RelaySession::Hooks {.choose =
                                  [this](const std::set<std::string> &excluded, MonotonicTime) {
+                                     lastTargetsExcluded = excluded;
                                      TargetChoice choice;
                                      if (targetsLeft > 0) {
                                          const auto id = "t" + std::to_string(attempts.size() + excluded.size());
--- a/Tests/LibRelay/SessionHarness.h
+++ b/Tests/LibRelay/SessionHarness.h
@@ -65,8 +65,9 @@
     int retriesLeft = 100;
     int targetsLeft = 100;
     bool hasDestination = true;
-    // Targets that were excluded from the last choice of a destination.
+    // Targets that were excluded from the last choice of a destination, and from the last choice of a target.
     std::set<std::string> lastExcluded;
+    std::set<std::string> lastTargetsExcluded;
     std::string backup;
     // Targets at which a generation must not be continued.
     std::set<std::string> continuationExcluded;
--- a/Tests/LibRelay/TestInterruptedRuns.cpp
+++ b/Tests/LibRelay/TestInterruptedRuns.cpp
@@ -208,6 +208,7 @@
     state(harness, {});
     ASSERT_EQ(harness.attempts.size(), 2U);
     EXPECT_EQ(harness.attempts[1].lastEventId, 2);
+    EXPECT_TRUE(harness.lastTargetsExcluded.contains(harness.attempts[0].target.id));
     // The retry was taken when the connection was closed.
     EXPECT_EQ(harness.retriesLeft, 99);
 }
