--- a/Libraries/LibPolicy/CrashSuspects.cpp
+++ b/Libraries/LibPolicy/CrashSuspects.cpp
@@ -97,12 +97,29 @@
     return settled > now ? CrashVerdict {.action = CrashVerdict::Action::Wait, .until = settled} : *rejection;
 }
 
-std::vector<TargetCrash> CrashSuspects::reports(size_t count, MonotonicTime now) const
+std::vector<TargetCrash> CrashSuspects::pieces(std::chrono::milliseconds maxAge, size_t members, MonotonicTime now) const
+{
+    std::vector<TargetCrash> pieces;
+    for (const auto &crash : reports(MaxCrashes, now)) {
+        if (crash.age > maxAge) {
+            break;
+        }
+        for (size_t first = 0; first < crash.members.size(); first += members) {
+            auto piece = crash;
+            const auto begin = crash.members.begin() + static_cast<ptrdiff_t>(first);
+            piece.members.assign(begin, begin + static_cast<ptrdiff_t>(std::min(members, crash.members.size() - first)));
+            pieces.push_back(std::move(piece));
+        }
+    }
+    return pieces;
+}
+
+std::vector<TargetCrash> CrashSuspects::reports(size_t count, MonotonicTime now, size_t maxMembers) const
 {
     std::vector<TargetCrash> reports;
     for (const auto &[key, crash] : m_crashes) {
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - crash.time);
-        if (age < m_options.lifetime) {
+        if (age < m_options.lifetime && crash.members.size() <= maxMembers) {
             reports.push_back({.target = key.first,
                                .incarnation = key.second,
                                .age = age,
--- a/Libraries/LibPolicy/CrashSuspects.h
+++ b/Libraries/LibPolicy/CrashSuspects.h
@@ -3,6 +3,7 @@
 #include <LibCore/Time.h>
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -61,8 +62,10 @@
 
     CrashVerdict verdict(uint64_t fingerprint, MonotonicTime now) const;
 
-    // The newest crashes, for the next heartbeat, with all members that are known.
-    std::vector<TargetCrash> reports(size_t count, MonotonicTime now) const;
+    // The newest crashes, for the next heartbeat, with all members that are known. Those with more members than `maxMembers` are left out.
+    std::vector<TargetCrash> reports(size_t count, MonotonicTime now, size_t maxMembers = std::numeric_limits<size_t>::max()) const;
+    // The crashes of at most this age in pieces of so many members, for datagrams of their own.
+    std::vector<TargetCrash> pieces(std::chrono::milliseconds maxAge, size_t members, MonotonicTime now) const;
 
     // Removes expired crashes to free memory. They have no effect even before they are removed.
     void expire(MonotonicTime now);
--- a/Libraries/LibPolicy/PromptPartSuspects.cpp
+++ b/Libraries/LibPolicy/PromptPartSuspects.cpp
@@ -1,5 +1,6 @@
 #include <LibPolicy/PromptPartSuspects.h>
 
+#include <absl/container/flat_hash_set.h>
 #include <algorithm>
 #include <iterator>
 #include <tuple>
@@ -10,25 +11,25 @@
 namespace
 {
 
-constexpr size_t MaxCrashes = 256;
-constexpr size_t MaxRequests = 16;
-constexpr size_t MaxParts = 16;
-// Requests of one crash in a report.
-constexpr size_t MaxReportedRequests = 6;
-constexpr size_t MaxSoundParts = 16384;
+constexpr size_t MaxSoundParts = size_t {64} * 1024;
+constexpr size_t MaxReportedSound = 8192;
+// Parts of one crash in a heartbeat, beside those that are rejected. The whole crash has datagrams of its own.
+constexpr size_t MaxPartsInHeartbeat = 24;
 // Repeats of one request crash targets whatever part of it is the cause.
 constexpr size_t MinDifferentRequests = 2;
 // A part that no target has responded to, and that was in this many crashes, explains them before a part that was sound.
 constexpr size_t MinCrashesOfUnknownPart = 2;
 // Of the crashes of the part that was in most of them.
 constexpr double MinShareOfCrashes = 0.75;
-// Interval at which rejections are computed again without a new report.
+// Interval at which rejections are computed again without a new report, and with new reports if there are many parts.
 constexpr std::chrono::milliseconds UpdateInterval {100};
+constexpr size_t ManyParts = 4096;
 
 } // namespace
 
 PromptPartSuspects::PromptPartSuspects(Options options)
     : m_options(options)
+    , m_sound(MaxSoundParts)
 {
 }
 
@@ -37,78 +38,68 @@
     if (report.age >= m_options.memory || report.requests.empty()) {
         return false;
     }
-    const Key key {report.target, report.incarnation};
-    if (m_crashes.size() >= MaxCrashes && !m_crashes.contains(key)) {
-        m_crashes.erase(std::ranges::min_element(m_crashes, {}, [](const auto &entry) { return entry.second.time; }));
-    }
-    const auto [entry, isNew] = m_crashes.try_emplace(key);
-    auto &crash = entry->second;
-    if (isNew) {
-        crash.learntAt = now;
-    }
-    const auto time = now - std::max(report.age, std::chrono::milliseconds(0));
-    crash.time = isNew ? time : std::min(crash.time, time);
-    bool hasChanged = isNew;
-    for (const auto &request : report.requests) {
-        if (crash.requests.size() >= MaxRequests && !crash.requests.contains(request.digest)) {
-            continue;
+    const auto onSound = [&](uint64_t part) {
+        if (!report.peer.empty() && m_reportedSound.size() < MaxReportedSound) {
+            m_reportedSound[part] = now + m_options.reportTime;
         }
-        auto &known = crash.requests[request.digest];
-        hasChanged = hasChanged || known.parts.empty() || (request.hasBegun && !known.hasBegun);
-        known.hasBegun = known.hasBegun || request.hasBegun;
-        if (known.parts.empty()) {
-            known.parts.assign(request.parts.begin(), request.parts.begin() + static_cast<ptrdiff_t>(std::min(request.parts.size(), MaxParts)));
-        }
-    }
+    };
+    const bool hasChanged = m_crashes.record(
+        report, [&](uint64_t part) { return soundAt(part, now); }, onSound, now);
     m_isOutdated = m_isOutdated || hasChanged;
     return hasChanged;
 }
 
-bool PromptPartSuspects::recordSound(const PromptPartIds &parts, std::chrono::milliseconds age, MonotonicTime now)
+void PromptPartSuspects::noteSound(const PromptPartIds &parts, MonotonicTime time)
 {
-    const auto time = now - std::max(age, std::chrono::milliseconds(0));
-    bool wasSuspected = false;
     for (const auto part : parts) {
-        if (m_soundAt.size() >= MaxSoundParts && !m_soundAt.contains(part)) {
-            m_soundAt.erase(std::ranges::min_element(m_soundAt, {}, [](const auto &entry) { return entry.second; }));
-        }
-        auto [entry, isNew] = m_soundAt.try_emplace(part, time);
-        const auto before = isNew ? MonotonicTime::min() : entry->second;
-        entry->second = std::max(entry->second, time);
-        for (const auto &[key, crash] : m_crashes) {
-            const bool isCleared = crash.time > before && crash.time <= time;
-            wasSuspected = wasSuspected || (isCleared && std::ranges::any_of(crash.requests, [part](const auto &suspect) {
-                                                return std::ranges::find(suspect.second.parts, part) != suspect.second.parts.end();
-                                            }));
-        }
+        m_sound.record(part, time);
         if (const auto probation = m_probations.find(part);
             probation != m_probations.end() && time >= probation->second - m_options.probation - m_options.memory) {
             m_probations.erase(probation);
         }
     }
-    m_isOutdated = m_isOutdated || wasSuspected;
-    return wasSuspected;
+}
+
+bool PromptPartSuspects::recordSound(const PromptPartIds &parts, std::chrono::milliseconds age, MonotonicTime now)
+{
+    const auto time = now - std::max(age, std::chrono::milliseconds(0));
+    noteSound(parts, time);
+    const auto cleared = m_crashes.clear(parts, time);
+    for (const auto part : cleared) {
+        if (m_reportedSound.size() < MaxReportedSound) {
+            m_reportedSound[part] = now + m_options.reportTime;
+        }
+    }
+    m_isOutdated = m_isOutdated || !cleared.empty();
+    return !cleared.empty();
+}
+
+void PromptPartSuspects::recordReportedSound(const SoundPromptPart &sound, MonotonicTime now)
+{
+    const auto time = now - std::max(sound.age, std::chrono::milliseconds(0));
+    noteSound({sound.part}, time);
+    m_isOutdated = !m_crashes.clear({sound.part}, time).empty() || m_isOutdated;
 }
 
 PromptPartVerdict PromptPartSuspects::verdict(const PromptPartIds &parts, MonotonicTime now)
 {
     update(now);
-    const auto has = [&parts](uint64_t part) { return std::ranges::find(parts, part) != parts.end(); };
+    if (m_rejected.empty() && m_probations.empty()) {
+        return {};
+    }
+    const absl::flat_hash_set<uint64_t> ids(parts.begin(), parts.end());
     PromptPartVerdict verdict;
     for (const auto &rejection : m_rejected) {
-        if (now < rejection.until && rejection.until > verdict.until && std::ranges::all_of(rejection.parts, has)) {
+        const bool isLater = now < rejection.until && rejection.until > verdict.until;
+        if (isLater && std::ranges::all_of(rejection.parts, [&](uint64_t part) { return ids.contains(part); })) {
             verdict = {.action = PromptPartVerdict::Action::Reject, .part = rejection.parts.front(), .until = rejection.until};
         }
     }
     if (verdict.action == PromptPartVerdict::Action::Reject) {
         return verdict;
     }
-    for (const auto part : parts) {
-        if (isOnProbation(part, now)) {
-            return {.action = PromptPartVerdict::Action::Try, .part = part, .until = {}};
-        }
-    }
-    return {};
+    const auto tried = std::ranges::find_if(parts, [&](uint64_t part) { return isOnProbation(part, now); });
+    return tried == parts.end() ? PromptPartVerdict {} : PromptPartVerdict {.action = PromptPartVerdict::Action::Try, .part = *tried, .until = {}};
 }
 
 bool PromptPartSuspects::areSound(const PromptPartIds &parts, MonotonicTime now) const
@@ -129,93 +120,170 @@
     return parts;
 }
 
-std::vector<PromptPartCrash> PromptPartSuspects::crashes(size_t count, MonotonicTime now) const
+std::vector<std::pair<PromptPartSuspects::Key, PromptPartIds>> PromptPartSuspects::rejectionReasons() const
 {
-    // The newest crashes of each rejection suffice for peers to draw the same conclusion.
-    std::vector<Key> keys;
-    const auto add = [&keys](const Key &key) {
-        if (std::ranges::find(keys, key) == keys.end()) {
-            keys.push_back(key);
-        }
-    };
-    const auto newestFirst = [this](std::vector<Key> &list) {
-        std::ranges::sort(
-            list, [this](const Key &left, const Key &right) { return std::tie(m_crashes.at(left).time, left) > std::tie(m_crashes.at(right).time, right); });
-    };
+    const auto &known = m_crashes.crashes();
+    std::vector<std::pair<Key, PromptPartIds>> result;
     for (const auto &rejection : m_rejected) {
         std::vector<Key> reasons;
-        std::ranges::copy_if(rejection.crashes, std::back_inserter(reasons), [this](const Key &key) { return m_crashes.contains(key); });
-        newestFirst(reasons);
+        std::ranges::copy_if(rejection.crashes, std::back_inserter(reasons), [&](const Key &key) { return known.contains(key); });
+        std::ranges::sort(reasons,
+                          [&](const Key &left, const Key &right) { return std::tie(known.at(left).time, left) > std::tie(known.at(right).time, right); });
         reasons.resize(std::min(reasons.size(), m_options.minCrashesOfSoundPart));
-        std::ranges::for_each(reasons, add);
+        for (const auto &key : reasons) {
+            PromptPartIds parts;
+            std::ranges::copy_if(rejection.parts, std::back_inserter(parts), [&](uint64_t part) { return known.at(key).parts.contains(part); });
+            result.emplace_back(key, std::move(parts));
+        }
     }
-    std::vector<Key> all;
-    for (const auto &[key, crash] : m_crashes) {
-        if (counts(crash, now) && now - crash.learntAt < m_options.reportTime) {
-            all.push_back(key);
+    return result;
+}
+
+std::vector<PromptPartCrash> PromptPartSuspects::rejectionReports(size_t bytes, MonotonicTime now)
+{
+    update(now);
+    std::vector<PromptPartCrash> result;
+    for (const auto &[key, parts] : rejectionReasons()) {
+        for (auto &piece : m_crashes.reports(key, parts, bytes, now)) {
+            piece.areRejected = true;
+            result.push_back(std::move(piece));
         }
     }
-    newestFirst(all);
-    std::ranges::for_each(all, add);
-    keys.resize(std::min(keys.size(), count));
+    return result;
+}
+
+std::vector<PromptPartCrash> PromptPartSuspects::crashes(size_t count, MonotonicTime now)
+{
+    update(now);
+    const auto &known = m_crashes.crashes();
     std::vector<PromptPartCrash> reports;
-    for (const auto &key : keys) {
-        const auto &crash = m_crashes.at(key);
-        PromptPartCrash report {
-            .target = key.first, .incarnation = key.second, .age = std::chrono::duration_cast<std::chrono::milliseconds>(now - crash.time), .requests = {}};
-        for (const auto &[digest, request] : crash.requests) {
-            if (report.requests.size() < MaxReportedRequests) {
-                report.requests.push_back({.digest = digest, .hasBegun = request.hasBegun, .parts = request.parts});
-            }
+    std::set<Key> reported;
+    for (const auto &[key, parts] : rejectionReasons()) {
+        reported.insert(key);
+        if (parts.size() <= MaxPartsInHeartbeat) {
+            reports.push_back(PromptPartCrashes::report(key, known.at(key), parts, now));
+            reports.back().areRejected = true;
         }
-        reports.push_back(std::move(report));
     }
+    std::vector<Key> others;
+    for (const auto &[key, crash] : known) {
+        const bool isNew = now - crash.learntAt < m_options.reportTime;
+        if (isNew && !reported.contains(key) && crash.isComplete() && !crash.parts.empty() && crash.parts.size() <= MaxPartsInHeartbeat) {
+            others.push_back(key);
+        }
+    }
+    std::ranges::sort(others, [&](const Key &left, const Key &right) { return std::tie(known.at(left).time, left) > std::tie(known.at(right).time, right); });
+    for (const auto &key : others) {
+        PromptPartIds parts;
+        for (const auto &[part, set] : known.at(key).parts) {
+            parts.push_back(part);
+        }
+        reports.push_back(PromptPartCrashes::report(key, known.at(key), parts, now));
+    }
+    reports.resize(std::min(reports.size(), count));
     return reports;
 }
 
 std::vector<SoundPromptPart> PromptPartSuspects::soundSuspects(size_t count, MonotonicTime now) const
 {
-    std::map<uint64_t, MonotonicTime> sound;
-    for (const auto &[key, crash] : m_crashes) {
-        if (!counts(crash, now)) {
+    std::set<uint64_t> parts;
+    for (const auto &[part, until] : m_reportedSound) {
+        parts.insert(part);
+    }
+    for (const auto &[key, crash] : m_crashes.crashes()) {
+        for (const auto &[part, set] : crash.parts) {
+            parts.insert(part);
+        }
+    }
+    std::vector<SoundPromptPart> result;
+    for (const auto part : parts) {
+        if (const auto time = soundAt(part, now)) {
+            result.push_back({.part = part, .age = std::chrono::duration_cast<std::chrono::milliseconds>(now - *time)});
+        }
+    }
+    std::ranges::sort(result, {}, [](const SoundPromptPart &part) { return std::make_pair(part.age, part.part); });
+    result.resize(std::min(result.size(), count));
+    return result;
+}
+
+std::vector<std::vector<PromptPartCrash>> PromptPartSuspects::takeCrashReports(PromptPartCrashes::ReportOptions options, MonotonicTime now)
+{
+    options.time = m_options.reportTime;
+    return m_crashes.takeReports(
+        options, [&](uint64_t part) { return !soundAt(part, now); }, now);
+}
+
+std::vector<PromptPartCrash> PromptPartSuspects::takeExcerpts(size_t count, size_t bytes, MonotonicTime now)
+{
+    update(now);
+    std::set<Key> explained;
+    for (const auto &rejection : m_rejected) {
+        explained.insert(rejection.crashes.begin(), rejection.crashes.end());
+    }
+    // Each part once, whichever of its crashes it is reported with.
+    std::map<uint64_t, Key> crashOfPart;
+    for (const auto &[key, crash] : m_crashes.crashes()) {
+        if (now - crash.learntAt >= 2 * m_options.reportTime || explained.contains(key)) {
             continue;
         }
-        for (const auto &[digest, request] : crash.requests) {
-            for (const auto part : request.parts) {
-                if (const auto time = soundAt(part, now)) {
-                    sound.emplace(part, *time);
-                }
+        for (const auto &[part, set] : crash.parts) {
+            if (m_crashes.crashCount(part) >= MinCrashesOfUnknownPart) {
+                crashOfPart[part] = key;
             }
         }
     }
+    std::map<Key, PromptPartIds> parts;
+    for (const auto &[part, key] : crashOfPart) {
+        parts[key].push_back(part);
+    }
+    std::vector<PromptPartCrash> pieces;
+    for (const auto &[key, ids] : parts) {
+        std::ranges::move(m_crashes.reports(key, ids, bytes, now), std::back_inserter(pieces));
+    }
+    if (pieces.empty()) {
+        return pieces;
+    }
+    std::rotate(pieces.begin(), pieces.begin() + static_cast<ptrdiff_t>(m_nextExcerpt % pieces.size()), pieces.end());
+    pieces.resize(std::min(pieces.size(), count));
+    m_nextExcerpt += pieces.size();
+    std::ranges::for_each(pieces, [](auto &piece) { piece.pieces = 0; });
+    return pieces;
+}
+
+std::vector<SoundPromptPart> PromptPartSuspects::takeSoundReports(size_t count, MonotonicTime now)
+{
+    std::erase_if(m_reportedSound, [now](const auto &entry) { return now >= entry.second; });
+    std::vector<std::pair<uint64_t, uint64_t>> parts;
+    for (const auto &[part, until] : m_reportedSound) {
+        parts.emplace_back(part ^ m_options.reportOrder, part);
+    }
+    std::ranges::sort(parts);
+    const auto first = std::ranges::lower_bound(parts, m_nextReportedSound, {}, &std::pair<uint64_t, uint64_t>::first);
+    std::rotate(parts.begin(), first, parts.end());
+    parts.resize(std::min(parts.size(), count));
     std::vector<SoundPromptPart> result;
-    result.reserve(sound.size());
-    for (const auto &[part, time] : sound) {
-        result.push_back({.part = part, .age = std::chrono::duration_cast<std::chrono::milliseconds>(now - time)});
+    for (const auto &[order, part] : parts) {
+        m_nextReportedSound = order + 1;
+        if (const auto time = soundAt(part, now)) {
+            result.push_back({.part = part, .age = std::chrono::duration_cast<std::chrono::milliseconds>(now - *time)});
+        }
     }
-    std::ranges::sort(result, {}, [](const SoundPromptPart &part) { return std::make_pair(part.age, part.part); });
-    result.resize(std::min(result.size(), count));
     return result;
 }
 
 void PromptPartSuspects::expire(MonotonicTime now)
 {
     update(now);
-    std::erase_if(m_crashes, [&](const auto &entry) { return !counts(entry.second, now); });
-    std::erase_if(m_soundAt, [&](const auto &entry) { return now - entry.second >= m_options.memory; });
+    m_crashes.dropBefore(now - m_options.memory);
+    m_sound.dropBefore(now - m_options.memory);
     std::erase_if(m_probations, [&](const auto &entry) { return now >= entry.second; });
     std::erase_if(m_rejected, [&](const auto &rejection) { return now >= rejection.until; });
 }
 
-bool PromptPartSuspects::counts(const Crash &crash, MonotonicTime now) const
-{
-    return now - crash.time < m_options.memory;
-}
-
 std::optional<MonotonicTime> PromptPartSuspects::soundAt(uint64_t part, MonotonicTime now) const
 {
-    const auto found = m_soundAt.find(part);
-    return found != m_soundAt.end() && now - found->second < m_options.memory ? std::optional(found->second) : std::nullopt;
+    const auto time = m_sound.find(part);
+    return time && now - *time < m_options.memory ? time : std::nullopt;
 }
 
 bool PromptPartSuspects::isOnProbation(uint64_t part, MonotonicTime now) const
@@ -224,112 +292,133 @@
     return found != m_probations.end() && now < found->second;
 }
 
-std::map<uint64_t, PromptPartSuspects::Evidence> PromptPartSuspects::evidence(const std::set<Key> &explained, MonotonicTime now) const
+bool PromptPartSuspects::isOnProbation(const Candidate &candidate, MonotonicTime now) const
 {
-    std::map<uint64_t, Evidence> result;
-    for (const auto &[key, crash] : m_crashes) {
-        if (!counts(crash, now) || explained.contains(key)) {
-            continue;
+    return std::ranges::any_of(candidate.parts, [&](uint64_t part) { return isOnProbation(part, now); });
+}
+
+std::vector<PromptPartSuspects::Candidate> PromptPartSuspects::candidates(const std::set<Key> &explained, MonotonicTime now) const
+{
+    std::vector<std::pair<const Key *, const Crash *>> crashes;
+    for (const auto &[key, crash] : m_crashes.crashes()) {
+        if (now - crash.time < m_options.memory && !explained.contains(key)) {
+            crashes.emplace_back(&key, &crash);
         }
-        for (const auto &[digest, request] : crash.requests) {
-            for (const auto part : request.parts) {
-                if (const auto sound = soundAt(part, now); sound && *sound >= crash.time) {
-                    continue;
-                }
-                auto &evidence = result[part];
-                evidence.first = evidence.crashes.empty() ? crash.time : std::min(evidence.first, crash.time);
-                evidence.last = std::max(evidence.last, crash.time);
-                evidence.crashes.insert(key);
-                evidence.requests.insert(digest);
-                evidence.begunRequests += request.hasBegun ? 1 : 0;
+    }
+    // For each part, the positions of its crashes and its sets of requests in them.
+    using Occurrences = std::vector<std::pair<size_t, uint32_t>>;
+    absl::flat_hash_map<uint64_t, Occurrences> occurrences;
+    for (size_t index = 0; index < crashes.size(); ++index) {
+        for (const auto &[part, set] : crashes[index].second->parts) {
+            if (m_crashes.crashCount(part) >= MinCrashesOfUnknownPart || isOnProbation(part, now)) {
+                occurrences[part].emplace_back(index, set);
             }
         }
     }
+    std::map<std::pair<Occurrences, bool>, PromptPartIds> alike;
+    for (auto &[part, places] : occurrences) {
+        alike[{std::move(places), soundAt(part, now).has_value()}].push_back(part);
+    }
+    std::vector<Candidate> result;
+    for (auto &[places, parts] : alike) {
+        std::ranges::sort(parts);
+        Candidate candidate {.parts = std::move(parts), .wasSound = places.second, .crashes = {}, .requests = {}};
+        for (const auto &[index, set] : places.first) {
+            const auto &[key, crash] = crashes[index];
+            candidate.first = candidate.crashes.empty() ? crash->time : std::min(candidate.first, crash->time);
+            candidate.last = std::max(candidate.last, crash->time);
+            candidate.crashes.insert(*key);
+            candidate.completeCrashes += crash->isComplete() ? 1 : 0;
+            for (const auto request : crash->requestsOfSet[set]) {
+                candidate.requests.insert(crash->requests[request].digest);
+                candidate.begunRequests += crash->requests[request].hasBegun ? 1 : 0;
+            }
+        }
+        result.push_back(std::move(candidate));
+    }
     return result;
 }
 
-bool PromptPartSuspects::isOnlyExplanation(uint64_t part, const Evidence &evidence, MonotonicTime now) const
+bool PromptPartSuspects::isOnlyExplanation(const Candidate &candidate, MonotonicTime now) const
 {
-    const auto isSoundOrPart = [&](uint64_t other) { return other == part || soundAt(other, now); };
-    const auto count = std::ranges::count_if(evidence.crashes, [&](const Key &key) {
-        return std::ranges::all_of(m_crashes.at(key).requests, [&](const auto &suspect) { return std::ranges::all_of(suspect.second.parts, isSoundOrPart); });
+    if (candidate.parts.size() > 1) {
+        return false;
+    }
+    const auto isSoundOrPart = [&](const auto &entry) { return entry.first == candidate.parts.front() || soundAt(entry.first, now); };
+    const auto count = std::ranges::count_if(candidate.crashes, [&](const Key &key) {
+        const auto &crash = m_crashes.crashes().at(key);
+        return crash.isComplete() && std::ranges::all_of(crash.parts, isSoundOrPart);
     });
     return static_cast<size_t>(count) >= m_options.minCrashes;
 }
 
-bool PromptPartSuspects::suffices(uint64_t part, const std::map<uint64_t, Evidence> &all, MonotonicTime now) const
+bool PromptPartSuspects::suffices(const Candidate &candidate, const std::vector<Candidate> &all, MonotonicTime now) const
 {
-    const auto &own = all.at(part);
-    if (isOnProbation(part, now)) {
+    if (isOnProbation(candidate, now)) {
         return true;
     }
-    if (own.requests.size() < MinDifferentRequests || own.crashes.size() < m_options.minCrashes) {
+    // A crash of which not all parts are known yet may have another cause.
+    if (candidate.requests.size() < MinDifferentRequests || candidate.completeCrashes < m_options.minCrashes) {
         return false;
     }
-    if (!soundAt(part, now)) {
-        return now - own.first >= m_options.settleTime || isOnlyExplanation(part, own, now);
+    if (!candidate.wasSound) {
+        return now - candidate.first >= m_options.settleTime || isOnlyExplanation(candidate, now);
     }
-    if (now - own.first < m_options.settleTime) {
+    if (now - candidate.first < m_options.settleTime) {
         return false;
     }
     // Crashes that a part without any sound response may have caused do not count against one that was sound.
-    auto unexplained = own.crashes;
-    for (const auto &[other, evidence] : all) {
-        if (evidence.crashes.size() >= MinCrashesOfUnknownPart && !soundAt(other, now)) {
-            std::erase_if(unexplained, [&crashes = evidence.crashes](const Key &key) { return crashes.contains(key); });
+    auto unexplained = candidate.crashes;
+    std::erase_if(unexplained, [this](const Key &key) { return !m_crashes.crashes().at(key).isComplete(); });
+    for (const auto &other : all) {
+        if (other.crashes.size() >= MinCrashesOfUnknownPart && !other.wasSound) {
+            std::erase_if(unexplained, [&](const Key &key) { return other.crashes.contains(key); });
         }
     }
     return unexplained.size() >= m_options.minCrashesOfSoundPart;
 }
 
-std::optional<PromptPartSuspects::Rejection> PromptPartSuspects::findRejection(const std::set<Key> &explained, MonotonicTime now)
+std::optional<PromptPartSuspects::Rejection> PromptPartSuspects::findRejection(const std::set<Key> &explained, MonotonicTime now) const
 {
-    const auto all = evidence(explained, now);
+    const auto all = candidates(explained, now);
     // What no target has ever responded to well is a likelier cause than what was sound before. Of the parts that were in most of the crashes, the one with the
     // fewest requests in each is taken: a part that is shared by others was in these crashes as well, and in requests that were on the targets by chance.
-    const auto isSound = [&](uint64_t part) { return soundAt(part, now).has_value(); };
-    std::vector<uint64_t> candidates;
-    for (const auto &[part, evidence] : all) {
-        if (suffices(part, all, now)) {
-            candidates.push_back(part);
+    std::vector<const Candidate *> sufficient;
+    for (const auto &candidate : all) {
+        if (suffices(candidate, all, now)) {
+            sufficient.push_back(&candidate);
         }
     }
-    if (!std::ranges::all_of(candidates, isSound)) {
-        std::erase_if(candidates, isSound);
+    const auto wasSound = [](const Candidate *candidate) { return candidate->wasSound; };
+    if (!std::ranges::all_of(sufficient, wasSound)) {
+        std::erase_if(sufficient, wasSound);
     }
     size_t maxCrashes = 0;
-    for (const auto part : candidates) {
-        maxCrashes = std::max(maxCrashes, all.at(part).crashes.size());
+    for (const auto *candidate : sufficient) {
+        maxCrashes = std::max(maxCrashes, candidate->crashes.size());
     }
-    const auto rank = [&](uint64_t part) {
-        const auto &evidence = all.at(part);
-        const auto crashCount = static_cast<double>(evidence.crashes.size());
-        return std::make_tuple(static_cast<double>(evidence.requests.size()) / crashCount, -crashCount, -static_cast<double>(evidence.begunRequests), part);
+    const auto rank = [](const Candidate &candidate) {
+        const auto crashCount = static_cast<double>(candidate.crashes.size());
+        return std::make_tuple(
+            static_cast<double>(candidate.requests.size()) / crashCount, -crashCount, -static_cast<double>(candidate.begunRequests), candidate.parts.front());
     };
-    std::optional<uint64_t> best;
-    for (const auto part : candidates) {
-        const bool isInMost = static_cast<double>(all.at(part).crashes.size()) >= MinShareOfCrashes * static_cast<double>(maxCrashes);
-        if (isInMost && (!best || rank(part) < rank(*best))) {
-            best = part;
+    const Candidate *best = nullptr;
+    for (const auto *candidate : sufficient) {
+        const bool isInMost = static_cast<double>(candidate->crashes.size()) >= MinShareOfCrashes * static_cast<double>(maxCrashes);
+        if (isInMost && (!best || rank(*candidate) < rank(*best))) {
+            best = candidate;
         }
     }
     if (!best) {
         return std::nullopt;
     }
-    const auto &reason = all.at(*best);
-    Rejection rejection {.parts = {}, .until = reason.last + m_options.memory, .crashes = {reason.crashes.begin(), reason.crashes.end()}};
-    for (const auto &[part, evidence] : all) {
-        const bool isAlike = evidence.requests == reason.requests && isSound(part) == isSound(*best);
-        if (part == *best || isAlike) {
-            rejection.parts.push_back(part);
-        }
-    }
-    return rejection;
+    return Rejection {.parts = best->parts, .until = best->last + m_options.memory, .crashes = {best->crashes.begin(), best->crashes.end()}};
 }
 
 void PromptPartSuspects::update(MonotonicTime now)
 {
-    if (!m_isOutdated && now < m_updateAt) {
+    const bool isDue = m_isOutdated && m_crashes.partCount() < ManyParts;
+    if (!isDue && now < m_updateAt) {
         return;
     }
     m_isOutdated = false;
--- a/Libraries/LibPolicy/PromptPartSuspects.h
+++ b/Libraries/LibPolicy/PromptPartSuspects.h
@@ -1,38 +1,16 @@
 #pragma once
 
-#include <chrono>
-#include <cstdint>
-#include <LibCore/Time.h>
+#include <absl/container/flat_hash_map.h>
+#include <LibPolicy/PromptPartCrashes.h>
+#include <LibPolicy/SoundPromptParts.h>
 #include <map>
 #include <optional>
 #include <set>
-#include <string>
-#include <utility>
 #include <vector>
 
 namespace Jujube
 {
 
-// Parts of a prompt by their ids, in the order of the prompt. The last part of a prompt belongs to its request alone and is left out.
-using PromptPartIds = std::vector<uint64_t>;
-
-// A request that may have crashed its target: the target had written no response to it, or had just begun to.
-struct CrashSuspectRequest {
-    // Digest of the whole request, so that repeats of one request are told from different requests.
-    uint64_t digest = 0;
-    // Whether the relay had seen the target begin to respond. A target may crash before the beginning of its response has left it.
-    bool hasBegun = false;
-    PromptPartIds parts;
-};
-
-// One crash of a target as observed by one relay. Reports of the same target and incarnation describe the same crash.
-struct PromptPartCrash {
-    std::string target;
-    uint64_t incarnation = 0;
-    std::chrono::milliseconds age {0};
-    std::vector<CrashSuspectRequest> requests;
-};
-
 // A part on which targets have written a response and lived, and the time since the latest one.
 struct SoundPromptPart {
     uint64_t part = 0;
@@ -75,6 +53,8 @@
         std::chrono::milliseconds reportTime {5000};
         // Time after its rejection for which a part is tried by one relay only, and is rejected again after a single crash.
         std::chrono::milliseconds probation {std::chrono::hours(24)};
+        // Relays with different values report the parts that they know to be sound in different orders.
+        uint64_t reportOrder = 0;
     };
 
     explicit PromptPartSuspects(Options options);
@@ -83,16 +63,27 @@
     bool recordCrash(const PromptPartCrash &crash, MonotonicTime now);
     // A target has responded well to a prompt with these parts. Returns whether one of them was under suspicion, so that peers should be notified.
     bool recordSound(const PromptPartIds &parts, std::chrono::milliseconds age, MonotonicTime now);
+    // A peer has reported that.
+    void recordReportedSound(const SoundPromptPart &sound, MonotonicTime now);
 
     PromptPartVerdict verdict(const PromptPartIds &parts, MonotonicTime now);
 
     // Whether targets have responded well to all parts.
     bool areSound(const PromptPartIds &parts, MonotonicTime now) const;
 
-    // For heartbeats: the crashes for which parts are rejected and the newest others, and the suspected parts that are known to be sound.
-    std::vector<PromptPartCrash> crashes(size_t count, MonotonicTime now) const;
+    // For heartbeats: the crashes for which parts are rejected and the newest others, with as many of their parts as fit, and the suspected parts that are
+    // known to be sound.
+    std::vector<PromptPartCrash> crashes(size_t count, MonotonicTime now);
     std::vector<SoundPromptPart> soundSuspects(size_t count, MonotonicTime now) const;
 
+    // For datagrams of their own, which have room for long prompts: the next pieces of new crashes; excerpts of these, each for a datagram, with the parts that
+    // were in several crashes, so that peers report which of them are sound; and the next parts that peers suspect and that are known to be sound.
+    std::vector<std::vector<PromptPartCrash>> takeCrashReports(PromptPartCrashes::ReportOptions options, MonotonicTime now);
+    std::vector<PromptPartCrash> takeExcerpts(size_t count, size_t bytes, MonotonicTime now);
+    std::vector<SoundPromptPart> takeSoundReports(size_t count, MonotonicTime now);
+    // The crashes for which parts are rejected, with these parts, each piece for a datagram of its own.
+    std::vector<PromptPartCrash> rejectionReports(size_t bytes, MonotonicTime now);
+
     // The parts that are rejected; for several that only occurred together, the first one.
     std::vector<uint64_t> rejectedParts(MonotonicTime now);
 
@@ -100,46 +91,48 @@
     void expire(MonotonicTime now);
 
 private:
-    using Key = std::pair<std::string, uint64_t>;
-    struct Request {
-        bool hasBegun = false;
-        PromptPartIds parts;
-    };
-    struct Crash {
-        MonotonicTime time;
-        MonotonicTime learntAt;
-        // By digest.
-        std::map<uint64_t, Request> requests;
-    };
+    using Key = PromptPartCrashes::Key;
+    using Crash = PromptPartCrashes::Crash;
     // Parts that were in the same requests. Only a request that has all of them is rejected, and one that has some of them tells which it is.
     struct Rejection {
         PromptPartIds parts;
         MonotonicTime until;
         std::vector<Key> crashes;
     };
-    // The crashes of which one part is suspected.
-    struct Evidence {
+    // Parts that were in the same requests of the same crashes, all of them sound before, or none.
+    struct Candidate {
+        PromptPartIds parts;
+        bool wasSound = false;
         std::set<Key> crashes;
         std::set<uint64_t> requests;
         size_t begunRequests = 0;
+        size_t completeCrashes = 0;
         MonotonicTime first;
         MonotonicTime last;
     };
 
-    bool counts(const Crash &crash, MonotonicTime now) const;
+    // The newest crashes for which parts are rejected, with the parts of each that peers need to draw the same conclusion.
+    std::vector<std::pair<Key, PromptPartIds>> rejectionReasons() const;
     std::optional<MonotonicTime> soundAt(uint64_t part, MonotonicTime now) const;
     bool isOnProbation(uint64_t part, MonotonicTime now) const;
-    std::map<uint64_t, Evidence> evidence(const std::set<Key> &explained, MonotonicTime now) const;
+    bool isOnProbation(const Candidate &candidate, MonotonicTime now) const;
+    void noteSound(const PromptPartIds &parts, MonotonicTime time);
+    // The parts that were in several crashes but the explained ones, or are on probation.
+    std::vector<Candidate> candidates(const std::set<Key> &explained, MonotonicTime now) const;
     // Whether a part is the only one in enough crashes that is not known to be sound.
-    bool isOnlyExplanation(uint64_t part, const Evidence &evidence, MonotonicTime now) const;
-    // Whether evidence suffices to reject a part. `evidence` is that of all parts.
-    bool suffices(uint64_t part, const std::map<uint64_t, Evidence> &evidence, MonotonicTime now) const;
-    std::optional<Rejection> findRejection(const std::set<Key> &explained, MonotonicTime now);
+    bool isOnlyExplanation(const Candidate &candidate, MonotonicTime now) const;
+    // Whether the evidence against a candidate suffices to reject its parts.
+    bool suffices(const Candidate &candidate, const std::vector<Candidate> &all, MonotonicTime now) const;
+    std::optional<Rejection> findRejection(const std::set<Key> &explained, MonotonicTime now) const;
     void update(MonotonicTime now);
 
     const Options m_options;
-    std::map<Key, Crash> m_crashes;
-    std::map<uint64_t, MonotonicTime> m_soundAt;
+    PromptPartCrashes m_crashes;
+    SoundPromptParts m_sound;
+    // Parts that peers suspect or have suspected and that are known to be sound, and until when peers are told.
+    std::map<uint64_t, MonotonicTime> m_reportedSound;
+    uint64_t m_nextReportedSound = 0;
+    size_t m_nextExcerpt = 0;
     // Parts that were rejected, and until when a single crash is enough to reject them again.
     std::map<uint64_t, MonotonicTime> m_probations;
     std::vector<Rejection> m_rejected;
--- a/Libraries/LibRelay/Generated/Relay_types.cpp
+++ b/Libraries/LibRelay/Generated/Relay_types.cpp
@@ -876,6 +876,169 @@
 }
 
 
+PartsOfRequests::~PartsOfRequests() noexcept {
+}
+
+
+void PartsOfRequests::__set_requests(const std::vector<int32_t> & val) {
+  this->requests = val;
+}
+
+void PartsOfRequests::__set_parts(const std::vector<int64_t> & val) {
+  this->parts = val;
+}
+std::ostream& operator<<(std::ostream& out, const PartsOfRequests& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PartsOfRequests::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->requests.clear();
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->requests.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
+            {
+              xfer += iprot->readI32(this->requests[_i32]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size33;
+            ::apache::thrift::protocol::TType _etype36;
+            xfer += iprot->readListBegin(_etype36, _size33);
+            this->parts.resize(_size33);
+            uint32_t _i37;
+            for (_i37 = 0; _i37 < _size33; ++_i37)
+            {
+              xfer += iprot->readI64(this->parts[_i37]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PartsOfRequests::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PartsOfRequests");
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->requests.size()));
+    std::vector<int32_t> ::const_iterator _iter38;
+    for (_iter38 = this->requests.begin(); _iter38 != this->requests.end(); ++_iter38)
+    {
+      xfer += oprot->writeI32((*_iter38));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
+    std::vector<int64_t> ::const_iterator _iter39;
+    for (_iter39 = this->parts.begin(); _iter39 != this->parts.end(); ++_iter39)
+    {
+      xfer += oprot->writeI64((*_iter39));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PartsOfRequests &a, PartsOfRequests &b) {
+  using ::std::swap;
+  swap(a.requests, b.requests);
+  swap(a.parts, b.parts);
+  swap(a.__isset, b.__isset);
+}
+
+PartsOfRequests::PartsOfRequests(const PartsOfRequests& other40) {
+  requests = other40.requests;
+  parts = other40.parts;
+  __isset = other40.__isset;
+}
+PartsOfRequests::PartsOfRequests(PartsOfRequests&& other41) noexcept {
+  requests = std::move(other41.requests);
+  parts = std::move(other41.parts);
+  __isset = other41.__isset;
+}
+PartsOfRequests& PartsOfRequests::operator=(const PartsOfRequests& other42) {
+  requests = other42.requests;
+  parts = other42.parts;
+  __isset = other42.__isset;
+  return *this;
+}
+PartsOfRequests& PartsOfRequests::operator=(PartsOfRequests&& other43) noexcept {
+  requests = std::move(other43.requests);
+  parts = std::move(other43.parts);
+  __isset = other43.__isset;
+  return *this;
+}
+void PartsOfRequests::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PartsOfRequests(";
+  out << "requests=" << to_string(requests);
+  out << ", " << "parts=" << to_string(parts);
+  out << ")";
+}
+
+
 PromptCrash::~PromptCrash() noexcept {
 }
 
@@ -895,6 +1058,25 @@
 void PromptCrash::__set_requests(const std::vector<PromptSuspect> & val) {
   this->requests = val;
 }
+
+void PromptCrash::__set_shared(const std::vector<PartsOfRequests> & val) {
+  this->shared = val;
+__isset.shared = true;
+}
+
+void PromptCrash::__set_pieces(const int32_t val) {
+  this->pieces = val;
+}
+
+void PromptCrash::__set_piece(const int32_t val) {
+  this->piece = val;
+__isset.piece = true;
+}
+
+void PromptCrash::__set_rejected(const bool val) {
+  this->rejected = val;
+__isset.rejected = true;
+}
 std::ostream& operator<<(std::ostream& out, const PromptCrash& obj)
 {
   obj.printTo(out);
@@ -951,14 +1133,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size28;
-            ::apache::thrift::protocol::TType _etype31;
-            xfer += iprot->readListBegin(_etype31, _size28);
-            this->requests.resize(_size28);
-            uint32_t _i32;
-            for (_i32 = 0; _i32 < _size28; ++_i32)
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->requests.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
             {
-              xfer += this->requests[_i32].read(iprot);
+              xfer += this->requests[_i48].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -967,6 +1149,50 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->shared.clear();
+            uint32_t _size49;
+            ::apache::thrift::protocol::TType _etype52;
+            xfer += iprot->readListBegin(_etype52, _size49);
+            this->shared.resize(_size49);
+            uint32_t _i53;
+            for (_i53 = 0; _i53 < _size49; ++_i53)
+            {
+              xfer += this->shared[_i53].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.shared = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->pieces);
+          this->__isset.pieces = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->piece);
+          this->__isset.piece = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->rejected);
+          this->__isset.rejected = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -999,15 +1225,42 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<PromptSuspect> ::const_iterator _iter33;
-    for (_iter33 = this->requests.begin(); _iter33 != this->requests.end(); ++_iter33)
+    std::vector<PromptSuspect> ::const_iterator _iter54;
+    for (_iter54 = this->requests.begin(); _iter54 != this->requests.end(); ++_iter54)
     {
-      xfer += (*_iter33).write(oprot);
+      xfer += (*_iter54).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.shared) {
+    xfer += oprot->writeFieldBegin("shared", ::apache::thrift::protocol::T_LIST, 5);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shared.size()));
+      std::vector<PartsOfRequests> ::const_iterator _iter55;
+      for (_iter55 = this->shared.begin(); _iter55 != this->shared.end(); ++_iter55)
+      {
+        xfer += (*_iter55).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("pieces", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->pieces);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.piece) {
+    xfer += oprot->writeFieldBegin("piece", ::apache::thrift::protocol::T_I32, 7);
+    xfer += oprot->writeI32(this->piece);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.rejected) {
+    xfer += oprot->writeFieldBegin("rejected", ::apache::thrift::protocol::T_BOOL, 8);
+    xfer += oprot->writeBool(this->rejected);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1019,37 +1272,57 @@
   swap(a.incarnation, b.incarnation);
   swap(a.ageMs, b.ageMs);
   swap(a.requests, b.requests);
+  swap(a.shared, b.shared);
+  swap(a.pieces, b.pieces);
+  swap(a.piece, b.piece);
+  swap(a.rejected, b.rejected);
   swap(a.__isset, b.__isset);
 }
 
-PromptCrash::PromptCrash(const PromptCrash& other34) {
-  target = other34.target;
-  incarnation = other34.incarnation;
-  ageMs = other34.ageMs;
-  requests = other34.requests;
-  __isset = other34.__isset;
-}
-PromptCrash::PromptCrash(PromptCrash&& other35) noexcept {
-  target = std::move(other35.target);
-  incarnation = other35.incarnation;
-  ageMs = other35.ageMs;
-  requests = std::move(other35.requests);
-  __isset = other35.__isset;
-}
-PromptCrash& PromptCrash::operator=(const PromptCrash& other36) {
-  target = other36.target;
-  incarnation = other36.incarnation;
-  ageMs = other36.ageMs;
-  requests = other36.requests;
-  __isset = other36.__isset;
+PromptCrash::PromptCrash(const PromptCrash& other56) {
+  target = other56.target;
+  incarnation = other56.incarnation;
+  ageMs = other56.ageMs;
+  requests = other56.requests;
+  shared = other56.shared;
+  pieces = other56.pieces;
+  piece = other56.piece;
+  rejected = other56.rejected;
+  __isset = other56.__isset;
+}
+PromptCrash::PromptCrash(PromptCrash&& other57) noexcept {
+  target = std::move(other57.target);
+  incarnation = other57.incarnation;
+  ageMs = other57.ageMs;
+  requests = std::move(other57.requests);
+  shared = std::move(other57.shared);
+  pieces = other57.pieces;
+  piece = other57.piece;
+  rejected = other57.rejected;
+  __isset = other57.__isset;
+}
+PromptCrash& PromptCrash::operator=(const PromptCrash& other58) {
+  target = other58.target;
+  incarnation = other58.incarnation;
+  ageMs = other58.ageMs;
+  requests = other58.requests;
+  shared = other58.shared;
+  pieces = other58.pieces;
+  piece = other58.piece;
+  rejected = other58.rejected;
+  __isset = other58.__isset;
   return *this;
 }
-PromptCrash& PromptCrash::operator=(PromptCrash&& other37) noexcept {
-  target = std::move(other37.target);
-  incarnation = other37.incarnation;
-  ageMs = other37.ageMs;
-  requests = std::move(other37.requests);
-  __isset = other37.__isset;
+PromptCrash& PromptCrash::operator=(PromptCrash&& other59) noexcept {
+  target = std::move(other59.target);
+  incarnation = other59.incarnation;
+  ageMs = other59.ageMs;
+  requests = std::move(other59.requests);
+  shared = std::move(other59.shared);
+  pieces = other59.pieces;
+  piece = other59.piece;
+  rejected = other59.rejected;
+  __isset = other59.__isset;
   return *this;
 }
 void PromptCrash::printTo(std::ostream& out) const {
@@ -1059,6 +1332,10 @@
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "ageMs=" << to_string(ageMs);
   out << ", " << "requests=" << to_string(requests);
+  out << ", " << "shared="; (__isset.shared ? (out << to_string(shared)) : (out << "<null>"));
+  out << ", " << "pieces=" << to_string(pieces);
+  out << ", " << "piece="; (__isset.piece ? (out << to_string(piece)) : (out << "<null>"));
+  out << ", " << "rejected="; (__isset.rejected ? (out << to_string(rejected)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1155,26 +1432,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SoundPart::SoundPart(const SoundPart& other38) noexcept {
-  part = other38.part;
-  ageMs = other38.ageMs;
-  __isset = other38.__isset;
+SoundPart::SoundPart(const SoundPart& other60) noexcept {
+  part = other60.part;
+  ageMs = other60.ageMs;
+  __isset = other60.__isset;
 }
-SoundPart::SoundPart(SoundPart&& other39) noexcept {
-  part = other39.part;
-  ageMs = other39.ageMs;
-  __isset = other39.__isset;
+SoundPart::SoundPart(SoundPart&& other61) noexcept {
+  part = other61.part;
+  ageMs = other61.ageMs;
+  __isset = other61.__isset;
 }
-SoundPart& SoundPart::operator=(const SoundPart& other40) noexcept {
-  part = other40.part;
-  ageMs = other40.ageMs;
-  __isset = other40.__isset;
+SoundPart& SoundPart::operator=(const SoundPart& other62) noexcept {
+  part = other62.part;
+  ageMs = other62.ageMs;
+  __isset = other62.__isset;
   return *this;
 }
-SoundPart& SoundPart::operator=(SoundPart&& other41) noexcept {
-  part = other41.part;
-  ageMs = other41.ageMs;
-  __isset = other41.__isset;
+SoundPart& SoundPart::operator=(SoundPart&& other63) noexcept {
+  part = other63.part;
+  ageMs = other63.ageMs;
+  __isset = other63.__isset;
   return *this;
 }
 void SoundPart::printTo(std::ostream& out) const {
@@ -1186,6 +1463,233 @@
 }
 
 
+CrashReport::~CrashReport() noexcept {
+}
+
+
+void CrashReport::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void CrashReport::__set_crashes(const std::vector<CrashOnTarget> & val) {
+  this->crashes = val;
+}
+
+void CrashReport::__set_promptCrashes(const std::vector<PromptCrash> & val) {
+  this->promptCrashes = val;
+}
+
+void CrashReport::__set_soundParts(const std::vector<SoundPart> & val) {
+  this->soundParts = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->crashes.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
+            {
+              xfer += this->crashes[_i68].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->promptCrashes.clear();
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->promptCrashes.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
+            {
+              xfer += this->promptCrashes[_i73].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.promptCrashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->soundParts.clear();
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->soundParts.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
+            {
+              xfer += this->soundParts[_i78].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.soundParts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashReport");
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<CrashOnTarget> ::const_iterator _iter79;
+    for (_iter79 = this->crashes.begin(); _iter79 != this->crashes.end(); ++_iter79)
+    {
+      xfer += (*_iter79).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("promptCrashes", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->promptCrashes.size()));
+    std::vector<PromptCrash> ::const_iterator _iter80;
+    for (_iter80 = this->promptCrashes.begin(); _iter80 != this->promptCrashes.end(); ++_iter80)
+    {
+      xfer += (*_iter80).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("soundParts", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->soundParts.size()));
+    std::vector<SoundPart> ::const_iterator _iter81;
+    for (_iter81 = this->soundParts.begin(); _iter81 != this->soundParts.end(); ++_iter81)
+    {
+      xfer += (*_iter81).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashReport &a, CrashReport &b) {
+  using ::std::swap;
+  swap(a.node, b.node);
+  swap(a.crashes, b.crashes);
+  swap(a.promptCrashes, b.promptCrashes);
+  swap(a.soundParts, b.soundParts);
+  swap(a.__isset, b.__isset);
+}
+
+CrashReport::CrashReport(const CrashReport& other82) {
+  node = other82.node;
+  crashes = other82.crashes;
+  promptCrashes = other82.promptCrashes;
+  soundParts = other82.soundParts;
+  __isset = other82.__isset;
+}
+CrashReport::CrashReport(CrashReport&& other83) noexcept {
+  node = std::move(other83.node);
+  crashes = std::move(other83.crashes);
+  promptCrashes = std::move(other83.promptCrashes);
+  soundParts = std::move(other83.soundParts);
+  __isset = other83.__isset;
+}
+CrashReport& CrashReport::operator=(const CrashReport& other84) {
+  node = other84.node;
+  crashes = other84.crashes;
+  promptCrashes = other84.promptCrashes;
+  soundParts = other84.soundParts;
+  __isset = other84.__isset;
+  return *this;
+}
+CrashReport& CrashReport::operator=(CrashReport&& other85) noexcept {
+  node = std::move(other85.node);
+  crashes = std::move(other85.crashes);
+  promptCrashes = std::move(other85.promptCrashes);
+  soundParts = std::move(other85.soundParts);
+  __isset = other85.__isset;
+  return *this;
+}
+void CrashReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashReport(";
+  out << "node=" << to_string(node);
+  out << ", " << "crashes=" << to_string(crashes);
+  out << ", " << "promptCrashes=" << to_string(promptCrashes);
+  out << ", " << "soundParts=" << to_string(soundParts);
+  out << ")";
+}
+
+
 LimitOfTarget::~LimitOfTarget() noexcept {
 }
 
@@ -1312,34 +1816,34 @@
   swap(a.__isset, b.__isset);
 }
 
-LimitOfTarget::LimitOfTarget(const LimitOfTarget& other42) {
-  target = other42.target;
-  incarnation = other42.incarnation;
-  perSecond = other42.perSecond;
-  ageMs = other42.ageMs;
-  __isset = other42.__isset;
+LimitOfTarget::LimitOfTarget(const LimitOfTarget& other86) {
+  target = other86.target;
+  incarnation = other86.incarnation;
+  perSecond = other86.perSecond;
+  ageMs = other86.ageMs;
+  __isset = other86.__isset;
 }
-LimitOfTarget::LimitOfTarget(LimitOfTarget&& other43) noexcept {
-  target = std::move(other43.target);
-  incarnation = other43.incarnation;
-  perSecond = other43.perSecond;
-  ageMs = other43.ageMs;
-  __isset = other43.__isset;
+LimitOfTarget::LimitOfTarget(LimitOfTarget&& other87) noexcept {
+  target = std::move(other87.target);
+  incarnation = other87.incarnation;
+  perSecond = other87.perSecond;
+  ageMs = other87.ageMs;
+  __isset = other87.__isset;
 }
-LimitOfTarget& LimitOfTarget::operator=(const LimitOfTarget& other44) {
-  target = other44.target;
-  incarnation = other44.incarnation;
-  perSecond = other44.perSecond;
-  ageMs = other44.ageMs;
-  __isset = other44.__isset;
+LimitOfTarget& LimitOfTarget::operator=(const LimitOfTarget& other88) {
+  target = other88.target;
+  incarnation = other88.incarnation;
+  perSecond = other88.perSecond;
+  ageMs = other88.ageMs;
+  __isset = other88.__isset;
   return *this;
 }
-LimitOfTarget& LimitOfTarget::operator=(LimitOfTarget&& other45) noexcept {
-  target = std::move(other45.target);
-  incarnation = other45.incarnation;
-  perSecond = other45.perSecond;
-  ageMs = other45.ageMs;
-  __isset = other45.__isset;
+LimitOfTarget& LimitOfTarget::operator=(LimitOfTarget&& other89) noexcept {
+  target = std::move(other89.target);
+  incarnation = other89.incarnation;
+  perSecond = other89.perSecond;
+  ageMs = other89.ageMs;
+  __isset = other89.__isset;
   return *this;
 }
 void LimitOfTarget::printTo(std::ostream& out) const {
@@ -1563,14 +2067,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->loads.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->loads.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
             {
-              xfer += this->loads[_i50].read(iprot);
+              xfer += this->loads[_i94].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1583,14 +2087,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size51;
-            ::apache::thrift::protocol::TType _etype54;
-            xfer += iprot->readListBegin(_etype54, _size51);
-            this->targets.resize(_size51);
-            uint32_t _i55;
-            for (_i55 = 0; _i55 < _size51; ++_i55)
+            uint32_t _size95;
+            ::apache::thrift::protocol::TType _etype98;
+            xfer += iprot->readListBegin(_etype98, _size95);
+            this->targets.resize(_size95);
+            uint32_t _i99;
+            for (_i99 = 0; _i99 < _size95; ++_i99)
             {
-              xfer += this->targets[_i55].read(iprot);
+              xfer += this->targets[_i99].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1603,14 +2107,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->crashes.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->crashes.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
             {
-              xfer += this->crashes[_i60].read(iprot);
+              xfer += this->crashes[_i104].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1623,14 +2127,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size61;
-            ::apache::thrift::protocol::TType _etype64;
-            xfer += iprot->readListBegin(_etype64, _size61);
-            this->known.resize(_size61);
-            uint32_t _i65;
-            for (_i65 = 0; _i65 < _size61; ++_i65)
+            uint32_t _size105;
+            ::apache::thrift::protocol::TType _etype108;
+            xfer += iprot->readListBegin(_etype108, _size105);
+            this->known.resize(_size105);
+            uint32_t _i109;
+            for (_i109 = 0; _i109 < _size105; ++_i109)
             {
-              xfer += iprot->readString(this->known[_i65]);
+              xfer += iprot->readString(this->known[_i109]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1699,14 +2203,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->limits.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _etype113;
+            xfer += iprot->readListBegin(_etype113, _size110);
+            this->limits.resize(_size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
             {
-              xfer += this->limits[_i70].read(iprot);
+              xfer += this->limits[_i114].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1751,14 +2255,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->promptCrashes.clear();
-            uint32_t _size71;
-            ::apache::thrift::protocol::TType _etype74;
-            xfer += iprot->readListBegin(_etype74, _size71);
-            this->promptCrashes.resize(_size71);
-            uint32_t _i75;
-            for (_i75 = 0; _i75 < _size71; ++_i75)
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _etype118;
+            xfer += iprot->readListBegin(_etype118, _size115);
+            this->promptCrashes.resize(_size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
             {
-              xfer += this->promptCrashes[_i75].read(iprot);
+              xfer += this->promptCrashes[_i119].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1771,14 +2275,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->soundParts.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->soundParts.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->soundParts.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
             {
-              xfer += this->soundParts[_i80].read(iprot);
+              xfer += this->soundParts[_i124].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1839,10 +2343,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadOnTarget> ::const_iterator _iter81;
-    for (_iter81 = this->loads.begin(); _iter81 != this->loads.end(); ++_iter81)
+    std::vector<LoadOnTarget> ::const_iterator _iter125;
+    for (_iter125 = this->loads.begin(); _iter125 != this->loads.end(); ++_iter125)
     {
-      xfer += (*_iter81).write(oprot);
+      xfer += (*_iter125).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1851,10 +2355,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<ChangedTarget> ::const_iterator _iter82;
-    for (_iter82 = this->targets.begin(); _iter82 != this->targets.end(); ++_iter82)
+    std::vector<ChangedTarget> ::const_iterator _iter126;
+    for (_iter126 = this->targets.begin(); _iter126 != this->targets.end(); ++_iter126)
     {
-      xfer += (*_iter82).write(oprot);
+      xfer += (*_iter126).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1863,10 +2367,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<CrashOnTarget> ::const_iterator _iter83;
-    for (_iter83 = this->crashes.begin(); _iter83 != this->crashes.end(); ++_iter83)
+    std::vector<CrashOnTarget> ::const_iterator _iter127;
+    for (_iter127 = this->crashes.begin(); _iter127 != this->crashes.end(); ++_iter127)
     {
-      xfer += (*_iter83).write(oprot);
+      xfer += (*_iter127).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1875,10 +2379,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter84;
-    for (_iter84 = this->known.begin(); _iter84 != this->known.end(); ++_iter84)
+    std::vector<std::string> ::const_iterator _iter128;
+    for (_iter128 = this->known.begin(); _iter128 != this->known.end(); ++_iter128)
     {
-      xfer += oprot->writeString((*_iter84));
+      xfer += oprot->writeString((*_iter128));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1916,10 +2420,10 @@
     xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 21);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-      std::vector<LimitOfTarget> ::const_iterator _iter85;
-      for (_iter85 = this->limits.begin(); _iter85 != this->limits.end(); ++_iter85)
+      std::vector<LimitOfTarget> ::const_iterator _iter129;
+      for (_iter129 = this->limits.begin(); _iter129 != this->limits.end(); ++_iter129)
       {
-        xfer += (*_iter85).write(oprot);
+        xfer += (*_iter129).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1949,10 +2453,10 @@
     xfer += oprot->writeFieldBegin("promptCrashes", ::apache::thrift::protocol::T_LIST, 26);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->promptCrashes.size()));
-      std::vector<PromptCrash> ::const_iterator _iter86;
-      for (_iter86 = this->promptCrashes.begin(); _iter86 != this->promptCrashes.end(); ++_iter86)
+      std::vector<PromptCrash> ::const_iterator _iter130;
+      for (_iter130 = this->promptCrashes.begin(); _iter130 != this->promptCrashes.end(); ++_iter130)
       {
-        xfer += (*_iter86).write(oprot);
+        xfer += (*_iter130).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1962,10 +2466,10 @@
     xfer += oprot->writeFieldBegin("soundParts", ::apache::thrift::protocol::T_LIST, 27);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->soundParts.size()));
-      std::vector<SoundPart> ::const_iterator _iter87;
-      for (_iter87 = this->soundParts.begin(); _iter87 != this->soundParts.end(); ++_iter87)
+      std::vector<SoundPart> ::const_iterator _iter131;
+      for (_iter131 = this->soundParts.begin(); _iter131 != this->soundParts.end(); ++_iter131)
       {
-        xfer += (*_iter87).write(oprot);
+        xfer += (*_iter131).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2007,122 +2511,122 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayHeartbeat::RelayHeartbeat(const RelayHeartbeat& other88) {
-  node = other88.node;
-  incarnation = other88.incarnation;
-  sequence = other88.sequence;
-  callers = other88.callers;
-  peers = other88.peers;
-  dataCentre = other88.dataCentre;
-  accepting = other88.accepting;
-  documentTableVersion = other88.documentTableVersion;
-  loads = other88.loads;
-  targets = other88.targets;
-  crashes = other88.crashes;
-  known = other88.known;
-  targetsDigest = other88.targetsDigest;
-  targetsVersion = other88.targetsVersion;
-  targetsAgeMs = other88.targetsAgeMs;
-  reading = other88.reading;
-  trying = other88.trying;
-  beatMs = other88.beatMs;
-  onlyLoads = other88.onlyLoads;
-  limits = other88.limits;
-  knownRelays = other88.knownRelays;
-  documentVersion = other88.documentVersion;
-  documentHistoryFrom = other88.documentHistoryFrom;
-  documentAgeMs = other88.documentAgeMs;
-  promptCrashes = other88.promptCrashes;
-  soundParts = other88.soundParts;
-  __isset = other88.__isset;
-}
-RelayHeartbeat::RelayHeartbeat(RelayHeartbeat&& other89) noexcept {
-  node = std::move(other89.node);
-  incarnation = other89.incarnation;
-  sequence = other89.sequence;
-  callers = std::move(other89.callers);
-  peers = std::move(other89.peers);
-  dataCentre = std::move(other89.dataCentre);
-  accepting = other89.accepting;
-  documentTableVersion = other89.documentTableVersion;
-  loads = std::move(other89.loads);
-  targets = std::move(other89.targets);
-  crashes = std::move(other89.crashes);
-  known = std::move(other89.known);
-  targetsDigest = other89.targetsDigest;
-  targetsVersion = other89.targetsVersion;
-  targetsAgeMs = other89.targetsAgeMs;
-  reading = other89.reading;
-  trying = other89.trying;
-  beatMs = other89.beatMs;
-  onlyLoads = other89.onlyLoads;
-  limits = std::move(other89.limits);
-  knownRelays = other89.knownRelays;
-  documentVersion = other89.documentVersion;
-  documentHistoryFrom = other89.documentHistoryFrom;
-  documentAgeMs = other89.documentAgeMs;
-  promptCrashes = std::move(other89.promptCrashes);
-  soundParts = std::move(other89.soundParts);
-  __isset = other89.__isset;
-}
-RelayHeartbeat& RelayHeartbeat::operator=(const RelayHeartbeat& other90) {
-  node = other90.node;
-  incarnation = other90.incarnation;
-  sequence = other90.sequence;
-  callers = other90.callers;
-  peers = other90.peers;
-  dataCentre = other90.dataCentre;
-  accepting = other90.accepting;
-  documentTableVersion = other90.documentTableVersion;
-  loads = other90.loads;
-  targets = other90.targets;
-  crashes = other90.crashes;
-  known = other90.known;
-  targetsDigest = other90.targetsDigest;
-  targetsVersion = other90.targetsVersion;
-  targetsAgeMs = other90.targetsAgeMs;
-  reading = other90.reading;
-  trying = other90.trying;
-  beatMs = other90.beatMs;
-  onlyLoads = other90.onlyLoads;
-  limits = other90.limits;
-  knownRelays = other90.knownRelays;
-  documentVersion = other90.documentVersion;
-  documentHistoryFrom = other90.documentHistoryFrom;
-  documentAgeMs = other90.documentAgeMs;
-  promptCrashes = other90.promptCrashes;
-  soundParts = other90.soundParts;
-  __isset = other90.__isset;
+RelayHeartbeat::RelayHeartbeat(const RelayHeartbeat& other132) {
+  node = other132.node;
+  incarnation = other132.incarnation;
+  sequence = other132.sequence;
+  callers = other132.callers;
+  peers = other132.peers;
+  dataCentre = other132.dataCentre;
+  accepting = other132.accepting;
+  documentTableVersion = other132.documentTableVersion;
+  loads = other132.loads;
+  targets = other132.targets;
+  crashes = other132.crashes;
+  known = other132.known;
+  targetsDigest = other132.targetsDigest;
+  targetsVersion = other132.targetsVersion;
+  targetsAgeMs = other132.targetsAgeMs;
+  reading = other132.reading;
+  trying = other132.trying;
+  beatMs = other132.beatMs;
+  onlyLoads = other132.onlyLoads;
+  limits = other132.limits;
+  knownRelays = other132.knownRelays;
+  documentVersion = other132.documentVersion;
+  documentHistoryFrom = other132.documentHistoryFrom;
+  documentAgeMs = other132.documentAgeMs;
+  promptCrashes = other132.promptCrashes;
+  soundParts = other132.soundParts;
+  __isset = other132.__isset;
+}
+RelayHeartbeat::RelayHeartbeat(RelayHeartbeat&& other133) noexcept {
+  node = std::move(other133.node);
+  incarnation = other133.incarnation;
+  sequence = other133.sequence;
+  callers = std::move(other133.callers);
+  peers = std::move(other133.peers);
+  dataCentre = std::move(other133.dataCentre);
+  accepting = other133.accepting;
+  documentTableVersion = other133.documentTableVersion;
+  loads = std::move(other133.loads);
+  targets = std::move(other133.targets);
+  crashes = std::move(other133.crashes);
+  known = std::move(other133.known);
+  targetsDigest = other133.targetsDigest;
+  targetsVersion = other133.targetsVersion;
+  targetsAgeMs = other133.targetsAgeMs;
+  reading = other133.reading;
+  trying = other133.trying;
+  beatMs = other133.beatMs;
+  onlyLoads = other133.onlyLoads;
+  limits = std::move(other133.limits);
+  knownRelays = other133.knownRelays;
+  documentVersion = other133.documentVersion;
+  documentHistoryFrom = other133.documentHistoryFrom;
+  documentAgeMs = other133.documentAgeMs;
+  promptCrashes = std::move(other133.promptCrashes);
+  soundParts = std::move(other133.soundParts);
+  __isset = other133.__isset;
+}
+RelayHeartbeat& RelayHeartbeat::operator=(const RelayHeartbeat& other134) {
+  node = other134.node;
+  incarnation = other134.incarnation;
+  sequence = other134.sequence;
+  callers = other134.callers;
+  peers = other134.peers;
+  dataCentre = other134.dataCentre;
+  accepting = other134.accepting;
+  documentTableVersion = other134.documentTableVersion;
+  loads = other134.loads;
+  targets = other134.targets;
+  crashes = other134.crashes;
+  known = other134.known;
+  targetsDigest = other134.targetsDigest;
+  targetsVersion = other134.targetsVersion;
+  targetsAgeMs = other134.targetsAgeMs;
+  reading = other134.reading;
+  trying = other134.trying;
+  beatMs = other134.beatMs;
+  onlyLoads = other134.onlyLoads;
+  limits = other134.limits;
+  knownRelays = other134.knownRelays;
+  documentVersion = other134.documentVersion;
+  documentHistoryFrom = other134.documentHistoryFrom;
+  documentAgeMs = other134.documentAgeMs;
+  promptCrashes = other134.promptCrashes;
+  soundParts = other134.soundParts;
+  __isset = other134.__isset;
   return *this;
 }
-RelayHeartbeat& RelayHeartbeat::operator=(RelayHeartbeat&& other91) noexcept {
-  node = std::move(other91.node);
-  incarnation = other91.incarnation;
-  sequence = other91.sequence;
-  callers = std::move(other91.callers);
-  peers = std::move(other91.peers);
-  dataCentre = std::move(other91.dataCentre);
-  accepting = other91.accepting;
-  documentTableVersion = other91.documentTableVersion;
-  loads = std::move(other91.loads);
-  targets = std::move(other91.targets);
-  crashes = std::move(other91.crashes);
-  known = std::move(other91.known);
-  targetsDigest = other91.targetsDigest;
-  targetsVersion = other91.targetsVersion;
-  targetsAgeMs = other91.targetsAgeMs;
-  reading = other91.reading;
-  trying = other91.trying;
-  beatMs = other91.beatMs;
-  onlyLoads = other91.onlyLoads;
-  limits = std::move(other91.limits);
-  knownRelays = other91.knownRelays;
-  documentVersion = other91.documentVersion;
-  documentHistoryFrom = other91.documentHistoryFrom;
-  documentAgeMs = other91.documentAgeMs;
-  promptCrashes = std::move(other91.promptCrashes);
-  soundParts = std::move(other91.soundParts);
-  __isset = other91.__isset;
+RelayHeartbeat& RelayHeartbeat::operator=(RelayHeartbeat&& other135) noexcept {
+  node = std::move(other135.node);
+  incarnation = other135.incarnation;
+  sequence = other135.sequence;
+  callers = std::move(other135.callers);
+  peers = std::move(other135.peers);
+  dataCentre = std::move(other135.dataCentre);
+  accepting = other135.accepting;
+  documentTableVersion = other135.documentTableVersion;
+  loads = std::move(other135.loads);
+  targets = std::move(other135.targets);
+  crashes = std::move(other135.crashes);
+  known = std::move(other135.known);
+  targetsDigest = other135.targetsDigest;
+  targetsVersion = other135.targetsVersion;
+  targetsAgeMs = other135.targetsAgeMs;
+  reading = other135.reading;
+  trying = other135.trying;
+  beatMs = other135.beatMs;
+  onlyLoads = other135.onlyLoads;
+  limits = std::move(other135.limits);
+  knownRelays = other135.knownRelays;
+  documentVersion = other135.documentVersion;
+  documentHistoryFrom = other135.documentHistoryFrom;
+  documentAgeMs = other135.documentAgeMs;
+  promptCrashes = std::move(other135.promptCrashes);
+  soundParts = std::move(other135.soundParts);
+  __isset = other135.__isset;
   return *this;
 }
 void RelayHeartbeat::printTo(std::ostream& out) const {
--- a/Libraries/LibRelay/Generated/Relay_types.h
+++ b/Libraries/LibRelay/Generated/Relay_types.h
@@ -29,10 +29,14 @@
 
 class PromptSuspect;
 
+class PartsOfRequests;
+
 class PromptCrash;
 
 class SoundPart;
 
+class CrashReport;
+
 class LimitOfTarget;
 
 class RelayHeartbeat;
@@ -348,12 +352,66 @@
 
 std::ostream& operator<<(std::ostream& out, const PromptSuspect& obj);
 
+typedef struct _PartsOfRequests__isset {
+  _PartsOfRequests__isset() : requests(false), parts(false) {}
+  bool requests :1;
+  bool parts :1;
+} _PartsOfRequests__isset;
+
+class PartsOfRequests : public virtual ::apache::thrift::TBase {
+ public:
+
+  PartsOfRequests(const PartsOfRequests&);
+  PartsOfRequests(PartsOfRequests&&) noexcept;
+  PartsOfRequests& operator=(const PartsOfRequests&);
+  PartsOfRequests& operator=(PartsOfRequests&&) noexcept;
+  PartsOfRequests() noexcept {
+  }
+
+  virtual ~PartsOfRequests() noexcept;
+  std::vector<int32_t>  requests;
+  std::vector<int64_t>  parts;
+
+  _PartsOfRequests__isset __isset;
+
+  void __set_requests(const std::vector<int32_t> & val);
+
+  void __set_parts(const std::vector<int64_t> & val);
+
+  bool operator == (const PartsOfRequests & rhs) const
+  {
+    if (!(requests == rhs.requests))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    return true;
+  }
+  bool operator != (const PartsOfRequests &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PartsOfRequests & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PartsOfRequests &a, PartsOfRequests &b);
+
+std::ostream& operator<<(std::ostream& out, const PartsOfRequests& obj);
+
 typedef struct _PromptCrash__isset {
-  _PromptCrash__isset() : target(false), incarnation(false), ageMs(false), requests(false) {}
+  _PromptCrash__isset() : target(false), incarnation(false), ageMs(false), requests(false), shared(false), pieces(true), piece(false), rejected(false) {}
   bool target :1;
   bool incarnation :1;
   bool ageMs :1;
   bool requests :1;
+  bool shared :1;
+  bool pieces :1;
+  bool piece :1;
+  bool rejected :1;
 } _PromptCrash__isset;
 
 class PromptCrash : public virtual ::apache::thrift::TBase {
@@ -366,7 +424,10 @@
   PromptCrash() noexcept
               : target(),
                 incarnation(0),
-                ageMs(0) {
+                ageMs(0),
+                pieces(1),
+                piece(0),
+                rejected(0) {
   }
 
   virtual ~PromptCrash() noexcept;
@@ -374,6 +435,10 @@
   int64_t incarnation;
   int32_t ageMs;
   std::vector<PromptSuspect>  requests;
+  std::vector<PartsOfRequests>  shared;
+  int32_t pieces;
+  int32_t piece;
+  bool rejected;
 
   _PromptCrash__isset __isset;
 
@@ -385,6 +450,14 @@
 
   void __set_requests(const std::vector<PromptSuspect> & val);
 
+  void __set_shared(const std::vector<PartsOfRequests> & val);
+
+  void __set_pieces(const int32_t val);
+
+  void __set_piece(const int32_t val);
+
+  void __set_rejected(const bool val);
+
   bool operator == (const PromptCrash & rhs) const
   {
     if (!(target == rhs.target))
@@ -395,6 +468,20 @@
       return false;
     if (!(requests == rhs.requests))
       return false;
+    if (__isset.shared != rhs.__isset.shared)
+      return false;
+    else if (__isset.shared && !(shared == rhs.shared))
+      return false;
+    if (!(pieces == rhs.pieces))
+      return false;
+    if (__isset.piece != rhs.__isset.piece)
+      return false;
+    else if (__isset.piece && !(piece == rhs.piece))
+      return false;
+    if (__isset.rejected != rhs.__isset.rejected)
+      return false;
+    else if (__isset.rejected && !(rejected == rhs.rejected))
+      return false;
     return true;
   }
   bool operator != (const PromptCrash &rhs) const {
@@ -465,6 +552,69 @@
 
 std::ostream& operator<<(std::ostream& out, const SoundPart& obj);
 
+typedef struct _CrashReport__isset {
+  _CrashReport__isset() : node(false), crashes(false), promptCrashes(false), soundParts(false) {}
+  bool node :1;
+  bool crashes :1;
+  bool promptCrashes :1;
+  bool soundParts :1;
+} _CrashReport__isset;
+
+class CrashReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashReport(const CrashReport&);
+  CrashReport(CrashReport&&) noexcept;
+  CrashReport& operator=(const CrashReport&);
+  CrashReport& operator=(CrashReport&&) noexcept;
+  CrashReport() noexcept
+              : node() {
+  }
+
+  virtual ~CrashReport() noexcept;
+  std::string node;
+  std::vector<CrashOnTarget>  crashes;
+  std::vector<PromptCrash>  promptCrashes;
+  std::vector<SoundPart>  soundParts;
+
+  _CrashReport__isset __isset;
+
+  void __set_node(const std::string& val);
+
+  void __set_crashes(const std::vector<CrashOnTarget> & val);
+
+  void __set_promptCrashes(const std::vector<PromptCrash> & val);
+
+  void __set_soundParts(const std::vector<SoundPart> & val);
+
+  bool operator == (const CrashReport & rhs) const
+  {
+    if (!(node == rhs.node))
+      return false;
+    if (!(crashes == rhs.crashes))
+      return false;
+    if (!(promptCrashes == rhs.promptCrashes))
+      return false;
+    if (!(soundParts == rhs.soundParts))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashReport &a, CrashReport &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashReport& obj);
+
 typedef struct _LimitOfTarget__isset {
   _LimitOfTarget__isset() : target(false), incarnation(false), perSecond(false), ageMs(false) {}
   bool target :1;
--- a/Libraries/LibRelay/PeerHeartbeatCodec.cpp
+++ b/Libraries/LibRelay/PeerHeartbeatCodec.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <LibCore/ThriftCompact.h>
+#include <LibRelay/CrashWire.h>
 #include <limits>
 #include <Relay_types.h>
 
@@ -46,60 +47,6 @@
             .version = target.version};
 }
 
-Wire::CrashOnTarget toWire(const TargetCrash &crash)
-{
-    Wire::CrashOnTarget result;
-    result.target = crash.target;
-    result.incarnation = static_cast<int64_t>(crash.incarnation);
-    result.ageMs = static_cast<int32_t>(crash.age.count());
-    result.members.assign(crash.members.begin(), crash.members.end());
-    result.running = crash.running;
-    return result;
-}
-
-TargetCrash crashFromWire(const Wire::CrashOnTarget &crash)
-{
-    return {.target = crash.target,
-            .incarnation = static_cast<uint64_t>(crash.incarnation),
-            .age = std::chrono::milliseconds(crash.ageMs),
-            .members = std::vector<uint64_t>(crash.members.begin(), crash.members.end()),
-            .running = crash.running};
-}
-
-int32_t toWireAge(std::chrono::milliseconds age)
-{
-    return static_cast<int32_t>(std::min<int64_t>(age.count(), std::numeric_limits<int32_t>::max()));
-}
-
-Wire::PromptCrash toWire(const PromptPartCrash &crash)
-{
-    Wire::PromptCrash result;
-    result.target = crash.target;
-    result.incarnation = static_cast<int64_t>(crash.incarnation);
-    result.ageMs = toWireAge(crash.age);
-    for (const auto &request : crash.requests) {
-        Wire::PromptSuspect suspect;
-        suspect.digest = static_cast<int64_t>(request.digest);
-        suspect.begun = request.hasBegun;
-        suspect.parts.assign(request.parts.begin(), request.parts.end());
-        result.requests.push_back(std::move(suspect));
-    }
-    return result;
-}
-
-PromptPartCrash promptCrashFromWire(const Wire::PromptCrash &crash)
-{
-    PromptPartCrash result {.target = crash.target,
-                            .incarnation = static_cast<uint64_t>(crash.incarnation),
-                            .age = std::chrono::milliseconds(std::max(0, crash.ageMs)),
-                            .requests = {}};
-    for (const auto &suspect : crash.requests) {
-        result.requests.push_back(
-            {.digest = static_cast<uint64_t>(suspect.digest), .hasBegun = suspect.begun, .parts = {suspect.parts.begin(), suspect.parts.end()}});
-    }
-    return result;
-}
-
 // A statement that the target no longer names a limit.
 constexpr double NoLimit = -1;
 
@@ -162,10 +109,7 @@
     }
     result.__isset.promptCrashes = !result.promptCrashes.empty();
     for (const auto &sound : heartbeat.soundParts) {
-        Wire::SoundPart wire;
-        wire.part = static_cast<int64_t>(sound.part);
-        wire.ageMs = toWireAge(sound.age);
-        result.soundParts.push_back(wire);
+        result.soundParts.push_back(toWire(sound));
     }
     result.__isset.soundParts = !result.soundParts.empty();
     result.known = heartbeat.known;
@@ -185,7 +129,7 @@
     return result;
 }
 
-PeerHeartbeat fromWire(const Wire::RelayHeartbeat &wire)
+PeerHeartbeat heartbeatFromWire(const Wire::RelayHeartbeat &wire)
 {
     PeerHeartbeat heartbeat {.node = wire.node,
                              .incarnation = wire.incarnation,
@@ -209,13 +153,13 @@
         heartbeat.targets.push_back(targetFromWire(target));
     }
     for (const auto &crash : wire.crashes) {
-        heartbeat.crashes.push_back(crashFromWire(crash));
+        heartbeat.crashes.push_back(fromWire(crash));
     }
     for (const auto &crash : wire.promptCrashes) {
-        heartbeat.promptCrashes.push_back(promptCrashFromWire(crash));
+        heartbeat.promptCrashes.push_back(fromWire(crash, wire.node));
     }
     for (const auto &sound : wire.soundParts) {
-        heartbeat.soundParts.push_back({.part = static_cast<uint64_t>(sound.part), .age = std::chrono::milliseconds(std::max(0, sound.ageMs))});
+        heartbeat.soundParts.push_back(fromWire(sound));
     }
     heartbeat.known = wire.known;
     for (const auto &limit : wire.limits) {
@@ -256,7 +200,7 @@
     if (!heartbeat) {
         return std::nullopt;
     }
-    return fromWire(*heartbeat);
+    return heartbeatFromWire(*heartbeat);
 }
 
 } // namespace Jujube
--- a/Libraries/LibRelay/PeerTable.cpp
+++ b/Libraries/LibRelay/PeerTable.cpp
@@ -127,6 +127,37 @@
     });
 }
 
+std::vector<std::string> PeerTable::crashJudges(MonotonicTime now) const
+{
+    constexpr size_t MinJudges = 3;
+    struct Candidate {
+        uint64_t weight = 0;
+        std::string region;
+        std::string address;
+    };
+    const auto weight = [](const std::string &node) { return XXH3_64bits(node.data(), node.size()); };
+    std::vector<Candidate> candidates {{.weight = weight(m_options.ownName), .region = m_options.region, .address = m_options.ownAddress}};
+    for (const auto *peer : livePeers(now)) {
+        const auto &heartbeat = peer->latestHeartbeat;
+        const auto region = m_options.regions.find(heartbeat.dataCentre);
+        if (heartbeat.accepting) {
+            candidates.push_back(
+                {.weight = weight(heartbeat.node), .region = region == m_options.regions.end() ? std::string() : region->second, .address = heartbeat.peers});
+        }
+    }
+    std::ranges::sort(candidates, std::greater(), &Candidate::weight);
+    std::set<std::string> regions;
+    std::vector<std::string> first;
+    std::vector<std::string> others;
+    for (const auto &candidate : candidates) {
+        (regions.insert(candidate.region).second ? first : others).push_back(candidate.address);
+    }
+    const auto missing = MinJudges - std::min(MinJudges, first.size());
+    others.resize(std::min(others.size(), missing));
+    first.insert(first.end(), others.begin(), others.end());
+    return first;
+}
+
 std::chrono::milliseconds PeerTable::silenceTimeoutOf(const PeerHeartbeat &heartbeat) const
 {
     const auto announced = std::chrono::duration_cast<std::chrono::milliseconds>(HeartbeatsUntilSilent * heartbeat.heartbeatInterval);
--- a/Libraries/LibRelay/PeerTable.h
+++ b/Libraries/LibRelay/PeerTable.h
@@ -123,6 +123,10 @@
     // Whether this relay reports the loads of its region to other regions: the first live relay of the region by name.
     bool isRegionRepresentative(const std::string &ownName, MonotonicTime now) const;
 
+    // Addresses of the relays that get all parts of each crash in a large fleet, this one possibly among them: one in each region and a few in all. Relays that
+    // know each other agree on them.
+    std::vector<std::string> crashJudges(MonotonicTime now) const;
+
     // Names of relays that have fallen silent since the last call.
     std::vector<std::string> expire(MonotonicTime now);
 
--- a/Libraries/LibRelay/Relay.thrift
+++ b/Libraries/LibRelay/Relay.thrift
@@ -42,12 +42,23 @@
   3: list<i64> parts
 }
 
+// Parts of prompts that several requests of a crash have, by the positions of these requests.
+struct PartsOfRequests {
+  1: list<i32> requests
+  2: list<i64> parts
+}
+
 // One crash of a target with the requests that had just begun there or were about to.
 struct PromptCrash {
   1: string target
   2: i64 incarnation
   3: i32 ageMs
   4: list<PromptSuspect> requests
+  5: optional list<PartsOfRequests> shared
+  // In how many pieces the sender reports all parts that it does not know to be sound, or those that it rejects; zero for an excerpt.
+  6: i32 pieces = 1
+  7: optional i32 piece
+  8: optional bool rejected
 }
 
 // A part of prompts to which a target has responded well.
@@ -56,6 +67,14 @@
   2: i32 ageMs
 }
 
+// What a relay knows of crashes, in a datagram of its own.
+struct CrashReport {
+  1: string node
+  2: list<CrashOnTarget> crashes
+  3: list<PromptCrash> promptCrashes
+  4: list<SoundPart> soundParts
+}
+
 // A limit that a target has named on the requests of all relays together.
 struct LimitOfTarget {
   1: string target
--- a/Libraries/LibRelayServer/PeerLink.cpp
+++ b/Libraries/LibRelayServer/PeerLink.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <LibCore/Error.h>
+#include <LibRelay/CrashReportCodec.h>
 #include <LibRelay/PeerHeartbeatCodec.h>
 #include <LibRelay/RegionLoads.h>
 
@@ -32,6 +33,21 @@
 // Number of addresses sent to a relay whose first heartbeat was received.
 constexpr size_t MaxIntroductionAddresses = 40;
 constexpr size_t MaxCrashReports = 8;
+// Requests of one crash in a heartbeat. Crashes with more of them have datagrams of their own.
+constexpr size_t MaxCrashMembers = 24;
+// Datagrams with parts of crashes to all relays, beside each heartbeat while there are new crashes. In larger fleets, crashes with more pieces than this are
+// reported only to the relays that judge them for all.
+constexpr size_t MaxCrashDatagrams = 3;
+constexpr uint32_t MaxPiecesForAll = 2;
+// The same to each of those relays, and to all in a small fleet.
+constexpr size_t MaxDatagramsToJudge = 32;
+constexpr size_t MaxSoundPartsInReport = 70;
+constexpr size_t MaxMembersInReport = 100;
+// Crashes with many requests are reported for this time.
+constexpr std::chrono::milliseconds CrashReportTime {5000};
+// A relay that has just joined gets the crashes that still count.
+constexpr std::chrono::milliseconds CrashLifetime {std::chrono::minutes(10)};
+constexpr size_t MaxIntroductionDatagrams = 64;
 // Sound parts of prompts that are under suspicion.
 constexpr size_t MaxSoundParts = 16;
 // Number of changed targets in one datagram, so that none is left out for lack of space.
@@ -90,6 +106,10 @@
     m_core.metrics.count("relay_heartbeats_received_total");
     // Datagrams that arrived during a freeze are older than they seem.
     m_core.detectFreeze(now);
+    if (const auto report = decodePeerCrashReport(datagram)) {
+        onCrashReport(*report, now);
+        return;
+    }
     auto heartbeat = decodePeerHeartbeat(datagram);
     if (!heartbeat) {
         m_core.metrics.count("relay_peer_datagrams_malformed_total");
@@ -113,7 +133,7 @@
         m_core.crashSuspects.merge(crash, now);
     }
     for (const auto &sound : heartbeat->soundParts) {
-        m_core.promptParts.recordSound({sound.part}, sound.age, now);
+        m_core.promptParts.recordReportedSound(sound, now);
     }
     for (const auto &crash : heartbeat->promptCrashes) {
         m_core.promptParts.recordCrash(crash, now);
@@ -124,6 +144,109 @@
         line.add("peer", heartbeat->node).add("address", heartbeat->callers);
         m_core.log(line);
         sendKnownAddresses(heartbeat->peers, now);
+        if (isSmallFleet(now) || m_core.peers.isRegionRepresentative(m_core.options.node, now)) {
+            sendKnownCrashes(heartbeat->peers, now);
+        }
+    }
+}
+
+void PeerLink::onCrashReport(const PeerCrashReport &report, MonotonicTime now)
+{
+    if (report.node == m_core.options.node) {
+        return;
+    }
+    for (const auto &crash : report.crashes) {
+        m_core.crashSuspects.merge(crash, now);
+    }
+    for (const auto &sound : report.soundParts) {
+        m_core.promptParts.recordReportedSound(sound, now);
+    }
+    for (const auto &crash : report.promptCrashes) {
+        m_core.promptParts.recordCrash(crash, now);
+    }
+}
+
+void PeerLink::sendCrashReports(MonotonicTime now)
+{
+    auto &parts = m_core.promptParts;
+    const auto add
+        = [this](std::vector<PeerCrashReport> &reports) -> PeerCrashReport & { return reports.emplace_back(PeerCrashReport {.node = m_core.options.node}); };
+    const bool isSmall = isSmallFleet(now);
+    const auto judges = isSmall ? std::vector<std::string>() : m_core.peers.crashJudges(now);
+    const bool isJudge = isSmall || std::ranges::find(judges, m_core.options.peers.toText()) != judges.end();
+    std::vector<PeerCrashReport> toAll;
+    const size_t datagrams = isSmall ? MaxDatagramsToJudge : MaxCrashDatagrams;
+    const auto maxPieces = isSmall ? std::numeric_limits<uint32_t>::max() : MaxPiecesForAll;
+    for (auto &crashes :
+         parts.takeCrashReports({.datagrams = datagrams, .bytes = MaxCrashReportBytes, .maxPieces = maxPieces, .includesReported = isSmall}, now)) {
+        add(toAll).promptCrashes = std::move(crashes);
+    }
+    if (isJudge) {
+        for (auto &piece : parts.takeExcerpts(MaxCrashDatagrams, MaxCrashReportBytes, now)) {
+            add(toAll).promptCrashes = {std::move(piece)};
+        }
+        auto rejections = parts.rejectionReports(MaxCrashReportBytes, now);
+        // Heartbeats have the others.
+        std::erase_if(rejections, [](const auto &piece) { return piece.pieces == 1; });
+        for (size_t count = 0; count < std::min(MaxCrashDatagrams, rejections.size()); ++count) {
+            add(toAll).promptCrashes = {rejections[m_nextRejection++ % rejections.size()]};
+        }
+    }
+    if (auto sound = parts.takeSoundReports(MaxSoundPartsInReport, now); !sound.empty()) {
+        add(toAll).soundParts = std::move(sound);
+    }
+    size_t members = 0;
+    for (auto &piece : m_core.crashSuspects.pieces(CrashReportTime, MaxMembersInReport, now)) {
+        if (piece.members.size() > MaxCrashMembers && ++members <= MaxCrashDatagrams) {
+            add(toAll).crashes.push_back(std::move(piece));
+        }
+    }
+    for (const auto &report : toAll) {
+        const auto datagram = encodePeerCrashReport(report);
+        sendDatagram(PeerTable::RecipientScope::Region, datagram, now);
+        sendDatagram(PeerTable::RecipientScope::OutsideRegion, datagram, now);
+    }
+    std::vector<PeerCrashReport> toJudges;
+    if (!judges.empty()) {
+        for (auto &crashes : parts.takeCrashReports({.datagrams = MaxDatagramsToJudge, .bytes = MaxCrashReportBytes}, now)) {
+            add(toJudges).promptCrashes = std::move(crashes);
+        }
+    }
+    for (const auto &report : toJudges) {
+        const auto datagram = encodePeerCrashReport(report);
+        for (const auto &judge : judges) {
+            if (judge != m_core.options.peers.toText()) {
+                sendDatagramTo(judge, datagram);
+            }
+        }
+    }
+}
+
+void PeerLink::sendKnownCrashes(const std::string &address, MonotonicTime now)
+{
+    size_t datagrams = 0;
+    const auto send = [&](const PeerCrashReport &report) {
+        if (++datagrams <= MaxIntroductionDatagrams) {
+            sendDatagramTo(address, encodePeerCrashReport(report));
+        }
+    };
+    for (auto &crash : m_core.promptParts.rejectionReports(MaxCrashReportBytes, now)) {
+        send({.node = m_core.options.node, .promptCrashes = {std::move(crash)}});
+    }
+    PeerCrashReport report {.node = m_core.options.node};
+    size_t members = 0;
+    for (auto &piece : m_core.crashSuspects.pieces(CrashLifetime, MaxMembersInReport, now)) {
+        // A crash without members takes as much room as some members.
+        constexpr size_t MembersOfACrash = 6;
+        if (members + piece.members.size() + MembersOfACrash > MaxMembersInReport && !report.crashes.empty()) {
+            send(std::exchange(report, {.node = m_core.options.node}));
+            members = 0;
+        }
+        members += piece.members.size() + MembersOfACrash;
+        report.crashes.push_back(std::move(piece));
+    }
+    if (!report.crashes.empty()) {
+        send(report);
     }
 }
 
@@ -241,6 +364,7 @@
     auto heartbeat = buildHeartbeat(now);
     heartbeat.heartbeatInterval = heartbeatInterval(now);
     sendTo(PeerTable::RecipientScope::Region, heartbeat, now);
+    sendCrashReports(now);
     if (scope == NotificationScope::Region) {
         return;
     }
@@ -270,12 +394,17 @@
 void PeerLink::sendDatagram(PeerTable::RecipientScope scope, const std::string &datagram, MonotonicTime now)
 {
     for (const auto &address : m_core.peers.recipients(scope, now)) {
-        if (const auto endpoint = Endpoint::parse(address)) {
-            // A datagram that cannot be sent is treated as lost; the next heartbeat follows.
-            LoopError ignored;
-            m_socket.send_to(boost::asio::buffer(datagram), endpoint->udp(), 0, ignored);
-            m_core.metrics.count("relay_heartbeats_sent_total");
-        }
+        sendDatagramTo(address, datagram);
+    }
+}
+
+void PeerLink::sendDatagramTo(const std::string &address, const std::string &datagram)
+{
+    if (const auto endpoint = Endpoint::parse(address)) {
+        // A datagram that cannot be sent is treated as lost; the next heartbeat follows.
+        LoopError ignored;
+        m_socket.send_to(boost::asio::buffer(datagram), endpoint->udp(), 0, ignored);
+        m_core.metrics.count("relay_heartbeats_sent_total");
     }
 }
 
@@ -301,7 +430,7 @@
                           .dataCentre = m_core.options.dataCentre,
                           .accepting = m_core.routes != nullptr && !m_core.isDraining(),
                           .loads = m_core.balancer.ownLoads(),
-                          .crashes = m_core.crashSuspects.reports(MaxCrashReports, now),
+                          .crashes = m_core.crashSuspects.reports(MaxCrashReports, now, MaxCrashMembers),
                           .promptCrashes = m_core.promptParts.crashes(MaxCrashReports, now),
                           .soundParts = m_core.promptParts.soundSuspects(MaxSoundParts, now),
                           .known = m_core.peers.knownAddresses(MaxKnownAddresses, now, m_core.random()),
--- a/Libraries/LibRelayServer/PeerLink.h
+++ b/Libraries/LibRelayServer/PeerLink.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibLoop/Asio.h>
+#include <LibRelay/CrashReportCodec.h>
 #include <LibRelay/NotificationScope.h>
 #include <LibRelayServer/RelayCore.h>
 
@@ -46,12 +47,18 @@
     void onHeartbeatDue();
     // Sends the addresses of other relays to a relay whose first heartbeat was received.
     void sendKnownAddresses(const std::string &address, MonotonicTime now);
+    // Sends such a relay the crashes that still count.
+    void sendKnownCrashes(const std::string &address, MonotonicTime now);
+    void onCrashReport(const PeerCrashReport &report, MonotonicTime now);
+    // Sends what peers have to know of new crashes and does not fit into heartbeats.
+    void sendCrashReports(MonotonicTime now);
     void sendHeartbeat(NotificationScope scope, MonotonicTime now);
     // Sends a short message with only the loads.
     void sendLoads(MonotonicTime now);
     // Sends a heartbeat, in several datagrams if it reports many changed targets.
     void sendTo(PeerTable::RecipientScope scope, PeerHeartbeat heartbeat, MonotonicTime now);
     void sendDatagram(PeerTable::RecipientScope scope, const std::string &datagram, MonotonicTime now);
+    void sendDatagramTo(const std::string &address, const std::string &datagram);
     bool isSmallFleet(MonotonicTime now) const;
     // Whether every heartbeat is sent to all regions.
     bool shouldSendToAllRegions(MonotonicTime now) const;
@@ -67,6 +74,7 @@
     boost::asio::steady_timer m_loadTimer;
     bool m_isLoadUpdateScheduled = false;
     int m_heartbeatCount = 0;
+    size_t m_nextRejection = 0;
     std::array<char, 2048> m_buffer {};
     Udp::endpoint m_sender;
     const int64_t m_incarnation;
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -22,6 +22,8 @@
 constexpr std::chrono::milliseconds StateTimeout {400};
 // A request that crashes its target does so within this time after its first event.
 constexpr std::chrono::milliseconds MaxTimeToCrash {500};
+// Length of the list of suspects in a log line.
+constexpr size_t MaxLoggedSuspects = 2000;
 constexpr double MillisecondsPerSecond = 1000;
 // A limit that falls below this part of the previous one is reported to peers at once.
 constexpr double SignificantReduction = 0.8;
@@ -51,7 +53,7 @@
                       },
                   .onUnreachable = [this](const std::string &target, MonotonicTime now) { balancer.markUnreachable(target, now); }})
     , peers({.ownAddress = options.peers.toText(), .ownName = options.node, .region = options.region, .regions = options.regions}, monotonicNow())
-    , promptParts({})
+    , promptParts({.reportOrder = XXH3_64bits(options.node.data(), options.node.size())})
     , m_lines(lines)
     , m_random(std::random_device {}())
     , m_interruptedTimer(loopInUse)
@@ -315,9 +317,13 @@
             promptCrash.requests.push_back({.digest = request.digest, .hasBegun = request.hasBegun, .parts = request.parts});
         }
         crash.members.push_back(request.digest);
-        absl::StrAppend(&requests, requests.empty() ? "" : " ", request.hasBegun ? "begun" : "not begun", "/", request.events, "/");
-        for (const auto part : request.parts) {
-            absl::StrAppend(&requests, part == request.parts.front() ? "" : ",", absl::Hex(part));
+        if (requests.size() < MaxLoggedSuspects) {
+            absl::StrAppend(&requests, requests.empty() ? "" : " ", request.hasBegun ? "begun" : "not begun", "/", request.events, "/", request.parts.size());
+            for (const auto part : request.parts) {
+                if (requests.size() < MaxLoggedSuspects && !promptParts.areSound({part}, now)) {
+                    absl::StrAppend(&requests, ",", absl::Hex(part));
+                }
+            }
         }
     }
     crashSuspects.merge(crash, now);
--- a/Tests/LibPolicy/TestCrashSuspects.cpp
+++ b/Tests/LibPolicy/TestCrashSuspects.cpp
@@ -24,4 +24,29 @@
     }
 }
 
+// Guards against a crash of a busy target of which peers never learn, because its requests do not fit into one datagram.
+TEST(CrashSuspects, PiecesOfACrashTellAllItsRequests)
+{
+    constexpr size_t Members = 200;
+    constexpr size_t MembersOfPiece = 70;
+    const MonotonicTime start {1000s};
+    CrashSuspects suspects;
+    for (uint64_t crash = 0; crash < 3; ++crash) {
+        TargetCrash report {.target = std::to_string(crash), .incarnation = 1, .members = {1}, .running = Members};
+        for (uint64_t member = 1; member < Members; ++member) {
+            report.members.push_back(1000 * (crash + 1) + member);
+        }
+        suspects.merge(report, start + crash * 1s);
+    }
+    ASSERT_EQ(suspects.verdict(1, start + 10s).action, CrashVerdict::Action::Reject);
+    EXPECT_TRUE(suspects.reports(8, start + 10s, MembersOfPiece).empty());
+    CrashSuspects peer;
+    for (const auto &piece : suspects.pieces(1min, MembersOfPiece, start + 10s)) {
+        EXPECT_LE(piece.members.size(), MembersOfPiece);
+        peer.merge(piece, start + 10s);
+    }
+    EXPECT_EQ(peer.verdict(1, start + 10s).action, CrashVerdict::Action::Reject);
+    EXPECT_EQ(peer.verdict(1001, start + 10s).action, CrashVerdict::Action::RunIsolated);
+}
+
 } // namespace Jujube
--- a/Tests/LibPolicy/TestPromptPartSuspects.cpp
+++ b/Tests/LibPolicy/TestPromptPartSuspects.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <numeric>
 
 using namespace Jujube;
 using namespace std::chrono_literals;
@@ -230,3 +231,110 @@
     EXPECT_EQ(crashes.action({Shared, Unique + 1}), Action::Run);
     EXPECT_EQ(crashes.action({Shared, Common}), Action::Run);
 }
+
+// Guards against a part that is never recognized because of its place, or because of how many parts its prompt has (review/2).
+TEST(PromptPartSuspects, PartIsFoundInEveryPlaceOfAPromptOfAnyLength)
+{
+    // As many as a header section of 64 KiB lets in.
+    for (const size_t count : {2, 16, 17, 19, 100, 1400, 6000}) {
+        for (const size_t place : {size_t {0}, count / 2, std::min<size_t>(16, count - 1), count - 1}) {
+            PromptPartIds shared(count - 1);
+            std::iota(shared.begin(), shared.end(), 0x5c1e0000);
+            auto bad = shared;
+            bad.insert(bad.begin() + static_cast<ptrdiff_t>(place), Bad);
+            auto sound = shared;
+            sound.insert(sound.begin() + static_cast<ptrdiff_t>(place), Common);
+            Crashes crashes;
+            crashes.addSound(sound);
+            for (int index = 0; index < 5; ++index) {
+                crashes.add(bad);
+                crashes.addSound(sound);
+            }
+            crashes.settle();
+            EXPECT_EQ(crashes.action(bad), Action::Reject) << count << " parts, place " << place;
+            EXPECT_EQ(crashes.action(sound), Action::Run) << count << " parts, place " << place;
+        }
+    }
+}
+
+// Guards against a cause that is not among the requests that are kept of a crash: targets run some tens of requests, and more wait there.
+TEST(PromptPartSuspects, PartIsFoundAmongManyRequestsOfATarget)
+{
+    constexpr uint64_t Requests = 96;
+    Crashes crashes;
+    for (uint64_t index = 0; index < 5; ++index) {
+        std::vector<CrashSuspectRequest> requests;
+        for (uint64_t request = 0; request < Requests; ++request) {
+            requests.push_back({.digest = Unique + 1000 * index + request, .hasBegun = true, .parts = {Shared, Unique + 1000 * index + request}});
+        }
+        // The largest digest.
+        requests.push_back({.digest = ~uint64_t {0} - index, .hasBegun = false, .parts = {Shared, Bad}});
+        crashes.addAll(requests);
+        crashes.addSound({Shared});
+    }
+    crashes.settle();
+    EXPECT_EQ(crashes.action({Shared, Bad}), Action::Reject);
+    EXPECT_EQ(crashes.action({Shared, Unique + 3}), Action::Run);
+}
+
+// Guards against memory that grows with the number of crashes, requests and parts, and against conclusions from crashes of which not all parts are known.
+TEST(PromptPartSuspects, MemoryIsBounded)
+{
+    constexpr uint64_t Parts = 1400;
+    constexpr size_t MaxParts = 96 * 1024;
+    PromptPartCrashes crashes;
+    const auto soundAt = [](uint64_t) { return std::optional<MonotonicTime>(); };
+    const MonotonicTime now {1h};
+    for (uint64_t crash = 0; crash < 10; ++crash) {
+        PromptPartCrash report {.target = "t" + std::to_string(crash), .requests = {}, .shared = {}, .peer = {}};
+        for (uint64_t request = 0; request < 60; ++request) {
+            report.requests.push_back({.digest = request, .parts = PromptPartIds(Parts)});
+            std::iota(report.requests.back().parts.begin(), report.requests.back().parts.end(), Unique + (crash * 60 + request) * Parts);
+        }
+        crashes.record(
+            report, soundAt, [](uint64_t) {}, now + std::chrono::milliseconds(crash));
+        EXPECT_LE(crashes.partCount(), MaxParts);
+        // There was not room for all.
+        EXPECT_FALSE(crashes.crashes().at({report.target, 0}).isComplete());
+    }
+    SoundPromptParts sound(1000);
+    for (uint64_t part = 0; part < 100000; ++part) {
+        sound.record(part, now);
+        sound.record(7, now);
+        ASSERT_LE(sound.size(), 1000U);
+    }
+    // What is seen again and again stays.
+    EXPECT_TRUE(sound.find(7));
+    EXPECT_FALSE(sound.find(8));
+}
+
+// Guards against accusing the parts of a report that has arrived in part: the cause may be in the rest.
+TEST(PromptPartSuspects, PartialReportsAccuseNothing)
+{
+    PromptPartSuspects peer {{}};
+    MonotonicTime now {1h};
+    const auto report = [&](int index, const PromptPartIds &parts, uint32_t piece, uint32_t pieces) {
+        peer.recordCrash({.target = "t" + std::to_string(index),
+                          .incarnation = 1,
+                          .age = 0ms,
+                          .requests = {{.digest = Unique + static_cast<uint64_t>(index), .hasBegun = true, .parts = parts}},
+                          .shared = {},
+                          .pieces = pieces,
+                          .piece = piece,
+                          .peer = "n1"},
+                         now);
+    };
+    for (int index = 0; index < 5; ++index) {
+        report(index, {Common}, 0, 2);
+        report(index, {Common}, 0, 0);
+    }
+    now += 10s;
+    EXPECT_EQ(peer.verdict({Common}, now).action, Action::Run);
+    for (int index = 0; index < 5; ++index) {
+        report(index, {Bad}, 1, 2);
+    }
+    now += 10s;
+    peer.recordSound({Common}, 0ms, now);
+    EXPECT_EQ(peer.verdict({Common}, now).action, Action::Run);
+    EXPECT_EQ(peer.verdict({Bad}, now).action, Action::Reject);
+}
--- a/Tests/LibRelay/TestPeers.cpp
+++ b/Tests/LibRelay/TestPeers.cpp
@@ -419,3 +419,39 @@
     EXPECT_EQ(received->requestLimits[0].peer, "a");
     EXPECT_FALSE(received->requestLimits[1].limit);
 }
+
+// Guards against relays that send the parts of a crash to different ones to judge it, or to none in their region.
+TEST(PeerTable, RelaysAgreeOnWhoJudgesCrashes)
+{
+    const std::map<std::string, std::string> regions {{"lahore-a", "lahore"}, {"karachi-a", "karachi"}, {"islamabad-a", "islamabad"}};
+    const std::vector<std::string> dataCentres {"lahore-a", "karachi-a", "islamabad-a"};
+    constexpr size_t Relays = 30;
+    const MonotonicTime now {1h};
+    const auto heartbeatOf = [&](size_t index) {
+        return PeerHeartbeat {.node = "n" + std::to_string(index),
+                              .incarnation = 1,
+                              .sequence = 1,
+                              .peers = "10.0.0." + std::to_string(index + 1) + ":1",
+                              .dataCentre = dataCentres[index % dataCentres.size()],
+                              .accepting = true,
+                              .heartbeatInterval = 200ms};
+    };
+    std::set<std::vector<std::string>> choices;
+    for (size_t own = 0; own < Relays; ++own) {
+        const auto self = heartbeatOf(own);
+        PeerTable table({.ownAddress = self.peers, .ownName = self.node, .region = regions.at(self.dataCentre), .regions = regions}, now);
+        for (size_t index = 0; index < Relays; ++index) {
+            if (index != own) {
+                table.handleHeartbeat(heartbeatOf(index), now);
+            }
+        }
+        choices.insert(table.crashJudges(now));
+    }
+    ASSERT_EQ(choices.size(), 1U);
+    std::set<size_t> judgedRegions;
+    for (const auto &address : *choices.begin()) {
+        judgedRegions.insert((std::stoul(address.substr(7)) - 1) % dataCentres.size());
+    }
+    EXPECT_EQ(choices.begin()->size(), 3U);
+    EXPECT_EQ(judgedRegions.size(), 3U);
+}
--- a/Tests/Platform/TestPromptParts.cpp
+++ b/Tests/Platform/TestPromptParts.cpp
@@ -56,17 +56,23 @@
         return m_testBed.call(relay(number),
                               {.path = absl::StrCat(path, number),
                                .id = absl::StrCat("r", number),
-                               .fields = {{.name = "X-Prefix-Hash", .value = absl::StrCat("a1:100,", part, ":200,", absl::Hex(0x10000 + number), ":50")}},
+                               .fields = {{.name = "X-Prefix-Hash", .value = absl::StrCat(m_sharedParts, part, ":200,", absl::Hex(0x10000 + number), ":50")}},
                                .body = absl::StrCat("body ", number)});
     }
 
+    // Sends requests with the part in turn at the relays, beside sound ones, and checks that the users' bound holds and most sound ones are served.
+    void checkThatThePartIsRejected();
+
     RelayTestBed m_testBed;
+    std::string m_sharedParts = "a1:100,";
 };
 
-} // namespace
+// The number of parts that all prompts begin with.
+class LongPromptParts : public PromptParts, public testing::WithParamInterface<int>
+{
+};
 
-// Guards against requests that are never alike and crash one engine after the other, because of a part that their prompts share.
-TEST_F(PromptParts, PartThatCrashesEnginesIsRejected)
+void PromptParts::checkThatThePartIsRejected()
 {
     ASSERT_TRUE(areReady());
     ASSERT_EQ(send(0, "/hint/", "c0").status, 200);
@@ -92,6 +98,27 @@
     EXPECT_GE(soundServed, Rounds / 2);
 }
 
+} // namespace
+
+// Guards against requests that are never alike and crash one engine after the other, because of a part that their prompts share.
+TEST_F(PromptParts, PartThatCrashesEnginesIsRejected)
+{
+    checkThatThePartIsRejected();
+}
+
+// Guards against a part behind many others, as in a long conversation, that is never recognized (review/2).
+TEST_P(LongPromptParts, PartThatCrashesEnginesIsRejected)
+{
+    m_sharedParts.clear();
+    for (int number = 0; number < GetParam(); ++number) {
+        absl::StrAppend(&m_sharedParts, absl::Hex(0x5c1e0000 + number), ":1,");
+    }
+    checkThatThePartIsRejected();
+}
+
+// The last one fills the header section that the document allows.
+INSTANTIATE_TEST_SUITE_P(Parts, LongPromptParts, testing::Values(17, 100, 1300));
+
 // Guards against sound requests that are rejected because they share all other parts with the requests that crash engines.
 TEST_F(PromptParts, OtherPartsOfTheSamePromptsAreServed)
 {
@@ -106,3 +133,25 @@
         EXPECT_EQ(send(number, "/hint/", absl::StrCat("c", number)).status, 200);
     }
 }
+
+// Guards against a relay that starts after the crashes and needs crashes of its own to know the part.
+TEST_F(PromptParts, RelayThatJoinsKnowsRejectedParts)
+{
+    ASSERT_TRUE(areReady());
+    for (int number = 1; number <= 8; ++number) {
+        send(1000 + number, "/draft/", "bad");
+        m_testBed.runFor(250ms);
+    }
+    // Longer than crashes are reported.
+    m_testBed.runFor(7s);
+    m_testBed.addRelay("n9");
+    ASSERT_TRUE(m_testBed.waitUntilReady("n9"));
+    m_testBed.runFor(500ms);
+    const auto before = m_testBed.fatalCount();
+    for (int number = 1; number <= 3; ++number) {
+        const auto id = absl::StrCat("late", number);
+        const std::vector<HeaderField> fields {{.name = "X-Prefix-Hash", .value = absl::StrCat("a1:100,bad:200,", absl::Hex(0x20000 + number), ":50")}};
+        EXPECT_EQ(m_testBed.call("n9", {.path = "/hint/" + id, .id = id, .fields = fields, .body = id}).status, 503);
+    }
+    EXPECT_EQ(m_testBed.fatalCount(), before);
+}
--- a/Tests/Soak/Harness/SoakPrompts.cpp
+++ b/Tests/Soak/Harness/SoakPrompts.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
 #include <algorithm>
+#include <array>
 #include <LibCore/AbslView.h>
 #include <numeric>
 
@@ -15,7 +16,7 @@
 
 // Together with the tokens of the other parts, the last part fills the prompt.
 constexpr int PromptTokens = 1000;
-constexpr int FirstTokens = 500;
+constexpr int FirstTokens = 300;
 constexpr int SecondTokens = 200;
 constexpr int ThirdTokens = 100;
 constexpr int BadTokens = 120;
@@ -54,9 +55,17 @@
     constexpr uint64_t SecondParts = 60;
     constexpr uint64_t ThirdParts = 300;
     constexpr uint64_t OwnParts = 0x10000000;
+    // Parts of a long conversation, which all prompts with the same first part share as far as they go on with it.
+    constexpr std::array<uint64_t, 4> ConversationParts {0, 0, 20, 200};
+    constexpr uint64_t ConversationIds = 0x30000000;
     const auto kindIds = KindIds * static_cast<uint64_t>(kind);
-    std::vector<Part> parts {{.id = partId(FirstIds + kindIds + below(FirstParts)), .tokens = FirstTokens},
-                             {.id = partId(SecondIds + kindIds + below(SecondParts)), .tokens = SecondTokens}};
+    const auto first = FirstIds + kindIds + below(FirstParts);
+    std::vector<Part> parts {{.id = partId(first), .tokens = FirstTokens}};
+    const auto conversation = ConversationParts[below(ConversationParts.size())];
+    for (uint64_t number = 0; number < conversation; ++number) {
+        parts.push_back({.id = partId(ConversationIds + KindIds * (first - FirstIds) + number), .tokens = 1});
+    }
+    parts.push_back({.id = partId(SecondIds + kindIds + below(SecondParts)), .tokens = SecondTokens});
     if (below(3) == 0) {
         parts.push_back({.id = partId(ThirdIds + kindIds + below(ThirdParts)), .tokens = ThirdTokens});
     }
--- a/Tests/Soak/Harness/SoakPrompts.h
+++ b/Tests/Soak/Harness/SoakPrompts.h
@@ -16,8 +16,8 @@
 // Whether a part of the prompt in a header field has this id.
 bool hasPart(std::string_view prompt, std::string_view part);
 
-// Draws the parts of prompts as callers name them: one of a handful that all requests of a kind share, one that some share, at times another, and the
-// request's own.
+// Draws the parts of prompts as callers name them: one of a handful that all requests of a kind share, in every second prompt the twenty or two hundred of a
+// long conversation, one that some share, at times another, and the request's own.
 class SoakPrompts
 {
 public:
