Count the time of a suspension as age of the tables

What callers may see: a request on an old document, with its former homes, keys or routes, and a peer that takes its own tables for current because of it.

Cause: the steady clock stands still while a VM is suspended. After it, a relay took its rows for as old as before, reported that age to its peers in a heartbeat that was due before the next tick, and took the response to a read that had been sent before the suspension for a confirmation as of the time after it. A peer that relied on the heartbeat did not read for up to 1.95 s more. Class: ages that are computed with a clock that does not run all the time.

Change: a suspension makes the rows, and what a read in progress will confirm, older by its length, and always starts a new read. It is detected before a heartbeat is built and before a request is judged.

--- a/Libraries/LibRelayServer/PeerLink.cpp
+++ b/Libraries/LibRelayServer/PeerLink.cpp
@@ -305,6 +305,7 @@
         }
         m_isLoadUpdateScheduled = false;
         const auto now = monotonicNow();
+        m_core.detectFreeze(now);
         if (isSmallFleet(now)) {
             sendHeartbeat(NotificationScope::All, now);
         } else {
@@ -328,6 +329,8 @@
     m_isHeartbeatScheduled = false;
     const bool wasScheduledForAll = std::exchange(m_isScheduledForAll, false);
     const auto now = monotonicNow();
+    // Heartbeats state how old this relay's tables are.
+    m_core.detectFreeze(now);
     const auto silent = m_core.peers.expire(now);
     for (const auto &node : silent) {
         m_core.balancer.dropPeer(node);
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -357,11 +357,13 @@
     if (m_rollouts) {
         m_rollouts->onStopped(frozen, stopped, now);
     }
-    m_documents->readNow();
-    m_targets->readNow();
     if (frozen < MinFreezeTime) {
+        m_documents->readNow();
+        m_targets->readNow();
         return;
     }
+    m_documents->onSuspended(frozen);
+    m_targets->onSuspended(frozen);
     auto line = m_core.line(EventKind::ProcessWasFrozen);
     line.add("for_ms", std::chrono::duration_cast<std::chrono::milliseconds>(frozen).count());
     m_core.log(line);
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -66,6 +66,8 @@
 void RelayExchange::start()
 {
     const auto now = m_request.arrivedAt;
+    // A request that waited while the process was suspended must not be judged by tables that seem newer than they are.
+    m_core.detectFreeze(now);
     installCallerHooks();
     if (const auto outcome = admit(now)) {
         answer(*outcome, retryAfterFor(*outcome, now));
--- a/Libraries/LibRelayServer/TableFollower.cpp
+++ b/Libraries/LibRelayServer/TableFollower.cpp
@@ -70,6 +70,24 @@
     startRead({});
 }
 
+void TableFollower::onSuspended(std::chrono::nanoseconds time)
+{
+    const auto suspended = std::chrono::duration_cast<MonotonicTime::duration>(time);
+    m_suspended += suspended;
+    m_currentAt -= suspended;
+    if (m_readCurrentAt) {
+        *m_readCurrentAt -= suspended;
+    }
+    m_ignoresPeers = true;
+    // The response to a read in progress may have been sent before the suspension.
+    startRead({});
+}
+
+MonotonicTime TableFollower::sendTimeOf(const Read &read) const
+{
+    return read.sentAt - (m_suspended - read.suspended);
+}
+
 void TableFollower::readTable()
 {
     m_needsTable = true;
@@ -92,7 +110,8 @@
 
 void TableFollower::startRead(std::chrono::milliseconds hold)
 {
-    const auto read = std::make_shared<Read>(Read {.number = ++m_readNumber, .sentAt = monotonicNow(), .hold = hold, .isOfWholeTable = m_needsTable});
+    const auto read = std::make_shared<Read>(
+        Read {.number = ++m_readNumber, .sentAt = monotonicNow(), .suspended = m_suspended, .hold = hold, .isOfWholeTable = m_needsTable});
     m_timer.cancel();
     m_isRetryScheduled = false;
     m_readActiveAt = read->sentAt;
@@ -198,7 +217,7 @@
     m_source.clear();
     onSuccess(now);
     mergeTable({.rows = std::exchange(read->rows, {}), .version = *read->version});
-    confirmByRead(read->sentAt);
+    confirmByRead(sendTimeOf(*read));
     onReadEnded(*read);
 }
 
@@ -222,7 +241,7 @@
     }
     // A read without changes ended when the store had held it for the whole time.
     const bool wasHeldToTheEnd = changes.rows.empty() && now - read.sentAt >= read.hold;
-    confirmByRead(wasHeldToTheEnd ? read.sentAt + read.hold : read.sentAt);
+    confirmByRead(sendTimeOf(read) + (wasHeldToTheEnd ? read.hold : std::chrono::milliseconds(0)));
     onReadEnded(read);
 }
 
--- a/Libraries/LibRelayServer/TableFollower.h
+++ b/Libraries/LibRelayServer/TableFollower.h
@@ -76,6 +76,10 @@
     // Reads at once, unless a read that the store may not hold is in progress. Used when the process was stopped.
     void readNow();
 
+    // The process was suspended for a time that the steady clock does not count. The rows are older by it, and so is what a read in progress will confirm.
+    // Reads at once.
+    void onSuspended(std::chrono::nanoseconds time);
+
     // Reads the changes after a delay, because a peer has some that this relay lacks. Does nothing while such a read is planned or in progress.
     void readSoon(std::chrono::milliseconds delay);
 
@@ -151,6 +155,8 @@
     struct Read {
         uint64_t number = 0;
         MonotonicTime sentAt;
+        // Total time of suspensions before it was sent.
+        MonotonicTime::duration suspended {0};
         std::chrono::milliseconds hold {0};
         bool isOfWholeTable = false;
         // Rows of the pages so far, and the version of the first page. Later pages may contain newer rows.
@@ -173,6 +179,8 @@
     bool mergeRow(const StoreRow &row);
     // Bounds the memory for removed rows.
     void forgetRemovedRows();
+    // When a read was sent, earlier by the time for which the process has been suspended since.
+    MonotonicTime sendTimeOf(const Read &read) const;
     void confirm(MonotonicTime currentAt);
     void confirmByRead(MonotonicTime currentAt);
     void onFailure(const Read &read, const std::string &error, MonotonicTime now);
@@ -215,6 +223,8 @@
     // When the rows were last known to be current, by own reads or by those of peers, and by own reads alone.
     MonotonicTime m_currentAt;
     std::optional<MonotonicTime> m_readCurrentAt;
+    // Total time for which the process has been suspended.
+    MonotonicTime::duration m_suspended {0};
     // Whether confirmations of peers are ignored until the next read, because heartbeats may have been queued while the process was stopped.
     bool m_ignoresPeers = false;
     std::minstd_rand m_random {std::random_device {}()};
--- a/Tests/Platform/TestTableFollower.cpp
+++ b/Tests/Platform/TestTableFollower.cpp
@@ -320,3 +320,20 @@
     EXPECT_GE(requests, 3);
     EXPECT_GE(follower.age(monotonicNow()), MaxAge);
 }
+
+// Guards against rows that seem newer than they are, here and in heartbeats, because the steady clock stands still while the process is suspended.
+TEST_F(TableReads, TimeOfASuspensionCountsAsAge)
+{
+    constexpr auto Suspension = 3000ms;
+    readTable({{.key = "config", .value = "a", .version = 1}}, 10);
+    follower.readNow();
+    ASSERT_NE(read(1), "");
+    follower.onSuspended(Suspension);
+    EXPECT_GE(follower.age(monotonicNow()), Suspension);
+    ASSERT_NE(read(2), "");
+    // This response may have been sent before the suspension.
+    respond(1, {}, 10);
+    EXPECT_GE(*follower.state(monotonicNow()).age, Suspension);
+    respond(2, {}, 10);
+    EXPECT_LT(*follower.state(monotonicNow()).age, Suspension);
+}
