End the former relay before the next one starts in the tests of signals

RelaySignals.ReloadAtAnyMomentOfTheStartIsDone failed once on a busy machine: serves() false for 20 s. start() replaced the process in one assignment, so the next relay was started while the former one still ran with the same addresses; when the test was slow to kill it, the new relay found its addresses in use and ended with exit code 3 (cannot start). start() now ends the former relay, and waits for its end, first. The checks are the same, and serves() cannot ask the former relay any more.

--- a/Tests/Services/TestRelaySignals.cpp
+++ b/Tests/Services/TestRelaySignals.cpp
@@ -72,8 +72,10 @@
         std::ofstream(path, std::ios::trunc) << text;
     }
 
+    // Ends the former relay first, because it holds the same addresses.
     void start(const std::vector<int> &blockedSignals = {})
     {
+        m_relay.reset();
         m_relay = std::make_unique<ChildProcess>("jujube-relay", std::vector<std::string> {"--settings-file", m_file}, log(), blockedSignals);
     }
 
