Log by which document and homes a request is sent

A request ran outside its home regions, and no line told by which document its target was chosen, with which homes, or in which region the target is.

relay_accepted and relay_sent have the document, the time since it was last known to be current and the homes, if the request has any; relay_sent also has the data centre and the region. relay_sent_outside_homes (4011) and relay_sends_outside_homes_total count sends to targets outside the homes that the document in force gives the request. No decision is changed.

--- a/Libraries/LibEvents/EventKind.h
+++ b/Libraries/LibEvents/EventKind.h
@@ -73,6 +73,7 @@
     RelayCallerGone = 4008,
     RelayCopied = 4009,
     RelayUnfinished = 4010,
+    RelaySentOutsideHomes = 4011,
     TargetListed = 4101,
     TargetLeft = 4102,
     RowUnreadable = 4103,
--- a/Libraries/LibRelay/RelayAdmission.cpp
+++ b/Libraries/LibRelay/RelayAdmission.cpp
@@ -63,4 +63,14 @@
     return request;
 }
 
+std::optional<std::vector<std::string>> homesByDocument(const RouteTable &routes, const RequestAttributes &attributes, const RequestAdmission &admission)
+{
+    const auto *route = routes.findRoute(attributes.host, attributes.path);
+    const auto *workspace = attributes.key.empty() ? nullptr : routes.findWorkspaceByKey(attributes.key);
+    if (!route || (admission.workspace && !workspace)) {
+        return admission.homeRegions;
+    }
+    return RouteTable::homeRegions(*route, workspace);
+}
+
 } // namespace Jujube
--- a/Libraries/LibRelay/RelayAdmission.h
+++ b/Libraries/LibRelay/RelayAdmission.h
@@ -42,4 +42,8 @@
 // Checks a request against the document in force. `routes` is null while there is none; `draw` is uniform in [0, 1).
 RequestAdmission admitRequest(const RouteTable *routes, const RequestAttributes &attributes, double draw, MonotonicTime now);
 
+// The home regions that a later document gives to an admitted request, by its host, path and key: those of its admission if the document does not have its
+// route or key any more. Nothing if it may be served anywhere.
+std::optional<std::vector<std::string>> homesByDocument(const RouteTable &routes, const RequestAttributes &attributes, const RequestAdmission &admission);
+
 } // namespace Jujube
--- a/Libraries/LibRelay/TargetBalancer.cpp
+++ b/Libraries/LibRelay/TargetBalancer.cpp
@@ -306,6 +306,12 @@
     return 0;
 }
 
+std::string_view TargetBalancer::regionOf(const std::string &dataCentre) const
+{
+    const auto found = m_options.regions.find(dataCentre);
+    return found == m_options.regions.end() ? std::string_view() : std::string_view(found->second);
+}
+
 bool TargetBalancer::isHome(const std::optional<std::vector<std::string>> &homes, const std::string &dataCentre) const
 {
     if (!homes) {
--- a/Libraries/LibRelay/TargetBalancer.h
+++ b/Libraries/LibRelay/TargetBalancer.h
@@ -115,6 +115,11 @@
 
     explicit TargetBalancer(Options options);
 
+    // The region of a data centre. Empty if it is unknown.
+    std::string_view regionOf(const std::string &dataCentre) const;
+    // Whether a data centre is in one of the regions. No regions at all allow any data centre.
+    bool isHome(const std::optional<std::vector<std::string>> &homes, const std::string &dataCentre) const;
+
     Choice choose(const Query &query, const TargetTable &targets, const RelayService &service, MonotonicTime now, uint64_t random) const;
 
     // Updates for this relay's own runs.
@@ -187,7 +192,6 @@
     double serviceCost(const TargetLoad &load, int slots) const;
     double distanceCost(const std::string &dataCentre, int liveRelays) const;
     bool isUnreachable(const std::string &target, MonotonicTime now) const;
-    bool isHome(const std::optional<std::vector<std::string>> &homes, const std::string &dataCentre) const;
     void addOwnLoad(const Run &run, int sign);
     void setHasBackup(const std::string &request, bool hasBackup);
     static void addLoad(Loads &loads, const TargetLoad &load, int sign);
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -1,6 +1,7 @@
 #include <LibRelayServer/RelayExchange.h>
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <algorithm>
 #include <LibCore/AbslView.h>
 #include <LibRelay/DrainAdmission.h>
@@ -135,13 +136,21 @@
         .add("workspace", m_admission.workspace ? m_admission.workspace->name : "")
         .add("kind", nameOf(m_admission.route->kind))
         .add("time_left_ms", wholeMilliseconds(m_admission.deadline - now).count())
-        .add("document", m_routes->document().version)
         .add("prompt_tokens", m_admission.demand.promptTokens)
         .add("expected_tokens", m_admission.demand.expectedTokens);
+    addHomes(line, now);
     m_core.log(line);
     m_core.metrics.count("relay_requests_total");
 }
 
+void RelayExchange::addHomes(LogLine &line, MonotonicTime now) const
+{
+    line.add("document", m_routes->document().version).add("document_age_ms", m_core.documentAge(now).count());
+    if (m_admission.homeRegions) {
+        line.add("homes", absl::StrJoin(*m_admission.homeRegions, ","));
+    }
+}
+
 std::chrono::milliseconds RelayExchange::retryAfterFor(RelayOutcome outcome, MonotonicTime now)
 {
     if (outcome == RelayOutcome::Draining) {
@@ -401,7 +410,7 @@
     }
     m_core.running.insert(this);
     m_core.finishMigration(m_id);
-    logAttempt(attempt, load);
+    logAttempt(attempt, load, now);
     const auto number = ++m_attemptNumber;
     const auto self = shared_from_this();
     m_targetConnection->exchange(
@@ -435,12 +444,16 @@
     }
 }
 
-void RelayExchange::logAttempt(const RelayAttempt &attempt, const TargetLoad &load)
+void RelayExchange::logAttempt(const RelayAttempt &attempt, const TargetLoad &load, MonotonicTime now)
 {
+    const auto *known = m_core.targets.find(attempt.target.id);
+    const auto &dataCentre = known ? known->entry.dataCentre : std::string();
     auto line = m_core.line(EventKind::RelaySent);
     line.add("request", m_id)
         .add("target", attempt.target.id)
         .add("address", attempt.target.address)
+        .add("data_centre", dataCentre)
+        .add("region", m_core.balancer.regionOf(dataCentre))
         .add("attempt", attempt.attempt)
         .add("time_left_ms", attempt.timeLeft.count())
         .add("target_running", load.running)
@@ -455,8 +468,41 @@
     if (attempt.backup) {
         line.add("backup", attempt.backup->id);
     }
+    addHomes(line, now);
     m_core.log(line);
     m_core.metrics.count("relay_sends_total");
+    checkHomes(attempt.target.id, dataCentre);
+}
+
+const std::optional<std::vector<std::string>> &RelayExchange::homesByDocumentInForce()
+{
+    const auto version = m_core.routes->document().version;
+    if (version == m_routes->document().version) {
+        return m_admission.homeRegions;
+    }
+    if (!m_laterHomes || m_laterHomes->document != version) {
+        const auto attributes = parseRequestClaims(m_request.head, m_core.adapter.fields);
+        m_laterHomes = {.document = version, .regions = homesByDocument(*m_core.routes, attributes, m_admission)};
+    }
+    return m_laterHomes->regions;
+}
+
+void RelayExchange::checkHomes(const std::string &target, const std::string &dataCentre)
+{
+    const auto &homes = homesByDocumentInForce();
+    if (m_core.balancer.isHome(homes, dataCentre)) {
+        return;
+    }
+    auto line = m_core.line(EventKind::RelaySentOutsideHomes);
+    line.add("request", m_id)
+        .add("target", target)
+        .add("data_centre", dataCentre)
+        .add("region", m_core.balancer.regionOf(dataCentre))
+        .add("homes", absl::StrJoin(*homes, ","))
+        .add("document", m_core.routes->document().version)
+        .add("accepted_by_document", m_routes->document().version);
+    m_core.log(line);
+    m_core.metrics.count("relay_sends_outside_homes_total");
 }
 
 bool RelayExchange::onHead(const MessageHead &head, std::optional<uint64_t> length)
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -105,7 +105,13 @@
     void dropBackup();
     std::optional<RelayTarget> chooseBackup(const RelayTarget &target, MonotonicTime now);
     void send(const RelayAttempt &attempt);
-    void logAttempt(const RelayAttempt &attempt, const TargetLoad &load);
+    void logAttempt(const RelayAttempt &attempt, const TargetLoad &load, MonotonicTime now);
+    // Adds what decides in which regions the request may be served: the document, how sure it is that there is no newer one, and the regions.
+    void addHomes(LogLine &line, MonotonicTime now) const;
+    // Logs a request that was sent outside the homes that the document in force gives it.
+    void checkHomes(const std::string &target, const std::string &dataCentre);
+    // The homes that the document in force gives to the request.
+    const std::optional<std::vector<std::string>> &homesByDocumentInForce();
     bool onHead(const MessageHead &head, std::optional<uint64_t> length);
     // Applies the state that a response reports in addition to its content: the target is leaving, or asks for a cooldown.
     void noteTargetState(const TargetResponse &response, MonotonicTime now);
@@ -146,6 +152,12 @@
     CallerRequest m_request;
     std::shared_ptr<const RouteTable> m_routes;
     RequestAdmission m_admission;
+    // What a document later than that of the admission gives to the request.
+    struct LaterHomes {
+        int64_t document = 0;
+        std::optional<std::vector<std::string>> regions;
+    };
+    std::optional<LaterHomes> m_laterHomes;
     const std::string m_id;
     std::string m_target;
     int64_t m_targetIncarnation = 0;
--- a/Tests/LibRelay/TestRelayAdmission.cpp
+++ b/Tests/LibRelay/TestRelayAdmission.cpp
@@ -94,3 +94,20 @@
     hintAboveMax.lengthHint = 5000;
     EXPECT_EQ(admit(hintAboveMax).demand.expectedTokens, 2000);
 }
+
+// Guards against requests that run by the homes of a former document, and against those that a document without their route or key lets run anywhere.
+TEST(RelayAdmission, LaterDocumentChangesTheHomes)
+{
+    const auto draft = admit(DefaultAttributes);
+    auto later = document();
+    later.routes[0].homeRegions = {"sindh"};
+    later.workspaces[0].homeRegions = {};
+    EXPECT_EQ(homesByDocument(RouteTable(later), DefaultAttributes, draft), std::vector<std::string> {"sindh"});
+    later.routes[0].homeRegions = {};
+    EXPECT_EQ(homesByDocument(RouteTable(later), DefaultAttributes, draft), std::nullopt);
+    later.workspaces.clear();
+    EXPECT_EQ(homesByDocument(RouteTable(later), DefaultAttributes, draft), draft.homeRegions);
+    later = document();
+    later.routes.clear();
+    EXPECT_EQ(homesByDocument(RouteTable(later), DefaultAttributes, draft), draft.homeRegions);
+}
