Choose targets by the homes of the document in force

What callers saw: a request whose route has home regions reached a target of another region, after a new version of the document had changed the homes.

With a newer document in force on the same relay, retries, copies and backups went to the former homes. Class of fault: a decision that is kept for longer than what it was taken from.

Every choice of a target, a copy's destination or a backup, and every continuation now goes by the homes of the document in force at that moment (homesByDocument, homesInForce): where they differ from those of the admission, both bind, or the newer ones if they have no region in common. A document without the route or key leaves those of the admission. They are computed once for each version of the document. An order to copy that waited is given up if its destination is no longer at home, and a new document drops backups outside the homes. A run that has begun stays at its target. A generation whose target fails with no holder left at home is cut, as where its backup is lost.

That this is what the users have seen is not shown: the report could not be reproduced.

--- a/Libraries/LibRelay/RelayAdmission.cpp
+++ b/Libraries/LibRelay/RelayAdmission.cpp
@@ -1,6 +1,7 @@
 #include <LibRelay/RelayAdmission.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace Jujube
 {
@@ -73,4 +74,15 @@
     return RouteTable::homeRegions(*route, workspace);
 }
 
+std::optional<std::vector<std::string>> homesInForce(const std::optional<std::vector<std::string>> &admitted,
+                                                     const std::optional<std::vector<std::string>> &later)
+{
+    if (!admitted || !later) {
+        return later ? later : admitted;
+    }
+    std::vector<std::string> both;
+    std::ranges::copy_if(*later, std::back_inserter(both), [&](const auto &region) { return std::ranges::find(*admitted, region) != admitted->end(); });
+    return both.empty() ? later : both;
+}
+
 } // namespace Jujube
--- a/Libraries/LibRelay/RelayAdmission.h
+++ b/Libraries/LibRelay/RelayAdmission.h
@@ -46,4 +46,9 @@
 // route or key any more. Nothing if it may be served anywhere.
 std::optional<std::vector<std::string>> homesByDocument(const RouteTable &routes, const RequestAttributes &attributes, const RequestAdmission &admission);
 
+// The home regions of an admitted request while a later document gives it `later`: those that its admission allows as well, or all of `later` if there are
+// none.
+std::optional<std::vector<std::string>> homesInForce(const std::optional<std::vector<std::string>> &admitted,
+                                                     const std::optional<std::vector<std::string>> &later);
+
 } // namespace Jujube
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -131,8 +131,8 @@
         std::function<std::optional<RelayTarget>(const RelayTarget &target, MonotonicTime now)> chooseBackup;
         // Chooses the destination of a migration from a target that is leaving.
         std::function<std::optional<RelayTarget>(const std::set<std::string> &excluded, MonotonicTime now)> chooseDestination;
-        // Whether a generation may be continued at the target that holds its KV cache: the target's data centre is in service, the target has no cooldown, and
-        // the generation is not a poison request.
+        // Whether a generation may be continued at the target that holds its KV cache: the target's data centre is in service and in a home region of the
+        // request, the target has no cooldown, and the generation is not a poison request.
         std::function<bool(const RelayTarget &target, MonotonicTime now)> mayContinue;
         // Takes one retry from the budget of the service. Returns false if none is left.
         std::function<bool(MonotonicTime now)> tryTakeRetry;
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -152,6 +152,14 @@
     }
 }
 
+void RelayCore::dropBackupsOutsideHomes()
+{
+    for (auto *exchange : running) {
+        exchange->dropBackupOutsideHomes();
+    }
+    runMigrations();
+}
+
 void RelayCore::recordLeaving(const std::string &target, int64_t incarnation, std::string_view reason, MonotonicTime now)
 {
     if (targets.recordLeaving(target, incarnation, now)) {
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -103,6 +103,8 @@
 
     // Stops generations from relying on backups that this target keeps.
     void dropBackupsAt(const std::string &target);
+    // The same for backups outside the homes that a new document gives to the requests.
+    void dropBackupsOutsideHomes();
 
     // Handles a target that has reported that it is leaving, in its state or in a response.
     void recordLeaving(const std::string &target, int64_t incarnation, std::string_view reason, MonotonicTime now);
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -143,11 +143,12 @@
     m_core.metrics.count("relay_requests_total");
 }
 
-void RelayExchange::addHomes(LogLine &line, MonotonicTime now) const
+void RelayExchange::addHomes(LogLine &line, MonotonicTime now)
 {
-    line.add("document", m_routes->document().version).add("document_age_ms", m_core.documentAge(now).count());
-    if (m_admission.homeRegions) {
-        line.add("homes", absl::StrJoin(*m_admission.homeRegions, ","));
+    const auto &current = homes();
+    line.add("document", current.document).add("document_age_ms", m_core.documentAge(now).count());
+    if (current.inForce) {
+        line.add("homes", absl::StrJoin(*current.inForce, ","));
     }
 }
 
@@ -247,7 +248,7 @@
     }
     const auto choice = chooseByVersion({.demand = m_admission.demand,
                                          .excluded = excluded,
-                                         .homeRegions = m_admission.homeRegions,
+                                         .homeRegions = homes().inForce,
                                          .liveRelays = m_core.liveRelays(now),
                                          .coldRateParticipants = m_core.peers.coldRateParticipants(now),
                                          .reservedTarget = reservedTarget(now)},
@@ -474,23 +475,30 @@
     checkHomes(attempt.target.id, dataCentre);
 }
 
-const std::optional<std::vector<std::string>> &RelayExchange::homesByDocumentInForce()
+const RelayExchange::Homes &RelayExchange::homes()
 {
     const auto version = m_core.routes->document().version;
-    if (version == m_routes->document().version) {
-        return m_admission.homeRegions;
+    if (!m_homes || m_homes->document != version) {
+        const bool isOfAdmission = version == m_routes->document().version;
+        auto byDocument
+            = isOfAdmission ? m_admission.homeRegions : homesByDocument(*m_core.routes, parseRequestClaims(m_request.head, m_core.adapter.fields), m_admission);
+        auto inForce = homesInForce(m_admission.homeRegions, byDocument);
+        m_homes = {.document = version, .byDocument = std::move(byDocument), .inForce = std::move(inForce)};
     }
-    if (!m_laterHomes || m_laterHomes->document != version) {
-        const auto attributes = parseRequestClaims(m_request.head, m_core.adapter.fields);
-        m_laterHomes = {.document = version, .regions = homesByDocument(*m_core.routes, attributes, m_admission)};
-    }
-    return m_laterHomes->regions;
+    return *m_homes;
+}
+
+bool RelayExchange::isHome(const std::string &target)
+{
+    const auto &regions = homes().inForce;
+    const auto *known = m_core.targets.find(target);
+    return !regions || (known && m_core.balancer.isHome(regions, known->entry.dataCentre));
 }
 
 void RelayExchange::checkHomes(const std::string &target, const std::string &dataCentre)
 {
-    const auto &homes = homesByDocumentInForce();
-    if (m_core.balancer.isHome(homes, dataCentre)) {
+    const auto &regions = homes().byDocument;
+    if (m_core.balancer.isHome(regions, dataCentre)) {
         return;
     }
     auto line = m_core.line(EventKind::RelaySentOutsideHomes);
@@ -498,7 +506,7 @@
         .add("target", target)
         .add("data_centre", dataCentre)
         .add("region", m_core.balancer.regionOf(dataCentre))
-        .add("homes", absl::StrJoin(*homes, ","))
+        .add("homes", absl::StrJoin(*regions, ","))
         .add("document", m_core.routes->document().version)
         .add("accepted_by_document", m_routes->document().version);
     m_core.log(line);
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -26,6 +26,8 @@
     void queueMigration();
     // Handles that a target is leaving that may keep the generation's backup.
     void onBackupLeaving(const std::string &target);
+    // Handles a new document, by which the generation's backup may be outside the request's homes.
+    void dropBackupOutsideHomes();
     // Queues the generation for migration because all requests of its service go to another version. A backup does not replace that, because the engine stays.
     void leaveSupersededTarget();
     // Starts the migration when it is due. Returns false if no copy was started.
@@ -98,7 +100,7 @@
     // Counts a request that is sent to a target against the target's limit.
     void useRequestLimit(const std::string &target, MonotonicTime now);
     // Query for a target that may receive a copy of the generation. Only targets in the source's data centre match.
-    TargetBalancer::Query copyQuery(const std::string &source, const std::set<std::string> &excluded, MonotonicTime now) const;
+    TargetBalancer::Query copyQuery(const std::string &source, const std::set<std::string> &excluded, MonotonicTime now);
     std::optional<RelayTarget> chooseDestination(const std::set<std::string> &excluded, MonotonicTime now);
     bool mayContinue(const RelayTarget &holder, MonotonicTime now);
     // Stops relying on the generation's backup.
@@ -107,11 +109,20 @@
     void send(const RelayAttempt &attempt);
     void logAttempt(const RelayAttempt &attempt, const TargetLoad &load, MonotonicTime now);
     // Adds what decides in which regions the request may be served: the document, how sure it is that there is no newer one, and the regions.
-    void addHomes(LogLine &line, MonotonicTime now) const;
+    void addHomes(LogLine &line, MonotonicTime now);
     // Logs a request that was sent outside the homes that the document in force gives it.
     void checkHomes(const std::string &target, const std::string &dataCentre);
-    // The homes that the document in force gives to the request.
-    const std::optional<std::vector<std::string>> &homesByDocumentInForce();
+    // The home regions of the request, computed when the document has changed. Nothing for anywhere.
+    struct Homes {
+        int64_t document = 0;
+        // Those that the document gives to the request.
+        std::optional<std::vector<std::string>> byDocument;
+        // Those by which targets are chosen.
+        std::optional<std::vector<std::string>> inForce;
+    };
+    const Homes &homes();
+    // Whether a target is in the homes in force. The region of one that the list does not know is unknown.
+    bool isHome(const std::string &target);
     bool onHead(const MessageHead &head, std::optional<uint64_t> length);
     // Applies the state that a response reports in addition to its content: the target is leaving, or asks for a cooldown.
     void noteTargetState(const TargetResponse &response, MonotonicTime now);
@@ -152,12 +163,7 @@
     CallerRequest m_request;
     std::shared_ptr<const RouteTable> m_routes;
     RequestAdmission m_admission;
-    // What a document later than that of the admission gives to the request.
-    struct LaterHomes {
-        int64_t document = 0;
-        std::optional<std::vector<std::string>> regions;
-    };
-    std::optional<LaterHomes> m_laterHomes;
+    std::optional<Homes> m_homes;
     const std::string m_id;
     std::string m_target;
     int64_t m_targetIncarnation = 0;
--- a/Libraries/LibRelayServer/RelayExchangeMigration.cpp
+++ b/Libraries/LibRelayServer/RelayExchangeMigration.cpp
@@ -30,12 +30,12 @@
 
 } // namespace
 
-TargetBalancer::Query RelayExchange::copyQuery(const std::string &source, const std::set<std::string> &excluded, MonotonicTime now) const
+TargetBalancer::Query RelayExchange::copyQuery(const std::string &source, const std::set<std::string> &excluded, MonotonicTime now)
 {
     const auto *known = m_core.targets.find(source);
     return {.demand = m_admission.demand,
             .excluded = excluded,
-            .homeRegions = m_admission.homeRegions,
+            .homeRegions = homes().inForce,
             .liveRelays = m_core.liveRelays(now),
             .isMigration = true,
             .source = source,
@@ -86,7 +86,7 @@
         return false;
     }
     const auto *known = m_core.targets.find(holder.id);
-    return !(known && m_core.targets.isOutOfService(known->entry.dataCentre)) && m_core.balancer.cooldowns().mayContinue(holder.id, now)
+    return !(known && m_core.targets.isOutOfService(known->entry.dataCentre)) && isHome(holder.id) && m_core.balancer.cooldowns().mayContinue(holder.id, now)
         && (reservedTarget(now) == holder.id || m_core.balancer.requestLimits().mayContinue(holder.id, now));
 }
 
@@ -113,6 +113,15 @@
     }
 }
 
+void RelayExchange::dropBackupOutsideHomes()
+{
+    const auto holder = m_isFinished ? std::nullopt : m_session->backup();
+    if (holder && !isHome(holder->id)) {
+        record("drop_backup", holder->id);
+        onBackupLeaving(holder->id);
+    }
+}
+
 void RelayExchange::dropBackup()
 {
     m_session->onBackupLost();
@@ -134,7 +143,7 @@
 {
     const auto orderedAt = monotonicNow();
     auto &limits = m_core.balancer.requestLimits();
-    if (!limits.mayContinue(source.id, orderedAt)) {
+    if (!isHome(destination.id) || !limits.mayContinue(source.id, orderedAt)) {
         waitForCopy(source, destination, stop, orderedAt);
         return;
     }
@@ -193,15 +202,15 @@
 void RelayExchange::waitForCopy(const RelayTarget &source, const RelayTarget &destination, bool stop, MonotonicTime now)
 {
     const auto next = m_core.balancer.requestLimits().nextContinueTime(source.id, now);
-    // The engine is gone by then, and others may migrate in the meantime.
-    const bool isTooLate = !next || *next - now > MaxWaitForCopy;
-    m_migrationTimer.expires_at(isTooLate ? now : *next);
+    // After a long wait the engine is gone, and others may migrate in the meantime.
+    const bool isGivenUp = !isHome(destination.id) || !next || *next - now > MaxWaitForCopy;
+    m_migrationTimer.expires_at(isGivenUp ? now : *next);
     // The source's stream may end while the order waits, and then nothing else keeps the exchange alive.
-    m_migrationTimer.async_wait([self = shared_from_this(), source, destination, stop, isTooLate](const LoopError &error) {
+    m_migrationTimer.async_wait([self = shared_from_this(), source, destination, stop, isGivenUp](const LoopError &error) {
         if (error || self->m_isFinished) {
             return;
         }
-        if (isTooLate) {
+        if (isGivenUp) {
             self->handleCopied({.kind = CopyResult::Kind::Busy}, monotonicNow());
         } else {
             self->copy(source, destination, stop);
--- a/Libraries/LibRelayServer/RelayTables.cpp
+++ b/Libraries/LibRelayServer/RelayTables.cpp
@@ -437,6 +437,7 @@
         .add("behind_ms", m_documentLag.duration(monotonicNow()).count());
     m_core.log(line);
     m_core.routes = std::make_shared<const RouteTable>(*std::move(document));
+    m_core.dropBackupsOutsideHomes();
 }
 
 std::optional<TargetEntry> Relay::decodeTarget(const StoreRow &row)
--- a/Tests/LibRelay/TestRelayAdmission.cpp
+++ b/Tests/LibRelay/TestRelayAdmission.cpp
@@ -111,3 +111,14 @@
     later.routes.clear();
     EXPECT_EQ(homesByDocument(RouteTable(later), DefaultAttributes, draft), draft.homeRegions);
 }
+
+// Guards against a request that leaves the regions of its admission although the later document allows some of them, or that has no place at all.
+TEST(RelayAdmission, HomesOfAdmissionBindAsFarAsTheLaterOnesAllow)
+{
+    using Regions = std::vector<std::string>;
+    EXPECT_EQ(homesInForce(std::nullopt, std::nullopt), std::nullopt);
+    EXPECT_EQ(homesInForce(std::nullopt, Regions {"a"}), Regions {"a"});
+    EXPECT_EQ(homesInForce(Regions {"a"}, std::nullopt), Regions {"a"});
+    EXPECT_EQ(homesInForce(Regions {"a", "b"}, Regions {"c", "b"}), Regions {"b"});
+    EXPECT_EQ(homesInForce(Regions {"a"}, Regions {"b"}), Regions {"b"});
+}
--- a/Tests/Platform/RelayTestBed.cpp
+++ b/Tests/Platform/RelayTestBed.cpp
@@ -217,6 +217,13 @@
     return body;
 }
 
+std::string RelayTestBed::metrics(const std::string &node)
+{
+    std::string body;
+    get(m_nodes.at(node).options.metrics, "/metrics", &body);
+    return body;
+}
+
 std::string RelayTestBed::rollouts(const std::string &node)
 {
     std::string body;
--- a/Tests/Platform/RelayTestBed.h
+++ b/Tests/Platform/RelayTestBed.h
@@ -78,6 +78,7 @@
     std::shared_ptr<TargetChannel> begin(const std::string &node, const Request &request, const std::shared_ptr<Response> &response);
     int readiness(const std::string &node);
     std::string directory(const std::string &node);
+    std::string metrics(const std::string &node);
     // What a relay tells operators of rollouts.
     std::string rollouts(const std::string &node);
 
