--- a/Libraries/LibEvents/EventKind.cpp
+++ b/Libraries/LibEvents/EventKind.cpp
@@ -39,6 +39,9 @@
     EventKindInfo {EventKind::DocumentRefused, "document_refused", "An offered environment document was older, damaged or invalid."},
     EventKindInfo {EventKind::DataCentreOut, "data_centre_out", "A data centre was taken out of service; it gets no new work."},
     EventKindInfo {EventKind::DataCentreIn, "data_centre_in", "A data centre is back in service."},
+    EventKindInfo {EventKind::DataCentreUnlisted,
+                   "data_centre_unlisted",
+                   "The store, restored from an older copy, lacks a data centre that is out of service; it stays so for some seconds."},
     EventKindInfo {EventKind::PlatformLost, "platform_lost", "The table service does not answer."},
     EventKindInfo {EventKind::PlatformRegained, "platform_regained", "The table service answers again."},
     EventKindInfo {EventKind::GatewayIsolated, "gateway_isolated", "Neither the platform nor enough peers answer; no new work is started."},
@@ -95,6 +98,7 @@
     EventKindInfo {EventKind::TargetLimitEnded, "target_limit_ended", "A target no longer names a limit."},
     EventKindInfo {EventKind::TableBehind, "table_behind", "Peers have had newer rows of a table for a while, and this relay has not."},
     EventKindInfo {EventKind::PeerReadFailed, "peer_read_failed", "A peer that was asked for the rows of a table did not deliver them."},
+    EventKindInfo {EventKind::StoreRestored, "store_restored", "The store has come back from an older copy of itself; the table is read as a whole."},
 };
 
 }
--- a/Libraries/LibEvents/EventKind.h
+++ b/Libraries/LibEvents/EventKind.h
@@ -38,6 +38,7 @@
     DocumentRefused = 3002,
     DataCentreOut = 3003,
     DataCentreIn = 3004,
+    DataCentreUnlisted = 3005,
     PlatformLost = 3101,
     PlatformRegained = 3102,
     GatewayIsolated = 3201,
@@ -83,6 +84,7 @@
     TargetLimitEnded = 4107,
     TableBehind = 4108,
     PeerReadFailed = 4109,
+    StoreRestored = 4110,
 };
 
 // One line of the catalogue.
--- a/Libraries/LibLoop/LoopClient.cpp
+++ b/Libraries/LibLoop/LoopClient.cpp
@@ -1,7 +1,9 @@
 #include <LibLoop/LoopClient.h>
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <LibCore/AbslView.h>
 
 namespace Jujube
 {
@@ -79,6 +81,12 @@
 
 } // namespace
 
+std::string_view LoopAnswer::value(std::string_view name) const
+{
+    const auto found = std::ranges::find_if(fields, [&](const HeaderField &field) { return absl::EqualsIgnoreCase(field.name, toAbsl(name)); });
+    return found == fields.end() ? std::string_view() : std::string_view(found->value);
+}
+
 LoopClient::LoopClient(boost::asio::io_context &loop)
     : m_loop(loop)
     , m_pool(loop)
@@ -101,6 +109,7 @@
                                {.onHead =
                                     [pending](const MessageHead &head, const std::optional<uint64_t> &) {
                                         pending->answer.status = head.status;
+                                        pending->answer.fields = head.fields;
                                         return true;
                                     },
                                 .onBody =
--- a/Libraries/LibLoop/LoopClient.h
+++ b/Libraries/LibLoop/LoopClient.h
@@ -28,6 +28,7 @@
     ChannelEnd end = ChannelEnd::NotSent;
     // Zero if no whole answer arrived.
     int status = 0;
+    std::vector<HeaderField> fields;
     std::string body;
     std::string error;
     ConnectFailure connectFailure = ConnectFailure::None;
@@ -38,6 +39,9 @@
     {
         return end == ChannelEnd::Complete && status / 100 == 2;
     }
+
+    // The value of the first field of this name, in any case. Empty if there is none.
+    std::string_view value(std::string_view name) const;
 };
 
 // Makes short calls with a timeout over pooled connections and delivers whole answers. Used on the loop's thread only.
--- a/Libraries/LibRelay/Generated/Relay_types.cpp
+++ b/Libraries/LibRelay/Generated/Relay_types.cpp
@@ -251,6 +251,11 @@
   this->softwareVersion = val;
 __isset.softwareVersion = true;
 }
+
+void ChangedTarget::__set_sequence(const int64_t val) {
+  this->sequence = val;
+__isset.sequence = true;
+}
 std::ostream& operator<<(std::ostream& out, const ChangedTarget& obj)
 {
   obj.printTo(out);
@@ -367,6 +372,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -429,6 +442,11 @@
     xfer += oprot->writeString(this->softwareVersion);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.sequence) {
+    xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 12);
+    xfer += oprot->writeI64(this->sequence);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -447,6 +465,7 @@
   swap(a.version, b.version);
   swap(a.saidLeaving, b.saidLeaving);
   swap(a.softwareVersion, b.softwareVersion);
+  swap(a.sequence, b.sequence);
   swap(a.__isset, b.__isset);
 }
 
@@ -462,6 +481,7 @@
   version = other4.version;
   saidLeaving = other4.saidLeaving;
   softwareVersion = other4.softwareVersion;
+  sequence = other4.sequence;
   __isset = other4.__isset;
 }
 ChangedTarget::ChangedTarget(ChangedTarget&& other5) noexcept {
@@ -476,6 +496,7 @@
   version = other5.version;
   saidLeaving = other5.saidLeaving;
   softwareVersion = std::move(other5.softwareVersion);
+  sequence = other5.sequence;
   __isset = other5.__isset;
 }
 ChangedTarget& ChangedTarget::operator=(const ChangedTarget& other6) {
@@ -490,6 +511,7 @@
   version = other6.version;
   saidLeaving = other6.saidLeaving;
   softwareVersion = other6.softwareVersion;
+  sequence = other6.sequence;
   __isset = other6.__isset;
   return *this;
 }
@@ -505,6 +527,7 @@
   version = other7.version;
   saidLeaving = other7.saidLeaving;
   softwareVersion = std::move(other7.softwareVersion);
+  sequence = other7.sequence;
   __isset = other7.__isset;
   return *this;
 }
@@ -522,6 +545,7 @@
   out << ", " << "version=" << to_string(version);
   out << ", " << "saidLeaving=" << to_string(saidLeaving);
   out << ", " << "softwareVersion="; (__isset.softwareVersion ? (out << to_string(softwareVersion)) : (out << "<null>"));
+  out << ", " << "sequence="; (__isset.sequence ? (out << to_string(sequence)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3034,6 +3058,16 @@
   this->rolloutCount = val;
 __isset.rolloutCount = true;
 }
+
+void RelayHeartbeat::__set_documentEra(const int64_t val) {
+  this->documentEra = val;
+__isset.documentEra = true;
+}
+
+void RelayHeartbeat::__set_targetsEra(const int64_t val) {
+  this->targetsEra = val;
+__isset.targetsEra = true;
+}
 std::ostream& operator<<(std::ostream& out, const RelayHeartbeat& obj)
 {
   obj.printTo(out);
@@ -3382,6 +3416,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 30:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->documentEra);
+          this->__isset.documentEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 31:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->targetsEra);
+          this->__isset.targetsEra = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3584,6 +3634,16 @@
     xfer += oprot->writeI32(this->rolloutCount);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.documentEra) {
+    xfer += oprot->writeFieldBegin("documentEra", ::apache::thrift::protocol::T_I64, 30);
+    xfer += oprot->writeI64(this->documentEra);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.targetsEra) {
+    xfer += oprot->writeFieldBegin("targetsEra", ::apache::thrift::protocol::T_I64, 31);
+    xfer += oprot->writeI64(this->targetsEra);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3619,6 +3679,8 @@
   swap(a.soundParts, b.soundParts);
   swap(a.rollouts, b.rollouts);
   swap(a.rolloutCount, b.rolloutCount);
+  swap(a.documentEra, b.documentEra);
+  swap(a.targetsEra, b.targetsEra);
   swap(a.__isset, b.__isset);
 }
 
@@ -3651,6 +3713,8 @@
   soundParts = other180.soundParts;
   rollouts = other180.rollouts;
   rolloutCount = other180.rolloutCount;
+  documentEra = other180.documentEra;
+  targetsEra = other180.targetsEra;
   __isset = other180.__isset;
 }
 RelayHeartbeat::RelayHeartbeat(RelayHeartbeat&& other181) noexcept {
@@ -3682,6 +3746,8 @@
   soundParts = std::move(other181.soundParts);
   rollouts = std::move(other181.rollouts);
   rolloutCount = other181.rolloutCount;
+  documentEra = other181.documentEra;
+  targetsEra = other181.targetsEra;
   __isset = other181.__isset;
 }
 RelayHeartbeat& RelayHeartbeat::operator=(const RelayHeartbeat& other182) {
@@ -3713,6 +3779,8 @@
   soundParts = other182.soundParts;
   rollouts = other182.rollouts;
   rolloutCount = other182.rolloutCount;
+  documentEra = other182.documentEra;
+  targetsEra = other182.targetsEra;
   __isset = other182.__isset;
   return *this;
 }
@@ -3745,6 +3813,8 @@
   soundParts = std::move(other183.soundParts);
   rollouts = std::move(other183.rollouts);
   rolloutCount = other183.rolloutCount;
+  documentEra = other183.documentEra;
+  targetsEra = other183.targetsEra;
   __isset = other183.__isset;
   return *this;
 }
@@ -3779,6 +3849,8 @@
   out << ", " << "soundParts="; (__isset.soundParts ? (out << to_string(soundParts)) : (out << "<null>"));
   out << ", " << "rollouts="; (__isset.rollouts ? (out << to_string(rollouts)) : (out << "<null>"));
   out << ", " << "rolloutCount="; (__isset.rolloutCount ? (out << to_string(rolloutCount)) : (out << "<null>"));
+  out << ", " << "documentEra="; (__isset.documentEra ? (out << to_string(documentEra)) : (out << "<null>"));
+  out << ", " << "targetsEra="; (__isset.targetsEra ? (out << to_string(targetsEra)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibRelay/Generated/Relay_types.h
+++ b/Libraries/LibRelay/Generated/Relay_types.h
@@ -121,7 +121,7 @@
 std::ostream& operator<<(std::ostream& out, const LoadOnTarget& obj);
 
 typedef struct _ChangedTarget__isset {
-  _ChangedTarget__isset() : target(false), incarnation(false), serviceName(false), address(false), dataCentre(false), slots(false), leaving(false), coldLeftMs(false), version(false), saidLeaving(false), softwareVersion(false) {}
+  _ChangedTarget__isset() : target(false), incarnation(false), serviceName(false), address(false), dataCentre(false), slots(false), leaving(false), coldLeftMs(false), version(false), saidLeaving(false), softwareVersion(false), sequence(false) {}
   bool target :1;
   bool incarnation :1;
   bool serviceName :1;
@@ -133,6 +133,7 @@
   bool version :1;
   bool saidLeaving :1;
   bool softwareVersion :1;
+  bool sequence :1;
 } _ChangedTarget__isset;
 
 class ChangedTarget : public virtual ::apache::thrift::TBase {
@@ -153,7 +154,8 @@
                   coldLeftMs(0),
                   version(0),
                   saidLeaving(0),
-                  softwareVersion() {
+                  softwareVersion(),
+                  sequence(0) {
   }
 
   virtual ~ChangedTarget() noexcept;
@@ -168,6 +170,7 @@
   int64_t version;
   bool saidLeaving;
   std::string softwareVersion;
+  int64_t sequence;
 
   _ChangedTarget__isset __isset;
 
@@ -193,6 +196,8 @@
 
   void __set_softwareVersion(const std::string& val);
 
+  void __set_sequence(const int64_t val);
+
   bool operator == (const ChangedTarget & rhs) const
   {
     if (!(target == rhs.target))
@@ -219,6 +224,10 @@
       return false;
     else if (__isset.softwareVersion && !(softwareVersion == rhs.softwareVersion))
       return false;
+    if (__isset.sequence != rhs.__isset.sequence)
+      return false;
+    else if (__isset.sequence && !(sequence == rhs.sequence))
+      return false;
     return true;
   }
   bool operator != (const ChangedTarget &rhs) const {
@@ -1033,7 +1042,7 @@
 std::ostream& operator<<(std::ostream& out, const RolloutReport& obj);
 
 typedef struct _RelayHeartbeat__isset {
-  _RelayHeartbeat__isset() : node(false), incarnation(false), sequence(false), callers(false), peers(false), dataCentre(false), accepting(false), documentTableVersion(false), loads(false), targets(false), crashes(false), known(false), targetsDigest(false), targetsVersion(false), targetsAgeMs(false), reading(false), trying(false), beatMs(false), onlyLoads(false), limits(false), knownRelays(false), documentVersion(false), documentHistoryFrom(false), documentAgeMs(false), promptCrashes(false), soundParts(false), rollouts(false), rolloutCount(false) {}
+  _RelayHeartbeat__isset() : node(false), incarnation(false), sequence(false), callers(false), peers(false), dataCentre(false), accepting(false), documentTableVersion(false), loads(false), targets(false), crashes(false), known(false), targetsDigest(false), targetsVersion(false), targetsAgeMs(false), reading(false), trying(false), beatMs(false), onlyLoads(false), limits(false), knownRelays(false), documentVersion(false), documentHistoryFrom(false), documentAgeMs(false), promptCrashes(false), soundParts(false), rollouts(false), rolloutCount(false), documentEra(false), targetsEra(false) {}
   bool node :1;
   bool incarnation :1;
   bool sequence :1;
@@ -1062,6 +1071,8 @@
   bool soundParts :1;
   bool rollouts :1;
   bool rolloutCount :1;
+  bool documentEra :1;
+  bool targetsEra :1;
 } _RelayHeartbeat__isset;
 
 class RelayHeartbeat : public virtual ::apache::thrift::TBase {
@@ -1091,7 +1102,9 @@
                    documentVersion(0),
                    documentHistoryFrom(0),
                    documentAgeMs(0),
-                   rolloutCount(0) {
+                   rolloutCount(0),
+                   documentEra(0),
+                   targetsEra(0) {
   }
 
   virtual ~RelayHeartbeat() noexcept;
@@ -1123,6 +1136,8 @@
   std::vector<SoundPart>  soundParts;
   std::vector<RolloutNotice>  rollouts;
   int32_t rolloutCount;
+  int64_t documentEra;
+  int64_t targetsEra;
 
   _RelayHeartbeat__isset __isset;
 
@@ -1182,6 +1197,10 @@
 
   void __set_rolloutCount(const int32_t val);
 
+  void __set_documentEra(const int64_t val);
+
+  void __set_targetsEra(const int64_t val);
+
   bool operator == (const RelayHeartbeat & rhs) const
   {
     if (!(node == rhs.node))
@@ -1258,6 +1277,14 @@
       return false;
     else if (__isset.rolloutCount && !(rolloutCount == rhs.rolloutCount))
       return false;
+    if (__isset.documentEra != rhs.__isset.documentEra)
+      return false;
+    else if (__isset.documentEra && !(documentEra == rhs.documentEra))
+      return false;
+    if (__isset.targetsEra != rhs.__isset.targetsEra)
+      return false;
+    else if (__isset.targetsEra && !(targetsEra == rhs.targetsEra))
+      return false;
     return true;
   }
   bool operator != (const RelayHeartbeat &rhs) const {
--- a/Libraries/LibRelay/PeerHeartbeatCodec.cpp
+++ b/Libraries/LibRelay/PeerHeartbeatCodec.cpp
@@ -31,6 +31,9 @@
     result.coldLeftMs = static_cast<int32_t>(entry.coldLeft.count());
     result.version = entry.version;
     result.saidLeaving = entry.reportedLeaving;
+    if (entry.sequence > 0) {
+        result.__set_sequence(entry.sequence);
+    }
     if (!entry.softwareVersion.empty()) {
         result.__set_softwareVersion(entry.softwareVersion);
     }
@@ -48,6 +51,7 @@
             .leaving = target.leaving,
             .reportedLeaving = target.saidLeaving,
             .coldLeft = std::chrono::milliseconds(target.coldLeftMs),
+            .sequence = target.sequence,
             .version = target.version,
             .softwareVersion = target.softwareVersion};
 }
@@ -128,6 +132,12 @@
         result.__set_documentHistoryFrom(heartbeat.documentHistoryFrom);
         result.__set_documentAgeMs(static_cast<int32_t>(std::min<int64_t>(heartbeat.documentAge->count(), std::numeric_limits<int32_t>::max())));
     }
+    if (heartbeat.documentEra > 0) {
+        result.__set_documentEra(heartbeat.documentEra);
+    }
+    if (heartbeat.targetsEra > 0) {
+        result.__set_targetsEra(heartbeat.targetsEra);
+    }
     if (heartbeat.knownRelays > 0) {
         result.__set_knownRelays(heartbeat.knownRelays);
     }
@@ -152,6 +162,8 @@
                              .peers = wire.peers,
                              .dataCentre = wire.dataCentre,
                              .accepting = wire.accepting,
+                             .documentEra = wire.documentEra,
+                             .targetsEra = wire.targetsEra,
                              .documentTableVersion = wire.documentTableVersion,
                              .targetsDigest = static_cast<uint64_t>(wire.targetsDigest),
                              .targetsVersion = wire.targetsVersion,
--- a/Libraries/LibRelay/PeerTable.h
+++ b/Libraries/LibRelay/PeerTable.h
@@ -33,6 +33,9 @@
     std::string dataCentre;
     // Whether callers may be sent to the relay.
     bool accepting = false;
+    // Eras of the store to which the versions of the document's table and of the targets belong.
+    int64_t documentEra = 0;
+    int64_t targetsEra = 0;
     // Version of the newest known change in the document's table.
     int64_t documentTableVersion = 0;
     // All changes of it up to this version of the store are known, those after documentHistoryFrom one by one.
--- a/Libraries/LibRelay/Relay.thrift
+++ b/Libraries/LibRelay/Relay.thrift
@@ -26,6 +26,8 @@
   10: bool saidLeaving
   // Version of the target's software, if the entry names one.
   11: optional string softwareVersion
+  // Number of the entry among those that the target has written in its lifetime.
+  12: optional i64 sequence
 }
 
 // One crash of a target as observed by one relay.
@@ -181,4 +183,7 @@
   28: optional list<RolloutNotice> rollouts
   // Number of plans that the sender knows, which may be more than those in the list. Missing before it knows them, and where rollouts are not in use.
   29: optional i32 rolloutCount
+  // Eras of the store to which the versions of the document's table and of the targets belong. Missing if the store states none.
+  30: optional i64 documentEra
+  31: optional i64 targetsEra
 }
--- a/Libraries/LibRelay/TargetTable.cpp
+++ b/Libraries/LibRelay/TargetTable.cpp
@@ -58,11 +58,13 @@
         return false;
     }
     const bool reportedLeaving = isSameLifetime && target.entry.reportedLeaving;
+    const int64_t sequence = std::max(entry.sequence, isSameLifetime ? target.entry.sequence : 0);
     if (isNew || (entry.address != target.entry.address && !reportedLeaving)) {
         target = {};
         recordChange(target, now, source);
     }
     target.entry = entry;
+    target.entry.sequence = sequence;
     target.entry.reportedLeaving = entry.reportedLeaving || reportedLeaving;
     if (target.reregistrationDeadline) {
         target.reregistrationDeadline.reset();
@@ -85,6 +87,19 @@
     return false;
 }
 
+bool TargetTable::isFromBeforeLeaving(const TargetEntry &entry) const
+{
+    const auto *known = find(entry.id);
+    return known && known->leavingSince && entry.incarnation <= known->entry.incarnation && entry.sequence <= known->entry.sequence;
+}
+
+void TargetTable::forgetVersions()
+{
+    for (auto &[id, target] : m_targets) {
+        target.entry.version = 0;
+    }
+}
+
 bool TargetTable::remove(const std::string &id, bool afterOutage, int64_t version, MonotonicTime now)
 {
     const auto found = m_targets.find(id);
--- a/Libraries/LibRelay/TargetTable.h
+++ b/Libraries/LibRelay/TargetTable.h
@@ -26,6 +26,8 @@
     bool reportedLeaving = false;
     // How long the target stays cold, counted from when the entry was written.
     std::chrono::milliseconds coldLeft {0};
+    // Number of the entry among those that the target has written in its lifetime. Zero if the entry states none.
+    int64_t sequence = 0;
     // The store's version of the entry.
     int64_t version = 0;
     // Version of the target's software. Empty if the entry names none.
@@ -79,6 +81,12 @@
     // only have expired. Returns whether the target began to leave by it.
     bool remove(const std::string &id, bool afterOutage, int64_t version, MonotonicTime now);
 
+    // Whether an entry that the store has restored from an older copy states nothing that the target has not stated before it began to leave.
+    bool isFromBeforeLeaving(const TargetEntry &entry) const;
+
+    // The store's versions begin anew. Whatever is read from it from now on is newer than the known entries.
+    void forgetVersions();
+
     // Targets that changed within the given time according to the store or themselves, to be sent to peers.
     std::vector<TargetEntry> recentChanges(std::chrono::milliseconds within, MonotonicTime now) const;
 
--- a/Libraries/LibRelayServer/PlatformAdapter.h
+++ b/Libraries/LibRelayServer/PlatformAdapter.h
@@ -27,6 +27,8 @@
     std::vector<StoreRow> rows;
     // Version of the store at which the rows were read.
     int64_t version = 0;
+    // Era of the store in which they were read.
+    int64_t era = 0;
     // Version of the newest change among the rows, removals included, if it is known.
     int64_t changeVersion = 0;
     bool hasMore = false;
@@ -132,8 +134,11 @@
     std::function<LoopCall(const std::string &table, const std::string &fromKey)> buildRowsCall;
     std::function<LoopCall(const std::string &table, int64_t after, std::chrono::milliseconds wait)> buildChangesCall;
     std::function<absl::StatusOr<StoreRows>(std::string_view body)> decodeRows;
-    // Status of a response if the store no longer has the requested changes.
+    // Status of a response if the store does not have the requested changes, or not any more.
     int changesUnavailableStatus = 410;
+    // The era that a response of the store states. It rises each time the store comes back from an older copy of itself, after which versions go back and are
+    // given out again. Nothing if the response states none, or one that cannot be read.
+    std::function<std::optional<int64_t>(const LoopAnswer &response)> decodeEra;
 
     // Builds the call that reads an engine's state.
     std::function<LoopCall()> buildStateCall;
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -59,6 +59,8 @@
                .addTableState =
                    [this](PeerHeartbeat &heartbeat, MonotonicTime now) {
                        const auto document = m_documents->state(now);
+                       heartbeat.documentEra = document.era;
+                       heartbeat.targetsEra = m_targets->era();
                        heartbeat.documentTableVersion = document.changeVersion;
                        heartbeat.documentVersion = document.version;
                        heartbeat.documentHistoryFrom = document.historyFrom;
@@ -254,6 +256,8 @@
     for (const auto &target : m_core.targets.tick(now)) {
         m_core.handleTargetLeaving(target, "entry expired", now);
     }
+    expireUnlistedDataCentres(now);
+    applyFormerEntries(now);
     m_documents->check(now);
     m_targets->check(now);
     requestDocumentIfUnavailable(now);
--- a/Libraries/LibRelayServer/Relay.h
+++ b/Libraries/LibRelayServer/Relay.h
@@ -49,17 +49,27 @@
     void onPeerRequest(CallerChannel &channel, const CallerRequest &request);
 
     // The store's tables (RelayTables.cpp).
-    void onDocumentRow(const StoreRow &row);
+    void onDocumentRow(const StoreRow &row, const TableFollower::ReadContext &context);
+    void onDataCentreRow(const std::string &name, const StoreRow &row, const TableFollower::ReadContext &context, MonotonicTime now);
+    // Takes data centres back into service that the store lacks since it has come back from an older copy, if the operator has not written them again.
+    void expireUnlistedDataCentres(MonotonicTime now);
+    // Holds back an entry that the store has restored of a target that had left before. Returns whether it does.
+    bool holdFormerEntry(const TargetEntry &entry, const TableFollower::ReadContext &context, MonotonicTime now);
+    // Applies the entries of targets that had left before the store came back from an older copy, and that it goes on listing.
+    void applyFormerEntries(MonotonicTime now);
+    // The store has come back from an older copy, as a read of the table shows.
+    void onDocumentEra(int64_t era, MonotonicTime now);
+    void onTargetsEra(int64_t era);
     void setDataCentreOut(const std::string &name, bool out, int64_t version);
     void applyDocument(const StoreRow &row);
-    void onTargetTable(const StoreRows &rows, bool afterOutage, MonotonicTime now);
+    void onTargetTable(const StoreRows &rows, const TableFollower::ReadContext &context, MonotonicTime now);
     // Removes the targets that a complete target list does not contain. Returns their number.
     size_t removeUnlisted(const absl::flat_hash_set<std::string> &listed, bool afterOutage, int64_t version, std::string_view reason, MonotonicTime now);
-    void onTargetRow(const StoreRow &row, bool afterOutage, MonotonicTime now);
+    void onTargetRow(const StoreRow &row, const TableFollower::ReadContext &context, MonotonicTime now);
     std::optional<TargetEntry> decodeTarget(const StoreRow &row);
     void logUnreadableTarget(const std::string &id, const absl::Status &status);
     // Applies an entry that a peer has reported, if it names a target that can be used.
-    void applyPeerTarget(const TargetEntry &entry, MonotonicTime now);
+    void applyPeerTarget(TargetEntry entry, int64_t era, MonotonicTime now);
     void applyTarget(const TargetEntry &entry, TargetTable::Source source, MonotonicTime now);
     void logStore(EventKind kind, const std::string &table, std::string_view detail);
     void logPeerReadFailure(const std::string &table, const std::string &peer, const LoopAnswer &response, MonotonicTime::duration took);
@@ -81,7 +91,7 @@
     void onPeerTargets(const PeerHeartbeat &heartbeat, MonotonicTime now);
     bool shouldRead(MonotonicTime now);
     void requestTargetsFromPeer(const PeerHeartbeat &heartbeat);
-    void applyPeerTargets(const std::vector<TargetEntry> &entries, int64_t version, MonotonicTime now);
+    void applyPeerTargets(const PeerHeartbeat &peer, MonotonicTime now);
     void tick();
     // While no relay reads the target list, reads the state of the engines that run migratable generations, to detect engines that are leaving.
     void checkRunningEngines();
@@ -120,6 +130,14 @@
     // Whether a peer has sent its whole target list.
     bool m_hasPeerTargets = false;
     StoreReaderElection m_readers;
+    // Data centres that are out of service although the store, restored from an older copy, does not say so, and until when.
+    absl::flat_hash_map<std::string, MonotonicTime> m_unlistedDataCentres;
+    // Entries of targets that had left, as the store lists them since it has come back from an older copy, and when they count.
+    struct FormerEntry {
+        TargetEntry entry;
+        MonotonicTime until;
+    };
+    absl::flat_hash_map<std::string, FormerEntry> m_formerEntries;
     TableLag m_documentLag;
     TableLag m_targetsLag;
     // Since when the target list of a relay that reads the store has differed from this relay's.
--- a/Libraries/LibRelayServer/RelayTables.cpp
+++ b/Libraries/LibRelayServer/RelayTables.cpp
@@ -34,6 +34,11 @@
 // A relay that reads the store all the time is about to receive the change anyway.
 constexpr std::chrono::milliseconds ReaderCatchUpDelay {150};
 constexpr std::chrono::milliseconds PeerReadTimeout {500};
+// After the store has come back from an older copy, the operator writes again what the copy lacks. Until then a data centre that it lacks stays out of service.
+constexpr std::chrono::seconds OperatorRewriteTime {5};
+// The platform removes the entry of a target that is silent for some of its heartbeats. One that the store has restored and still lists after this time is of a
+// target that is alive.
+constexpr std::chrono::seconds SilentTargetRemovalTime {8};
 
 // Encoding of rows between peers.
 std::string encodeSnapshot(const StoreRows &rows, std::optional<std::chrono::milliseconds> age)
@@ -42,7 +47,7 @@
     for (const auto &row : rows.rows) {
         list.push_back({{"key", absl::Base64Escape(row.key)}, {"value", absl::Base64Escape(row.value)}, {"version", row.version}});
     }
-    nlohmann::json snapshot {{"version", rows.version}, {"change", rows.changeVersion}, {"rows", std::move(list)}};
+    nlohmann::json snapshot {{"era", rows.era}, {"version", rows.version}, {"change", rows.changeVersion}, {"rows", std::move(list)}};
     if (age) {
         snapshot["age_ms"] = age->count();
     }
@@ -57,7 +62,7 @@
 
 std::optional<Snapshot> snapshotOf(const nlohmann::json &json)
 {
-    StoreRows rows {.version = json.value("version", int64_t {0}), .changeVersion = json.value("change", int64_t {0})};
+    StoreRows rows {.version = json.value("version", int64_t {0}), .era = json.value("era", int64_t {0}), .changeVersion = json.value("change", int64_t {0})};
     for (const auto &item : json.at("rows")) {
         StoreRow row {.version = item.value("version", int64_t {0})};
         if (!absl::Base64Unescape(item.value("key", std::string()), &row.key) || !absl::Base64Unescape(item.value("value", std::string()), &row.value)) {
@@ -116,23 +121,27 @@
     const auto onAvailable = [this](const std::string &table) {
         return [this, table](std::chrono::milliseconds outage) { logStore(EventKind::PlatformRegained, table, absl::StrCat("after ", outage.count(), " ms")); };
     };
-    m_documents = std::make_unique<TableFollower>(m_core.loop,
-                                                  m_core.client,
-                                                  adapter,
-                                                  m_core.options.store,
-                                                  optionsFor(adapter.documentTable),
-                                                  TableFollower::Hooks {.onChange = [this](const StoreRow &row, bool) { onDocumentRow(row); },
-                                                                        .onTable = [](const StoreRows &, bool) {},
-                                                                        .onUnavailable = onUnavailable(adapter.documentTable),
-                                                                        .onAvailable = onAvailable(adapter.documentTable)});
+    m_documents = std::make_unique<TableFollower>(
+        m_core.loop,
+        m_core.client,
+        adapter,
+        m_core.options.store,
+        optionsFor(adapter.documentTable),
+        TableFollower::Hooks {.onChange = [this](const StoreRow &row, const TableFollower::ReadContext &context) { onDocumentRow(row, context); },
+                              .onTable = [](const StoreRows &, const TableFollower::ReadContext &) {},
+                              .onEra = [this](int64_t era) { onDocumentEra(era, monotonicNow()); },
+                              .onUnavailable = onUnavailable(adapter.documentTable),
+                              .onAvailable = onAvailable(adapter.documentTable)});
     m_targets = std::make_unique<TableFollower>(
         m_core.loop,
         m_core.client,
         adapter,
         m_core.options.store,
         optionsFor(adapter.targetTable),
-        TableFollower::Hooks {.onChange = [this](const StoreRow &row, bool afterOutage) { onTargetRow(row, afterOutage, monotonicNow()); },
-                              .onTable = [this](const StoreRows &rows, bool afterOutage) { onTargetTable(rows, afterOutage, monotonicNow()); },
+        TableFollower::Hooks {.onChange = [this](const StoreRow &row, const TableFollower::ReadContext &context) { onTargetRow(row, context, monotonicNow()); },
+                              .onTable
+                              = [this](const StoreRows &rows, const TableFollower::ReadContext &context) { onTargetTable(rows, context, monotonicNow()); },
+                              .onEra = [this](int64_t era) { onTargetsEra(era); },
                               .onUnavailable = onUnavailable(adapter.targetTable),
                               .onAvailable = onAvailable(adapter.targetTable)});
 }
@@ -184,6 +193,7 @@
     const auto exportTable = [&](const TableFollower &follower, const std::string &table, const TableLag &lag) {
         const auto label = absl::StrCat("table=\"", table, "\"");
         m_core.metrics.set("relay_table_version", static_cast<double>(follower.version()), label);
+        m_core.metrics.set("relay_table_era", static_cast<double>(follower.era()), label);
         m_core.metrics.set("relay_table_age_seconds", std::chrono::duration<double>(follower.age(now)).count(), label);
         m_core.metrics.set("relay_table_behind_seconds", std::chrono::duration<double>(lag.duration(now)).count(), label);
     };
@@ -200,7 +210,8 @@
     if (matches(m_core.adapter.documentTable) && m_documents->hasRows()) {
         channel.send({.status = StatusOk}, encodeSnapshot(m_documents->snapshot(), m_documents->state(monotonicNow()).age));
     } else if (target == TargetsPath && m_core.targets.size() > 0) {
-        const PeerHeartbeat heartbeat {.node = m_core.options.node, .targetsVersion = m_targets->version(), .targets = m_core.targets.allEntries()};
+        const PeerHeartbeat heartbeat {
+            .node = m_core.options.node, .targetsEra = m_targets->era(), .targetsVersion = m_targets->version(), .targets = m_core.targets.allEntries()};
         channel.send({.status = StatusOk}, encodePeerHeartbeat(heartbeat, MaxPeerResponseBytes));
     } else {
         channel.send({.status = StatusNotFound}, {});
@@ -215,11 +226,12 @@
     }
     const Peer *best = nullptr;
     for (const auto *peer : m_core.peers.livePeers(now)) {
-        if (!best || peer->latestHeartbeat.targetsVersion > best->latestHeartbeat.targetsVersion) {
+        const auto position = [](const PeerHeartbeat &heartbeat) { return std::pair(heartbeat.targetsEra, heartbeat.targetsVersion); };
+        if (!best || position(peer->latestHeartbeat) > position(best->latestHeartbeat)) {
             best = peer;
         }
     }
-    if (best && best->latestHeartbeat.targetsDigest != m_core.targets.digest()) {
+    if (best && (best->latestHeartbeat.targetsDigest != m_core.targets.digest() || best->latestHeartbeat.targetsEra > m_targets->era())) {
         requestTargetsFromPeer(best->latestHeartbeat);
     }
 }
@@ -232,7 +244,7 @@
     // A different peer each time, so that one that does not respond is not asked again and again.
     std::vector<const Peer *> newer;
     for (const auto *peer : m_core.peers.livePeers(now)) {
-        if (peer->latestHeartbeat.documentTableVersion > m_documents->version()) {
+        if (m_documents->isBehind(peer->latestHeartbeat.documentEra, peer->latestHeartbeat.documentTableVersion)) {
             newer.push_back(peer);
         }
     }
@@ -272,7 +284,7 @@
 void Relay::onPeerDocument(const PeerHeartbeat &heartbeat)
 {
     const auto now = monotonicNow();
-    if (heartbeat.documentTableVersion > m_documents->version()) {
+    if (m_documents->isBehind(heartbeat.documentEra, heartbeat.documentTableVersion)) {
         m_documentLag.recordBehind(heartbeat.node, heartbeat.documentTableVersion, now);
         if (m_documents->hasRows()) {
             m_documents->readSoon(catchUpDelay(now));
@@ -281,8 +293,11 @@
         }
         return;
     }
-    updateLag(m_documentLag, m_core.adapter.documentTable, m_documents->version() >= m_documentLag.version(), now);
-    m_documents->noteState({.version = heartbeat.documentVersion,
+    if (heartbeat.documentEra == m_documents->era()) {
+        updateLag(m_documentLag, m_core.adapter.documentTable, m_documents->version() >= m_documentLag.version(), now);
+    }
+    m_documents->noteState({.era = heartbeat.documentEra,
+                            .version = heartbeat.documentVersion,
                             .changeVersion = heartbeat.documentTableVersion,
                             .historyFrom = heartbeat.documentHistoryFrom,
                             .age = heartbeat.documentAge},
@@ -301,17 +316,21 @@
 void Relay::onPeerTargets(const PeerHeartbeat &heartbeat, MonotonicTime now)
 {
     for (const auto &entry : heartbeat.targets) {
-        applyPeerTarget(entry, now);
+        applyPeerTarget(entry, heartbeat.targetsEra, now);
+    }
+    if (heartbeat.targetsEra > m_targets->era() && !m_targets->failingSince()) {
+        // What the store has lost, and what it has got since, only it can tell.
+        m_targets->readSoon(catchUpDelay(now));
     }
     const bool isEqual = heartbeat.targetsDigest == m_core.targets.digest();
-    if (heartbeat.reading && !isEqual && heartbeat.targetsVersion > m_targets->version()) {
+    if (heartbeat.reading && !isEqual && m_targets->isBehind(heartbeat.targetsEra, heartbeat.targetsVersion)) {
         m_targetsLag.recordBehind(heartbeat.node, heartbeat.targetsVersion, now);
     } else if (heartbeat.reading && isEqual) {
         updateLag(m_targetsLag, m_core.adapter.targetTable, true, now);
     }
     // While the lists differ, this relay's one is not confirmed, and it reads the changes itself before long.
     if (isEqual) {
-        m_targets->noteCurrent(heartbeat.targetsVersion, heartbeat.targetsAge, now);
+        m_targets->noteCurrent(heartbeat.targetsEra, heartbeat.targetsVersion, heartbeat.targetsAge, now);
     }
     if (!heartbeat.reading) {
         return;
@@ -342,19 +361,23 @@
             logPeerReadFailure(m_core.adapter.targetTable, node, response, monotonicNow() - requestedAt);
         } else {
             logStore(EventKind::TableReplaced, m_core.adapter.targetTable, absl::StrCat("from peer ", node, " as of ", peer->targetsVersion));
-            applyPeerTargets(peer->targets, peer->targetsVersion, monotonicNow());
+            applyPeerTargets(*peer, monotonicNow());
         }
     });
 }
 
-void Relay::applyPeerTargets(const std::vector<TargetEntry> &entries, int64_t version, MonotonicTime now)
+void Relay::applyPeerTargets(const PeerHeartbeat &peer, MonotonicTime now)
 {
+    if (peer.targetsEra < m_targets->era()) {
+        return;
+    }
+    m_targets->enterEra(peer.targetsEra);
     absl::flat_hash_set<std::string> listed;
-    for (const auto &entry : entries) {
+    for (const auto &entry : peer.targets) {
         listed.insert(entry.id);
-        applyPeerTarget(entry, now);
+        applyPeerTarget(entry, peer.targetsEra, now);
     }
-    removeUnlisted(listed, false, version, "not listed by peer", now);
+    removeUnlisted(listed, false, peer.targetsVersion, "not listed by peer", now);
     m_hasPeerTargets = true;
 }
 
@@ -377,12 +400,53 @@
     return reads;
 }
 
-void Relay::onDocumentRow(const StoreRow &row)
+void Relay::onDocumentEra(int64_t era, MonotonicTime now)
+{
+    logStore(EventKind::StoreRestored, m_core.adapter.documentTable, absl::StrCat("era ", era));
+    m_documentLag.recordCaughtUp(now);
+    for (auto &[dataCentre, until] : m_unlistedDataCentres) {
+        until = now + OperatorRewriteTime;
+    }
+}
+
+void Relay::onTargetsEra(int64_t era)
+{
+    logStore(EventKind::StoreRestored, m_core.adapter.targetTable, absl::StrCat("era ", era));
+    m_core.targets.forgetVersions();
+    m_formerEntries.clear();
+}
+
+void Relay::onDataCentreRow(const std::string &name, const StoreRow &row, const TableFollower::ReadContext &context, MonotonicTime now)
+{
+    if (row.removed && context.afterRestore && m_core.targets.isOutOfService(name)) {
+        m_unlistedDataCentres[name] = now + OperatorRewriteTime;
+        auto line = m_core.line(EventKind::DataCentreUnlisted);
+        line.add("data_centre", name);
+        m_core.log(line);
+        return;
+    }
+    m_unlistedDataCentres.erase(name);
+    setDataCentreOut(name, !row.removed, row.version);
+}
+
+void Relay::expireUnlistedDataCentres(MonotonicTime now)
+{
+    absl::erase_if(m_unlistedDataCentres, [&](const auto &entry) {
+        const auto &[name, until] = entry;
+        if (now < until) {
+            return false;
+        }
+        setDataCentreOut(name, false, m_documents->version());
+        return true;
+    });
+}
+
+void Relay::onDocumentRow(const StoreRow &row, const TableFollower::ReadContext &context)
 {
     if (row.key == m_core.adapter.documentKey) {
         applyDocument(row);
     } else if (const auto dataCentre = m_core.adapter.decodeOutOfServiceDataCentre(row.key)) {
-        setDataCentreOut(*dataCentre, !row.removed, row.version);
+        onDataCentreRow(*dataCentre, row, context, monotonicNow());
     } else if (const auto service = m_rollouts ? m_core.adapter.decodeRolloutService(row.key) : std::nullopt) {
         m_rollouts->onOrderRow(*service, row, monotonicNow());
     }
@@ -460,12 +524,21 @@
     m_core.metrics.count("relay_rows_unreadable_total");
 }
 
-void Relay::applyPeerTarget(const TargetEntry &entry, MonotonicTime now)
+void Relay::applyPeerTarget(TargetEntry entry, int64_t era, MonotonicTime now)
 {
     if (const auto status = checkTargetEntry(entry); !status.ok()) {
         logUnreadableTarget(entry.id, status);
         return;
     }
+    const bool mayBeRestored = era != m_targets->era() || m_targets->awaitsFirstTable() || m_formerEntries.contains(entry.id);
+    if (mayBeRestored && !entry.leaving && !entry.reportedLeaving && m_core.targets.isFromBeforeLeaving(entry)) {
+        return;
+    }
+    if (era != m_targets->era()) {
+        // The version cannot be compared: what a peer knows of an earlier era is older than all that is known, of a later one newer.
+        const auto *known = m_core.targets.find(entry.id);
+        entry.version = known && era > m_targets->era() ? known->entry.version : 0;
+    }
     applyTarget(entry, TargetTable::Source::Peer, now);
 }
 
@@ -502,16 +575,14 @@
     }
 }
 
-void Relay::onTargetTable(const StoreRows &rows, bool afterOutage, MonotonicTime now)
+void Relay::onTargetTable(const StoreRows &rows, const TableFollower::ReadContext &context, MonotonicTime now)
 {
     absl::flat_hash_set<std::string> listed;
     for (const auto &row : rows.rows) {
         listed.insert(row.key);
-        if (const auto entry = decodeTarget(row)) {
-            applyTarget(*entry, TargetTable::Source::Direct, now);
-        }
+        onTargetRow(row, context, now);
     }
-    const auto missing = removeUnlisted(listed, afterOutage, rows.version, "not listed", now);
+    const auto missing = removeUnlisted(listed, context.afterOutage, rows.version, "not listed", now);
     logStore(EventKind::TableReplaced, m_core.adapter.targetTable, absl::StrCat(rows.rows.size(), " rows, ", missing, " missing"));
 }
 
@@ -531,18 +602,44 @@
     return missing.size();
 }
 
-void Relay::onTargetRow(const StoreRow &row, bool afterOutage, MonotonicTime now)
+void Relay::onTargetRow(const StoreRow &row, const TableFollower::ReadContext &context, MonotonicTime now)
 {
     if (row.removed) {
-        if (m_core.targets.remove(row.key, afterOutage, row.version, now)) {
+        m_formerEntries.erase(row.key);
+        if (m_core.targets.remove(row.key, context.afterOutage, row.version, now)) {
             m_core.handleTargetLeaving(row.key, "entry removed", now);
             m_peers.scheduleHeartbeat(NotificationScope::All);
         }
         return;
     }
-    if (const auto entry = decodeTarget(row)) {
-        applyTarget(*entry, TargetTable::Source::Direct, now);
+    const auto entry = decodeTarget(row);
+    if (!entry || holdFormerEntry(*entry, context, now)) {
+        return;
+    }
+    m_formerEntries.erase(entry->id);
+    applyTarget(*entry, TargetTable::Source::Direct, now);
+}
+
+bool Relay::holdFormerEntry(const TargetEntry &entry, const TableFollower::ReadContext &context, MonotonicTime now)
+{
+    const bool mayBeRestored = context.afterRestore || m_formerEntries.contains(entry.id);
+    if (!mayBeRestored || !m_core.targets.isFromBeforeLeaving(entry)) {
+        return false;
     }
+    const auto [held, isNew] = m_formerEntries.try_emplace(entry.id, FormerEntry {.until = now + SilentTargetRemovalTime});
+    held->second.entry = entry;
+    return true;
+}
+
+void Relay::applyFormerEntries(MonotonicTime now)
+{
+    absl::erase_if(m_formerEntries, [&](const auto &item) {
+        if (now < item.second.until) {
+            return false;
+        }
+        applyTarget(item.second.entry, TargetTable::Source::Direct, now);
+        return true;
+    });
 }
 
 } // namespace Jujube
--- a/Libraries/LibRelayServer/TableFollower.cpp
+++ b/Libraries/LibRelayServer/TableFollower.cpp
@@ -111,7 +111,7 @@
 void TableFollower::startRead(std::chrono::milliseconds hold)
 {
     const auto read = std::make_shared<Read>(
-        Read {.number = ++m_readNumber, .sentAt = monotonicNow(), .suspended = m_suspended, .hold = hold, .isOfWholeTable = m_needsTable});
+        Read {.number = ++m_readNumber, .sentAt = monotonicNow(), .suspended = m_suspended, .hold = hold, .isOfWholeTable = m_needsTable, .era = m_era});
     m_timer.cancel();
     m_isRetryScheduled = false;
     m_readActiveAt = read->sentAt;
@@ -167,8 +167,55 @@
     request(read, m_adapter.buildChangesCall(m_options.table, m_version, read->hold));
 }
 
+void TableFollower::enterEra(int64_t era)
+{
+    if (era <= m_era) {
+        return;
+    }
+    // Before the first response of the store, or of a peer, nothing is known that could be of an earlier era.
+    const bool isRestore = m_hasRows || m_era > 0;
+    m_era = era;
+    if (!isRestore) {
+        return;
+    }
+    m_awaitsFirstTable = true;
+    m_needsTable = true;
+    m_version = 0;
+    m_changeVersion = 0;
+    m_historyFrom = 0;
+    m_readCurrentAt.reset();
+    std::erase_if(m_rows, [](const auto &entry) { return entry.second.removed; });
+    for (auto &[key, row] : m_rows) {
+        row.version = 0;
+    }
+    if (m_hooks.onEra) {
+        m_hooks.onEra(era);
+    }
+}
+
+bool TableFollower::acceptEra(const ReadPointer &read, const LoopAnswer &response, MonotonicTime now)
+{
+    const auto era = m_adapter.decodeEra(response).value_or(read->era);
+    if (era < m_era) {
+        onFailure(*read, "response of an earlier era", now);
+        return false;
+    }
+    enterEra(era);
+    if (read->isOfWholeTable && read->rows.empty()) {
+        read->era = m_era;
+    }
+    return read->era == m_era;
+}
+
 void TableFollower::onResponse(const ReadPointer &read, const LoopAnswer &response, MonotonicTime now)
 {
+    if (response.end == ChannelEnd::Complete && !acceptEra(read, response, now)) {
+        // Neither changes since a version of another era nor pages of two eras say what is in the table.
+        if (read->number == m_readNumber && !m_isRetryScheduled) {
+            startRead({});
+        }
+        return;
+    }
     if (!read->isOfWholeTable && response.end == ChannelEnd::Complete && response.status == m_adapter.changesUnavailableStatus) {
         if (read->number == m_readNumber) {
             m_needsTable = true;
@@ -214,9 +261,14 @@
         requestPage(read);
         return;
     }
+    if (m_hasRows && *read->version < m_historyFrom) {
+        // It confirms nothing: newer rows have arrived in the meantime, or the store has lost them without stating a later era.
+        onFailure(*read, "table of an older version", now);
+        return;
+    }
     m_source.clear();
     onSuccess(now);
-    mergeTable({.rows = std::exchange(read->rows, {}), .version = *read->version});
+    mergeTable({.rows = std::exchange(read->rows, {}), .version = *read->version, .era = m_era});
     confirmByRead(sendTimeOf(*read));
     onReadEnded(*read);
 }
@@ -227,7 +279,7 @@
     onSuccess(now);
     for (const auto &row : changes.rows) {
         if (mergeRow(row)) {
-            m_hooks.onChange(row, m_afterOutage);
+            m_hooks.onChange(row, {.afterOutage = m_afterOutage});
         }
     }
     m_version = std::max(m_version, changes.version);
@@ -268,14 +320,12 @@
 
 void TableFollower::mergeTable(const StoreRows &rows)
 {
-    if (m_hasRows && rows.version < m_historyFrom) {
-        return;
-    }
+    const ReadContext context {.afterOutage = m_afterOutage || m_awaitsFirstTable, .afterRestore = m_awaitsFirstTable};
     absl::flat_hash_set<std::string> listed;
     for (const auto &row : rows.rows) {
         listed.insert(row.key);
         if (mergeRow(row)) {
-            m_hooks.onChange(row, m_afterOutage);
+            m_hooks.onChange(row, context);
         }
     }
     std::vector<StoreRow> removed;
@@ -286,14 +336,15 @@
     }
     for (const auto &row : removed) {
         mergeRow(row);
-        m_hooks.onChange(row, m_afterOutage);
+        m_hooks.onChange(row, context);
     }
     m_version = std::max(m_version, rows.version);
     m_historyFrom = std::max(m_historyFrom, rows.version);
     m_hasRows = true;
     m_needsTable = false;
+    m_awaitsFirstTable = false;
     forgetRemovedRows();
-    m_hooks.onTable(rows, m_afterOutage);
+    m_hooks.onTable(rows, context);
     m_afterOutage = false;
 }
 
@@ -328,15 +379,15 @@
 
 void TableFollower::noteState(const TableState &peer, MonotonicTime now)
 {
-    if (!peer.age || std::max(peer.changeVersion, peer.historyFrom) > m_version) {
+    if (peer.era != m_era || !peer.age || std::max(peer.changeVersion, peer.historyFrom) > m_version) {
         return;
     }
-    noteCurrent(peer.version, *peer.age, now);
+    noteCurrent(peer.era, peer.version, *peer.age, now);
 }
 
-void TableFollower::noteCurrent(int64_t version, std::chrono::milliseconds age, MonotonicTime now)
+void TableFollower::noteCurrent(int64_t era, int64_t version, std::chrono::milliseconds age, MonotonicTime now)
 {
-    if (!m_hasRows || m_ignoresPeers) {
+    if (!m_hasRows || m_ignoresPeers || era != m_era) {
         return;
     }
     m_version = std::max(m_version, version);
@@ -348,6 +399,10 @@
 
 bool TableFollower::merge(const StoreRows &rows, const std::string &peer, std::optional<MonotonicTime> currentAt)
 {
+    if (rows.era < m_era) {
+        return false;
+    }
+    enterEra(rows.era);
     if (rows.version <= m_version) {
         return false;
     }
@@ -420,7 +475,7 @@
 
 StoreRows TableFollower::snapshot() const
 {
-    StoreRows result {.version = m_version, .changeVersion = m_changeVersion};
+    StoreRows result {.version = m_version, .era = m_era, .changeVersion = m_changeVersion};
     result.rows.reserve(m_rows.size());
     for (const auto &[key, row] : m_rows) {
         if (!row.removed) {
@@ -432,7 +487,7 @@
 
 TableState TableFollower::state(MonotonicTime now) const
 {
-    TableState state {.version = m_version, .changeVersion = m_changeVersion, .historyFrom = m_historyFrom};
+    TableState state {.era = m_era, .version = m_version, .changeVersion = m_changeVersion, .historyFrom = m_historyFrom};
     if (m_readCurrentAt) {
         state.age = std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_readCurrentAt);
     }
--- a/Libraries/LibRelayServer/TableFollower.h
+++ b/Libraries/LibRelayServer/TableFollower.h
@@ -9,8 +9,10 @@
 namespace Jujube
 {
 
-// What a relay knows of a table. Relays report it to each other, so that those that do not read the store learn whether they miss a change.
+// What a relay knows of a table. Relays report it to each other, so that those that do not read the store learn whether they miss a change. Versions of
+// different eras cannot be compared.
 struct TableState {
+    int64_t era = 0;
     // All changes up to this version of the store are known.
     int64_t version = 0;
     // Version of the newest known change.
@@ -27,6 +29,10 @@
 // depends on no other relay. While the store does not respond, the last known rows stay in force, and newer ones may be taken from a peer.
 //
 // Rows are merged by their versions: the order in which responses arrive does not matter.
+//
+// The store may come back from an older copy of itself. Then a new era of it begins, in which versions are given out again, and changes that were confirmed may
+// be missing until whoever made them has made them again. The follower then reads the whole table and takes each row of it as newer than those of earlier eras,
+// and responses of earlier eras have no effect. Its owner is told which rows come from the copy, and decides what to keep.
 class TableFollower
 {
 public:
@@ -57,11 +63,21 @@
         std::chrono::milliseconds outageThreshold {700};
     };
 
+    // The circumstances under which rows were read.
+    struct ReadContext {
+        // The store was unavailable before this read, so that rows may have expired meanwhile.
+        bool afterOutage = false;
+        // The rows are those of the first table of an era: rows may be older than those of the era before, and newer ones may be missing.
+        bool afterRestore = false;
+    };
+
     struct Hooks {
-        // A row was added, changed or removed. `afterOutage` is set if the store was unavailable before this read, so that rows may have expired meanwhile.
-        std::function<void(const StoreRow &row, bool afterOutage)> onChange;
+        // A row was added, changed or removed.
+        std::function<void(const StoreRow &row, const ReadContext &context)> onChange;
         // The whole table has been read, as of a version. Called after onChange for each row that is new.
-        std::function<void(const StoreRows &rows, bool afterOutage)> onTable;
+        std::function<void(const StoreRows &rows, const ReadContext &context)> onTable;
+        // A later era of the store has begun. Called before any row of it is handed out. May be left out.
+        std::function<void(int64_t era)> onEra;
         std::function<void(const std::string &error)> onUnavailable;
         std::function<void(std::chrono::milliseconds outage)> onAvailable;
     };
@@ -89,8 +105,11 @@
     // Takes note of what a peer knows. Nothing comes of it if the peer's rows may differ from those of this relay.
     void noteState(const TableState &peer, MonotonicTime now);
 
-    // Notes that a peer with the same rows knows the table up to this version, and that they were current `age` ago.
-    void noteCurrent(int64_t version, std::chrono::milliseconds age, MonotonicTime now);
+    // Notes that a peer with the same rows knows the table up to this version of an era, and that they were current `age` ago.
+    void noteCurrent(int64_t era, int64_t version, std::chrono::milliseconds age, MonotonicTime now);
+
+    // Takes over that the store is in this era, as a peer has reported together with rows of it. Does nothing if it is not a later one.
+    void enterEra(int64_t era);
 
     // Merges the table that a peer has sent, and that was current at the given time. Returns whether it is newer than the own rows.
     bool merge(const StoreRows &rows, const std::string &peer, std::optional<MonotonicTime> currentAt);
@@ -106,6 +125,24 @@
         return m_version;
     }
 
+    // The era of the store to which the versions belong. Zero if the store states none.
+    int64_t era() const
+    {
+        return m_era;
+    }
+
+    // Whether an era has begun whose table has not been read yet.
+    bool awaitsFirstTable() const
+    {
+        return m_awaitsFirstTable;
+    }
+
+    // Whether a state that a peer reports is later than this relay's: of a later era, or with newer changes.
+    bool isBehind(int64_t era, int64_t changeVersion) const
+    {
+        return era > m_era || (era == m_era && changeVersion > m_version);
+    }
+
     // Whether rows have been read, from the store or from a peer.
     bool hasRows() const
     {
@@ -162,6 +199,8 @@
         // Rows of the pages so far, and the version of the first page. Later pages may contain newer rows.
         std::vector<StoreRow> rows;
         std::optional<int64_t> version;
+        // Era of the pages so far, or the known one when the read was sent.
+        int64_t era = 0;
     };
     using ReadPointer = std::shared_ptr<Read>;
 
@@ -170,6 +209,8 @@
     void requestPage(const ReadPointer &read);
     void requestChanges(const ReadPointer &read);
     void onResponse(const ReadPointer &read, const LoopAnswer &response, MonotonicTime now);
+    // Enters the era of a response if it is a later one. Returns whether the response belongs to the current era and to a request of it.
+    bool acceptEra(const ReadPointer &read, const LoopAnswer &response, MonotonicTime now);
     void onTablePage(const ReadPointer &read, StoreRows page, MonotonicTime now);
     void onChanges(const Read &read, const StoreRows &changes, MonotonicTime now);
     // Schedules the next read after the newest one.
@@ -201,6 +242,9 @@
     // Removed rows are kept, so that an older response does not bring them back.
     std::map<std::string, StoreRow> m_rows;
     std::string m_source;
+    int64_t m_era = 0;
+    // Whether the next table is the first one of its era.
+    bool m_awaitsFirstTable = false;
     int64_t m_version = 0;
     int64_t m_changeVersion = 0;
     int64_t m_historyFrom = 0;
--- a/Tests/LibRelay/TestPeers.cpp
+++ b/Tests/LibRelay/TestPeers.cpp
@@ -93,21 +93,27 @@
 {
     auto sent = heartbeatMessage("a", 7);
     sent.documentTableVersion = 90;
+    sent.documentEra = 3;
+    sent.targetsEra = 2;
     sent.targetsDigest = 0xfedcba9876543210ULL;
     sent.targetsVersion = 91;
     sent.reading = true;
     sent.loads = {{.target = "t", .running = 3, .memory = 9000, .prefill = 3000, .movable = 6000}};
-    sent.targets = {{.id = "t", .incarnation = 5, .service = "s", .address = "x:1", .dataCentre = "d", .slots = 4, .leaving = true, .version = 8}};
+    sent.targets
+        = {{.id = "t", .incarnation = 5, .service = "s", .address = "x:1", .dataCentre = "d", .slots = 4, .leaving = true, .sequence = 6, .version = 8}};
     sent.crashes = {{.target = "t", .incarnation = 5, .age = 30ms, .members = {1, 2}, .running = 2}};
     const auto received = decodePeerHeartbeat(encodePeerHeartbeat(sent));
     ASSERT_TRUE(received);
     EXPECT_EQ(received->documentTableVersion, 90);
+    EXPECT_EQ(received->documentEra, 3);
+    EXPECT_EQ(received->targetsEra, 2);
     EXPECT_EQ(received->targetsDigest, sent.targetsDigest);
     EXPECT_TRUE(received->reading);
     ASSERT_EQ(received->loads.size(), 1U);
     EXPECT_EQ(received->loads[0].movable, 6000);
     ASSERT_EQ(received->targets.size(), 1U);
     EXPECT_EQ(received->targets[0].version, 8);
+    EXPECT_EQ(received->targets[0].sequence, 6);
     EXPECT_TRUE(received->targets[0].leaving);
     ASSERT_EQ(received->crashes.size(), 1U);
     EXPECT_EQ(received->crashes[0].members, (std::vector<uint64_t> {1, 2}));
--- a/Tests/Platform/RelayTestBed.h
+++ b/Tests/Platform/RelayTestBed.h
@@ -40,6 +40,11 @@
                              const std::string &version = "v1");
     void registerTarget(const std::string &id, const std::string &state, int64_t born = 1);
     void unregisterTarget(const std::string &id);
+    // "address:port".
+    std::string addressOf(const std::string &target) const
+    {
+        return m_targets.at(target).address.toText();
+    }
 
     // Writes a document with the routes /draft/, /hint/, /commit/ and /status/.
     void writeDocument(int64_t version, const std::string &key = "key-1", std::chrono::milliseconds timeout = std::chrono::seconds(3));
--- a/Tests/Platform/TestEndlessResponses.cpp
+++ b/Tests/Platform/TestEndlessResponses.cpp
@@ -305,8 +305,8 @@
                                adapter,
                                store.address(),
                                options,
-                               {.onChange = [](const StoreRow &, bool) {},
-                                .onTable = [](const StoreRows &, bool) {},
+                               {.onChange = [](const StoreRow &, const TableFollower::ReadContext &) {},
+                                .onTable = [](const StoreRows &, const TableFollower::ReadContext &) {},
                                 .onUnavailable = [](const std::string &) {},
                                 .onAvailable = [](std::chrono::milliseconds) {}});
         const auto before = residentBytes();
--- a/Tests/Platform/TestTableFollower.cpp
+++ b/Tests/Platform/TestTableFollower.cpp
@@ -34,9 +34,11 @@
                     .isReading = [this] { return isReader; },
                     .maxAge = [](MonotonicTime) { return MaxAge; },
                     .liveRelays = [] { return 3; }},
-                   {.onChange = [this](const StoreRow &row,
-                                       bool) { changes.push_back(absl::StrCat(row.key, "=", row.removed ? "removed" : row.value, "@", row.version)); },
-                    .onTable = [](const StoreRows &, bool) {},
+                   {.onChange =
+                        [this](const StoreRow &row, const TableFollower::ReadContext &) {
+                            changes.push_back(absl::StrCat(row.key, "=", row.removed ? "removed" : row.value, "@", row.version));
+                        },
+                    .onTable = [](const StoreRows &, const TableFollower::ReadContext &) {},
                     .onUnavailable = [this](const std::string &) { ++unavailableCount; },
                     .onAvailable = [](std::chrono::milliseconds) {}})
     {
@@ -84,7 +86,11 @@
             }
             list.push_back(item);
         }
-        m_reads.at(number).channel->send({.status = 200}, nlohmann::json {{"rows", list}, {"has_more", hasMore}, {"ver", version}, {"now_ms", 0}}.dump());
+        MessageHead head {.status = 200};
+        if (!era.empty()) {
+            head.set("Store-Era", era);
+        }
+        m_reads.at(number).channel->send(std::move(head), nlohmann::json {{"rows", list}, {"has_more", hasMore}, {"ver", version}, {"now_ms", 0}}.dump());
         runFor(20ms);
     }
 
@@ -99,6 +105,8 @@
 
     boost::asio::io_context loop;
     bool isReader = false;
+    // The era that responses state. Empty for none.
+    std::string era;
     int unavailableCount = 0;
     std::vector<std::string> changes;
 
@@ -306,8 +314,8 @@
                             .isReading = [] { return true; },
                             .maxAge = [](MonotonicTime) { return MaxAge; },
                             .liveRelays = [] { return 3; }},
-                           {.onChange = [](const StoreRow &, bool) {},
-                            .onTable = [](const StoreRows &, bool) {},
+                           {.onChange = [](const StoreRow &, const TableFollower::ReadContext &) {},
+                            .onTable = [](const StoreRows &, const TableFollower::ReadContext &) {},
                             .onUnavailable = [](const std::string &) {},
                             .onAvailable = [](std::chrono::milliseconds) {}});
     follower.start();
@@ -321,6 +329,76 @@
     EXPECT_GE(follower.age(monotonicNow()), MaxAge);
 }
 
+// Guards against changes that are ignored because the store, restored from an older copy, gives their versions out a second time.
+TEST_F(TableReads, VersionsThatAreGivenOutAgainAreNewChanges)
+{
+    era = "1";
+    readTable({{.key = "config", .value = "b", .version = 9}}, 10);
+    follower.readNow();
+    ASSERT_NE(read(1).find("after=10&"), std::string::npos) << read(1);
+    era = "2";
+    respond(1, {}, 12);
+    // What has changed since a version of an earlier era says nothing.
+    ASSERT_EQ(read(2).find("after="), std::string::npos) << read(2);
+    respond(2, {{.key = "config", .value = "a", .version = 5}}, 7);
+    EXPECT_EQ(follower.era(), 2);
+    EXPECT_EQ(follower.version(), 7);
+    follower.readNow();
+    ASSERT_NE(read(3).find("after=7&"), std::string::npos) << read(3);
+    respond(3, {{.key = "config", .value = "c", .version = 9}}, 9);
+    EXPECT_EQ(changes, (std::vector<std::string> {"config=a@5", "config=c@9"}));
+}
+
+// Guards against a response from before the store was restored that arrives late, and against pages of two eras that are taken for one table.
+TEST_F(TableReads, ResponsesOfAnEarlierEraHaveNoEffect)
+{
+    era = "1";
+    readTable({{.key = "config", .value = "b", .version = 9}}, 10);
+    follower.readNow();
+    ASSERT_NE(read(1), "");
+    EXPECT_TRUE(follower.merge({.rows = {{.key = "config", .value = "a", .version = 5}}, .version = 7, .era = 2, .changeVersion = 5}, "peer", std::nullopt));
+    respond(1, {{.key = "config", .value = "d", .version = 11}}, 11);
+    EXPECT_EQ(changes, std::vector<std::string> {"config=a@5"});
+    follower.readTable();
+    ASSERT_NE(read(2), "");
+    era = "2";
+    respond(2, {{.key = "config", .value = "a", .version = 5}}, 8, true);
+    ASSERT_NE(read(3), "");
+    era = "3";
+    respond(3, {{.key = "evacuate/a", .value = "{}", .version = 6}}, 8);
+    // The table is read from its first page.
+    ASSERT_EQ(read(4).find("range_start"), std::string::npos) << read(4);
+    EXPECT_EQ(changes.size(), 1U);
+}
+
+// Guards against a peer that has not noticed that the store was restored, and confirms or delivers rows which are no longer those of the store.
+TEST_F(TableReads, PeersOfAnotherEraConfirmNothing)
+{
+    era = "2";
+    readTable({{.key = "config", .value = "a", .version = 5}}, 7);
+    runFor(50ms);
+    const auto currentAt = follower.currentAt();
+    follower.noteState({.era = 1, .version = 20, .changeVersion = 5, .historyFrom = 1, .age = 0ms}, monotonicNow());
+    follower.noteState({.era = 3, .version = 20, .changeVersion = 5, .historyFrom = 1, .age = 0ms}, monotonicNow());
+    EXPECT_EQ(follower.currentAt(), currentAt);
+    EXPECT_EQ(follower.version(), 7);
+    EXPECT_FALSE(
+        follower.merge({.rows = {{.key = "config", .value = "z", .version = 20}}, .version = 20, .era = 1, .changeVersion = 20}, "peer", std::nullopt));
+    EXPECT_TRUE(changes.empty());
+}
+
+// Guards against rows that count as current although the store responds with an older table and does not say why.
+TEST_F(TableReads, OlderTableConfirmsNothing)
+{
+    readTable({{.key = "config", .value = "b", .version = 9}}, 10);
+    const auto currentAt = follower.currentAt();
+    follower.readTable();
+    ASSERT_NE(read(1), "");
+    respond(1, {{.key = "config", .value = "a", .version = 5}}, 7);
+    EXPECT_EQ(follower.currentAt(), currentAt);
+    EXPECT_TRUE(changes.empty());
+}
+
 // Guards against rows that seem newer than they are, here and in heartbeats, because the steady clock stands still while the process is suspended.
 TEST_F(TableReads, TimeOfASuspensionCountsAsAge)
 {
