Let the store of the soak come back from older copies

In a drill, the platform's store may be away for a moment and come back without what it has acknowledged since its copy; the soak did not play that. The promises and their checks are the same: the outage is a disturbance of the store.

The relay does not know the store's era yet: TableFollower takes no row or version lower than one that it had.

--- a/Tests/Soak/Harness/FaultPlan.cpp
+++ b/Tests/Soak/Harness/FaultPlan.cpp
@@ -41,7 +41,8 @@
                             KindEntry {FaultKind::GrowDocument, "grow-document", 0, 1},
                             KindEntry {FaultKind::DrainSeries, "drain-series", 0, 3000},
                             KindEntry {FaultKind::StrikeDataCentre, "strike-data-centre", 0, 3000},
-                            KindEntry {FaultKind::SlowRelay, "slow-relay", 0, 4000}};
+                            KindEntry {FaultKind::SlowRelay, "slow-relay", 0, 4000},
+                            KindEntry {FaultKind::RestoreStore, "restore-store", 0, 12000}};
 
 const KindEntry &entryOf(FaultKind kind)
 {
@@ -146,8 +147,53 @@
     }
 }
 
+// Returns of the store from older copies, at times two within some seconds, with draws of their own.
+void addRestores(std::vector<Fault> &plan, const FaultPlanOptions &options)
+{
+    constexpr unsigned Variants = 1U << 16;
+    constexpr uint64_t SeedOffset = 0x13;
+    constexpr unsigned LeastAgeMs = 1000;
+    constexpr unsigned MostPauseMs = 6000;
+    constexpr double MillisecondsPerSecond = 1000;
+    std::mt19937_64 random(options.seed + (SeedOffset << 32));
+    const auto below = [&random](uint64_t bound) { return std::uniform_int_distribution<uint64_t>(0, bound - 1)(random); };
+    const auto mostAgeMs = entryOf(FaultKind::RestoreStore).mostMs;
+    // The store goes away at this time at the earliest. Returns when it is back.
+    const auto add = [&](std::chrono::milliseconds earliest) {
+        const std::chrono::milliseconds age(LeastAgeMs + below(mostAgeMs - LeastAgeMs));
+        const auto variant = static_cast<unsigned>(below(Variants));
+        const auto outage = restoreFormOf(variant).outage;
+        const auto away = std::max(earliest, age);
+        if (away + outage < options.length) {
+            plan.push_back({.at = away - age, .duration = age + outage, .kind = FaultKind::RestoreStore, .variant = variant});
+        }
+        return away + outage;
+    };
+    const auto length = static_cast<uint64_t>(options.length.count());
+    const auto count = static_cast<size_t>(options.restores * static_cast<double>(length) / MillisecondsPerSecond);
+    for (size_t number = 0; number < count; ++number) {
+        const auto back = add(std::chrono::milliseconds(below(length)));
+        if (below(2) == 0) {
+            add(back + std::chrono::milliseconds(below(MostPauseMs)));
+        }
+    }
+}
+
 } // namespace
 
+RestoreForm restoreFormOf(unsigned variant)
+{
+    constexpr unsigned LeastOutageMs = 500;
+    constexpr unsigned MostOutageMs = 3000;
+    constexpr unsigned Outages = MostOutageMs - LeastOutageMs + 1;
+    constexpr unsigned Failures = 3;
+    const auto rest = variant / Outages;
+    return {.outage = std::chrono::milliseconds(LeastOutageMs + variant % Outages),
+            .failure = rest % Failures,
+            .rewritesNewestOnly = rest / Failures % 2 == 1,
+            .finishesTransactions = rest / Failures / 2 % 2 == 1};
+}
+
 std::string_view nameOf(FaultKind kind)
 {
     return entryOf(kind).name;
@@ -194,6 +240,7 @@
     }
     addLimits(plan, options);
     addTableChanges(plan, options);
+    addRestores(plan, options);
     std::stable_sort(plan.begin(), plan.end(), [](const Fault &a, const Fault &b) { return a.at < b.at; });
     return plan;
 }
--- a/Tests/Soak/Harness/FaultPlan.h
+++ b/Tests/Soak/Harness/FaultPlan.h
@@ -41,6 +41,8 @@
     StrikeDataCentre,
     // The relay gets little processor time.
     SlowRelay,
+    // The store is away for a moment and comes back from a copy that was taken when the fault began.
+    RestoreStore,
 };
 
 std::string_view nameOf(FaultKind kind);
@@ -58,6 +60,19 @@
     std::string toText() const;
 };
 
+// How the store is restored, as the variant of the fault chooses it.
+struct RestoreForm {
+    // For how long the store is away at the end of the fault.
+    std::chrono::milliseconds outage {0};
+    // How calls fail meanwhile.
+    unsigned failure = 0;
+    // Whether the operator writes each row that was lost again once, with its newest value, and not all values in order.
+    bool rewritesNewestOnly = false;
+    // Whether transactions that were not done before the outage are done after it if their conditions hold.
+    bool finishesTransactions = false;
+};
+RestoreForm restoreFormOf(unsigned variant);
+
 struct FaultPlanOptions {
     uint64_t seed = 1;
     size_t relays = 0;
@@ -69,6 +84,8 @@
     double rate = 1;
     // Changes of the store's tables and faults of the relays that read them, for each second.
     double tableChanges = 0;
+    // Returns of the store from an older copy, for each second.
+    double restores = 0;
 };
 
 // The faults of a run, by time. Faults come in series on the same subject and overlap. The plan depends on the options only.
--- a/Tests/Soak/Harness/SoakBadPart.cpp
+++ b/Tests/Soak/Harness/SoakBadPart.cpp
@@ -17,11 +17,11 @@
     // The engine comes back under another id. The entry of the one that crashed goes before, or stays until then.
     const auto downtime = LeastDowntime + std::chrono::milliseconds(m_random() % MostMoreMs);
     if (m_random() % 2 == 0) {
-        after(downtime / 2, [this, id = target.id] { m_store->remove("servers", id); });
+        after(downtime / 2, [this, id = target.id] { removeEntry(id); });
     }
     after(downtime, [this, &target] {
         if (target.isDown) {
-            m_store->remove("servers", target.id);
+            removeEntry(target.id);
             target.id += "x";
             restartTarget(target);
         }
--- a/Tests/Soak/Harness/SoakFaults.cpp
+++ b/Tests/Soak/Harness/SoakFaults.cpp
@@ -49,6 +49,11 @@
     }
 }
 
+bool isOfOperator(FaultKind kind)
+{
+    return kind == FaultKind::ChangeDocument || kind == FaultKind::GrowDocument || kind == FaultKind::Evacuate;
+}
+
 } // namespace
 
 void SoakWorld::strike(const Fault &fault, const std::string &name, const std::function<void()> &begin, std::function<void()> end)
@@ -65,6 +70,10 @@
 
 void SoakWorld::apply(const Fault &fault)
 {
+    if (m_operatorWaits && isOfOperator(fault.kind)) {
+        m_waitingFaults.push_back(fault);
+        return;
+    }
     log(fault.toText());
     const auto begun = monotonicNow();
     strikeSubject(fault);
@@ -128,6 +137,9 @@
     case FaultKind::SlowRelay:
         strikeRelay(fault, *m_relays[fault.subject]);
         return;
+    case FaultKind::RestoreStore:
+        restoreStore(fault);
+        return;
     }
 }
 
@@ -264,11 +276,11 @@
     const bool keepsEntry = isOdd(fault.variant / 2);
     crashTarget(target);
     if (!keepsEntry) {
-        after(fault.duration / 2, [this, id = target.id] { m_store->remove("servers", id); });
+        after(fault.duration / 2, [this, id = target.id] { removeEntry(id); });
     }
     after(fault.duration, [this, &target, keepsId] {
         if (target.isDown && !keepsId) {
-            m_store->remove("servers", target.id);
+            removeEntry(target.id);
             target.id += "x";
         }
         restartTarget(target);
@@ -298,7 +310,7 @@
     const auto name = "end of " + target.id;
     ++m_active[name];
     if (isSilent) {
-        m_store->remove("servers", target.id);
+        removeEntry(target.id);
     } else {
         target.server->setReportsLeaving();
         registerTarget(target, "draining");
@@ -309,7 +321,7 @@
     }
     after(m_bounds.drain + fault.duration, [this, &target, name] {
         --m_active[name];
-        m_store->remove("servers", target.id);
+        removeEntry(target.id);
         crashTarget(target);
         target.id += "x";
         restartTarget(target);
@@ -322,7 +334,7 @@
     const auto row = "evacuate/" + dataCentre;
     const auto begin = [&] {
         const auto now = monotonicNow();
-        m_store->put("op", row, "{}");
+        writeAsOperator(row, "{}");
         m_evacuatedSince.try_emplace(dataCentre, now);
         for (const auto &target : m_targets) {
             if (target->dataCentre == dataCentre && m_active["store"] == 0) {
@@ -334,7 +346,7 @@
         after(SoakBounds::Evacuation + ProbeDelay, [this] { probeRelays(std::nullopt); });
     }
     strike(fault, row, begin, [this, dataCentre, row] {
-        m_store->remove("op", row);
+        writeAsOperator(row, std::nullopt);
         m_evacuatedSince.erase(dataCentre);
         for (const auto &target : m_targets) {
             if (target->dataCentre == dataCentre) {
@@ -393,7 +405,7 @@
 
 std::string SoakWorld::dropRoute(size_t index)
 {
-    const auto route = m_document.addedRoutes[index];
+    auto route = m_document.addedRoutes[index];
     m_document.addedRoutes.erase(m_document.addedRoutes.begin() + static_cast<ptrdiff_t>(index));
     m_document.movedRoutes.erase(route);
     return route;
@@ -464,7 +476,7 @@
 {
     const auto text = m_document.toText();
     m_documentBytes = std::max(m_documentBytes, text.size());
-    m_store->put("op", "config", text);
+    writeAsOperator("config", text);
     DocumentHistory::Document document {.routes = {{"draft", "engine"}, {"hint", "engine"}, {"commit", "desk"}, {"status", "desk"}}};
     for (const auto &route : m_document.addedRoutes) {
         document.routes.emplace(route, m_document.serviceOf(route));
--- a/Tests/Soak/Harness/SoakStore.cpp
+++ b/Tests/Soak/Harness/SoakStore.cpp
@@ -48,6 +48,27 @@
     run([&] { m_store.discardHistory(); });
 }
 
+void SoakStore::removePresent(const std::string &table, const std::string &key)
+{
+    run([&] {
+        if (m_store.hasRow(table, key)) {
+            m_store.remove(table, key);
+        }
+    });
+}
+
+StandInStore::Copy SoakStore::takeCopy()
+{
+    StandInStore::Copy copy;
+    run([&] { copy = m_store.takeCopy(); });
+    return copy;
+}
+
+void SoakStore::restoreCopy(const StandInStore::Copy &copy, StandInStore::Unfinished unfinished)
+{
+    run([&] { m_store.restoreCopy(copy, unfinished); });
+}
+
 int SoakStore::calls()
 {
     int calls = 0;
--- a/Tests/Soak/Harness/SoakStore.h
+++ b/Tests/Soak/Harness/SoakStore.h
@@ -23,6 +23,10 @@
     void remove(const std::string &table, const std::string &key);
     void setFault(StandInStore::Fault fault);
     void discardHistory();
+    // Removes a row unless it is missing.
+    void removePresent(const std::string &table, const std::string &key);
+    StandInStore::Copy takeCopy();
+    void restoreCopy(const StandInStore::Copy &copy, StandInStore::Unfinished unfinished);
 
     int calls();
 
--- a/Tests/Soak/Harness/SoakWorld.cpp
+++ b/Tests/Soak/Harness/SoakWorld.cpp
@@ -55,6 +55,7 @@
     , m_client(m_loop)
     , m_random(m_options.seed)
     , m_prompts(m_options.seed)
+    , m_restoreRandom(m_options.seed)
     , m_tick(m_loop)
 {
 }
@@ -88,7 +89,8 @@
                                      .dataCentres = Places.size(),
                                      .length = m_options.length,
                                      .rate = m_options.faultRate,
-                                     .tableChanges = m_options.tableChanges});
+                                     .tableChanges = m_options.tableChanges,
+                                     .restores = m_options.restores});
     for (const auto &fault : plan) {
         after(fault.at, [this, fault] { apply(fault); });
     }
@@ -214,7 +216,9 @@
 {
     const StandInTargetRow row {
         .service = target.service, .address = target.link->address().toText(), .dataCentre = target.dataCentre, .state = state, .born = target.born};
-    m_store->put("servers", target.id, row.toText());
+    const auto text = row.toText();
+    m_entries[target.id] = text;
+    m_store->put("servers", target.id, text);
 }
 
 void SoakWorld::restartTarget(Target &target)
--- a/Tests/Soak/Harness/SoakWorld.h
+++ b/Tests/Soak/Harness/SoakWorld.h
@@ -28,6 +28,8 @@
     double faultRate = 1;
     // Changes of the document, of targets and of data centres a second, and faults of the relays that read the store.
     double tableChanges = 0;
+    // Returns of the store from an older copy, for each second.
+    double restores = 0;
     // Routes of the document beside those that callers use.
     size_t routes = 0;
     // The relay program, of this build unless the path is absolute.
@@ -98,6 +100,11 @@
         std::string prompt;
         std::string body;
     };
+    struct OperatorWrite {
+        std::string key;
+        // Nothing if the row is removed.
+        std::optional<std::string> value;
+    };
     // Faults of one kind on one subject that have not been lifted.
     using ActiveFaults = std::map<std::string, int>;
 
@@ -108,6 +115,8 @@
     void registerTarget(const Target &target, const std::string &state);
     void crashTarget(Target &target);
     void restartTarget(Target &target);
+    void removeEntry(const std::string &id);
+    bool isRunning(const std::string &target) const;
     bool takesCopies(const std::string &address) const;
     void startRelays();
     void startCallers();
@@ -125,6 +134,15 @@
     void strikeTarget(const Fault &fault, Target &target);
     void strikeLink(const Fault &fault, LoopbackProxy &link, const std::string &name);
     void strikeStore(const Fault &fault);
+    // Takes a copy of the store, which is restored at the end of the fault.
+    void restoreStore(const Fault &fault);
+    void onStoreRestored(const RestoreForm &form);
+    // The operator sets a row, or removes it. While it waits for the store, the write joins those that were lost.
+    void writeAsOperator(const std::string &key, const std::optional<std::string> &value);
+    // The operator writes the first of the writes that the store lacks again, and goes on with the next one after a pause.
+    void rewriteNext(uint64_t turn, bool newestOnly, std::chrono::milliseconds pause);
+    // Targets write their entries again, and those of targets that have left go again.
+    void rewriteEntry(uint64_t turn, const std::string &id);
     void resetLinks(const Fault &fault, SoakRelay &relay);
     void limitTarget(const Fault &fault, Target &target);
     void drainTarget(const Fault &fault, Target &target);
@@ -197,6 +215,20 @@
     SoakPrompts m_prompts;
     std::deque<BadPartRequest> m_badPartRepeats;
     std::map<std::string, MonotonicTime> m_evacuatedSince;
+    // All writes of the operator, and how many of them the store has.
+    std::vector<OperatorWrite> m_operatorWrites;
+    size_t m_presentWrites = 0;
+    // Whether the operator waits until it has written again what the store lost, and the changes that it makes then.
+    bool m_operatorWaits = false;
+    std::vector<Fault> m_waitingFaults;
+    // Outages that end with a restored copy.
+    int m_restoresUnderWay = 0;
+    // Rises with each such outage and with its end, so that rewrites stop when the store goes away again.
+    uint64_t m_restoreTurn = 0;
+    // Entries of targets by id, as far as targets know. Nothing for those that were removed.
+    std::map<std::string, std::optional<std::string>> m_entries;
+    // For the time of rewrites, so that other draws stay the same.
+    std::mt19937_64 m_restoreRandom;
     boost::asio::steady_timer m_tick;
     MonotonicTime m_nextTick;
     std::chrono::milliseconds m_worstLateness {0};
--- a/Tests/Soak/Program/main.cpp
+++ b/Tests/Soak/Program/main.cpp
@@ -119,6 +119,7 @@
             .length = std::chrono::seconds(arguments["seconds"].as<int>()),
             .faultRate = arguments["rate"].as<double>(),
             .tableChanges = arguments["table-changes"].as<double>(),
+            .restores = arguments["restores"].as<double>(),
             .routes = arguments["routes"].as<size_t>(),
             .relayProgram = arguments["relay-program"].as<std::string>(),
             .badPart = arguments["bad-part"].as<bool>(),
@@ -135,7 +136,8 @@
     const auto &[name, value] = option;
     return (name == "targets" && absl::SimpleAtoi(value, &options.targets)) || (name == "table-changes" && absl::SimpleAtod(value, &options.tableChanges))
         || (name == "routes" && absl::SimpleAtoi(value, &options.routes)) || (name == "processors" && absl::SimpleAtoi(value, &options.processors))
-        || (name == "planned" && absl::SimpleAtob(value, &options.plannedOnly)) || (name == "bad-part" && absl::SimpleAtob(value, &options.badPart));
+        || (name == "restores" && absl::SimpleAtod(value, &options.restores)) || (name == "planned" && absl::SimpleAtob(value, &options.plannedOnly))
+        || (name == "bad-part" && absl::SimpleAtob(value, &options.badPart));
 }
 
 // The runs of a file with lines "SEED RELAYS CALLERS SECONDS RATE [NAME=VALUE...]", each followed by a comment. Nothing if a line cannot be read.
@@ -204,6 +206,7 @@
     add("seconds", "Time with faults", cxxopts::value<int>()->default_value("18"));
     add("rate", "Faults a second, each of them possibly a series", cxxopts::value<double>()->default_value("3"));
     add("table-changes", "Changes of the store's tables a second, and faults of the relays that read it", cxxopts::value<double>()->default_value("0"));
+    add("restores", "Returns of the store from an older copy a second, at times two within some seconds", cxxopts::value<double>()->default_value("0"));
     add("routes", "Routes of the document beside those that callers use", cxxopts::value<size_t>()->default_value("0"));
     add("processors", "Processors for all relays together, while the soak itself uses the others; 0 for all", cxxopts::value<int>()->default_value("0"));
     add("relay-program", "Relay program; of this build unless the path is absolute", cxxopts::value<std::string>()->default_value("jujube-relay"));
--- a/Tests/Soak/TestFaultPlan.cpp
+++ b/Tests/Soak/TestFaultPlan.cpp
@@ -50,6 +50,26 @@
     }
 }
 
+// Guards against restored copies of another age or after another outage than stated, and other faults of a seed that differ beside them.
+TEST(FaultPlan, DrawsRestoresBesideTheOthers)
+{
+    auto options = Options;
+    options.restores = 0.2;
+    const auto plan = makeFaultPlan(options);
+    size_t restores = 0;
+    for (const auto &fault : plan) {
+        if (fault.kind == FaultKind::RestoreStore) {
+            ++restores;
+            const auto outage = restoreFormOf(fault.variant).outage;
+            EXPECT_TRUE(outage >= 500ms && outage <= 3s) << fault.toText();
+            EXPECT_TRUE(fault.duration - outage >= 1s && fault.duration - outage <= 12s) << fault.toText();
+            EXPECT_TRUE(fault.at >= 0ms && fault.at + fault.duration < options.length) << fault.toText();
+        }
+    }
+    EXPECT_GE(restores, 8U);
+    EXPECT_EQ(plan.size(), makeFaultPlan(Options).size() + restores);
+}
+
 // Guards against kinds of faults that are never played, faults that outlast the run, and faults that never overlap.
 TEST(FaultPlan, DrawsAllKindsInSeriesThatOverlap)
 {
