--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -47,6 +47,28 @@
     }
 }
 
+// Guards against relays that go back to an older document, or hold on to rows that are gone, after the store has come back from an older copy of itself.
+TEST(Soak, RestoredStoreBreaksNoPromise)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto directory = std::filesystem::temp_directory_path() / ("jujube-soak-" + std::to_string(getpid()) + "-restores");
+    std::filesystem::create_directories(directory);
+    const auto result = SoakWorld({.seed = 5,
+                                   .relays = 8,
+                                   .callers = 10,
+                                   .length = std::chrono::seconds(14),
+                                   .tableChanges = 1.5,
+                                   .restores = 0.2,
+                                   .timed = false,
+                                   .directory = directory.string()})
+                            .run();
+    EXPECT_EQ(result.violations, std::vector<std::string>()) << "logs in " << directory;
+    EXPECT_GT(result.force.count, 0U);
+    if (result.violations.empty()) {
+        std::filesystem::remove_all(directory);
+    }
+}
+
 // Guards against relays that lose requests when they are stopped in series, get further signals while they stop, or their targets pause.
 TEST(Soak, PlannedStopsLoseNoRequest)
 {
