Copy a generation again if its copy may not be used

What callers would have seen: a generation whose homes change while it is being copied away from an engine that leaves is cut when the engine is gone, although another engine could take it.

Cause: after the copy, neither its destination nor its source was allowed any more, so the generation stayed, and a successful copy was never followed by another. Before the check of homes, only cooldowns, limits and data centres out of service led there.

A copy from which the generation does not go on is now treated like one that the engine could not make: it is forgotten, and another destination is looked for, within the attempts that a generation has.

--- a/Libraries/LibRelayServer/RelayExchangeMigration.cpp
+++ b/Libraries/LibRelayServer/RelayExchangeMigration.cpp
@@ -174,10 +174,13 @@
         return;
     }
     const bool wasInterrupted = m_session->isInterrupted();
+    const auto attempts = m_session->attemptCount();
     m_session->onCopied(result, now);
     if (!wasInterrupted && !m_isFinished && !m_session->isMigrating()) {
         m_core.migrations.remove(m_id);
-        retryMigrationAfter(result.kind);
+        // The destination may have ceased to be allowed while the copy was made. Another one may be.
+        const bool isUnused = result.kind == CopyResult::Kind::Copied && m_session->attemptCount() == attempts;
+        retryMigrationAfter(isUnused ? CopyResult::Kind::Busy : result.kind);
         m_core.runMigrations();
     }
 }
--- a/Tests/Platform/TestHomeRegions.cpp
+++ b/Tests/Platform/TestHomeRegions.cpp
@@ -27,9 +27,12 @@
         ASSERT_TRUE(m_testBed.waitUntilReady("n1"));
     }
 
-    // Sends a request, changes its homes while it is at its first target, and lets `onChanged` make it go on.
-    std::shared_ptr<RelayTestBed::Response>
-    send(const std::string &path, const std::string &usage, const std::function<void(const std::string &first)> &onChanged)
+    // Sends a request, changes its homes while it is at its first target, and lets `onChanged` make it go on, unless `beforeChange` has done so.
+    std::shared_ptr<RelayTestBed::Response> send(
+        const std::string &path,
+        const std::string &usage,
+        const std::function<void(const std::string &first)> &onChanged,
+        const std::function<void(const std::string &first)> &beforeChange = [](const std::string &) {})
     {
         const auto response = std::make_shared<RelayTestBed::Response>();
         const std::vector<HeaderField> fields {{.name = "X-Token-Usage", .value = usage}, {.name = "X-Deadline-Ms", .value = "8000"}};
@@ -37,6 +40,7 @@
         const auto findFirst = [&] { return std::ranges::find_if(m_targets, [](const auto &entry) { return entry.second->isRunning("r1"); }); };
         EXPECT_TRUE(m_testBed.runUntil([&] { return findFirst() != m_targets.end(); }));
         const auto first = findFirst()->first;
+        beforeChange(first);
         writeHomes(2, "sindh");
         EXPECT_TRUE(m_testBed.runUntil([&] { return metric("relay_document_version") == "relay_document_version 2"; }));
         EXPECT_TRUE(m_targets.at(first)->isRunning("r1"));
@@ -95,6 +99,23 @@
     EXPECT_EQ(response->end, ChannelEnd::Complete);
 }
 
+// Guards against a generation that is never copied again, because its homes changed while the first copy was made.
+TEST_F(HomeRegions, CopyThatIsMadeMeanwhileIsFollowedByAnother)
+{
+    start("engine", Events);
+    const auto response = send(
+        "/draft/x",
+        "1000,40",
+        [](const std::string &) {},
+        [&](const std::string &first) {
+            m_targets.at(first)->setCopyTime(1s);
+            m_testBed.registerTarget(first, "draining");
+            EXPECT_TRUE(m_testBed.runUntil([&] { return m_targets.at(first)->copyOrders() > 0; }));
+        });
+    EXPECT_EQ(arrivals("s-1"), 1);
+    EXPECT_EQ(response->end, ChannelEnd::Complete);
+}
+
 // Guards against a generation that goes on from a backup outside its homes.
 TEST_F(HomeRegions, BackupOutsideTheNewHomesIsNotUsed)
 {
