Let only reads sent after a suspension make peers' confirmations count again

Cause: after a suspension, confirmations of peers are ignored until an own read has succeeded, because heartbeats may have waited meanwhile. The response to a read from before the suspension ended that time, and the next heartbeat in the queue made rows seem as young as its sender's read, earlier by the suspension.

Only the response to a read that is at least as new as the one sent after the suspension ends it now.

--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -67,7 +67,7 @@
 void RelayExchange::start()
 {
     const auto now = m_request.arrivedAt;
-    // A request that waited while the process was suspended must not be judged by tables that seem newer than they are.
+    // A request that waited while the process was suspended must not be turned away for good by a table that seems newer than it is.
     m_core.detectFreeze(now);
     installCallerHooks();
     if (const auto outcome = admit(now)) {
--- a/Libraries/LibRelayServer/TableFollower.cpp
+++ b/Libraries/LibRelayServer/TableFollower.cpp
@@ -63,11 +63,10 @@
 
 void TableFollower::readNow()
 {
-    m_ignoresPeers = true;
-    if (m_readActiveAt && !m_isReadHeld) {
-        return;
+    if (!m_readActiveAt || m_isReadHeld) {
+        startRead({});
     }
-    startRead({});
+    m_ignoresPeersUntilRead = m_readNumber;
 }
 
 void TableFollower::onSuspended(std::chrono::nanoseconds time)
@@ -78,9 +77,9 @@
     if (m_readCurrentAt) {
         *m_readCurrentAt -= suspended;
     }
-    m_ignoresPeers = true;
     // The response to a read in progress may have been sent before the suspension.
     startRead({});
+    m_ignoresPeersUntilRead = m_readNumber;
 }
 
 MonotonicTime TableFollower::sendTimeOf(const Read &read) const
@@ -219,7 +218,7 @@
     if (!read->isOfWholeTable && response.end == ChannelEnd::Complete && response.status == m_adapter.changesUnavailableStatus) {
         if (read->number == m_readNumber) {
             m_needsTable = true;
-            onSuccess(now);
+            onSuccess(*read, now);
             startRead({});
         }
         return;
@@ -267,7 +266,7 @@
         return;
     }
     m_source.clear();
-    onSuccess(now);
+    onSuccess(*read, now);
     mergeTable({.rows = std::exchange(read->rows, {}), .version = *read->version, .era = m_era});
     confirmByRead(sendTimeOf(*read));
     onReadEnded(*read);
@@ -276,7 +275,7 @@
 void TableFollower::onChanges(const Read &read, const StoreRows &changes, MonotonicTime now)
 {
     m_source.clear();
-    onSuccess(now);
+    onSuccess(read, now);
     for (const auto &row : changes.rows) {
         if (mergeRow(row)) {
             m_hooks.onChange(row, {.afterOutage = m_afterOutage});
@@ -387,7 +386,7 @@
 
 void TableFollower::noteCurrent(int64_t era, int64_t version, std::chrono::milliseconds age, MonotonicTime now)
 {
-    if (!m_hasRows || m_ignoresPeers || era != m_era) {
+    if (!m_hasRows || m_ignoresPeersUntilRead || era != m_era) {
         return;
     }
     m_version = std::max(m_version, version);
@@ -450,7 +449,7 @@
     return std::min(delay, std::max(m_options.maxRetryDelay, MaxRetryDelayOfLargeFleets));
 }
 
-void TableFollower::onSuccess(MonotonicTime now)
+void TableFollower::onSuccess(const Read &read, MonotonicTime now)
 {
     if (m_readAt && !m_failingSince) {
         // Smoothed, so that one slow read has little effect.
@@ -460,7 +459,9 @@
     m_readAt = now;
     // Entries do not expire within a shorter time.
     m_afterOutage = m_afterOutage || m_isUnavailable;
-    m_ignoresPeers = false;
+    if (m_ignoresPeersUntilRead && read.number >= *m_ignoresPeersUntilRead) {
+        m_ignoresPeersUntilRead.reset();
+    }
     endFailure(now);
 }
 
--- a/Libraries/LibRelayServer/TableFollower.h
+++ b/Libraries/LibRelayServer/TableFollower.h
@@ -227,7 +227,7 @@
     void onFailure(const Read &read, const std::string &error, MonotonicTime now);
     // Notes that reads fail, and since when if they did not before.
     void recordFailure(const std::string &error, MonotonicTime since, MonotonicTime now);
-    void onSuccess(MonotonicTime now);
+    void onSuccess(const Read &read, MonotonicTime now);
     void endFailure(MonotonicTime now);
     void schedule(std::chrono::milliseconds delay);
     std::chrono::milliseconds maxRetryDelay() const;
@@ -269,8 +269,9 @@
     std::optional<MonotonicTime> m_readCurrentAt;
     // Total time for which the process has been suspended.
     MonotonicTime::duration m_suspended {0};
-    // Whether confirmations of peers are ignored until the next read, because heartbeats may have been queued while the process was stopped.
-    bool m_ignoresPeers = false;
+    // Number of the first read whose response ends the time in which confirmations of peers are ignored, because heartbeats may have been queued while the
+    // process was stopped. Nothing while they count.
+    std::optional<uint64_t> m_ignoresPeersUntilRead;
     std::minstd_rand m_random {std::random_device {}()};
     std::optional<MonotonicTime> m_failingSince;
 };
--- a/Tests/Platform/TestTableFollower.cpp
+++ b/Tests/Platform/TestTableFollower.cpp
@@ -412,6 +412,9 @@
     // This response may have been sent before the suspension.
     respond(1, {}, 10);
     EXPECT_GE(*follower.state(monotonicNow()).age, Suspension);
+    // This heartbeat may have waited while the process was suspended.
+    follower.noteState({.version = 10, .changeVersion = 1, .historyFrom = 1, .age = 0ms}, monotonicNow());
+    EXPECT_GE(follower.age(monotonicNow()), Suspension);
     respond(2, {}, 10);
     EXPECT_LT(*follower.state(monotonicNow()).age, Suspension);
 }
