--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -112,7 +112,7 @@
     void addHomes(LogLine &line, MonotonicTime now);
     // Logs a request that was sent outside the homes that the document in force gives it.
     void checkHomes(const std::string &target, const std::string &dataCentre);
-    // The home regions of the request, computed when the document has changed. Nothing for anywhere.
+    // The home regions of an admitted request, computed when the document has changed. Nothing for anywhere.
     struct Homes {
         int64_t document = 0;
         // Those that the document gives to the request.
