Log what delays a document on its way to a relay

Datagrams are read up to eight at a time, until the socket is empty, so that the time for which it was not is known.

--- a/Libraries/LibRelayServer/PeerLink.cpp
+++ b/Libraries/LibRelayServer/PeerLink.cpp
@@ -55,6 +55,9 @@
 // Number of changed targets in one datagram, so that none is left out for lack of space.
 constexpr size_t MaxTargetsPerDatagram = 10;
 
+// Datagrams that are read before other work gets its turn.
+constexpr int MaxDatagramsPerTurn = 8;
+
 } // namespace
 
 PeerLink::PeerLink(RelayCore &core, Hooks hooks)
@@ -85,22 +88,39 @@
     for (const auto &seed : m_core.options.seeds) {
         m_core.peers.addAddress(seed, now);
     }
-    receive();
+    awaitDatagrams();
     onHeartbeatDue();
     return absl::OkStatus();
 }
 
-void PeerLink::receive()
+void PeerLink::awaitDatagrams()
+{
+    m_socket.async_wait(Udp::socket::wait_read, [this](const LoopError &error) {
+        if (error != boost::asio::error::operation_aborted) {
+            readDatagrams();
+            awaitDatagrams();
+        }
+    });
+}
+
+void PeerLink::readDatagrams()
 {
-    m_socket.async_receive_from(boost::asio::buffer(m_buffer), m_sender, [this](const LoopError &error, size_t bytes) {
-        if (error == boost::asio::error::operation_aborted) {
+    m_backlogSince = m_backlogSince.value_or(monotonicNow());
+    for (int count = 0; count < MaxDatagramsPerTurn; ++count) {
+        LoopError error;
+        const auto bytes = m_socket.receive_from(boost::asio::buffer(m_buffer), m_sender, 0, error);
+        if (error == boost::asio::error::would_block) {
+            m_backlogSince.reset();
             return;
         }
+        const auto now = monotonicNow();
+        m_datagramWait.record(now - *m_backlogSince, now);
         if (!error) {
-            onDatagram({m_buffer.data(), bytes}, monotonicNow());
+            m_received.add(static_cast<double>(bytes), now);
+            m_core.metrics.count("relay_peer_bytes_received_total", {}, bytes);
+            onDatagram({m_buffer.data(), bytes}, now);
         }
-        receive();
-    });
+    }
 }
 
 void PeerLink::onDatagram(std::string_view datagram, MonotonicTime now)
@@ -266,18 +286,13 @@
 
 void PeerLink::sendKnownAddresses(const std::string &address, MonotonicTime now)
 {
-    const auto endpoint = Endpoint::parse(address);
-    if (!endpoint) {
-        return;
-    }
     auto introduction = buildHeartbeat(now);
     introduction.requestLimits = m_core.balancer.requestLimits().allStatements(now);
     if (m_core.rollouts) {
         m_core.rollouts->addNotices(introduction, true, now);
     }
     introduction.known = m_core.peers.knownAddresses(MaxIntroductionAddresses, now, m_core.random());
-    LoopError ignored;
-    m_socket.send_to(boost::asio::buffer(encodePeerHeartbeat(introduction)), endpoint->udp(), 0, ignored);
+    sendDatagramTo(address, encodePeerHeartbeat(introduction));
 }
 
 void PeerLink::scheduleHeartbeat(NotificationScope scope)
@@ -425,6 +440,8 @@
         LoopError ignored;
         m_socket.send_to(boost::asio::buffer(datagram), endpoint->udp(), 0, ignored);
         m_core.metrics.count("relay_heartbeats_sent_total");
+        m_core.metrics.count("relay_peer_bytes_sent_total", {}, datagram.size());
+        m_sent.add(static_cast<double>(datagram.size()), monotonicNow());
     }
 }
 
--- a/Libraries/LibRelayServer/PeerLink.h
+++ b/Libraries/LibRelayServer/PeerLink.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <LibLoop/Asio.h>
+#include <LibPolicy/RateMeter.h>
 #include <LibRelay/CrashReportCodec.h>
 #include <LibRelay/NotificationScope.h>
+#include <LibRelay/RecentMaximum.h>
 #include <LibRelayServer/RelayCore.h>
 
 namespace Jujube
@@ -49,8 +51,28 @@
     // The same for relays that read the store for all. Others learn from their heartbeats whether they miss a change.
     std::chrono::milliseconds readerHeartbeatInterval(MonotonicTime now) const;
 
+    // The longest time for which a datagram can have waited in the socket within the last seconds.
+    std::chrono::milliseconds longestDatagramWait(MonotonicTime now) const
+    {
+        return m_datagramWait.value(now);
+    }
+
+    // Bytes per second of datagrams that peers have lately sent to this relay, and that it has sent to them.
+    double receivedBytesPerSecond(MonotonicTime now) const
+    {
+        return m_received.perSecond(now);
+    }
+    double sentBytesPerSecond(MonotonicTime now) const
+    {
+        return m_sent.perSecond(now);
+    }
+
 private:
-    void receive();
+    static constexpr std::chrono::milliseconds TrafficHalfLife {500};
+
+    // Waits until a datagram has arrived, and reads those in the socket. After some of them, other work gets its turn.
+    void awaitDatagrams();
+    void readDatagrams();
     void onDatagram(std::string_view datagram, MonotonicTime now);
     void onHeartbeatDue();
     // Sends the addresses of other relays to a relay whose first heartbeat was received.
@@ -86,6 +108,11 @@
     size_t m_nextRejection = 0;
     std::array<char, 2048> m_buffer {};
     Udp::endpoint m_sender;
+    // Since when the socket has held datagrams all the time, as far as the loop has seen it. Nothing while it is empty.
+    std::optional<MonotonicTime> m_backlogSince;
+    RecentMaximum m_datagramWait;
+    RateMeter m_received {TrafficHalfLife};
+    RateMeter m_sent {TrafficHalfLife};
     const int64_t m_incarnation;
     int64_t m_sequence = 0;
     bool m_isHeartbeatScheduled = false;
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -252,6 +252,9 @@
 {
     const auto now = monotonicNow();
     ++m_ticks;
+    if (m_tickDueAt != MonotonicTime {}) {
+        m_loopDelay.record(now - m_tickDueAt, now);
+    }
     detectFreeze(now);
     for (const auto &target : m_core.targets.tick(now)) {
         m_core.handleTargetLeaving(target, "entry expired", now);
@@ -293,7 +296,8 @@
         checkRunningEngines();
     }
     checkDrain(now);
-    m_timer.expires_after(TickInterval);
+    m_tickDueAt = monotonicNow() + TickInterval;
+    m_timer.expires_at(m_tickDueAt);
     m_timer.async_wait([this](const LoopError &error) {
         if (!error) {
             tick();
--- a/Libraries/LibRelayServer/Relay.h
+++ b/Libraries/LibRelayServer/Relay.h
@@ -61,7 +61,7 @@
     void onDocumentEra(int64_t era, MonotonicTime now);
     void onTargetsEra(int64_t era);
     void setDataCentreOut(const std::string &name, bool out, int64_t version);
-    void applyDocument(const StoreRow &row);
+    void applyDocument(const StoreRow &row, const TableFollower::ReadContext &context);
     void onTargetTable(const StoreRows &rows, const TableFollower::ReadContext &context, MonotonicTime now);
     // Removes the targets that a complete target list does not contain. Returns their number.
     size_t removeUnlisted(const absl::flat_hash_set<std::string> &listed, bool afterOutage, int64_t version, std::string_view reason, MonotonicTime now);
@@ -77,6 +77,8 @@
     void updateLag(TableLag &lag, const std::string &table, bool hasCaughtUp, MonotonicTime now);
     void reportLag(TableLag &lag, const TableFollower &follower, const std::string &table, MonotonicTime now);
     void exportTables(MonotonicTime now);
+    // Adds what can delay changes on their way to this relay: how late its loop is, how long datagrams of peers wait, and how much of its link they take.
+    void addDelays(LogLine &line, MonotonicTime now) const;
 
     std::vector<std::string> addressesFor(const std::string &dataCentre, const std::string &region, MonotonicTime now) const;
     // Requests the document from a peer that has a newer one, while this relay cannot read the store.
@@ -122,6 +124,8 @@
     MonotonicTime m_lastRunAt;
     std::chrono::nanoseconds m_lastSuspendedTime {0};
     uint64_t m_ticks = 0;
+    MonotonicTime m_tickDueAt;
+    RecentMaximum m_loopDelay;
     bool m_wasReading = false;
     // Whether the requests that outlast the grace period have got their responses.
     bool m_hasEndedRequests = false;
--- a/Libraries/LibRelayServer/RelayTables.cpp
+++ b/Libraries/LibRelayServer/RelayTables.cpp
@@ -19,6 +19,8 @@
 constexpr std::string_view TargetsPath = "/targets";
 // An older snapshot is of no use, and its age would not fit into a time.
 constexpr std::chrono::milliseconds MaxSnapshotAge = std::chrono::hours(24 * 365);
+// A table that has never been confirmed has no age.
+constexpr std::chrono::milliseconds MaxLoggedAge = std::chrono::minutes(1);
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
 
@@ -185,9 +187,18 @@
         .add("peer_version", lag.version())
         .add("for_ms", lag.duration(now).count())
         .add("age_ms", follower.age(now).count());
+    addDelays(line, now);
     m_core.log(line);
 }
 
+void Relay::addDelays(LogLine &line, MonotonicTime now) const
+{
+    line.add("loop_delay_ms", m_loopDelay.value(now).count())
+        .add("datagram_wait_ms", m_peers.longestDatagramWait(now).count())
+        .add("peer_bytes_received_per_s", static_cast<int64_t>(m_peers.receivedBytesPerSecond(now)))
+        .add("peer_bytes_sent_per_s", static_cast<int64_t>(m_peers.sentBytesPerSecond(now)));
+}
+
 void Relay::exportTables(MonotonicTime now)
 {
     const auto exportTable = [&](const TableFollower &follower, const std::string &table, const TableLag &lag) {
@@ -201,6 +212,8 @@
     exportTable(*m_targets, m_core.adapter.targetTable, m_targetsLag);
     m_core.metrics.set("relay_document_version", m_core.routes ? static_cast<double>(m_core.routes->document().version) : 0);
     m_core.metrics.set("relay_reads_store", m_readers.isReading() ? 1 : 0);
+    m_core.metrics.set("relay_loop_delay_seconds", std::chrono::duration<double>(m_loopDelay.value(now)).count());
+    m_core.metrics.set("relay_datagram_wait_seconds", std::chrono::duration<double>(m_peers.longestDatagramWait(now)).count());
 }
 
 void Relay::onPeerRequest(CallerChannel &channel, const CallerRequest &request)
@@ -444,7 +457,7 @@
 void Relay::onDocumentRow(const StoreRow &row, const TableFollower::ReadContext &context)
 {
     if (row.key == m_core.adapter.documentKey) {
-        applyDocument(row);
+        applyDocument(row, context);
     } else if (const auto dataCentre = m_core.adapter.decodeOutOfServiceDataCentre(row.key)) {
         onDataCentreRow(*dataCentre, row, context, monotonicNow());
     } else if (const auto service = m_rollouts ? m_core.adapter.decodeRolloutService(row.key) : std::nullopt) {
@@ -476,7 +489,7 @@
     }
 }
 
-void Relay::applyDocument(const StoreRow &row)
+void Relay::applyDocument(const StoreRow &row, const TableFollower::ReadContext &context)
 {
     if (row.removed) {
         return;
@@ -492,13 +505,19 @@
     if (m_core.routes && document->version <= m_core.routes->document().version) {
         return;
     }
+    const auto now = monotonicNow();
     auto line = m_core.line(EventKind::DocumentInForce);
     line.add("version", document->version)
         .add("row_version", row.version)
         .add("routes", static_cast<int64_t>(document->routes.size()))
         .add("workspaces", static_cast<int64_t>(document->workspaces.size()))
         .add("source", sourceOf(*m_documents))
-        .add("behind_ms", m_documentLag.duration(monotonicNow()).count());
+        .add("behind_ms", m_documentLag.duration(now).count())
+        .add("age_ms", std::min(m_documents->age(now), MaxLoggedAge).count());
+    if (context.sentAt) {
+        line.add("read_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - *context.sentAt).count());
+    }
+    addDelays(line, now);
     m_core.log(line);
     m_core.routes = std::make_shared<const RouteTable>(*std::move(document));
     m_core.dropBackupsOutsideHomes();
--- a/Libraries/LibRelayServer/TableFollower.cpp
+++ b/Libraries/LibRelayServer/TableFollower.cpp
@@ -267,7 +267,7 @@
     }
     m_source.clear();
     onSuccess(*read, now);
-    mergeTable({.rows = std::exchange(read->rows, {}), .version = *read->version, .era = m_era});
+    mergeTable({.rows = std::exchange(read->rows, {}), .version = *read->version, .era = m_era}, read->sentAt);
     confirmByRead(sendTimeOf(*read));
     onReadEnded(*read);
 }
@@ -278,7 +278,7 @@
     onSuccess(read, now);
     for (const auto &row : changes.rows) {
         if (mergeRow(row)) {
-            m_hooks.onChange(row, {.afterOutage = m_afterOutage});
+            m_hooks.onChange(row, {.afterOutage = m_afterOutage, .sentAt = read.sentAt});
         }
     }
     m_version = std::max(m_version, changes.version);
@@ -317,9 +317,9 @@
     return true;
 }
 
-void TableFollower::mergeTable(const StoreRows &rows)
+void TableFollower::mergeTable(const StoreRows &rows, std::optional<MonotonicTime> sentAt)
 {
-    const ReadContext context {.afterOutage = m_afterOutage || m_awaitsFirstTable, .afterRestore = m_awaitsFirstTable};
+    const ReadContext context {.afterOutage = m_afterOutage || m_awaitsFirstTable, .afterRestore = m_awaitsFirstTable, .sentAt = sentAt};
     absl::flat_hash_set<std::string> listed;
     for (const auto &row : rows.rows) {
         listed.insert(row.key);
@@ -407,7 +407,7 @@
     }
     const bool wasUnavailable = m_isUnavailable;
     m_source = peer;
-    mergeTable(rows);
+    mergeTable(rows, std::nullopt);
     m_changeVersion = std::max(m_changeVersion, rows.changeVersion);
     if (currentAt) {
         confirm(*currentAt);
--- a/Libraries/LibRelayServer/TableFollower.h
+++ b/Libraries/LibRelayServer/TableFollower.h
@@ -69,6 +69,8 @@
         bool afterOutage = false;
         // The rows are those of the first table of an era: rows may be older than those of the era before, and newer ones may be missing.
         bool afterRestore = false;
+        // When the read was sent. Nothing for rows that a peer has handed over.
+        std::optional<MonotonicTime> sentAt;
     };
 
     struct Hooks {
@@ -215,7 +217,7 @@
     void onChanges(const Read &read, const StoreRows &changes, MonotonicTime now);
     // Schedules the next read after the newest one.
     void onReadEnded(const Read &read);
-    void mergeTable(const StoreRows &rows);
+    void mergeTable(const StoreRows &rows, std::optional<MonotonicTime> sentAt);
     // Takes a row over if it is newer than the known one. Returns whether it is.
     bool mergeRow(const StoreRow &row);
     // Bounds the memory for removed rows.
