--- a/Tests/Platform/ScriptedPeer.cpp
+++ b/Tests/Platform/ScriptedPeer.cpp
@@ -83,7 +83,10 @@
         if (error) {
             return;
         }
-        if (auto heartbeat = decodePeerHeartbeat({m_buffer.data(), bytes}); heartbeat && !heartbeat->onlyLoads) {
+        auto heartbeat = decodePeerHeartbeat({m_buffer.data(), bytes});
+        if (heartbeat && heartbeat->onlyLoads) {
+            m_loadReportBytes += bytes;
+        } else if (heartbeat) {
             for (const auto &target : heartbeat->targets) {
                 m_reportedTargets.insert(target.id);
             }
--- a/Tests/Platform/ScriptedPeer.h
+++ b/Tests/Platform/ScriptedPeer.h
@@ -33,6 +33,12 @@
         return m_reportedTargets;
     }
 
+    // Bytes of the short messages with only the loads that the relay has sent to this peer.
+    size_t loadReportBytes() const
+    {
+        return m_loadReportBytes;
+    }
+
     int requestCount() const
     {
         return m_requestCount;
@@ -56,6 +62,7 @@
     Udp::endpoint m_sender;
     std::optional<PeerHeartbeat> m_received;
     std::set<std::string> m_reportedTargets;
+    size_t m_loadReportBytes = 0;
     int m_requestCount = 0;
 };
 
