Take connections that a target resets at its limit for no crash

A target resets connections beyond its limit.

A target that accepts the connection is checked again, twice at most and 300 ms apart. It has crashed if nothing listens, connections time out twice, or a later process responds.

--- a/Libraries/LibRelayServer/PeerLink.cpp
+++ b/Libraries/LibRelayServer/PeerLink.cpp
@@ -25,8 +25,6 @@
 constexpr std::chrono::milliseconds ChangeRepeatTime {1500};
 // A limit that a target has named to this relay is reported for longer than the interval between heartbeats to other regions.
 constexpr std::chrono::milliseconds LimitReportTime {3000};
-// Delay before a heartbeat that is sent early.
-constexpr std::chrono::milliseconds EarlyHeartbeatDelay {20};
 // Up to this number of relays, all are notified of each change of load and receive complete heartbeats.
 constexpr int MaxSmallFleetSize = 12;
 // In larger fleets, a relay that does not send the loads of its region sends one in this many heartbeats to other regions.
@@ -201,14 +199,20 @@
 
 void PeerLink::sendCrashReports(MonotonicTime now)
 {
+    if (m_crashReports.nextAt(now) > now || m_crashReportsToOtherRegions.nextAt(now) > now) {
+        return;
+    }
+    const auto relaysOfRegion = m_core.peers.livePeersInRegion(now).size() + 1;
     // In a small fleet, all relays get all parts and judge.
     const auto judges = isSmallFleet(now) ? std::vector<std::string>() : m_core.peers.crashJudges(now);
     const auto own = m_core.options.peers.toText();
     const bool isJudge = judges.empty() || std::ranges::find(judges, own) != judges.end();
     for (const auto &report : crashReportsForAll(isJudge, now)) {
         const auto datagram = encodePeerCrashReport(report);
-        sendDatagram(PeerTable::RecipientScope::Region, datagram, now);
-        sendDatagram(PeerTable::RecipientScope::OutsideRegion, datagram, now);
+        const auto outside = sendDatagram(PeerTable::RecipientScope::OutsideRegion, datagram, now);
+        const auto recipients = sendDatagram(PeerTable::RecipientScope::Region, datagram, now) + outside;
+        m_crashReports.recordSent(recipients * datagram.size(), now);
+        m_crashReportsToOtherRegions.recordSent(outside * datagram.size() * relaysOfRegion, now);
     }
     if (judges.empty()) {
         return;
@@ -218,6 +222,7 @@
         for (const auto &judge : judges) {
             if (judge != own) {
                 sendDatagramTo(judge, datagram);
+                m_crashReports.recordSent(datagram.size(), now);
             }
         }
     }
@@ -309,11 +314,14 @@
 
 void PeerLink::scheduleLoadUpdate(bool isGeneration)
 {
-    if (m_isLoadUpdateScheduled || (!isGeneration && !isSmallFleet(monotonicNow()))) {
+    const auto scheduledAt = monotonicNow();
+    const bool isSmall = isSmallFleet(scheduledAt);
+    if (m_isLoadUpdateScheduled || (!isGeneration && !isSmall)) {
         return;
     }
     m_isLoadUpdateScheduled = true;
-    m_loadTimer.expires_after(EarlyHeartbeatDelay);
+    const auto early = scheduledAt + EarlyHeartbeatDelay;
+    m_loadTimer.expires_at(isSmall ? early : std::max(early, m_loadReports.nextAt(scheduledAt)));
     m_loadTimer.async_wait([this](const LoopError &error) {
         if (error) {
             return;
@@ -386,7 +394,9 @@
                                .peers = m_core.options.peers.toText(),
                                .onlyLoads = true,
                                .loads = m_core.balancer.ownLoads()};
-    sendDatagram(PeerTable::RecipientScope::Region, encodePeerHeartbeat(loads), now);
+    const auto datagram = encodePeerHeartbeat(loads);
+    const auto recipients = sendDatagram(PeerTable::RecipientScope::Region, datagram, now);
+    m_loadReports.recordSent(recipients * datagram.size(), now);
 }
 
 bool PeerLink::isSmallFleet(MonotonicTime now) const
@@ -426,11 +436,13 @@
     } while (sent < targets.size());
 }
 
-void PeerLink::sendDatagram(PeerTable::RecipientScope scope, const std::string &datagram, MonotonicTime now)
+size_t PeerLink::sendDatagram(PeerTable::RecipientScope scope, const std::string &datagram, MonotonicTime now)
 {
-    for (const auto &address : m_core.peers.recipients(scope, now)) {
+    const auto addresses = m_core.peers.recipients(scope, now);
+    for (const auto &address : addresses) {
         sendDatagramTo(address, datagram);
     }
+    return addresses.size();
 }
 
 void PeerLink::sendDatagramTo(const std::string &address, const std::string &datagram)
--- a/Libraries/LibRelayServer/PeerLink.h
+++ b/Libraries/LibRelayServer/PeerLink.h
@@ -4,6 +4,7 @@
 #include <LibPolicy/RateMeter.h>
 #include <LibRelay/CrashReportCodec.h>
 #include <LibRelay/NotificationScope.h>
+#include <LibRelay/PeerTrafficLimit.h>
 #include <LibRelay/RecentMaximum.h>
 #include <LibRelayServer/RelayCore.h>
 
@@ -40,7 +41,7 @@
     void scheduleHeartbeat(NotificationScope scope);
 
     // Notifies the relays that use the same targets most of a change of this relay's load. In a large fleet each relay places one or two calls a second, which
-    // end before most peers are notified, so only placements of generations are reported at once there.
+    // end before most peers are notified, so only placements of generations are reported there, as soon as the limit on their traffic allows it.
     void scheduleLoadUpdate(bool isGeneration);
 
     void sendDatagramTo(const std::string &address, const std::string &datagram);
@@ -68,7 +69,14 @@
     }
 
 private:
+    // Delay before a heartbeat or a load report that is sent early.
+    static constexpr std::chrono::milliseconds EarlyHeartbeatDelay {20};
     static constexpr std::chrono::milliseconds TrafficHalfLife {500};
+    // Crashes are rare, and relays have to learn of them soon.
+    static constexpr std::chrono::milliseconds SavedForCrashReports {3000};
+    // Bytes per second of crash reports that all relays of a region together may send to other regions. Links between regions are small and shared with all
+    // else.
+    static constexpr double MaxBytesBetweenRegions = 1'000'000;
 
     // Waits until a datagram has arrived, and reads those in the socket. After some of them, other work gets its turn.
     void awaitDatagrams();
@@ -80,7 +88,7 @@
     // Sends such a relay the crashes that still count.
     void sendKnownCrashes(const std::string &address, MonotonicTime now);
     void onCrashReport(const PeerCrashReport &report, MonotonicTime now);
-    // Sends what peers have to know of new crashes and does not fit into heartbeats.
+    // Sends what peers have to know of new crashes and does not fit into heartbeats, as far as the limit on this traffic allows it.
     void sendCrashReports(MonotonicTime now);
     // What all relays get. Judges add which parts were in several crashes and which are rejected.
     std::vector<PeerCrashReport> crashReportsForAll(bool isJudge, MonotonicTime now);
@@ -89,7 +97,8 @@
     void sendLoads(MonotonicTime now);
     // Sends a heartbeat, in several datagrams if it reports many changed targets.
     void sendTo(PeerTable::RecipientScope scope, PeerHeartbeat heartbeat, MonotonicTime now);
-    void sendDatagram(PeerTable::RecipientScope scope, const std::string &datagram, MonotonicTime now);
+    // Returns the number of recipients.
+    size_t sendDatagram(PeerTable::RecipientScope scope, const std::string &datagram, MonotonicTime now);
     bool isSmallFleet(MonotonicTime now) const;
     // Whether every heartbeat is sent to all regions.
     bool shouldSendToAllRegions(MonotonicTime now) const;
@@ -104,6 +113,10 @@
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_loadTimer;
     bool m_isLoadUpdateScheduled = false;
+    PeerTrafficLimit m_loadReports {{}};
+    PeerTrafficLimit m_crashReports {{.saved = SavedForCrashReports}};
+    // Of the link between this region and others, for all relays of this region.
+    PeerTrafficLimit m_crashReportsToOtherRegions {{.bytesPerSecond = MaxBytesBetweenRegions, .saved = SavedForCrashReports}};
     int m_heartbeatCount = 0;
     size_t m_nextRejection = 0;
     std::array<char, 2048> m_buffer {};
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -348,7 +348,7 @@
     }
     for (const auto &engine : engines) {
         m_core.metrics.count("relay_engine_state_reads_total");
-        m_core.checkTarget(engine, {});
+        m_core.checkState(engine);
     }
 }
 
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -18,6 +18,12 @@
 constexpr std::chrono::milliseconds ExitMargin {300};
 // Responses of one target that are interrupted within this time are attributed to one crash.
 constexpr std::chrono::milliseconds CrashGroupingTime {100};
+// A target that accepts connections and resets them, or does not respond on them, may have crashed in this moment, or takes no further connections. It is
+// checked again after this delay, and has not crashed if it does the same then.
+constexpr std::chrono::milliseconds RecheckDelay {300};
+constexpr int MaxChecks = 3;
+// A lost packet makes one connection time out.
+constexpr int MinConnectTimeouts = 2;
 // A target is not checked any more if its request limit has not allowed that for this time.
 constexpr std::chrono::milliseconds MaxCheckDelay {1000};
 constexpr std::chrono::milliseconds StateTimeout {400};
@@ -273,6 +279,22 @@
     }
 }
 
+void RelayCore::recheckLater(const std::string &target, Interruption interruption, MonotonicTime now)
+{
+    interruption.nextCheckAt = now + RecheckDelay;
+    interruption.since = now;
+    const bool isFirst = m_interrupted.empty();
+    auto [known, isNew] = m_interrupted.try_emplace(target, std::move(interruption));
+    if (!isNew) {
+        // Further responses of the target have broken off meanwhile.
+        auto &requests = known->second.requests;
+        std::move(interruption.requests.begin(), interruption.requests.end(), std::back_inserter(requests));
+    }
+    if (isFirst) {
+        armInterruptedTimer();
+    }
+}
+
 void RelayCore::armInterruptedTimer()
 {
     m_interruptedTimer.expires_after(CrashGroupingTime);
@@ -286,8 +308,10 @@
 void RelayCore::checkInterruptedTargets(MonotonicTime now)
 {
     for (auto &[target, interruption] : std::exchange(m_interrupted, {})) {
-        if (balancer.requestLimits().mayContinue(target, now)) {
-            checkTarget(target, interruption.requests);
+        if (now < interruption.nextCheckAt) {
+            m_interrupted.emplace(target, std::move(interruption));
+        } else if (balancer.requestLimits().mayContinue(target, now)) {
+            checkTarget(target, std::move(interruption));
         } else if (now - interruption.since < MaxCheckDelay) {
             m_interrupted.emplace(target, std::move(interruption));
         }
@@ -297,8 +321,14 @@
     }
 }
 
-void RelayCore::checkTarget(const std::string &target, const std::vector<InterruptedRequest> &interrupted)
+void RelayCore::checkState(const std::string &target)
 {
+    checkTarget(target, {});
+}
+
+void RelayCore::checkTarget(const std::string &target, Interruption interruption)
+{
+    const auto &interrupted = interruption.requests;
     const auto *known = targets.find(target);
     const auto endpoint = known ? Endpoint::parse(known->entry.address) : std::nullopt;
     const bool isStateCheck = interrupted.empty();
@@ -314,20 +344,16 @@
     auto call = adapter.buildStateCall();
     call.timeout = StateTimeout;
     call.freshConnection = true;
-    client.call(*endpoint, call, [this, target, incarnation = known->entry.incarnation, interrupted](const LoopAnswer &response) {
+    call.connectTimeout = StateTimeout;
+    client.call(*endpoint, call, [this, target, incarnation = known->entry.incarnation, interruption = std::move(interruption)](const LoopAnswer &response) {
         const auto now = monotonicNow();
         if (response.end == ChannelEnd::NotSent) {
             balancer.markUnreachable(target, now);
-            if (interrupted.empty()) {
-                return;
-            }
-            recordCrash(target, incarnation, interrupted, response.error, now);
-            return;
         }
         const auto state = response.isSuccess() ? adapter.decodeState(response.body) : absl::StatusOr<EngineState>(EngineState {});
         const bool isBackAlready = response.isSuccess() && state.ok() && state->incarnation != incarnation;
-        if (!interrupted.empty() && (isBackAlready || response.end != ChannelEnd::Complete)) {
-            recordCrash(target, incarnation, interrupted, isBackAlready ? "new incarnation" : response.error, now);
+        if (!interruption.requests.empty() && (isBackAlready || response.end != ChannelEnd::Complete)) {
+            handleFailedCheck(target, incarnation, interruption, isBackAlready, response, now);
             return;
         }
         if (state.ok() && state->leaving) {
@@ -336,6 +362,21 @@
     });
 }
 
+void RelayCore::handleFailedCheck(
+    const std::string &target, int64_t incarnation, Interruption interruption, bool isBackAlready, const LoopAnswer &response, MonotonicTime now)
+{
+    ++interruption.checks;
+    const bool hasTimedOut = response.connectFailure == ConnectFailure::TimedOut;
+    interruption.connectTimeouts += hasTimedOut ? 1 : 0;
+    if (isBackAlready || response.connectFailure == ConnectFailure::Refused || interruption.connectTimeouts >= MinConnectTimeouts) {
+        recordCrash(target, incarnation, interruption.requests, isBackAlready ? "new incarnation" : response.error, now);
+    } else if (interruption.checks < MaxChecks) {
+        recheckLater(target, std::move(interruption), now);
+    } else {
+        metrics.count("relay_crashes_ruled_out_total");
+    }
+}
+
 void RelayCore::recordCrash(
     const std::string &target, int64_t incarnation, const std::vector<InterruptedRequest> &interrupted, std::string_view reason, MonotonicTime now)
 {
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -121,8 +121,8 @@
     // Logs which parts of prompts have been rejected since the last call, and which are not any more.
     void logRejectedParts(MonotonicTime now);
 
-    // Reads an engine's state to detect that it is leaving or has crashed. `interrupted` are the requests whose responses were interrupted there.
-    void checkTarget(const std::string &target, const std::vector<InterruptedRequest> &interrupted);
+    // Reads an engine's state to detect that it is leaving.
+    void checkState(const std::string &target);
     // Handles an interrupted response of a target that was not known to be leaving.
     void noteInterruptedResponse(const std::string &target, InterruptedRequest request);
 
@@ -148,6 +148,21 @@
     void finishMigration(const std::string &request);
 
 private:
+    // Responses of one target that were interrupted at the same time, until it is known whether the target has crashed.
+    struct Interruption {
+        MonotonicTime since;
+        std::vector<InterruptedRequest> requests;
+        MonotonicTime nextCheckAt;
+        int checks = 0;
+        int connectTimeouts = 0;
+    };
+
+    // Reads the state of a target to detect that it is leaving or, with interrupted responses, has crashed.
+    void checkTarget(const std::string &target, Interruption interruption);
+    // Handles a check after interrupted responses that found no target, or not the one that was asked.
+    void handleFailedCheck(
+        const std::string &target, int64_t incarnation, Interruption interruption, bool isBackAlready, const LoopAnswer &response, MonotonicTime now);
+    void recheckLater(const std::string &target, Interruption interruption, MonotonicTime now);
     std::chrono::milliseconds migrationDelay(const std::string &target, MonotonicTime now) const;
     RequestLimitParticipants requestLimitParticipants(const std::string &target, MonotonicTime now);
     // Handles a target that has crashed while it ran requests or was about to.
@@ -160,10 +175,6 @@
 
     LineWriter &m_lines;
     std::mt19937_64 m_random;
-    struct Interruption {
-        MonotonicTime since;
-        std::vector<InterruptedRequest> requests;
-    };
     // Recently interrupted requests, by target, until the target has been checked.
     absl::flat_hash_map<std::string, Interruption> m_interrupted;
     // The relays among which the limit of the target is divided that was asked for last.
--- a/Tests/Platform/ScriptedPeer.cpp
+++ b/Tests/Platform/ScriptedPeer.cpp
@@ -2,6 +2,7 @@
 
 #include "../Support/LoopbackEndpoint.h"
 
+#include <LibRelay/CrashReportCodec.h>
 #include <LibRelay/PeerHeartbeatCodec.h>
 
 namespace Jujube
@@ -84,7 +85,9 @@
             return;
         }
         auto heartbeat = decodePeerHeartbeat({m_buffer.data(), bytes});
-        if (heartbeat && heartbeat->onlyLoads) {
+        if (decodePeerCrashReport({m_buffer.data(), bytes})) {
+            m_crashReportBytes += bytes;
+        } else if (heartbeat && heartbeat->onlyLoads) {
             m_loadReportBytes += bytes;
         } else if (heartbeat) {
             for (const auto &target : heartbeat->targets) {
--- a/Tests/Platform/ScriptedPeer.h
+++ b/Tests/Platform/ScriptedPeer.h
@@ -39,6 +39,12 @@
         return m_loadReportBytes;
     }
 
+    // Bytes of the datagrams with crashes that the relay has sent to this peer.
+    size_t crashReportBytes() const
+    {
+        return m_crashReportBytes;
+    }
+
     int requestCount() const
     {
         return m_requestCount;
@@ -63,6 +69,7 @@
     std::optional<PeerHeartbeat> m_received;
     std::set<std::string> m_reportedTargets;
     size_t m_loadReportBytes = 0;
+    size_t m_crashReportBytes = 0;
     int m_requestCount = 0;
 };
 
--- a/Tests/Platform/TestBrokenTargets.cpp
+++ b/Tests/Platform/TestBrokenTargets.cpp
@@ -317,3 +317,25 @@
         }
     }
 }
+
+// Guards against targets that reset connections beyond their limit and are taken for crashed ones, so that a burst makes its own requests poison requests.
+TEST_F(BrokenTargets, ConnectionsBeyondTheLimitAreNoCrash)
+{
+    constexpr int TargetCount = 6;
+    constexpr auto TimeUntilJudged = 2s;
+    for (int number = 1; number <= TargetCount; ++number) {
+        const auto id = "i-" + std::to_string(number);
+        m_targets.push_back(std::make_unique<ByteServer>([](ByteServer::Connection &connection) {
+            connection.readHead();
+            connection.reset();
+        }));
+        m_testBed.store->put(
+            "servers", id, StandInTargetRow {.service = "desk", .address = m_targets.back()->address().toText(), .dataCentre = "lahore"}.toText());
+    }
+    start();
+    for (int count = 0; count < TargetCount; ++count) {
+        EXPECT_EQ(m_testBed.call("n1", {.path = "/status/1", .id = "r" + std::to_string(count), .method = "GET"}).status, 502);
+    }
+    m_testBed.runFor(TimeUntilJudged);
+    EXPECT_EQ(m_testBed.call("n1", {.path = "/status/1", .id = "last", .method = "GET"}).status, 502);
+}
--- a/Tests/Platform/TestPeerTraffic.cpp
+++ b/Tests/Platform/TestPeerTraffic.cpp
@@ -15,6 +15,23 @@
 // A sixth of the link of the smallest VMs (10 Mbit/s), for reports of loads in one direction.
 constexpr double MaxBytesPerSecond = 200'000;
 
+// Bytes per second on a link between regions, for crash reports of all relays of a region.
+constexpr double MaxBytesBetweenRegions = 1'000'000;
+// Time for which unused traffic of crash reports is saved up.
+constexpr double SavedSeconds = 3;
+constexpr int CrashCount = 40;
+constexpr int PartsOfPrompt = 250;
+
+std::vector<std::unique_ptr<ScriptedPeer>> addPeers(RelayTestBed &testBed, const std::string &dataCentre)
+{
+    std::vector<std::unique_ptr<ScriptedPeer>> peers;
+    for (int index = 0; index < PeerCount; ++index) {
+        peers.push_back(std::make_unique<ScriptedPeer>(testBed.loop, dataCentre + std::to_string(index), testBed.options("n1").peers));
+        peers.back()->setHeartbeat({.dataCentre = dataCentre});
+    }
+    return peers;
+}
+
 } // namespace
 
 // Guards against a relay that fills its own link with reports of the generations that it places in a burst, so that documents and heartbeats come late.
@@ -27,11 +44,7 @@
     }
     testBed.addRelay("n1");
     ASSERT_TRUE(testBed.waitUntilReady("n1"));
-    std::vector<std::unique_ptr<ScriptedPeer>> peers;
-    for (int index = 0; index < PeerCount; ++index) {
-        peers.push_back(std::make_unique<ScriptedPeer>(testBed.loop, "peer-" + std::to_string(index), testBed.options("n1").peers));
-        peers.back()->setHeartbeat({.dataCentre = "lahore"});
-    }
+    const auto peers = addPeers(testBed, "lahore");
     ASSERT_TRUE(testBed.runUntil([&] { return testBed.metrics("n1").find("relay_heartbeats_received_total") != std::string::npos; }));
 
     std::vector<std::shared_ptr<RelayTestBed::Response>> responses;
@@ -56,3 +69,41 @@
     // Some reports may have been saved up before.
     EXPECT_LE(static_cast<double>(sent), MaxBytesPerSecond * (took + 1));
 }
+
+// Guards against crashes that each relay reports to all others without a limit, so that the links between regions are full and relays there lose each other.
+TEST(CrashReports, LeaveRoomOnTheLinkBetweenRegions)
+{
+    RelayTestBed testBed;
+    testBed.writeDocument(1);
+    testBed.isFatal = [](const MessageHead &) { return true; };
+    for (int index = 0; index < CrashCount; ++index) {
+        testBed.addTarget("i-engine-" + std::to_string(index), "engine", 10);
+    }
+    testBed.addRelay("n1");
+    ASSERT_TRUE(testBed.waitUntilReady("n1"));
+    const auto near = addPeers(testBed, "lahore");
+    const auto far = addPeers(testBed, "karachi");
+    ASSERT_TRUE(testBed.runUntil([&] { return far.back()->received().has_value(); }));
+
+    const auto start = monotonicNow();
+    for (int crash = 0; crash < CrashCount; ++crash) {
+        std::string parts;
+        for (int part = 0; part < PartsOfPrompt; ++part) {
+            parts += std::to_string(1000 * crash + part + 1) + ":10,";
+        }
+        const auto id = "r" + std::to_string(crash);
+        testBed.call("n1", {.path = "/draft/" + id, .id = id, .fields = {{.name = "X-Prefix-Hash", .value = parts + "1:10"}}});
+        testBed.runFor(100ms);
+    }
+    const auto took = std::chrono::duration<double>(monotonicNow() - start).count();
+
+    size_t sent = 0;
+    for (const auto &peer : far) {
+        sent += peer->crashReportBytes();
+    }
+    EXPECT_GT(sent, 0U);
+    const auto relaysOfRegion = static_cast<double>(near.size() + 1);
+    // The last datagrams may exceed what was left.
+    constexpr double LastDatagrams = 3 * 1400 * PeerCount;
+    EXPECT_LE(static_cast<double>(sent), MaxBytesBetweenRegions / relaysOfRegion * (took + SavedSeconds) + LastDatagrams);
+}
