--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -20,10 +20,12 @@
     int64_t incarnation = 0;
     // "address:port".
     std::string address;
+    // Version of its software.
+    std::string version;
 
     static RelayTarget of(const TargetEntry &entry)
     {
-        return {.id = entry.id, .incarnation = entry.incarnation, .address = entry.address};
+        return {.id = entry.id, .incarnation = entry.incarnation, .address = entry.address, .version = entry.softwareVersion};
     }
 };
 
--- a/Libraries/LibRelayServer/PlatformAdapter.h
+++ b/Libraries/LibRelayServer/PlatformAdapter.h
@@ -103,6 +103,8 @@
     std::string backup;
     std::string kvCacheSource;
     std::string lastEventId;
+    // The id of the attempt that brought the first event of the stream that the caller takes up again.
+    std::string resumedAttempt;
     // Number of prompt tokens and maximum number of output tokens, separated by a comma.
     std::string usage;
     std::string lengthHint;
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -138,6 +138,9 @@
         .add("time_left_ms", wholeMilliseconds(m_admission.deadline - now).count())
         .add("prompt_tokens", m_admission.demand.promptTokens)
         .add("expected_tokens", m_admission.demand.expectedTokens);
+    if (const auto lastEvent = m_request.head.value(m_core.adapter.fields.lastEventId); !lastEvent.empty()) {
+        line.add("last_event", lastEvent).add("resumes", m_request.head.value(m_core.adapter.fields.resumedAttempt));
+    }
     addHomes(line, now);
     m_core.log(line);
     m_core.metrics.count("relay_requests_total");
@@ -406,6 +409,7 @@
     }
     m_target = attempt.target.id;
     m_targetIncarnation = attempt.target.incarnation;
+    m_targetVersion = attempt.target.version;
     if (m_core.rollouts) {
         beginRolloutSample(attempt, now);
     }
@@ -455,6 +459,7 @@
         .add("address", attempt.target.address)
         .add("data_centre", dataCentre)
         .add("region", m_core.balancer.regionOf(dataCentre))
+        .add("version", attempt.target.version)
         .add("attempt", attempt.attempt)
         .add("time_left_ms", attempt.timeLeft.count())
         .add("target_running", load.running)
@@ -463,6 +468,9 @@
     if (attempt.lastEventId) {
         line.add("last_event", *attempt.lastEventId);
     }
+    if (m_streamVersion) {
+        line.add("stream_version", *m_streamVersion);
+    }
     if (!attempt.kvCacheSource.empty()) {
         line.add("memory_from", attempt.kvCacheSource);
     }
@@ -473,6 +481,9 @@
     m_core.log(line);
     m_core.metrics.count("relay_sends_total");
     checkHomes(attempt.target.id, dataCentre);
+    if (m_streamVersion && *m_streamVersion != attempt.target.version) {
+        m_core.metrics.count("relay_sends_at_other_version_total");
+    }
 }
 
 const RelayExchange::Homes &RelayExchange::homes()
@@ -571,6 +582,7 @@
     }
     // Bytes that complete no event do not count as progress of a stream.
     m_silentSince = now;
+    m_streamVersion = m_streamVersion.value_or(m_targetVersion);
     if (auto *samples = rolloutSamples()) {
         m_rolloutSampler->recordEvents(*samples, m_session->eventCount() - m_eventsBefore, now);
     }
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -168,6 +168,8 @@
     std::string m_target;
     int64_t m_targetIncarnation = 0;
     std::string m_targetVersion;
+    // Version of the target that sent the first event of the stream. Nothing before that event.
+    std::optional<std::string> m_streamVersion;
     // Digest of workspace, request target and body, by which a poison request is recognized when it is sent again.
     uint64_t m_digest = 0;
     // Whether the target crashed when it had just begun to respond, so that the request may be the cause.
--- a/Libraries/LibRelayServer/RelayExchangeRollout.cpp
+++ b/Libraries/LibRelayServer/RelayExchangeRollout.cpp
@@ -23,8 +23,6 @@
 
 void RelayExchange::beginRolloutSample(const RelayAttempt &attempt, MonotonicTime now)
 {
-    const auto *known = m_core.targets.find(attempt.target.id);
-    m_targetVersion = known ? known->entry.softwareVersion : std::string();
     m_rolloutSampler.reset();
     m_eventsBefore = m_session->eventCount();
     const auto &service = m_admission.service->name;
