Let streams go on at the version that began them only

Cause: the destination of a migration, the holder of a backup and the target of a retry within a response were chosen without regard to the version; only rollouts looked at it. The version of a target now travels with its choice; the one that sends a stream's first event binds all further sends of the stream, copies and backups are made at the version of their source, and a continuation at a target that has restarted since is refused. If no target of the version is left, a draft stays where it is and a broken stream is cut, which its caller can see.

--- a/Libraries/LibRelay/RolloutTypes.cpp
+++ b/Libraries/LibRelay/RolloutTypes.cpp
@@ -117,4 +117,11 @@
     return isListed && (!targets || targets->contains(toAbsl(target)));
 }
 
+VersionFilter VersionFilter::restrictedTo(const std::string &version) const
+{
+    const bool isNamed = std::ranges::find(versions, version) != versions.end();
+    const bool isAllowed = kind == Kind::Any || isNamed == (kind == Kind::Only);
+    return {.kind = Kind::Only, .versions = isAllowed ? std::vector {version} : std::vector<std::string> {}, .targets = targets};
+}
+
 } // namespace Jujube
--- a/Libraries/LibRelay/RolloutTypes.h
+++ b/Libraries/LibRelay/RolloutTypes.h
@@ -167,6 +167,9 @@
     std::shared_ptr<const absl::flat_hash_set<std::string>> targets;
 
     bool allows(std::string_view target, std::string_view version) const;
+
+    // The same filter for one version only. It allows nothing if this filter does not allow the version.
+    VersionFilter restrictedTo(const std::string &version) const;
 };
 
 } // namespace Jujube
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -304,13 +304,13 @@
     }
     const auto &service = *m_admission.service;
     const auto chooseNow = [&] { return m_core.balancer.choose(query, m_core.targets, service, now, m_core.random()); };
+    query.versions = allowedVersions(now);
     if (!m_core.rollouts) {
         return chooseNow();
     }
-    query.versions = allowedVersions(now);
     query.withheld = m_core.rollouts->withheldTargets();
     auto choice = chooseNow();
-    if (!choice.target && m_core.rollouts->isForTrial(service.name, query.versions)) {
+    if (!choice.target && !m_streamVersion && m_core.rollouts->isForTrial(service.name, query.versions)) {
         m_isTurnedAwayFromTrial = true;
         query.versions = m_core.rollouts->filterForRetry(service.name, now);
         choice = chooseNow();
@@ -332,6 +332,12 @@
 
 VersionFilter RelayExchange::allowedVersions(MonotonicTime now)
 {
+    if (m_streamVersion) {
+        return versionsToContinue(m_target, *m_streamVersion, now);
+    }
+    if (!m_core.rollouts) {
+        return {};
+    }
     const auto &service = m_admission.service->name;
     if (m_session->attemptCount() > 0 || m_isTurnedAwayFromTrial) {
         return m_core.rollouts->filterForRetry(service, now);
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -99,8 +99,10 @@
     std::string reservedTarget(MonotonicTime now) const;
     // Counts a request that is sent to a target against the target's limit.
     void useRequestLimit(const std::string &target, MonotonicTime now);
-    // Query for a target that may receive a copy of the generation. Only targets in the source's data centre match.
-    TargetBalancer::Query copyQuery(const std::string &source, const std::set<std::string> &excluded, MonotonicTime now);
+    // The version at which a stream that began at `version` may go on: that one only, and only if no rollout excludes it.
+    VersionFilter versionsToContinue(const std::string &target, const std::string &version, MonotonicTime now) const;
+    // Query for a target that may receive a copy of the generation. Only targets of the source's version and data centre match.
+    TargetBalancer::Query copyQuery(const std::string &source, const std::string &version, const std::set<std::string> &excluded, MonotonicTime now);
     std::optional<RelayTarget> chooseDestination(const std::set<std::string> &excluded, MonotonicTime now);
     bool mayContinue(const RelayTarget &holder, MonotonicTime now);
     // Stops relying on the generation's backup.
--- a/Libraries/LibRelayServer/RelayExchangeMigration.cpp
+++ b/Libraries/LibRelayServer/RelayExchangeMigration.cpp
@@ -30,7 +30,13 @@
 
 } // namespace
 
-TargetBalancer::Query RelayExchange::copyQuery(const std::string &source, const std::set<std::string> &excluded, MonotonicTime now)
+VersionFilter RelayExchange::versionsToContinue(const std::string &target, const std::string &version, MonotonicTime now) const
+{
+    const auto allowed = m_core.rollouts ? m_core.rollouts->filterForCopy(target, now) : VersionFilter {};
+    return allowed.restrictedTo(version);
+}
+
+TargetBalancer::Query RelayExchange::copyQuery(const std::string &source, const std::string &version, const std::set<std::string> &excluded, MonotonicTime now)
 {
     const auto *known = m_core.targets.find(source);
     return {.demand = m_admission.demand,
@@ -40,7 +46,7 @@
             .isMigration = true,
             .source = source,
             .dataCentre = known ? known->entry.dataCentre : "",
-            .versions = m_core.rollouts ? m_core.rollouts->filterForCopy(source, now) : VersionFilter {},
+            .versions = versionsToContinue(source, version, now),
             .withheld = m_core.rollouts ? m_core.rollouts->withheldTargets() : nullptr};
 }
 
@@ -50,7 +56,7 @@
     if (!service.engine || !service.engine->canMigrate) {
         return std::nullopt;
     }
-    auto query = copyQuery(m_target, excluded, now);
+    auto query = copyQuery(m_target, m_streamVersion.value_or(m_targetVersion), excluded, now);
     auto &demand = query.demand;
     demand.expectedTokens = std::max(demand.expectedTokens, m_session->eventCount() * service.engine->tokensPerEvent);
     query.otherSources = m_core.targets.recentlyLeaving(service.name, now);
@@ -85,7 +91,14 @@
         || (!m_isSound && m_core.promptParts.verdict(m_promptParts, now).action == PromptPartVerdict::Action::Reject)) {
         return false;
     }
+    if (holder.version != m_streamVersion.value_or(m_targetVersion)) {
+        return false;
+    }
     const auto *known = m_core.targets.find(holder.id);
+    if (known && known->entry.incarnation != holder.incarnation) {
+        // A later process has nothing of the generation, and may be of another version.
+        return false;
+    }
     return !(known && m_core.targets.isOutOfService(known->entry.dataCentre)) && isHome(holder.id) && m_core.balancer.cooldowns().mayContinue(holder.id, now)
         && (reservedTarget(now) == holder.id || m_core.balancer.requestLimits().mayContinue(holder.id, now));
 }
@@ -96,7 +109,7 @@
     if (!m_admission.demand.isMigratable || !service.engine->canBackUp || m_admission.demand.expectedTokens < MinTokensForBackup) {
         return std::nullopt;
     }
-    auto query = copyQuery(target.id, {target.id}, now);
+    auto query = copyQuery(target.id, target.version, {target.id}, now);
     query.maxMemoryShare = MaxMemoryWithBackups;
     const auto choice = m_core.balancer.choose(query, m_core.targets, service, now, m_core.random());
     return choice.target ? std::optional(RelayTarget::of(choice.target->entry)) : std::nullopt;
