--- a/Libraries/LibRelayServer/PlatformAdapter.h
+++ b/Libraries/LibRelayServer/PlatformAdapter.h
@@ -158,6 +158,9 @@
     std::function<LoopCall(const StoreTransaction &transaction)> buildTransactionCall;
     std::function<StoreTransactionResult(const LoopAnswer &response)> decodeTransaction;
 
+    // The table with the versions of each service that may have begun streams.
+    std::string versionTable;
+
     // Encodes the response to a caller that requests the addresses of relays.
     std::function<std::string(const std::vector<std::string> &addresses, std::chrono::milliseconds lifetime)> encodeDirectory;
     // Data centre and region of the caller, as far as the query contains them.
