Continue streams that callers take up again at their version only

Cause: a relay passed Last-Event-Id on to any target. Resumes was not read, and nothing kept which version began a stream.

StreamVersions finds it out: a service that has had one version only for longer than callers take streams up again (60 s) needs no more; which ones it has had lately is a row in the store, written by the relays that read it when the set changes, so that it survives the loss of all relays. While there are several, relays report each resumable stream to each other when its first event arrives, in fleets of more than 12 relays to three of them, and ask each other for those that they lack, for 200 ms at most. A stream whose version stays unknown is rejected at once with 503 and Retry-After, and so is one whose version has no target left. Contradictory reports, an attempt of another workspace, a list that may be out of date and a target that has restarted with another version count as unknown.

ResumedStreams.*: with the take-up taken out five of eight fail (joined at the same relay, at another, after the loss of all relays, after the version has left unseen, and with none of its targets left); all pass now.

--- a/Libraries/LibRelay/RelayOutcome.cpp
+++ b/Libraries/LibRelay/RelayOutcome.cpp
@@ -16,6 +16,8 @@
     RelayOutcomeInfo {RelayOutcome::NoRoute, "no_route", 404, RanState::No, false},
     RelayOutcomeInfo {RelayOutcome::UnknownKey, "unknown_key", 401, RanState::No, false},
     RelayOutcomeInfo {RelayOutcome::Malformed, "malformed", 400, RanState::No, false},
+    RelayOutcomeInfo {RelayOutcome::StreamVersionUnknown, "stream_version_unknown", 503, RanState::No, true},
+    RelayOutcomeInfo {RelayOutcome::StreamVersionGone, "stream_version_gone", 503, RanState::No, true},
     RelayOutcomeInfo {RelayOutcome::NoTarget, "no_target", 503, RanState::No, true},
     RelayOutcomeInfo {RelayOutcome::OverRequestLimit, "over_request_limit", 503, RanState::No, true},
     RelayOutcomeInfo {RelayOutcome::Overloaded, "overloaded", 503, RanState::No, true},
--- a/Libraries/LibRelay/RelayOutcome.h
+++ b/Libraries/LibRelay/RelayOutcome.h
@@ -17,6 +17,10 @@
     NoRoute,
     UnknownKey,
     Malformed,
+    // The caller takes up a stream of which it is not known by which version it began, while several may have served.
+    StreamVersionUnknown,
+    // No target of the version is left that began the stream.
+    StreamVersionGone,
     // No target may get the request now.
     NoTarget,
     // The request limits of all targets that may get the request are used up.
--- a/Libraries/LibRelayServer/PeerLink.cpp
+++ b/Libraries/LibRelayServer/PeerLink.cpp
@@ -8,6 +8,7 @@
 #include <LibRelay/RegionLoads.h>
 #include <LibRelay/RolloutReportCodec.h>
 #include <LibRelayServer/RolloutAgent.h>
+#include <LibRelayServer/StreamVersions.h>
 
 namespace Jujube
 {
@@ -130,6 +131,10 @@
         onCrashReport(*report, now);
         return;
     }
+    if (const auto report = decodeStreamOriginReport(datagram)) {
+        m_core.streamVersions->onReport(*report, now);
+        return;
+    }
     if (const auto report = m_core.rollouts ? decodeRolloutReport(datagram) : std::nullopt) {
         m_core.rollouts->onReport(*report, now);
         return;
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -6,6 +6,7 @@
 #include <ctime>
 #include <LibCore/AbslView.h>
 #include <LibRelayServer/RelayExchange.h>
+#include <LibRelayServer/StreamVersions.h>
 #include <utility>
 
 namespace Jujube
@@ -35,6 +36,8 @@
 // Age that is reported for a target list that this relay has never read itself.
 constexpr std::chrono::hours AgeOfUnreadTable {1};
 constexpr uint64_t TicksPerExpiry = 10;
+// A relay that is cut off from the store and from most other relays for longer than this may miss targets that others use.
+constexpr std::chrono::milliseconds MaxAgeOfCurrentList {3000};
 constexpr uint64_t TicksPerSettingsCheck = 20;
 constexpr uint64_t TicksPerEngineCheck = 3;
 
@@ -86,6 +89,7 @@
     relay->m_ownReadDelay = std::chrono::milliseconds(static_cast<int64_t>(relay->m_core.random() % MaxOwnReadDelayMs));
     relay->followStore();
     relay->createRollouts();
+    relay->createStreamVersions();
     relay->m_core.onMigrationEnded = [raw = relay.get()] { raw->m_peers.scheduleHeartbeat(NotificationScope::All); };
     relay->m_core.onCrashObserved = [raw = relay.get()] { raw->m_peers.scheduleHeartbeat(NotificationScope::All); };
     relay->m_core.documentAge = [raw = relay.get()](MonotonicTime now) { return raw->m_documents->age(now); };
@@ -129,6 +133,25 @@
     m_core.rollouts = m_rollouts.get();
 }
 
+void Relay::createStreamVersions()
+{
+    m_streamVersions = std::make_unique<StreamVersions>(
+        m_core,
+        m_core.options.isFirstStart,
+        StreamVersions::Hooks {.isListCurrent = [this](MonotonicTime now) { return isTargetListCurrent(now); },
+                               .isReader = [this] { return m_readers.isReading(); },
+                               .sendDatagram = [this](const std::string &address, const std::string &datagram) { m_peers.sendDatagramTo(address, datagram); }});
+    m_core.streamVersions = m_streamVersions.get();
+}
+
+bool Relay::isTargetListCurrent(MonotonicTime now) const
+{
+    if (!m_targets->hasRows() && !m_hasPeerTargets) {
+        return false;
+    }
+    return m_targets->age(now) < MaxAgeOfCurrentList || 2 * m_core.liveRelays(now) > m_core.peers.knownRelayCount();
+}
+
 CallerChannel::Hooks Relay::hooksFor(std::function<void(const std::shared_ptr<CallerChannel> &, CallerRequest)> onRequest)
 {
     return {.onRequest = std::move(onRequest),
@@ -274,6 +297,7 @@
     if (m_rollouts) {
         m_rollouts->tick(now);
     }
+    m_streamVersions->tick(now);
     if (m_ticks % TicksPerExpiry == 0) {
         m_core.exportRequestLimits(now);
         exportTables(now);
@@ -372,6 +396,7 @@
     }
     m_documents->onSuspended(frozen);
     m_targets->onSuspended(frozen);
+    m_streamVersions->onSuspended(frozen, now);
     auto line = m_core.line(EventKind::ProcessWasFrozen);
     line.add("for_ms", std::chrono::duration_cast<std::chrono::milliseconds>(frozen).count());
     m_core.log(line);
--- a/Libraries/LibRelayServer/Relay.h
+++ b/Libraries/LibRelayServer/Relay.h
@@ -7,6 +7,7 @@
 #include <LibRelayServer/PeerLink.h>
 #include <LibRelayServer/RelayCore.h>
 #include <LibRelayServer/RolloutAgent.h>
+#include <LibRelayServer/StreamVersions.h>
 #include <LibRelayServer/TableFollower.h>
 #include <memory>
 
@@ -42,6 +43,7 @@
     void followStore();
     // Prepares rollouts, if the settings ask for them.
     void createRollouts();
+    void createStreamVersions();
 
     void onMetricsRequest(CallerChannel &channel, const CallerRequest &request) const;
     void onReadyRequest(CallerChannel &channel, const CallerRequest &request) const;
@@ -100,6 +102,8 @@
     // State of this relay's own reads of a table, without the reports of peers.
     TargetListState readStateOf(const TableFollower &follower) const;
     TargetListState listSources(MonotonicTime now) const;
+    // Whether no target can have joined the list unseen: it has been confirmed lately, or the store is away for most relays.
+    bool isTargetListCurrent(MonotonicTime now) const;
     // Whether this relay reads all tables successfully, so that other relays can rely on it.
     bool isReadingSuccessfully(MonotonicTime now) const;
     // Notifies all relays at once when this relay's reads begin to succeed or to fail.
@@ -120,6 +124,7 @@
     std::unique_ptr<TableFollower> m_documents;
     std::unique_ptr<TableFollower> m_targets;
     std::unique_ptr<RolloutAgent> m_rollouts;
+    std::unique_ptr<StreamVersions> m_streamVersions;
     boost::asio::steady_timer m_timer;
     MonotonicTime m_lastRunAt;
     std::chrono::nanoseconds m_lastSuspendedTime {0};
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -129,6 +129,15 @@
     runMigrations();
 }
 
+void RelayCore::handleTargetReplaced(const TargetEntry &entry)
+{
+    for (auto *exchange : running) {
+        if (exchange->target() == entry.id) {
+            exchange->onTargetReplaced(entry);
+        }
+    }
+}
+
 void RelayCore::migrateSuperseded(const std::string &target, MonotonicTime now)
 {
     migrations.addLeavingTarget(target, migrationDelay(target, now), now);
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -23,6 +23,7 @@
 
 class RelayExchange;
 class RolloutAgent;
+class StreamVersions;
 
 // A request whose response was interrupted, as far as it may tell why.
 struct InterruptedRequest {
@@ -61,6 +62,7 @@
     MigrationSchedule migrations;
     // Null where the settings do not ask for rollouts.
     RolloutAgent *rollouts = nullptr;
+    StreamVersions *streamVersions = nullptr;
     // A graceful shutdown in progress. Its grace period is the one in force at its beginning, because requests were taken in reliance on it.
     struct Drain {
         // Time of the SIGTERM.
@@ -92,6 +94,9 @@
     // Handles a target that is leaving: its generations are queued for migration.
     void handleTargetLeaving(const std::string &target, std::string_view reason, MonotonicTime now);
 
+    // Handles a target that has restarted under the same id, possibly with another version of its software.
+    void handleTargetReplaced(const TargetEntry &entry);
+
     // Queues the generations on an engine for migration, because all requests of its service go to another version. The engine stays for the time being.
     void migrateSuperseded(const std::string &target, MonotonicTime now);
 
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -8,6 +8,7 @@
 #include <LibRelay/OverloadAdmission.h>
 #include <LibRelayServer/RelayForwarding.h>
 #include <LibRelayServer/RolloutAgent.h>
+#include <LibRelayServer/StreamVersions.h>
 
 namespace Jujube
 {
@@ -26,6 +27,8 @@
 // The destination of a migration admits the generation at once. After this time without a response, the source has to continue it before the source terminates.
 constexpr std::chrono::milliseconds MigratedRunTimeout {1000};
 constexpr std::chrono::milliseconds DefaultRetryAfter {500};
+// A target that has crashed is back after some seconds.
+constexpr std::chrono::milliseconds RestartRetryAfter {1000};
 // Another relay can accept the request at once.
 constexpr std::chrono::milliseconds OtherRelayRetryAfter {50};
 // Time for which a request waits until a request limit allows it. Callers give up a stream after two seconds without an event.
@@ -76,16 +79,104 @@
     }
     logAccepted(now);
     m_core.retryBudget(m_admission.service->name).recordRequest(now);
+    if (isResumption()) {
+        findStreamVersion(now);
+    } else {
+        startSession(now);
+    }
+}
+
+bool RelayExchange::isResumption() const
+{
+    if (m_admission.route->kind != RouteKind::Stream || !m_admission.route->resumable) {
+        return false;
+    }
+    const auto lastEvent = m_request.head.value(m_core.adapter.fields.lastEventId);
+    return !lastEvent.empty() && lastEvent != "0";
+}
+
+void RelayExchange::findStreamVersion(MonotonicTime now)
+{
+    StreamVersions::Question question {.workspace = m_admission.workspace ? m_admission.workspace->name : std::string(),
+                                       .attempt = std::string(m_request.head.value(m_core.adapter.fields.resumedAttempt))};
+    for (const auto &share : m_admission.route->shares) {
+        question.services.push_back(share.service);
+    }
+    m_core.streamVersions->find(
+        question,
+        [self = shared_from_this()](const std::optional<StreamVersions::Origin> &origin) {
+            const auto foundAt = monotonicNow();
+            if (self->m_isCallerGone) {
+                self->finishRequest(RunEnd::Cancelled);
+                return;
+            }
+            const auto *service = origin ? self->m_routes->findService(origin->service) : nullptr;
+            if (!service) {
+                self->answer(RelayOutcome::StreamVersionUnknown, DefaultRetryAfter);
+                return;
+            }
+            self->m_admission.service = service;
+            self->m_admission.demand.service = service->name;
+            self->m_streamVersion = origin->version;
+            self->startSession(foundAt);
+        },
+        now);
+}
+
+void RelayExchange::startSession(MonotonicTime now)
+{
     createSession();
     armDeadlineTimer();
     m_session->start(now);
 }
 
+void RelayExchange::recordStreamVersion(MonotonicTime now)
+{
+    if (!m_admission.route->resumable || m_isStreamVersionUncertain) {
+        return;
+    }
+    const auto resumed = isResumption() ? m_request.head.value(m_core.adapter.fields.resumedAttempt) : std::string_view();
+    const auto timeLeft = parseRequestClaims(m_request.head, m_core.adapter.fields).timeLeft.value_or(m_admission.route->timeout);
+    m_core.streamVersions->record(m_admission.workspace ? m_admission.workspace->name : std::string(),
+                                  m_admission.service->name,
+                                  std::string(resumed.empty() ? std::string_view(m_id) : resumed),
+                                  *m_streamVersion,
+                                  m_request.arrivedAt + timeLeft,
+                                  now);
+}
+
+bool RelayExchange::hasTargetOfStreamVersion(MonotonicTime now) const
+{
+    const auto &targets = m_core.targets.ofService(m_admission.service->name);
+    return std::ranges::any_of(
+        targets, [&](const KnownTarget *target) { return target->entry.softwareVersion == *m_streamVersion && m_core.targets.isUsable(*target, now); });
+}
+
+void RelayExchange::onTargetReplaced(const TargetEntry &entry)
+{
+    if (m_isFinished || entry.softwareVersion == m_targetVersion) {
+        return;
+    }
+    m_isStreamVersionUncertain = true;
+    record("version_uncertain", entry.softwareVersion);
+    if (m_streamVersion && m_admission.route->resumable) {
+        // Contradicts the version that was recorded, so that no relay goes on with the stream.
+        m_streamVersion = entry.softwareVersion;
+        m_isStreamVersionUncertain = false;
+        recordStreamVersion(monotonicNow());
+        m_isStreamVersionUncertain = true;
+    }
+}
+
 void RelayExchange::installCallerHooks()
 {
     m_caller->setAnswerHooks({.onGone =
                                   [weak = weak_from_this()] {
-                                      if (const auto self = weak.lock(); self && self->m_session && !self->m_isFinished) {
+                                      const auto self = weak.lock();
+                                      if (self) {
+                                          self->m_isCallerGone = true;
+                                      }
+                                      if (self && self->m_session && !self->m_isFinished) {
                                           auto line = self->m_core.line(EventKind::RelayCallerGone);
                                           line.add("request", self->m_id).add("events", self->m_session->eventCount());
                                           self->m_core.log(line);
@@ -249,6 +340,12 @@
         // Another target may crash as well.
         return {};
     }
+    if (m_streamVersion && m_isStreamVersionUncertain) {
+        return {.rejection = RelayOutcome::StreamVersionUnknown, .retryAfter = DefaultRetryAfter};
+    }
+    if (m_streamVersion && !hasTargetOfStreamVersion(now)) {
+        return {.rejection = RelayOutcome::StreamVersionGone, .retryAfter = RestartRetryAfter};
+    }
     const auto choice = chooseByVersion({.demand = m_admission.demand,
                                          .excluded = excluded,
                                          .homeRegions = homes().inForce,
@@ -588,7 +685,10 @@
     }
     // Bytes that complete no event do not count as progress of a stream.
     m_silentSince = now;
-    m_streamVersion = m_streamVersion.value_or(m_targetVersion);
+    if (!m_streamVersion || (eventsBefore == 0 && isResumption())) {
+        m_streamVersion = m_streamVersion.value_or(m_targetVersion);
+        recordStreamVersion(now);
+    }
     if (auto *samples = rolloutSamples()) {
         m_rolloutSampler->recordEvents(*samples, m_session->eventCount() - m_eventsBefore, now);
     }
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -37,6 +37,9 @@
     // Queues the generation again after a delay, because no copy could be started.
     void retryMigrationLater();
 
+    // The target has restarted with another version. Which one sent the last events is not certain, so that nothing goes on elsewhere.
+    void onTargetReplaced(const TargetEntry &entry);
+
     bool isMigratable() const
     {
         return m_admission.demand.isMigratable && !m_isFinished;
@@ -83,6 +86,15 @@
     // The target has responded well for long enough to clear the parts of the prompt.
     void noteSoundResponse(MonotonicTime now);
     std::chrono::milliseconds retryAfterFor(RelayOutcome outcome, MonotonicTime now);
+    // Whether the caller takes up a stream of which it has events.
+    bool isResumption() const;
+    // Finds out by which version the stream began that the caller takes up, and goes on with the request or rejects it.
+    void findStreamVersion(MonotonicTime now);
+    void startSession(MonotonicTime now);
+    // Notes by which version the stream began, so that its caller can take it up at any relay.
+    void recordStreamVersion(MonotonicTime now);
+    // Whether a target of the version that began the stream takes new requests.
+    bool hasTargetOfStreamVersion(MonotonicTime now) const;
     void createSession();
     TargetChoice choose(const std::set<std::string> &excluded, MonotonicTime now);
     // When the caller may come back if the request is rejected because the target and all better ones are overloaded. Nothing if it is not.
@@ -172,6 +184,10 @@
     std::string m_targetVersion;
     // Version of the target that sent the first event of the stream. Nothing before that event.
     std::optional<std::string> m_streamVersion;
+    // Whether the target may have been of another version when it sent events.
+    bool m_isStreamVersionUncertain = false;
+    // The caller has left before the request was sent.
+    bool m_isCallerGone = false;
     // Digest of workspace, request target and body, by which a poison request is recognized when it is sent again.
     uint64_t m_digest = 0;
     // Whether the target crashed when it had just begun to respond, so that the request may be the cause.
--- a/Libraries/LibRelayServer/RelayExchangeMigration.cpp
+++ b/Libraries/LibRelayServer/RelayExchangeMigration.cpp
@@ -91,7 +91,7 @@
         || (!m_isSound && m_core.promptParts.verdict(m_promptParts, now).action == PromptPartVerdict::Action::Reject)) {
         return false;
     }
-    if (holder.version != m_streamVersion.value_or(m_targetVersion)) {
+    if (m_isStreamVersionUncertain || holder.version != m_streamVersion.value_or(m_targetVersion)) {
         return false;
     }
     const auto *known = m_core.targets.find(holder.id);
--- a/Libraries/LibRelayServer/RelayOptions.cpp
+++ b/Libraries/LibRelayServer/RelayOptions.cpp
@@ -114,6 +114,10 @@
          .defaultValue = "60000",
          .check = checkNumber(0, MaxMilliseconds)},
         {.name = "max-channels", .help = "Maximum number of open connections of callers", .defaultValue = "3000", .check = checkNumber(1, MaxConnections)},
+        {.name = "first-start",
+         .help = "Whether the whole system starts for the first time, so that callers have no streams of before: on or off",
+         .defaultValue = "off",
+         .check = checkSwitch()},
         {.name = "features",
          .help = "Features that the platform uses, separated by commas: rollout, pressure (admission under overload); others are ignored",
          .defaultValue = ""},
@@ -162,6 +166,7 @@
                      .exposureSlack = decimal(settings, "exposure-slack"),
                      .rollbackTime = settings.milliseconds("rollback-ms"),
                      .migratesRuns = settings.isOn("rollout-migration")}};
+    options.isFirstStart = settings.isOn("first-start");
     options.maxOverloadWait = decimal(settings, "overload-wait");
     for (const auto &feature : settings.list("features")) {
         options.features.emplace_back(absl::StripAsciiWhitespace(feature));
--- a/Libraries/LibRelayServer/RelayTables.cpp
+++ b/Libraries/LibRelayServer/RelayTables.cpp
@@ -6,6 +6,7 @@
 #include <LibCore/Json.h>
 #include <LibCore/JsonNumber.h>
 #include <LibRelay/PeerHeartbeatCodec.h>
+#include <LibRelayServer/StreamVersions.h>
 #include <LibRelayServer/TargetEntryCheck.h>
 
 // The document and the target list of a relay, from the store or from peers that have read it.
@@ -426,6 +427,7 @@
 {
     logStore(EventKind::StoreRestored, m_core.adapter.targetTable, absl::StrCat("era ", era));
     m_core.targets.forgetVersions();
+    m_streamVersions->onStoreRestored(monotonicNow());
     m_formerEntries.clear();
 }
 
@@ -567,6 +569,9 @@
     const std::string_view sourceName = fromPeer ? "peer" : "list";
     const auto *known = m_core.targets.find(entry.id);
     const bool isNew = !known || known->entry.incarnation < entry.incarnation;
+    if (isNew && known) {
+        m_core.handleTargetReplaced(entry);
+    }
     if (isNew) {
         auto line = m_core.line(EventKind::TargetListed);
         line.add("target", entry.id)
--- /dev/null
+++ b/Libraries/LibRelayServer/StreamVersions.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <absl/container/flat_hash_set.h>
+#include <LibLoop/Asio.h>
+#include <LibRelay/PeerTrafficLimit.h>
+#include <LibRelay/StreamOriginCodec.h>
+#include <LibRelay/VersionHistory.h>
+#include <LibRelayServer/RelayCore.h>
+#include <LibRelayServer/VersionStore.h>
+#include <memory>
+
+namespace Jujube
+{
+
+// Finds out by which version of its service a stream began that a caller takes up again. docs/design.md, section 21.
+//
+// While a service has had one version only for longer than callers take streams up again, that version began the stream. Otherwise relays report to each other
+// by which version each resumable stream began, and ask each other. Of services with several versions, the store keeps which ones have served lately, so that a
+// relay whose memory is lost knows whether there may have been others.
+class StreamVersions
+{
+public:
+    struct Hooks {
+        // Whether this relay knows the target list, and no version can have come unseen.
+        std::function<bool(MonotonicTime now)> isListCurrent;
+        // Whether this relay reads the store for others. Such relays store the versions.
+        std::function<bool()> isReader;
+        std::function<void(const std::string &address, const std::string &datagram)> sendDatagram;
+    };
+
+    // Where a stream that is taken up again may go on.
+    struct Origin {
+        std::string service;
+        std::string version;
+    };
+    using Hook = std::function<void(const std::optional<Origin> &origin)>;
+
+    // A stream that a caller takes up again: `attempt` brought its first event, by a target of one of the services.
+    struct Question {
+        std::string workspace;
+        std::vector<std::string> services;
+        std::string attempt;
+    };
+
+    StreamVersions(RelayCore &core, bool isFirstStart, Hooks hooks);
+
+    // Passes on by which version a stream began, at once or within MaxQuestionTime, or nothing if that is not known.
+    void find(const Question &question, Hook hook, MonotonicTime now);
+
+    // A stream has begun at a version, or goes on there, and its caller may take it up again until a time.
+    void record(const std::string &workspace,
+                const std::string &service,
+                const std::string &attempt,
+                const std::string &version,
+                MonotonicTime until,
+                MonotonicTime now);
+
+    void onReport(const StreamOriginReport &report, MonotonicTime now);
+    // The store has come back from an older copy of itself.
+    void onStoreRestored(MonotonicTime now);
+    // The machine was suspended for a time that the clock of `now` does not count.
+    void onSuspended(std::chrono::nanoseconds time, MonotonicTime now);
+    void tick(MonotonicTime now);
+
+private:
+    struct PendingQuestion {
+        Question question;
+        Hook hook;
+        std::vector<uint64_t> keys;
+        // Peers that have not answered yet.
+        size_t awaited = 0;
+        bool awaitsStore = false;
+        std::unique_ptr<boost::asio::steady_timer> timer;
+    };
+    using PendingPointer = std::shared_ptr<PendingQuestion>;
+
+    std::vector<uint64_t> keysOf(const Question &question) const;
+    std::optional<Origin> known(const Question &question, const std::vector<uint64_t> &keys, MonotonicTime now) const;
+    void ask(const PendingPointer &pending, MonotonicTime now);
+    // Ends questions that can be answered or whose answers have all arrived.
+    void settle(MonotonicTime now);
+    void finish(const PendingPointer &pending, MonotonicTime now);
+    // Addresses of the peers that keep the origin of a stream: all in small fleets, some otherwise.
+    std::vector<std::string> keepersOf(uint64_t key, MonotonicTime now) const;
+    void scheduleReports();
+    void sendReports(MonotonicTime now);
+    void recordVersions(MonotonicTime now);
+    void updateStore(MonotonicTime now);
+    void readStore(MonotonicTime now);
+    void onStoreRead(const std::map<std::string, StoredVersions> &stored, MonotonicTime now);
+    // Services with routes whose streams callers take up again.
+    const std::vector<std::string> &services();
+
+    RelayCore &m_core;
+    const bool m_isFirstStart;
+    const Hooks m_hooks;
+    StreamOrigins m_origins;
+    VersionHistory m_history;
+    VersionStore m_store;
+    PeerTrafficLimit m_traffic;
+    boost::asio::steady_timer m_reportTimer;
+    bool m_isReportScheduled = false;
+    std::vector<PendingPointer> m_pending;
+    bool m_wasListCurrent = false;
+    // Whether the stored versions are known, so that what this relay stores does not lack any.
+    bool m_hasStored = false;
+    MonotonicTime m_nextStoreRead;
+    absl::flat_hash_set<std::string> m_toStore;
+    // Services whose stored versions cannot be read, so that they are not taken for ones that were never stored.
+    absl::flat_hash_set<std::string> m_unreadable;
+    absl::flat_hash_set<std::string> m_withSeveral;
+    std::shared_ptr<const RouteTable> m_routes;
+    std::vector<std::string> m_services;
+    uint64_t m_ticks = 0;
+};
+
+} // namespace Jujube
