Find crashes of targets on machines that have vanished

Callers: a request that crashes its target's machine is never recognized. Its target's connections time out, and no crash is recorded.

Both time limits of the check were 400 ms, the call's came first, and its response does not tell that the connection timed out. The crash was ruled out.

BrokenTargets.VanishedMachineIsACrash failed before: no crash reported within 8 s. It passes now, and BrokenTargets.* with it (19 tests, 11 s).

--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -353,7 +353,8 @@
     auto call = adapter.buildStateCall();
     call.timeout = StateTimeout;
     call.freshConnection = true;
-    call.connectTimeout = StateTimeout;
+    // The call must not time out before the connection, or its response would not tell that the connection did.
+    call.connectTimeout = StateTimeout / 2;
     client.call(*endpoint, call, [this, target, incarnation = known->entry.incarnation, interruption = std::move(interruption)](const LoopAnswer &response) {
         const auto now = monotonicNow();
         if (response.end == ChannelEnd::NotSent) {
--- a/Tests/Platform/TestBrokenTargets.cpp
+++ b/Tests/Platform/TestBrokenTargets.cpp
@@ -1,6 +1,8 @@
 #include "../Support/BrokenResponses.h"
 #include "../Support/ByteServer.h"
+#include "../Support/LoopbackEndpoint.h"
 #include "RelayTestBed.h"
+#include "ScriptedPeer.h"
 
 #include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
@@ -34,6 +36,55 @@
     return text;
 }
 
+// A target on a machine that vanishes while it runs its first request: connections to it time out from then on.
+class VanishingTarget
+{
+public:
+    VanishingTarget()
+    {
+        m_acceptor.open(Tcp::v4());
+        m_acceptor.set_option(Tcp::acceptor::reuse_address(true));
+        m_acceptor.bind(m_address.tcp());
+        m_acceptor.listen(0);
+        m_thread = std::thread([this] {
+            Tcp::socket socket(m_loop);
+            LoopError ignored;
+            m_acceptor.accept(socket, ignored);
+            std::array<char, 4096> buffer {};
+            socket.read_some(boost::asio::buffer(buffer), ignored);
+            // Connections that are not accepted fill the queue, and further ones get no response.
+            for (int count = 0; count < QueuedConnections; ++count) {
+                auto &queued = m_queued.emplace_back(m_loop);
+                queued.open(Tcp::v4());
+                queued.non_blocking(true);
+                queued.native_non_blocking(true);
+                const auto address = m_address.tcp();
+                ::connect(queued.native_handle(), address.data(), static_cast<socklen_t>(address.size()));
+            }
+            socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+            socket.close(ignored);
+        });
+    }
+    ~VanishingTarget()
+    {
+        m_thread.join();
+    }
+
+    const Endpoint &address() const
+    {
+        return m_address;
+    }
+
+private:
+    static constexpr int QueuedConnections = 8;
+
+    const Endpoint m_address = ownLoopbackEndpoint();
+    boost::asio::io_context m_loop;
+    Tcp::acceptor m_acceptor {m_loop};
+    std::vector<Tcp::socket> m_queued;
+    std::thread m_thread;
+};
+
 // One relay, and targets that are scripts.
 class BrokenTargets : public testing::Test
 {
@@ -339,3 +390,15 @@
     m_testBed.runFor(TimeUntilJudged);
     EXPECT_EQ(m_testBed.call("n1", {.path = "/status/1", .id = "last", .method = "GET"}).status, 502);
 }
+
+// Guards against a machine that vanishes with its target and whose crash is never found, because the checks of the target time out.
+TEST_F(BrokenTargets, VanishedMachineIsACrash)
+{
+    VanishingTarget target;
+    m_testBed.store->put("servers", "i-1", StandInTargetRow {.service = "desk", .address = target.address().toText(), .dataCentre = "lahore"}.toText());
+    start();
+    ScriptedPeer peer(m_testBed.loop, "peer", m_testBed.options("n1").peers);
+    peer.setHeartbeat({.dataCentre = "lahore"});
+    call("status", "GET");
+    EXPECT_TRUE(m_testBed.runUntil([&] { return peer.received() && peer.received()->crashes.size() == 1; }));
+}
