Check each interrupted request, and the process that ran it

Callers: requests that crash targets are not recognized if the target's next process is in the list before the check, if its machine has no route any more, or if the target had reset connections shortly before it crashed. A relay kept all requests of a target that reset connections for long.

Cause: the check asked the address and the start that the list named at its time, so a successor counted as the process that had run the requests; a check that found no route counted as one that reached the target; the last check ruled a crash out even if it had not reached it; and requests that joined earlier ones had only the checks that were left.

The start and the address are those of the time of the interruption now. A later process in the list is a crash, and a target without a row is checked all the same. Connections that cannot be made count as time-outs, and only a check that reached the target rules a crash out. When requests join, the checks start again; those older than 1.5 s are dropped and 200 at most are kept.

BrokenTargets.LaterProcessInTheListIsACrash failed before. With the checks not started again, RequestThatJoinsAnEarlierOneIsCheckedAsOften fails. CrashBehindResetsHasTheLastRequestsOnly passed before; it guards the dropping of old requests. Not tested: a missing route, a missing row, more than 200 requests.

--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -1,6 +1,8 @@
 #include <LibRelayServer/RelayCore.h>
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <iterator>
 #include <LibRelayServer/RelayExchange.h>
 #include <LibRelayServer/RolloutAgent.h>
 #include <tuple>
@@ -24,6 +26,9 @@
 constexpr int MaxChecks = 3;
 // A lost packet makes one connection time out.
 constexpr int MinConnectTimeouts = 2;
+// When further responses of a target break off while it is being checked, those that broke off longer ago belong to another event.
+constexpr std::chrono::milliseconds MaxInterruptionTime {1500};
+constexpr size_t MaxInterruptedRequests = 200;
 // A target is not checked any more if its request limit has not allowed that for this time.
 constexpr std::chrono::milliseconds MaxCheckDelay {1000};
 constexpr std::chrono::milliseconds StateTimeout {400};
@@ -38,6 +43,12 @@
 // next relay begins too early, the run that stops waits on the link for the other copy.
 constexpr std::chrono::milliseconds CopyOverhead {200};
 
+// Whether a process is known to be a later one of the same target. Zero stands for a start that is not known.
+bool isLaterProcess(int64_t incarnation, int64_t earlier)
+{
+    return earlier != 0 && incarnation > earlier;
+}
+
 } // namespace
 
 RelayCore::RelayCore(boost::asio::io_context &loopInUse, RelayOptions relayOptions, PlatformAdapter platformAdapter, LineWriter &lines)
@@ -280,26 +291,38 @@
     if (!known || known->leavingSince) {
         return;
     }
-    const bool isFirst = m_interrupted.empty();
-    m_interrupted.try_emplace(target, Interruption {.since = monotonicNow()}).first->second.requests.push_back(std::move(request));
-    if (isFirst) {
-        // Other requests on the target are interrupted at the same time.
-        armInterruptedTimer();
-    }
+    const auto now = monotonicNow();
+    request.interruptedAt = now;
+    Interruption interruption {.since = now, .incarnation = known->entry.incarnation, .address = known->entry.address};
+    interruption.requests.push_back(std::move(request));
+    awaitCheck(target, std::move(interruption), now);
 }
 
-void RelayCore::recheckLater(const std::string &target, Interruption interruption, MonotonicTime now)
+void RelayCore::awaitCheck(const std::string &target, Interruption interruption, MonotonicTime now)
 {
-    interruption.nextCheckAt = now + RecheckDelay;
-    interruption.since = now;
     const bool isFirst = m_interrupted.empty();
-    auto [known, isNew] = m_interrupted.try_emplace(target, std::move(interruption));
-    if (!isNew) {
-        // Further responses of the target have broken off meanwhile.
-        auto &requests = known->second.requests;
+    const auto [entry, isNew] = m_interrupted.try_emplace(target, interruption);
+    auto &pending = entry->second;
+    const bool isReplaced = isLaterProcess(interruption.incarnation, pending.incarnation);
+    if (isReplaced || isLaterProcess(pending.incarnation, interruption.incarnation)) {
+        // A later process writes responses, so the earlier one has ended.
+        if (isReplaced) {
+            std::swap(pending, interruption);
+        }
+        recordCrash(target, interruption.incarnation, interruption.requests, "later process", now);
+    } else if (!isNew) {
+        auto &requests = pending.requests;
         std::move(interruption.requests.begin(), interruption.requests.end(), std::back_inserter(requests));
+        std::ranges::stable_sort(requests, {}, &InterruptedRequest::interruptedAt);
+        const auto isOld = [now](const auto &request) { return now - request.interruptedAt > MaxInterruptionTime; };
+        const auto kept = std::ranges::find_if_not(requests, isOld);
+        const auto excess = static_cast<ptrdiff_t>(requests.size()) - static_cast<ptrdiff_t>(MaxInterruptedRequests);
+        requests.erase(requests.begin(), std::max(kept, requests.begin() + std::max<ptrdiff_t>(0, excess)));
+        pending.checks = 0;
+        pending.connectTimeouts = std::max(pending.connectTimeouts, interruption.connectTimeouts);
     }
     if (isFirst) {
+        // Other requests on the target are interrupted at the same time.
         armInterruptedTimer();
     }
 }
@@ -332,21 +355,23 @@
 
 void RelayCore::checkState(const std::string &target)
 {
-    checkTarget(target, {});
+    if (const auto *known = targets.find(target)) {
+        checkTarget(target, {.incarnation = known->entry.incarnation, .address = known->entry.address});
+    }
 }
 
 void RelayCore::checkTarget(const std::string &target, Interruption interruption)
 {
-    const auto &interrupted = interruption.requests;
-    const auto *known = targets.find(target);
-    const auto endpoint = known ? Endpoint::parse(known->entry.address) : std::nullopt;
-    const bool isStateCheck = interrupted.empty();
+    const auto endpoint = Endpoint::parse(interruption.address);
+    const bool isStateCheck = interruption.requests.empty();
     const auto startedAt = monotonicNow();
     if (!endpoint || (isStateCheck && (balancer.cooldowns().until(target, startedAt) || !balancer.requestLimits().maySend(target, startedAt)))) {
         return;
     }
-    if (!isStateCheck && targetRuns.isGone(target, known->entry.incarnation)) {
-        recordCrash(target, known->entry.incarnation, interrupted, "gone", startedAt);
+    const auto *known = targets.find(target);
+    const bool isReplaced = known && isLaterProcess(known->entry.incarnation, interruption.incarnation);
+    if (!isStateCheck && (isReplaced || targetRuns.isGone(target, interruption.incarnation))) {
+        recordCrash(target, interruption.incarnation, interruption.requests, isReplaced ? "later process" : "gone", startedAt);
         return;
     }
     balancer.requestLimits().recordSend(target, startedAt);
@@ -355,15 +380,16 @@
     call.freshConnection = true;
     // The call must not time out before the connection, or its response would not tell that the connection did.
     call.connectTimeout = StateTimeout / 2;
-    client.call(*endpoint, call, [this, target, incarnation = known->entry.incarnation, interruption = std::move(interruption)](const LoopAnswer &response) {
+    client.call(*endpoint, call, [this, target, interruption = std::move(interruption)](const LoopAnswer &response) {
         const auto now = monotonicNow();
-        if (response.end == ChannelEnd::NotSent) {
+        const auto *current = targets.find(target);
+        if (response.end == ChannelEnd::NotSent && current && current->entry.address == interruption.address) {
             balancer.markUnreachable(target, now);
         }
         const auto state = response.isSuccess() ? adapter.decodeState(response.body) : absl::StatusOr<EngineState>(EngineState {});
-        const bool isBackAlready = response.isSuccess() && state.ok() && state->incarnation != incarnation;
+        const bool isBackAlready = response.isSuccess() && state.ok() && state->incarnation != interruption.incarnation;
         if (!interruption.requests.empty() && (isBackAlready || response.end != ChannelEnd::Complete)) {
-            handleFailedCheck(target, incarnation, interruption, isBackAlready, response, now);
+            handleFailedCheck(target, interruption, isBackAlready, response, now);
             return;
         }
         if (state.ok() && state->leaving) {
@@ -372,16 +398,18 @@
     });
 }
 
-void RelayCore::handleFailedCheck(
-    const std::string &target, int64_t incarnation, Interruption interruption, bool isBackAlready, const LoopAnswer &response, MonotonicTime now)
+void RelayCore::handleFailedCheck(const std::string &target, Interruption interruption, bool isBackAlready, const LoopAnswer &response, MonotonicTime now)
 {
     ++interruption.checks;
-    const bool hasTimedOut = response.connectFailure == ConnectFailure::TimedOut;
-    interruption.connectTimeouts += hasTimedOut ? 1 : 0;
-    if (isBackAlready || response.connectFailure == ConnectFailure::Refused || interruption.connectTimeouts >= MinConnectTimeouts) {
-        recordCrash(target, incarnation, interruption.requests, isBackAlready ? "new incarnation" : response.error, now);
-    } else if (interruption.checks < MaxChecks) {
-        recheckLater(target, std::move(interruption), now);
+    const bool wasReached = response.end != ChannelEnd::NotSent;
+    const bool isRefused = response.connectFailure == ConnectFailure::Refused;
+    interruption.connectTimeouts = wasReached ? 0 : interruption.connectTimeouts + 1;
+    if (isBackAlready || isRefused || interruption.connectTimeouts >= MinConnectTimeouts) {
+        recordCrash(target, interruption.incarnation, interruption.requests, isBackAlready ? "new incarnation" : response.error, now);
+    } else if (interruption.checks < MaxChecks || !wasReached) {
+        interruption.nextCheckAt = now + RecheckDelay;
+        interruption.since = now;
+        awaitCheck(target, std::move(interruption), now);
     } else {
         metrics.count("relay_crashes_ruled_out_total");
     }
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -35,6 +35,8 @@
     std::chrono::milliseconds eventsFor {0};
     // Parts of its prompt that other requests may share.
     std::vector<uint64_t> parts;
+    // When the response broke off.
+    MonotonicTime interruptedAt {};
 };
 
 // State that all requests of a relay share: the document and the targets in force, the state of the decisions, connections, log and metrics. Used only on the
@@ -156,18 +158,22 @@
     // Responses of one target that were interrupted at the same time, until it is known whether the target has crashed.
     struct Interruption {
         MonotonicTime since;
+        // The process that ran the requests, and its address.
+        int64_t incarnation = 0;
+        std::string address;
         std::vector<InterruptedRequest> requests;
         MonotonicTime nextCheckAt;
         int checks = 0;
+        // Checks since the last one that reached the target.
         int connectTimeouts = 0;
     };
 
     // Reads the state of a target to detect that it is leaving or, with interrupted responses, has crashed.
     void checkTarget(const std::string &target, Interruption interruption);
     // Handles a check after interrupted responses that found no target, or not the one that was asked.
-    void handleFailedCheck(
-        const std::string &target, int64_t incarnation, Interruption interruption, bool isBackAlready, const LoopAnswer &response, MonotonicTime now);
-    void recheckLater(const std::string &target, Interruption interruption, MonotonicTime now);
+    void handleFailedCheck(const std::string &target, Interruption interruption, bool isBackAlready, const LoopAnswer &response, MonotonicTime now);
+    // Keeps interrupted responses until their target is checked, together with others of it that are waiting for that.
+    void awaitCheck(const std::string &target, Interruption interruption, MonotonicTime now);
     std::chrono::milliseconds migrationDelay(const std::string &target, MonotonicTime now) const;
     RequestLimitParticipants requestLimitParticipants(const std::string &target, MonotonicTime now);
     // Handles a target that has crashed while it ran requests or was about to.
--- a/Tests/Platform/TestBrokenTargets.cpp
+++ b/Tests/Platform/TestBrokenTargets.cpp
@@ -402,3 +402,74 @@
     call("status", "GET");
     EXPECT_TRUE(m_testBed.runUntil([&] { return peer.received() && peer.received()->crashes.size() == 1; }));
 }
+
+// Guards against a crash that is ruled out because the next process is in the target list, and runs, before the earlier one has been checked.
+TEST_F(BrokenTargets, LaterProcessInTheListIsACrash)
+{
+    ByteServer target([](ByteServer::Connection &connection) {
+        connection.readHead();
+        connection.reset();
+    });
+    StandInTargetRow row {.service = "desk", .address = target.address().toText(), .dataCentre = "lahore"};
+    m_testBed.store->put("servers", "i-1", row.toText());
+    start();
+    ScriptedPeer peer(m_testBed.loop, "peer", m_testBed.options("n1").peers);
+    peer.setHeartbeat({.dataCentre = "lahore"});
+    call("status", "GET");
+    ++row.born;
+    m_testBed.store->put("servers", "i-1", row.toText());
+    EXPECT_TRUE(m_testBed.runUntil([&] { return peer.received() && peer.received()->crashes.size() == 1; }, 3s));
+}
+
+// Guards against requests that a target reset seconds before it crashed and that count as those that it ran then.
+TEST_F(BrokenTargets, CrashBehindResetsHasTheLastRequestsOnly)
+{
+    constexpr auto Interval = 100ms;
+    constexpr int Resets = 40;
+    // Requests of 1.5 s, and the time until the last of them is interrupted.
+    constexpr size_t MaxMembers = 18;
+    auto target = std::make_unique<ByteServer>([](ByteServer::Connection &connection) {
+        connection.readHead();
+        connection.reset();
+    });
+    m_testBed.store->put("servers", "i-1", StandInTargetRow {.service = "desk", .address = target->address().toText(), .dataCentre = "lahore"}.toText());
+    start();
+    ScriptedPeer peer(m_testBed.loop, "peer", m_testBed.options("n1").peers);
+    peer.setHeartbeat({.dataCentre = "lahore"});
+    std::vector<std::shared_ptr<RelayTestBed::Response>> responses;
+    std::vector<std::shared_ptr<TargetChannel>> callers;
+    for (int count = 0; count < Resets; ++count) {
+        responses.push_back(std::make_shared<RelayTestBed::Response>());
+        const auto id = std::to_string(count);
+        callers.push_back(m_testBed.begin("n1", {.path = "/status/" + id, .id = "r" + id, .method = "GET"}, responses.back()));
+        m_testBed.runFor(Interval);
+    }
+    target.reset();
+    ASSERT_TRUE(m_testBed.runUntil([&] { return peer.received() && !peer.received()->crashes.empty(); }, 3s));
+    const auto &crashes = peer.received()->crashes;
+    EXPECT_EQ(crashes.size(), 1U);
+    EXPECT_GT(crashes.front().members.size(), 0U);
+    EXPECT_LE(crashes.front().members.size(), MaxMembers);
+}
+
+// Guards against a request whose target crashes and that is checked once only, because the checks of an earlier one have used up the others.
+TEST_F(BrokenTargets, RequestThatJoinsAnEarlierOneIsCheckedAsOften)
+{
+    // The second request breaks off before the last check of the first one, and the target ends behind it.
+    constexpr auto TimeUntilSecond = 550ms;
+    constexpr auto TimeUntilEnd = 500ms;
+    auto target = std::make_unique<ByteServer>([](ByteServer::Connection &connection) {
+        connection.readHead();
+        connection.reset();
+    });
+    m_testBed.store->put("servers", "i-1", StandInTargetRow {.service = "desk", .address = target->address().toText(), .dataCentre = "lahore"}.toText());
+    start();
+    ScriptedPeer peer(m_testBed.loop, "peer", m_testBed.options("n1").peers);
+    peer.setHeartbeat({.dataCentre = "lahore"});
+    call("status", "GET");
+    m_testBed.runFor(TimeUntilSecond);
+    call("status", "GET");
+    m_testBed.runFor(TimeUntilEnd);
+    target.reset();
+    EXPECT_TRUE(m_testBed.runUntil([&] { return peer.received() && !peer.received()->crashes.empty(); }, 3s));
+}
