Take responses with an invalid status for broken ones

What callers saw: behind a target whose responses began with the status 000, 099 or 101, requests waited for their deadline and got 504, although another target could serve them, or although 502 was due at once. The statuses 600 to 999 were passed on to callers. A 204 or 304 with a Content-Length was passed on with that field, so that a caller might wait for a body.

Cause: TargetChannel took each status below 200 for an interim response and everything else for a final one, and so did HttpTransfer with libcurl, which also takes the first digits of "2000" and a number of fewer digits. RelayExchange removed Content-Length only from responses with a body.

Change: statusKindOf() in LibCore says what a status is: 200 to 599 is final, 100 and 102 to 199 are interim and skipped, and everything else is invalid, 101 too because no request of ours has an Upgrade field. MessageParser refuses an invalid status as malformed, which covers the relays' calls to targets, to the store and to each other. HttpTransfer parses the status line itself (three digits) and ends the call as Broken with the status 0. Nothing else is decided anew: the request goes elsewhere as after any other broken response. Interim responses stay bounded as before, by MostInterimAnswers and MaxHeaderBytes. Content-Length without a body is passed on to callers of HEAD only, and never with 204.

--- a/Libraries/LibHttp/HttpTransfer.cpp
+++ b/Libraries/LibHttp/HttpTransfer.cpp
@@ -1,8 +1,10 @@
 #include <LibHttp/HttpTransfer.h>
 
 #include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <LibCore/AbslView.h>
+#include <LibCore/HttpStatus.h>
 
 namespace Jujube
 {
@@ -10,13 +12,26 @@
 namespace
 {
 
-constexpr int FirstFinalStatus = 200;
 constexpr int FirstRedirect = 300;
 // Header sections of a response and of interim ones before it, and its trailers.
 constexpr size_t MaxHeaderBytes = size_t {64} * 1024;
 // The body of a response that is no success is not awaited for ever by those that receive a stream.
 constexpr size_t MaxErrorBodyBytes = size_t {64} * 1024;
 
+// The status of a status line. Nothing unless it has three digits: libcurl takes the first three of more, and fewer for a number.
+std::optional<int> parseStatus(std::string_view line)
+{
+    constexpr size_t Digits = 3;
+    const auto start = line.find(' ');
+    const auto text = start == std::string_view::npos ? std::string_view() : line.substr(start + 1);
+    const auto end = text.find_first_not_of("0123456789");
+    int status = 0;
+    if (end != Digits || !absl::ascii_isspace(static_cast<unsigned char>(text[end])) || !absl::SimpleAtoi(toAbsl(text.substr(0, end)), &status)) {
+        return std::nullopt;
+    }
+    return status;
+}
+
 } // namespace
 
 HttpTransfer::HttpTransfer(HttpClient::StreamId id, HttpCall call, HttpStreamSink sink, MayReuse mayReuse)
@@ -112,36 +127,43 @@
     const std::string_view line(data, size * count);
     transfer.m_lastByte = monotonicNow();
     transfer.m_headerBytes += line.size();
+    constexpr size_t Abort = 0;
     if (transfer.m_headerBytes > MaxHeaderBytes) {
-        constexpr size_t Abort = 0;
         return Abort;
     }
-    transfer.noteHeaderLine(line);
-    return line.size();
+    return transfer.noteHeaderLine(line) ? line.size() : Abort;
 }
 
-void HttpTransfer::noteHeaderLine(std::string_view line)
+bool HttpTransfer::noteHeaderLine(std::string_view line)
 {
     if (m_isHeadComplete) {
         // A field of the trailers.
-        return;
+        return true;
+    }
+    if (m_isStatusLineDue) {
+        m_isStatusLineDue = false;
+        m_answer.status = parseStatus(line).value_or(0);
+        m_isStatusInvalid = statusKindOf(m_answer.status) == StatusKind::Invalid;
+        if (m_isStatusInvalid) {
+            m_answer.status = 0;
+        }
+        return !m_isStatusInvalid;
     }
     const auto colon = line.find(':');
     if (colon != std::string_view::npos) {
         const auto name = absl::AsciiStrToLower(toAbsl(line.substr(0, colon)));
         m_answer.headers[name] = std::string(absl::StripAsciiWhitespace(toAbsl(line.substr(colon + 1))));
     }
-    long status = 0;
-    curl_easy_getinfo(m_handle, CURLINFO_RESPONSE_CODE, &status);
-    m_answer.status = static_cast<int>(status);
     if (!absl::StripAsciiWhitespace(toAbsl(line)).empty()) {
-        return;
+        return true;
     }
-    if (m_answer.status >= FirstFinalStatus) {
-        m_isHeadComplete = true;
-    } else {
+    m_isHeadComplete = statusKindOf(m_answer.status) == StatusKind::Final;
+    if (!m_isHeadComplete) {
         m_answer.headers.clear();
+        m_answer.status = 0;
+        m_isStatusLineDue = true;
     }
+    return true;
 }
 
 int HttpTransfer::beforeRequest(void *self, char *address, char * /*localAddress*/, int port, int localPort)
@@ -204,8 +226,13 @@
 void HttpTransfer::finish(CURLcode result)
 {
     m_answer.refused = result == CURLE_COULDNT_CONNECT;
+    const auto end = endFor(result);
+    if (m_isStatusInvalid) {
+        finish(end, "the response has an invalid status");
+        return;
+    }
     const bool isHeadMissing = result == CURLE_OK && !m_isHeadComplete;
-    finish(endFor(result), isHeadMissing ? "the connection ended within the header section" : result == CURLE_OK ? "" : curl_easy_strerror(result));
+    finish(end, isHeadMissing ? "the connection ended within the header section" : result == CURLE_OK ? "" : curl_easy_strerror(result));
 }
 
 void HttpTransfer::finish(HttpEnd end, std::string error)
--- a/Libraries/LibHttp/HttpTransfer.h
+++ b/Libraries/LibHttp/HttpTransfer.h
@@ -60,7 +60,8 @@
     static int beforeRequest(void *self, char *address, char *localAddress, int port, int localPort);
 
     void applyCall();
-    void noteHeaderLine(std::string_view line);
+    // Returns false for a status line whose status is invalid.
+    bool noteHeaderLine(std::string_view line);
     size_t acceptBody(std::string_view bytes);
     HttpEnd endFor(CURLcode result) const;
     bool wasSent() const;
@@ -75,6 +76,9 @@
     MonotonicTime m_lastByte;
     bool m_paused = false;
     bool m_isConnectionUnusable = false;
+    // Whether the next line is a status line: the first one, and that behind an interim response.
+    bool m_isStatusLineDue = true;
+    bool m_isStatusInvalid = false;
     // Whether the empty line behind the header section of the final response has arrived. libcurl reports success for a connection that ends before.
     bool m_isHeadComplete = false;
     size_t m_headerBytes = 0;
--- a/Libraries/LibLoop/MessageParser.cpp
+++ b/Libraries/LibLoop/MessageParser.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/match.h>
 #include <boost/beast/http/basic_parser.hpp>
 #include <LibCore/AbslView.h>
+#include <LibCore/HttpStatus.h>
 #include <variant>
 
 namespace Jujube
@@ -32,8 +33,12 @@
         head.version = version;
     }
 
-    void on_response_impl(int code, BeastView reason, int version, BeastError &) override
+    void on_response_impl(int code, BeastView reason, int version, BeastError &error) override
     {
+        if (statusKindOf(code) == StatusKind::Invalid) {
+            error = Http::error::bad_status;
+            return;
+        }
         head.status = code;
         head.reason = std::string(reason);
         head.version = version;
--- a/Libraries/LibLoop/TargetChannel.cpp
+++ b/Libraries/LibLoop/TargetChannel.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/strip.h>
 #include <cerrno>
 #include <LibCore/AbslView.h>
+#include <LibCore/HttpStatus.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -14,7 +15,6 @@
 namespace
 {
 
-constexpr int FirstFinalStatus = 200;
 // Interim answers (RFC 9110, section 15.2) that may precede the final one.
 constexpr int MostInterimAnswers = 8;
 constexpr std::chrono::milliseconds DefaultKeepAlive {4000};
@@ -149,7 +149,7 @@
         if (!m_parser->hasHead()) {
             return;
         }
-        if (m_parser->head().status < FirstFinalStatus) {
+        if (statusKindOf(m_parser->head().status) == StatusKind::Interim) {
             if (++m_interimAnswers > MostInterimAnswers) {
                 end(ChannelEnd::Broken, "too many interim answers");
                 return;
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_join.h>
 #include <algorithm>
 #include <LibCore/AbslView.h>
+#include <LibCore/HttpStatus.h>
 #include <LibRelay/DrainAdmission.h>
 #include <LibRelay/OverloadAdmission.h>
 #include <LibRelayServer/RelayForwarding.h>
@@ -763,7 +764,9 @@
 {
     auto head = forwardedResponse(m_responseHead);
     const bool responseHasBody = hasBody(m_request.head.method, head.status);
-    if (responseHasBody) {
+    // Without a body, the target's length only describes that of another response (RFC 9110, section 8.6). A caller of HEAD knows that; another one might wait
+    // for the bytes.
+    if (m_request.head.method != "HEAD" || head.status == StatusNoContent) {
         head.remove("content-length");
     }
     m_caller->begin(std::move(head), {.length = responseHasBody ? length : std::nullopt, .hasBody = responseHasBody});
--- a/Libraries/LibRelayServer/RelayForwarding.cpp
+++ b/Libraries/LibRelayServer/RelayForwarding.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 #include <LibCore/AbslView.h>
+#include <LibCore/HttpStatus.h>
 
 namespace Jujube
 {
@@ -17,8 +18,6 @@
 constexpr std::string_view BearerPrefix = "Bearer ";
 constexpr std::string_view EventStreamType = "text/event-stream";
 constexpr int StatusMisdirected = 421;
-constexpr int StatusNoContent = 204;
-constexpr int StatusNotModified = 304;
 constexpr int StatusTooManyRequests = 429;
 constexpr int StatusUnavailable = 503;
 constexpr int MaxPriority = 9;
--- a/Tests/LibHttp/TestBrokenResponses.cpp
+++ b/Tests/LibHttp/TestBrokenResponses.cpp
@@ -90,6 +90,33 @@
     }
 }
 
+// Guards against a call that waits until its timeout behind a response with an invalid status, or that reports such a status; and against valid ones refused.
+TEST(HttpClient, InvalidStatusBreaksTheResponse)
+{
+    HttpClient client;
+    const auto check = [&](const std::string &interim, const std::string &status, bool isValid) {
+        ByteServer server([&](ByteServer::Connection &connection) {
+            connection.readRequest();
+            connection.write(interim + "HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\nok");
+            connection.waitForEnd();
+        });
+        const HttpCall call {.url = urlOf(server), .totalTimeout = 2000ms, .freshConnection = true};
+        for (const auto &answer : {client.call(call), callAsStream(client, call)}) {
+            EXPECT_EQ(answer.end, isValid ? HttpEnd::Complete : HttpEnd::Broken) << interim << status;
+            EXPECT_EQ(answer.status, isValid ? std::stoi(status) : 0) << interim;
+            EXPECT_EQ(answer.body, isValid ? "ok" : "") << interim << status;
+        }
+    };
+    for (const std::string interim : {"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 199\r\n\r\n"}) {
+        for (const std::string status : {"000 ", "000 OK", "099 X", "101 Switching", "600 X", "999 X", "0", "00 OK", "20 OK", "2000 OK", "20x OK"}) {
+            check(interim, status, false);
+        }
+        for (const std::string status : {"200 ", "404", "599 X"}) {
+            check(interim, status, true);
+        }
+    }
+}
+
 // Guards against a second copy of a rejection that is taken for the response to the next request on a kept connection. The copy arrives with the rejection,
 // in part with it, or behind it.
 TEST(HttpClient, SecondCopyOfARejectionIsNoResponse)
--- a/Tests/LibLoop/TestBrokenAnswers.cpp
+++ b/Tests/LibLoop/TestBrokenAnswers.cpp
@@ -139,3 +139,21 @@
         EXPECT_EQ(server.connectionCount(), 3);
     }
 }
+
+// Guards against a call that waits until its timeout behind an answer with an invalid status, or that reports such a status.
+TEST(BrokenAnswers, InvalidStatusBreaksTheAnswer)
+{
+    for (const std::string status : {"000 ", "000 OK", "099 X", "101 Switching", "600 X", "999 X"}) {
+        boost::asio::io_context loop;
+        LoopClient client(loop);
+        ByteServer server([&](ByteServer::Connection &connection) {
+            connection.readRequest();
+            connection.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\nok");
+            connection.waitForEnd();
+        });
+        const auto answer = callAndWait(loop, client, server.address());
+        EXPECT_EQ(answer.end, ChannelEnd::Broken) << status;
+        EXPECT_EQ(answer.status, 0) << status;
+        EXPECT_EQ(answer.error, "malformed answer") << status;
+    }
+}
--- a/Tests/LibLoop/TestMessageParser.cpp
+++ b/Tests/LibLoop/TestMessageParser.cpp
@@ -158,6 +158,20 @@
     EXPECT_EQ(parser.takeBody(), "abc");
 }
 
+// Guards against an answer with a status outside HTTP's, or to a change of protocol that was not asked for, that is read as an answer.
+TEST(MessageParser, RefusesInvalidStatuses)
+{
+    for (int status = 0; status <= 999; ++status) {
+        const auto digits = std::to_string(1000 + status).substr(1);
+        const bool isValid = status == 100 || (status >= 102 && status <= 599);
+        for (const auto direction : {MessageParser::Direction::Answer, MessageParser::Direction::AnswerWithoutBody}) {
+            const auto result = parseWhole(direction, "HTTP/1.1 " + digits + " X\r\nContent-Length: 0\r\n\r\n");
+            EXPECT_EQ(!result.error, isValid) << digits;
+            EXPECT_EQ(result.complete, isValid) << digits;
+        }
+    }
+}
+
 // Guards against memory that grows with bytes that are no answer and never end: in a head, a chunk line, a chunk's extension or the trailers.
 TEST(MessageParser, BytesWithoutEndAreRefused)
 {
--- a/Tests/Platform/TestBrokenTargets.cpp
+++ b/Tests/Platform/TestBrokenTargets.cpp
@@ -14,6 +14,8 @@
 namespace
 {
 
+// The time that routes of the document give a request.
+constexpr std::chrono::milliseconds RouteTimeout = 3s;
 constexpr std::string_view Seal = "X-Server-Seal: seal\r\n";
 
 std::string idField(const std::string &request)
@@ -342,6 +344,103 @@
                                          "502 Bad",
                                          "503 Full"));
 
+// The status line of responses that are none. A relay for each, because the budget bounds the retries of one.
+class InvalidStatus : public BrokenTargets, public testing::WithParamInterface<std::string>
+{
+};
+
+// Guards against a response with an invalid status that reaches a caller, holds its request until the deadline, or makes a one-time request run again.
+TEST_P(InvalidStatus, BreaksTheResponse)
+{
+    constexpr int RoundsPerRelay = 3;
+    constexpr int AllRuns = 1000;
+    std::mutex mutex;
+    std::map<std::string, int> runs;
+    int brokenRuns = 1;
+    const auto script = [&](ByteServer::Connection &connection, const std::string &request) {
+        connection.readBody(request);
+        const std::lock_guard lock(mutex);
+        const bool isBroken = ++runs[fieldOf(request, "x-attempt-id")] <= brokenRuns;
+        connection.write(responseTo(request, isBroken ? GetParam() : "200 OK", eventsText(1, 3), "Content-Type: text/event-stream\r\n"));
+    };
+    for (const std::string service : {"desk", "engine"}) {
+        for (const std::string id : {"i-1-", "i-2-", "i-3-"}) {
+            addTarget(id + service, service, script);
+        }
+    }
+    start();
+    for (int round = 0; round < RoundsPerRelay; ++round) {
+        for (const std::string route : {"status", "hint", "commit", "draft"}) {
+            const bool isOneTime = route == "commit" || route == "draft";
+            const auto begun = monotonicNow();
+            const auto received = call(route);
+            EXPECT_EQ(received.status, isOneTime ? 502 : 200) << route;
+            EXPECT_EQ(received.body == eventsText(1, 3), !isOneTime) << route;
+            EXPECT_EQ(received.end, ChannelEnd::Complete) << route;
+            EXPECT_LT(monotonicNow() - begun, RouteTimeout / 2) << route;
+            EXPECT_EQ(runs[lastId()], isOneTime ? 1 : 2) << route;
+        }
+    }
+    // No other target is left to serve these.
+    brokenRuns = AllRuns;
+    for (const std::string route : {"status", "hint"}) {
+        EXPECT_EQ(call(route).status, 502) << route;
+    }
+}
+
+// Guards against a stream that waits until its deadline, or goes on with other bytes, when the target that should continue it responds with an invalid status.
+TEST_P(InvalidStatus, DoesNotContinueAStream)
+{
+    for (const std::string id : {"i-1", "i-2"}) {
+        addTarget(id, "engine", [](ByteServer::Connection &connection, const std::string &request) {
+            connection.readBody(request);
+            const std::string type = "Content-Type: text/event-stream\r\n";
+            if (!fieldOf(request, "last-event-id").empty()) {
+                connection.write(responseTo(request, GetParam(), eventsText(3, 4), type));
+                return;
+            }
+            auto response = responseTo(request, "200 OK", eventsText(1, 3), type);
+            connection.write(response.erase(response.size() - 1));
+            connection.finish();
+        });
+    }
+    start();
+    const auto begun = monotonicNow();
+    const auto received = call("hint");
+    EXPECT_EQ(received.status, 200);
+    EXPECT_EQ(received.body, eventsText(1, 2));
+    EXPECT_EQ(received.end, ChannelEnd::Broken);
+    EXPECT_LT(monotonicNow() - begun, RouteTimeout / 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(BrokenTargets, InvalidStatus, testing::Values("000 ", "000 OK", "099 X", "101 Switching", "600 X", "999 X"));
+
+// Guards against a caller that waits for the body that the length of a 204 or 304 promises. Only a caller of HEAD gets a length without a body.
+TEST_F(BrokenTargets, ResponseWithoutBodyHasNoLength)
+{
+    std::string status;
+    addTarget("i-1", "desk", [&](ByteServer::Connection &connection, const std::string &request) {
+        connection.readBody(request);
+        connection.write(responseTo(request, status, request.starts_with("HEAD ") ? "" : "no", "X-Other: kept\r\n"));
+    });
+    start();
+    for (const std::string given : {"204 None", "304 Not Modified"}) {
+        status = given;
+        for (const std::string method : {"GET", "POST"}) {
+            const auto received = call("status", method);
+            EXPECT_EQ(received.status, std::stoi(status)) << method;
+            EXPECT_EQ(received.end, ChannelEnd::Complete) << status << method;
+            EXPECT_FALSE(received.head.has("content-length")) << status << method;
+            EXPECT_FALSE(received.head.has("transfer-encoding")) << status << method;
+            EXPECT_EQ(received.head.value("x-other"), "kept") << status << method;
+        }
+    }
+    status = "204 None";
+    EXPECT_FALSE(call("status", "HEAD").head.has("content-length"));
+    status = "200 OK";
+    EXPECT_TRUE(call("status", "HEAD").head.has("content-length"));
+}
+
 // Guards against a status that promises that a request has not run and never will, although its target does not state that.
 TEST_F(BrokenTargets, OnlyTargetsThatDidNotRunARequestAreSaidNotToHaveRunIt)
 {
