Let other regions learn of each real crash within a second

Callers: in large fleets relays of other regions sent requests that crash targets on to theirs, because they learnt of crashes seconds late or never.

Cause: one gate held back all crash reports of a relay, those to its own region and to judges too, and what goes to other regions was divided by all relays of the region, so that one report used up many seconds.

Reports to the region and to judges wait for the limit of the relay's own link only; half of what it saves up is kept for new crashes. First reports of own crashes to other regions have a limit of their own, divided by the relays of the region that report crashes, at most 1500 bytes per second to each relay; repeats wait for the limit among all relays. Each audience has its own rounds.

--- a/Libraries/LibPolicy/PromptPartCrashes.cpp
+++ b/Libraries/LibPolicy/PromptPartCrashes.cpp
@@ -320,37 +320,40 @@
 PromptPartCrashes::takeReports(const ReportOptions &options, const std::function<bool(uint64_t part)> &isUnknown, MonotonicTime now)
 {
     std::vector<std::pair<const Key *, Crash *>> due;
+    const auto roundsOf = [&options](Crash &crash) { return crash.progress[options.audience].rounds; };
     for (auto &[key, crash] : m_crashes) {
         const auto knownFor = now - crash.learntAt;
-        const bool isDue = knownFor < options.time || (crash.isOwn && crash.reportRounds < MinReportRounds && knownFor < MaxReportTime);
+        const int minRounds = options.onlyFirstRound ? 1 : MinReportRounds;
+        const bool isDue = (knownFor < options.time && !options.onlyFirstRound) || (crash.isOwn && roundsOf(crash) < minRounds && knownFor < MaxReportTime);
         // What has come in part must not look whole to others.
         const bool isWhole = crash.droppedParts == 0 && (crash.isOwn || crash.isComplete());
         if (isDue && isWhole && (crash.isOwn || options.includesReported)) {
             due.emplace_back(&key, &crash);
         }
     }
-    std::ranges::sort(due, [](const auto &left, const auto &right) {
-        return std::make_tuple(left.second->reportRounds, -left.second->time.time_since_epoch().count(), *left.first)
-            < std::make_tuple(right.second->reportRounds, -right.second->time.time_since_epoch().count(), *right.first);
+    std::ranges::sort(due, [&](const auto &left, const auto &right) {
+        return std::make_tuple(roundsOf(*left.second), -left.second->time.time_since_epoch().count(), *left.first)
+            < std::make_tuple(roundsOf(*right.second), -right.second->time.time_since_epoch().count(), *right.first);
     });
     std::vector<std::vector<PromptPartCrash>> datagrams;
     size_t left = 0;
     for (const auto &[key, crash] : due) {
+        auto &progress = crash->progress[options.audience];
         PromptPartIds parts;
         for (const auto &[part, set] : crash->parts) {
             if (now - crash->time >= SoundPartsDelay || isUnknown(part)) {
                 parts.push_back(part);
             }
         }
-        const auto pieces = divideByLength(*key, *crash, parts, std::max<uint32_t>(1, crash->reportPieces), options.bytes);
+        const auto pieces = divideByLength(*key, *crash, parts, std::max<uint32_t>(1, progress.pieces), options.bytes);
         if (parts.empty() || pieces.empty() || pieces.size() > options.maxPieces) {
             continue;
         }
         const auto count = static_cast<uint32_t>(pieces.size());
-        crash->nextPiece = count == crash->reportPieces ? crash->nextPiece : 0;
-        crash->reportPieces = count;
+        progress.nextPiece = count == progress.pieces ? progress.nextPiece : 0;
+        progress.pieces = count;
         for (uint32_t sent = 0; sent < count; ++sent) {
-            const auto &piece = pieces[crash->nextPiece];
+            const auto &piece = pieces[progress.nextPiece];
             const auto bytes = encodedBytes(*key, *crash, piece);
             if (bytes > left) {
                 if (datagrams.size() >= options.datagrams) {
@@ -362,9 +365,12 @@
             left -= bytes;
             datagrams.back().push_back(report(*key, *crash, piece, now));
             datagrams.back().back().pieces = count;
-            datagrams.back().back().piece = crash->nextPiece;
-            crash->nextPiece = (crash->nextPiece + 1) % count;
-            crash->reportRounds += crash->nextPiece == 0 ? 1 : 0;
+            datagrams.back().back().piece = progress.nextPiece;
+            progress.nextPiece = (progress.nextPiece + 1) % count;
+            progress.rounds += progress.nextPiece == 0 ? 1 : 0;
+            if (options.onlyFirstRound && progress.nextPiece == 0) {
+                break;
+            }
         }
     }
     return datagrams;
--- a/Libraries/LibPolicy/PromptPartCrashes.h
+++ b/Libraries/LibPolicy/PromptPartCrashes.h
@@ -57,6 +57,12 @@
 {
 public:
     using Key = std::pair<std::string, uint64_t>;
+    // Relays that get reports at times of their own.
+    enum class ReportAudience : uint8_t {
+        Region,
+        OtherRegions,
+        Judges,
+    };
     struct Request {
         uint64_t digest = 0;
         bool hasBegun = false;
@@ -78,9 +84,12 @@
         std::map<std::string, std::vector<uint64_t>> pieces;
         bool isResolved = false;
         // In how many pieces this relay reports the crash, the next of them, and how often all have been reported.
-        uint32_t reportPieces = 0;
-        uint32_t nextPiece = 0;
-        int reportRounds = 0;
+        struct Progress {
+            uint32_t pieces = 0;
+            uint32_t nextPiece = 0;
+            int rounds = 0;
+        };
+        std::map<ReportAudience, Progress> progress;
 
         // Whether all parts that may have caused the crash are known, as far as the requests are.
         bool isComplete() const;
@@ -121,6 +130,9 @@
         uint32_t maxPieces = std::numeric_limits<uint32_t>::max();
         // Whether crashes that peers have reported are reported as well.
         bool includesReported = false;
+        ReportAudience audience = ReportAudience::Region;
+        // Whether only crashes that this relay has observed and not yet reported are reported.
+        bool onlyFirstRound = false;
         // Time for which a crash is reported after it was learnt, and longer until all of its parts have been reported.
         std::chrono::milliseconds time {0};
     };
--- a/Libraries/LibRelay/PeerTrafficLimit.h
+++ b/Libraries/LibRelay/PeerTrafficLimit.h
@@ -22,6 +22,9 @@
     // When the next datagrams may be sent; not before `now`.
     MonotonicTime nextAt(MonotonicTime now) const;
 
+    // Whether what may be sent in this time is saved up.
+    bool hasSaved(std::chrono::milliseconds time, MonotonicTime now) const;
+
     // Datagrams with so many bytes in all were sent. They may exceed what is left, and the next ones wait for longer then.
     void recordSent(size_t bytes, MonotonicTime now);
 
--- a/Libraries/LibRelayServer/PeerLink.cpp
+++ b/Libraries/LibRelayServer/PeerLink.cpp
@@ -191,6 +191,9 @@
     if (report.node == m_core.options.node) {
         return;
     }
+    if (!report.crashes.empty() || !report.promptCrashes.empty()) {
+        m_crashReportedAt[report.node] = now;
+    }
     for (const auto &crash : report.crashes) {
         m_core.crashSuspects.merge(crash, now);
     }
@@ -204,45 +207,107 @@
 
 void PeerLink::sendCrashReports(MonotonicTime now)
 {
-    if (m_crashReports.nextAt(now) > now || m_crashReportsToOtherRegions.nextAt(now) > now) {
-        return;
-    }
-    const auto relaysOfRegion = m_core.peers.livePeersInRegion(now).size() + 1;
     // In a small fleet, all relays get all parts and judge.
     const auto judges = isSmallFleet(now) ? std::vector<std::string>() : m_core.peers.crashJudges(now);
     const auto own = m_core.options.peers.toText();
     const bool isJudge = judges.empty() || std::ranges::find(judges, own) != judges.end();
-    for (const auto &report : crashReportsForAll(isJudge, now)) {
-        const auto datagram = encodePeerCrashReport(report);
-        const auto outside = sendDatagram(PeerTable::RecipientScope::OutsideRegion, datagram, now);
-        const auto recipients = sendDatagram(PeerTable::RecipientScope::Region, datagram, now) + outside;
-        m_crashReports.recordSent(recipients * datagram.size(), now);
-        m_crashReportsToOtherRegions.recordSent(outside * datagram.size() * relaysOfRegion, now);
+    const bool hasNew = sendNewCrashesToOtherRegions(now);
+    if (!hasNew && m_crashReportsToOtherRegions.nextAt(now) <= now) {
+        for (const auto &report : ownCrashReports(PromptPartCrashes::ReportAudience::OtherRegions, false, now)) {
+            sendCrashReportToOtherRegions(report, now);
+        }
     }
-    if (judges.empty()) {
+    if (m_crashReports.nextAt(now) > now) {
         return;
     }
-    for (auto &crashes : m_core.promptParts.takeCrashReports({.datagrams = MaxDatagramsToJudge, .bytes = MaxCrashReportBytes}, now)) {
-        const auto datagram = encodePeerCrashReport({.node = m_core.options.node, .promptCrashes = std::move(crashes)});
-        for (const auto &judge : judges) {
-            if (judge != own) {
-                sendDatagramTo(judge, datagram);
-                m_crashReports.recordSent(datagram.size(), now);
+    const bool onlyNew = !m_crashReports.hasSaved(SavedForNewCrashes, now);
+    for (const auto &report : ownCrashReports(PromptPartCrashes::ReportAudience::Region, onlyNew, now)) {
+        sendCrashReportToRegion(report, now);
+    }
+    if (!judges.empty()) {
+        PromptPartCrashes::ReportOptions options {.datagrams = MaxDatagramsToJudge, .bytes = MaxCrashReportBytes};
+        options.audience = PromptPartCrashes::ReportAudience::Judges;
+        for (auto &crashes : m_core.promptParts.takeCrashReports(options, now)) {
+            const auto datagram = encodePeerCrashReport({.node = m_core.options.node, .promptCrashes = std::move(crashes)});
+            for (const auto &judge : judges) {
+                if (judge != own) {
+                    sendDatagramTo(judge, datagram);
+                    m_crashReports.recordSent(datagram.size(), now);
+                }
             }
         }
     }
+    if (onlyNew) {
+        return;
+    }
+    const bool isRoomBetweenRegions = m_crashReportsToOtherRegions.nextAt(now) <= now;
+    for (const auto &report : otherCrashReports(isJudge, now)) {
+        sendCrashReportToRegion(report, now);
+        if (isRoomBetweenRegions) {
+            sendCrashReportToOtherRegions(report, now);
+        }
+    }
+}
+
+void PeerLink::sendCrashReportToRegion(const PeerCrashReport &report, MonotonicTime now)
+{
+    const auto datagram = encodePeerCrashReport(report);
+    const auto recipients = sendDatagram(PeerTable::RecipientScope::Region, datagram, now);
+    m_crashReports.recordSent(recipients * datagram.size(), now);
+}
+
+void PeerLink::sendCrashReportToOtherRegions(const PeerCrashReport &report, MonotonicTime now)
+{
+    const auto datagram = encodePeerCrashReport(report);
+    const auto relaysOfRegion = m_core.peers.livePeersInRegion(now).size() + 1;
+    const auto recipients = sendDatagram(PeerTable::RecipientScope::OutsideRegion, datagram, now);
+    m_crashReports.recordSent(recipients * datagram.size(), now);
+    m_crashReportsToOtherRegions.recordSent(recipients * datagram.size() * relaysOfRegion, now);
+}
+
+bool PeerLink::sendNewCrashesToOtherRegions(MonotonicTime now)
+{
+    if (m_newCrashReports.nextAt(now) > now) {
+        return false;
+    }
+    const auto reports = ownCrashReports(PromptPartCrashes::ReportAudience::OtherRegions, true, now);
+    const auto peers = m_core.peers.livePeersInRegion(now);
+    const auto hasReported = [&](const Peer *peer) {
+        const auto found = m_crashReportedAt.find(peer->latestHeartbeat.node);
+        return found != m_crashReportedAt.end() && now - found->second < CrashReportTime;
+    };
+    const auto reporters = static_cast<size_t>(std::ranges::count_if(peers, hasReported)) + 1;
+    for (const auto &report : reports) {
+        const auto datagram = encodePeerCrashReport(report);
+        const auto recipients = sendDatagram(PeerTable::RecipientScope::OutsideRegion, datagram, now);
+        // A relay that reports alone must not use all of the link either. It always has its part among all relays of the region.
+        const auto parts = std::min(recipients * (peers.size() + 1), std::max(recipients * reporters, MinPartsOfLink));
+        m_newCrashReports.recordSent(datagram.size() * parts, now);
+        m_crashReportsToOtherRegions.recordSent(recipients * datagram.size() * (peers.size() + 1), now);
+    }
+    return !reports.empty();
 }
 
-std::vector<PeerCrashReport> PeerLink::crashReportsForAll(bool isJudge, MonotonicTime now)
+std::vector<PeerCrashReport> PeerLink::ownCrashReports(PromptPartCrashes::ReportAudience audience, bool onlyNew, MonotonicTime now)
+{
+    PromptPartCrashes::ReportOptions options {.datagrams = MaxCrashDatagrams, .bytes = MaxCrashReportBytes, .maxPieces = MaxPiecesForAll};
+    if (isSmallFleet(now)) {
+        options = {.datagrams = MaxDatagramsToJudge, .bytes = MaxCrashReportBytes, .includesReported = !onlyNew};
+    }
+    options.audience = audience;
+    options.onlyFirstRound = onlyNew;
+    std::vector<PeerCrashReport> reports;
+    for (auto &crashes : m_core.promptParts.takeCrashReports(options, now)) {
+        reports.push_back({.node = m_core.options.node, .promptCrashes = std::move(crashes)});
+    }
+    return reports;
+}
+
+std::vector<PeerCrashReport> PeerLink::otherCrashReports(bool isJudge, MonotonicTime now)
 {
     auto &parts = m_core.promptParts;
     std::vector<PeerCrashReport> reports;
     const auto add = [&]() -> PeerCrashReport & { return reports.emplace_back(PeerCrashReport {.node = m_core.options.node}); };
-    const PromptPartCrashes::ReportOptions all {.datagrams = MaxDatagramsToJudge, .bytes = MaxCrashReportBytes, .includesReported = true};
-    const PromptPartCrashes::ReportOptions few {.datagrams = MaxCrashDatagrams, .bytes = MaxCrashReportBytes, .maxPieces = MaxPiecesForAll};
-    for (auto &crashes : parts.takeCrashReports(isSmallFleet(now) ? all : few, now)) {
-        add().promptCrashes = std::move(crashes);
-    }
     if (isJudge) {
         for (auto &piece : parts.takeExcerpts(MaxCrashDatagrams, MaxCrashReportBytes, now)) {
             add().promptCrashes = {std::move(piece)};
@@ -362,6 +427,7 @@
     const auto silent = m_core.peers.expire(now);
     for (const auto &node : silent) {
         m_core.balancer.dropPeer(node);
+        m_crashReportedAt.erase(node);
         auto line = m_core.line(EventKind::PeerLost);
         line.add("peer", node);
         m_core.log(line);
--- a/Libraries/LibRelayServer/PeerLink.h
+++ b/Libraries/LibRelayServer/PeerLink.h
@@ -77,6 +77,11 @@
     // Bytes per second of crash reports that all relays of a region together may send to other regions. Links between regions are small and shared with all
     // else.
     static constexpr double MaxBytesBetweenRegions = 1'000'000;
+    // What one relay sends of crashes that no other one may know counts as so many times its bytes at least, so that one relay sends 1500 bytes per second to
+    // each relay of other regions at most: one crash with the parts of a long prompt.
+    static constexpr size_t MinPartsOfLink = 667;
+    // Part of the saved traffic of crash reports that is kept for new crashes.
+    static constexpr std::chrono::milliseconds SavedForNewCrashes {1500};
 
     // Waits until a datagram has arrived, and reads those in the socket. After some of them, other work gets its turn.
     void awaitDatagrams();
@@ -90,8 +95,14 @@
     void onCrashReport(const PeerCrashReport &report, MonotonicTime now);
     // Sends what peers have to know of new crashes and does not fit into heartbeats, as far as the limit on this traffic allows it.
     void sendCrashReports(MonotonicTime now);
-    // What all relays get. Judges add which parts were in several crashes and which are rejected.
-    std::vector<PeerCrashReport> crashReportsForAll(bool isJudge, MonotonicTime now);
+    void sendCrashReportToRegion(const PeerCrashReport &report, MonotonicTime now);
+    void sendCrashReportToOtherRegions(const PeerCrashReport &report, MonotonicTime now);
+    // Sends them the crashes that this relay has observed and not yet reported to them. Returns whether there were any that the limit allows.
+    bool sendNewCrashesToOtherRegions(MonotonicTime now);
+    // The crashes for all relays, or only those that this relay has observed and not yet reported.
+    std::vector<PeerCrashReport> ownCrashReports(PromptPartCrashes::ReportAudience audience, bool onlyNew, MonotonicTime now);
+    // What else all relays get. Judges add which parts were in several crashes and which are rejected.
+    std::vector<PeerCrashReport> otherCrashReports(bool isJudge, MonotonicTime now);
     void sendHeartbeat(NotificationScope scope, MonotonicTime now);
     // Sends a short message with only the loads.
     void sendLoads(MonotonicTime now);
@@ -117,6 +128,11 @@
     PeerTrafficLimit m_crashReports {{.saved = SavedForCrashReports}};
     // Of the link between this region and others, for all relays of this region.
     PeerTrafficLimit m_crashReportsToOtherRegions {{.bytesPerSecond = MaxBytesBetweenRegions, .saved = SavedForCrashReports}};
+    // The same for first reports of crashes that this relay has observed. It is divided by the relays of the region that report crashes rather than all,
+    // because a crash is observed only by the few relays with requests on its target.
+    PeerTrafficLimit m_newCrashReports {{.bytesPerSecond = MaxBytesBetweenRegions, .saved = SavedForCrashReports}};
+    // When each peer last reported crashes.
+    absl::flat_hash_map<std::string, MonotonicTime> m_crashReportedAt;
     int m_heartbeatCount = 0;
     size_t m_nextRejection = 0;
     std::array<char, 2048> m_buffer {};
--- a/Tests/Platform/ScriptedPeer.cpp
+++ b/Tests/Platform/ScriptedPeer.cpp
@@ -85,8 +85,11 @@
             return;
         }
         auto heartbeat = decodePeerHeartbeat({m_buffer.data(), bytes});
-        if (decodePeerCrashReport({m_buffer.data(), bytes})) {
+        if (const auto report = decodePeerCrashReport({m_buffer.data(), bytes})) {
             m_crashReportBytes += bytes;
+            for (const auto &crash : report->promptCrashes) {
+                m_reportedCrashes.insert(crash.target);
+            }
         } else if (heartbeat && heartbeat->onlyLoads) {
             m_loadReportBytes += bytes;
         } else if (heartbeat) {
--- a/Tests/Platform/ScriptedPeer.h
+++ b/Tests/Platform/ScriptedPeer.h
@@ -45,6 +45,12 @@
         return m_crashReportBytes;
     }
 
+    // Targets whose crashes were reported to this peer in such datagrams.
+    const std::set<std::string> &reportedCrashes() const
+    {
+        return m_reportedCrashes;
+    }
+
     int requestCount() const
     {
         return m_requestCount;
@@ -70,6 +76,7 @@
     std::set<std::string> m_reportedTargets;
     size_t m_loadReportBytes = 0;
     size_t m_crashReportBytes = 0;
+    std::set<std::string> m_reportedCrashes;
     int m_requestCount = 0;
 };
 
--- a/Tests/Platform/TestPeerTraffic.cpp
+++ b/Tests/Platform/TestPeerTraffic.cpp
@@ -1,7 +1,9 @@
 #include "RelayTestBed.h"
 #include "ScriptedPeer.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
+#include <iterator>
 
 using namespace Jujube;
 using namespace std::chrono_literals;
@@ -22,16 +24,31 @@
 constexpr int CrashCount = 40;
 constexpr int PartsOfPrompt = 250;
 
-std::vector<std::unique_ptr<ScriptedPeer>> addPeers(RelayTestBed &testBed, const std::string &dataCentre)
+std::vector<std::unique_ptr<ScriptedPeer>> addPeers(RelayTestBed &testBed, const std::string &dataCentre, int count = PeerCount)
 {
     std::vector<std::unique_ptr<ScriptedPeer>> peers;
-    for (int index = 0; index < PeerCount; ++index) {
+    for (int index = 0; index < count; ++index) {
         peers.push_back(std::make_unique<ScriptedPeer>(testBed.loop, dataCentre + std::to_string(index), testBed.options("n1").peers));
         peers.back()->setHeartbeat({.dataCentre = dataCentre});
     }
     return peers;
 }
 
+// Field with the parts of a prompt that ends with a part of its request alone.
+HeaderField partsField(int64_t first, int count)
+{
+    std::string parts;
+    for (int part = 0; part < count; ++part) {
+        parts += std::to_string(first + part) + ":10,";
+    }
+    return {.name = "X-Prefix-Hash", .value = parts + "1:10"};
+}
+
+// Crashes in a fleet of so many relays.
+class CrashesInFleet : public testing::TestWithParam<int>
+{
+};
+
 } // namespace
 
 // Guards against a relay that fills its own link with reports of the generations that it places in a burst, so that documents and heartbeats come late.
@@ -107,3 +124,35 @@
     constexpr double LastDatagrams = 3 * 1400 * PeerCount;
     EXPECT_LE(static_cast<double>(sent), MaxBytesBetweenRegions / relaysOfRegion * (took + SavedSeconds) + LastDatagrams);
 }
+
+// Guards against crashes that relays of other regions learn of seconds late or never, because an earlier one has used up what may be sent there.
+TEST_P(CrashesInFleet, AreKnownToAllWithinASecond)
+{
+    constexpr int Crashes = 5;
+    constexpr int64_t FirstPart = 900'000'000'000'000;
+    constexpr int PartsOfLongPrompt = 110;
+    RelayTestBed testBed;
+    testBed.writeDocument(1);
+    testBed.isFatal = [](const MessageHead &) { return true; };
+    for (int index = 0; index < CrashCount; ++index) {
+        testBed.addTarget("i-engine-" + std::to_string(index), "engine", 10);
+    }
+    testBed.addRelay("n1");
+    ASSERT_TRUE(testBed.waitUntilReady("n1"));
+    auto peers = addPeers(testBed, "lahore", GetParam() / 2);
+    auto far = addPeers(testBed, "karachi", GetParam() - GetParam() / 2 - 1);
+    std::ranges::move(far, std::back_inserter(peers));
+    ASSERT_TRUE(testBed.runUntil([&] { return std::ranges::all_of(peers, [](const auto &peer) { return peer->received().has_value(); }); }));
+    for (int number = 1; number <= Crashes; ++number) {
+        const auto id = "r" + std::to_string(number);
+        const auto next = monotonicNow() + 1s;
+        testBed.call("n1", {.path = "/draft/" + id, .id = id, .fields = {partsField(FirstPart + 1000 * number, PartsOfLongPrompt)}});
+        const auto crashed = static_cast<size_t>(testBed.fatalCount());
+        ASSERT_GE(crashed, static_cast<size_t>(number));
+        const auto isKnown = [&] { return std::ranges::all_of(peers, [&](const auto &peer) { return peer->reportedCrashes().size() >= crashed; }); };
+        EXPECT_TRUE(testBed.runUntil(isKnown, std::chrono::ceil<std::chrono::milliseconds>(next + 200ms - monotonicNow()))) << "crash " << number;
+        testBed.runFor(std::max(0ms, std::chrono::ceil<std::chrono::milliseconds>(next - monotonicNow())));
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, CrashesInFleet, testing::Values(7, 59, 195, 390));
