Send crash reports only to addresses that respond

Callers: relays that lost each other did not join again while crashes were reported.

Cause: crash reports to other regions took the probes, one in 2 s, that silent addresses get, so that no heartbeat went there. Crash reports go to live relays of other regions now.

PeerTable.SilentAddressesGetHeartbeatsOnly checks the recipients; the scope is new, so that it could not run before. PeerTable.* passes.

--- a/Libraries/LibRelay/PeerTable.cpp
+++ b/Libraries/LibRelay/PeerTable.cpp
@@ -93,7 +93,11 @@
         if (isLiveInRegion) {
             continue;
         }
-        if (isResponding || address.probedAt == MonotonicTime {} || now - address.probedAt >= m_options.probeInterval) {
+        if (scope == RecipientScope::LiveOutsideRegion) {
+            if (isResponding) {
+                result.push_back(text);
+            }
+        } else if (isResponding || address.probedAt == MonotonicTime {} || now - address.probedAt >= m_options.probeInterval) {
             address.probedAt = now;
             result.push_back(text);
         }
--- a/Libraries/LibRelay/PeerTable.h
+++ b/Libraries/LibRelay/PeerTable.h
@@ -130,6 +130,8 @@
         Region,
         // Live relays in other regions and, at longer intervals, addresses that do not respond.
         OutsideRegion,
+        // Live relays in other regions.
+        LiveOutsideRegion,
     };
     std::vector<std::string> recipients(RecipientScope scope, MonotonicTime now);
 
--- a/Libraries/LibRelayServer/PeerLink.cpp
+++ b/Libraries/LibRelayServer/PeerLink.cpp
@@ -260,7 +260,7 @@
 {
     const auto datagram = encodePeerCrashReport(report);
     const auto relaysOfRegion = m_core.peers.livePeersInRegion(now).size() + 1;
-    const auto recipients = sendDatagram(PeerTable::RecipientScope::OutsideRegion, datagram, now);
+    const auto recipients = sendDatagram(PeerTable::RecipientScope::LiveOutsideRegion, datagram, now);
     m_crashReports.recordSent(recipients * datagram.size(), now);
     m_crashReportsToOtherRegions.recordSent(recipients * datagram.size() * relaysOfRegion, now);
 }
@@ -279,7 +279,7 @@
     const auto reporters = static_cast<size_t>(std::ranges::count_if(peers, hasReported)) + 1;
     for (const auto &report : reports) {
         const auto datagram = encodePeerCrashReport(report);
-        const auto recipients = sendDatagram(PeerTable::RecipientScope::OutsideRegion, datagram, now);
+        const auto recipients = sendDatagram(PeerTable::RecipientScope::LiveOutsideRegion, datagram, now);
         // A relay that reports alone must not use all of the link either. It always has its part among all relays of the region.
         const auto parts = std::min(recipients * (peers.size() + 1), std::max(recipients * reporters, MinPartsOfLink));
         m_newCrashReports.recordSent(datagram.size() * parts, now);
--- a/Tests/LibRelay/TestPeers.cpp
+++ b/Tests/LibRelay/TestPeers.cpp
@@ -56,6 +56,18 @@
     EXPECT_EQ(peers.recipients(PeerTable::RecipientScope::OutsideRegion, Start + 200ms), std::vector<std::string> {"a:81"});
 }
 
+// Guards against relays that lost each other and do not join again while datagrams that are no heartbeats take the place of those to silent addresses.
+TEST(PeerTable, SilentAddressesGetHeartbeatsOnly)
+{
+    PeerTable peers({.ownAddress = "me:81"}, Start);
+    peers.handleHeartbeat(heartbeatMessage("a", 1), Start);
+    EXPECT_EQ(peers.recipients(PeerTable::RecipientScope::LiveOutsideRegion, Start), std::vector<std::string> {"a:81"});
+    const auto later = Start + 10s;
+    peers.expire(later);
+    EXPECT_TRUE(peers.recipients(PeerTable::RecipientScope::LiveOutsideRegion, later).empty());
+    EXPECT_EQ(peers.recipients(PeerTable::RecipientScope::OutsideRegion, later), std::vector<std::string> {"a:81"});
+}
+
 // Guards against large fleets in which most relays never discover each other because heartbeats name the same few addresses again and again.
 TEST(PeerTable, AllRelaysDiscoverEachOtherThroughFewSeeds)
 {
