--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -340,11 +340,10 @@
 void RelayCore::checkInterruptedTargets(MonotonicTime now)
 {
     for (auto &[target, interruption] : std::exchange(m_interrupted, {})) {
-        if (now < interruption.nextCheckAt) {
-            m_interrupted.emplace(target, std::move(interruption));
-        } else if (balancer.requestLimits().mayContinue(target, now)) {
+        const bool isDue = now >= interruption.nextCheckAt;
+        if (isDue && balancer.requestLimits().mayContinue(target, now)) {
             checkTarget(target, std::move(interruption));
-        } else if (now - interruption.since < MaxCheckDelay) {
+        } else if (!isDue || now - interruption.since < MaxCheckDelay) {
             m_interrupted.emplace(target, std::move(interruption));
         }
     }
--- a/Libraries/LibRelayServer/StreamVersions.cpp
+++ b/Libraries/LibRelayServer/StreamVersions.cpp
@@ -160,6 +160,7 @@
         peers.resize(count);
     }
     std::vector<std::string> addresses;
+    addresses.reserve(peers.size());
     for (const auto &[weight, address] : peers) {
         addresses.push_back(address);
     }
