--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -64,6 +64,7 @@
     MigrationSchedule migrations;
     // Null where the settings do not ask for rollouts.
     RolloutAgent *rollouts = nullptr;
+    // Null until the relay has started.
     StreamVersions *streamVersions = nullptr;
     // A graceful shutdown in progress. Its grace period is the one in force at its beginning, because requests were taken in reliance on it.
     struct Drain {
--- a/Libraries/LibRelayServer/StreamVersions.h
+++ b/Libraries/LibRelayServer/StreamVersions.h
@@ -15,8 +15,8 @@
 // Finds out by which version of its service a stream began that a caller takes up again. docs/design.md, section 21.
 //
 // While a service has had one version only for longer than callers take streams up again, that version began the stream. Otherwise relays report to each other
-// by which version each resumable stream began, and ask each other. Of services with several versions, the store keeps which ones have served lately, so that a
-// relay whose memory is lost knows whether there may have been others.
+// by which version each resumable stream began, and ask each other. The store keeps which versions of each service have served lately, so that a relay that has
+// just started knows whether there was only one.
 class StreamVersions
 {
 public:
@@ -44,7 +44,7 @@
 
     StreamVersions(RelayCore &core, bool isFirstStart, Hooks hooks);
 
-    // Passes on by which version a stream began, at once or within MaxQuestionTime, or nothing if that is not known.
+    // Passes on by which version a stream began, at once or within 200 ms, or nothing if that is not known.
     void find(const Question &question, Hook hook, MonotonicTime now);
 
     // A stream has begun at a version, or goes on there, and its caller may take it up again until a time.
@@ -77,14 +77,16 @@
     std::vector<uint64_t> keysOf(const Question &question) const;
     std::optional<Origin> known(const Question &question, const std::vector<uint64_t> &keys, MonotonicTime now) const;
     void ask(const PendingPointer &pending, MonotonicTime now);
-    // Ends questions that can be answered or whose answers have all arrived.
+    // Ends the questions that can be answered, and those for which no more answers are to come.
     void settle(MonotonicTime now);
     void finish(const PendingPointer &pending, MonotonicTime now);
     // Addresses of the peers that keep the origin of a stream: all in small fleets, some otherwise.
     std::vector<std::string> keepersOf(uint64_t key, MonotonicTime now) const;
     void scheduleReports();
     void sendReports(MonotonicTime now);
+    // Takes the versions of the target list into the history.
     void recordVersions(MonotonicTime now);
+    // Stores what has changed, if this relay is one of those that do.
     void updateStore(MonotonicTime now);
     void readStore(MonotonicTime now);
     void onStoreRead(const std::map<std::string, StoredVersions> &stored, MonotonicTime now);
