--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -131,9 +131,9 @@
     m_session->start(now);
 }
 
-void RelayExchange::recordStreamVersion(MonotonicTime now)
+void RelayExchange::recordStreamVersion(const std::string &version, MonotonicTime now)
 {
-    if (!m_admission.route->resumable || m_isStreamVersionUncertain) {
+    if (!m_admission.route->resumable) {
         return;
     }
     const auto resumed = isResumption() ? m_request.head.value(m_core.adapter.fields.resumedAttempt) : std::string_view();
@@ -141,7 +141,7 @@
     m_core.streamVersions->record(m_admission.workspace ? m_admission.workspace->name : std::string(),
                                   m_admission.service->name,
                                   std::string(resumed.empty() ? std::string_view(m_id) : resumed),
-                                  *m_streamVersion,
+                                  version,
                                   m_request.arrivedAt + timeLeft,
                                   now);
 }
@@ -160,12 +160,9 @@
     }
     m_isStreamVersionUncertain = true;
     record("version_uncertain", entry.softwareVersion);
-    if (m_streamVersion && m_admission.route->resumable) {
+    if (m_streamVersion) {
         // Contradicts the version that was recorded, so that no relay goes on with the stream.
-        m_streamVersion = entry.softwareVersion;
-        m_isStreamVersionUncertain = false;
-        recordStreamVersion(monotonicNow());
-        m_isStreamVersionUncertain = true;
+        recordStreamVersion(entry.softwareVersion, monotonicNow());
     }
 }
 
@@ -688,7 +685,7 @@
     m_silentSince = now;
     if (!m_streamVersion || (eventsBefore == 0 && isResumption())) {
         m_streamVersion = m_streamVersion.value_or(m_targetVersion);
-        recordStreamVersion(now);
+        recordStreamVersion(*m_streamVersion, now);
     }
     if (auto *samples = rolloutSamples()) {
         m_rolloutSampler->recordEvents(*samples, m_session->eventCount() - m_eventsBefore, now);
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -91,8 +91,8 @@
     // Finds out by which version the stream began that the caller takes up, and goes on with the request or rejects it.
     void findStreamVersion(MonotonicTime now);
     void startSession(MonotonicTime now);
-    // Notes by which version the stream began, so that its caller can take it up at any relay.
-    void recordStreamVersion(MonotonicTime now);
+    // Notes by which version the stream began, so that its caller can take it up at any relay. Two different versions make it unknown.
+    void recordStreamVersion(const std::string &version, MonotonicTime now);
     // Whether a target of the version that began the stream takes new requests.
     bool hasTargetOfStreamVersion(MonotonicTime now) const;
     void createSession();
--- a/Tests/Platform/TestSoftwareVersions.cpp
+++ b/Tests/Platform/TestSoftwareVersions.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <platform/StandIns/StandInRows.h>
 
 using namespace Jujube;
 using namespace std::chrono_literals;
@@ -184,3 +185,20 @@
     EXPECT_EQ(joinedStreams(), 0);
     EXPECT_EQ(wholeResponses(), 0);
 }
+
+// Guards against a stream that goes on at the version that the list named when it began, although its target had restarted with another one by then.
+TEST_F(SoftwareVersions, StreamOfATargetThatHasRestartedDoesNotGoOn)
+{
+    addEngines("v1", 1);
+    start();
+    begin("hint", 1);
+    const StandInTargetRow restarted {
+        .service = "engine", .address = m_testBed.addressOf("v1-1"), .dataCentre = "lahore", .state = "ready", .born = 2, .version = "v2"};
+    m_testBed.store->put("servers", "v1-1", restarted.toText());
+    m_engines["v1-2"] = &m_testBed.addTarget("v1-2", "engine", Events, "lahore", 0ms, "v1");
+    m_testBed.runFor(700ms);
+    m_engines.at("v1-1")->crash();
+    awaitEnds();
+    EXPECT_EQ(wholeResponses(), 0);
+    EXPECT_EQ(m_engines.at("v1-2")->heads().size(), 0U);
+}
