--- a/Libraries/LibLoop/TargetChannel.cpp
+++ b/Libraries/LibLoop/TargetChannel.cpp
@@ -55,6 +55,8 @@
     m_headSeen = false;
     m_interimAnswers = 0;
     m_requestWritten = false;
+    m_writeError = {};
+    m_hasInputEnded = false;
     m_keep = true;
     m_paused = false;
     if (m_state == State::Idle) {
@@ -99,8 +101,12 @@
     boost::asio::async_write(m_socket, boost::asio::buffer(m_request), [self = shared_from_this()](const LoopError &error, size_t) {
         self->m_writing = false;
         self->m_requestWritten = !error;
+        self->m_writeError = error;
         self->m_request.clear();
-        // A failed write is reported by the read, which may still find an answer that was sent early.
+        // A failed write does not end the exchange, because the read may still find an answer that was sent early.
+        if (self->m_state == State::Exchanging && self->m_hasInputEnded) {
+            self->onInputEnd();
+        }
     });
     read();
 }
@@ -129,15 +135,39 @@
         }
         return;
     }
-    // Only an orderly end of the channel completes a body without a length; a reset does not.
-    if (error == boost::asio::error::eof && m_headSeen && m_parser->finishAtEnd()) {
+    if (error == boost::asio::error::eof) {
+        m_hasInputEnded = true;
+        onInputEnd();
+        return;
+    }
+    end(ChannelEnd::Broken, error.message());
+}
+
+void TargetChannel::onInputEnd()
+{
+    // Only an orderly end of the channel completes a body without a length. A socket reports a reset or a timeout once, to the read or to the write. If the
+    // write gets the report, the read finds an end of file. The write fails with EPIPE if the other end had finished its side before the reset.
+    if (m_writing && !isHalfClosed()) {
+        // The write is about to fail with the reason.
+        return;
+    }
+    const bool isOrderly = !m_writeError || m_writeError == boost::asio::error::broken_pipe;
+    if (isOrderly && m_headSeen && m_parser->finishAtEnd()) {
         m_keep = false;
         complete();
         return;
     }
+    const LoopError error = isOrderly ? LoopError(boost::asio::error::eof) : m_writeError;
     end(ChannelEnd::Broken, error.message());
 }
 
+bool TargetChannel::isHalfClosed()
+{
+    tcp_info info {};
+    socklen_t size = sizeof(info);
+    return getsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0 && info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 void TargetChannel::parseInput()
 {
     const auto self = shared_from_this();
--- a/Libraries/LibLoop/TargetChannel.h
+++ b/Libraries/LibLoop/TargetChannel.h
@@ -99,6 +99,10 @@
     void sendRequest();
     void read();
     void onRead(const LoopError &error, size_t bytes);
+    // Ends the exchange because nothing more can be read, or waits for the end of a write that is about to fail.
+    void onInputEnd();
+    // Whether the other end has finished its side of the connection, and the connection has not failed since.
+    bool isHalfClosed();
     void onIdleReadable();
     void parseInput();
     void noteHead();
@@ -120,6 +124,10 @@
     std::string m_request;
     bool m_requestWritten = false;
     bool m_writing = false;
+    // Why the request could not be written to its end.
+    LoopError m_writeError;
+    // Whether a read has found the end of the connection.
+    bool m_hasInputEnded = false;
     MessageParser::Direction m_direction = MessageParser::Direction::Answer;
     std::unique_ptr<MessageParser> m_parser;
     std::string m_input;
--- a/Tests/LibLoop/TestBrokenAnswers.cpp
+++ b/Tests/LibLoop/TestBrokenAnswers.cpp
@@ -1,6 +1,7 @@
 #include "../Support/BrokenResponses.h"
 #include "../Support/ByteServer.h"
 
+#include <future>
 #include <gtest/gtest.h>
 #include <LibLoop/LoopClient.h>
 
@@ -157,3 +158,111 @@
         EXPECT_EQ(answer.error, "malformed answer") << status;
     }
 }
+
+namespace
+{
+
+// More than the sockets' buffers hold, so that the request is still being written while its server does not read it.
+constexpr size_t LongUploadBytes = 32 << 20;
+constexpr std::string_view WithoutLength = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+constexpr std::string_view WithLength = "HTTP/1.1 413 Payload Too Large\r\nConnection: close\r\nContent-Length: 5001\r\n\r\n";
+const std::string FirstPart(5000, 'a');
+
+// What the channel learns of while its server does the rest.
+enum class Loop {
+    // Each event as it comes, with a read and a write waiting.
+    Runs,
+    // Nothing until the server has closed its socket.
+    IsHeldUp,
+};
+
+struct UploadResult {
+    std::optional<ChannelEnd> end;
+    std::string body;
+    std::string error;
+};
+
+// Makes a long upload to a server that responds with a head and the first part of a body before it reads the request's, and then does the rest.
+UploadResult upload(std::string_view responseHead, Loop loopState, const std::function<void(ByteServer::Connection &)> &rest)
+{
+    std::promise<void> isFirstPartRead;
+    ByteServer server([&](ByteServer::Connection &connection) {
+        connection.readHead();
+        connection.write(std::string(responseHead) + FirstPart);
+        isFirstPartRead.get_future().wait();
+        rest(connection);
+    });
+    boost::asio::io_context loop;
+    const auto continueServer = [&] {
+        isFirstPartRead.set_value();
+        if (loopState == Loop::IsHeldUp) {
+            server.waitUntilClosed();
+        }
+    };
+    const auto channel = std::make_shared<TargetChannel>(loop, server.address());
+    const MessageHead head {.method = "POST", .target = "/x", .fields = {{"Host", "a"}, {"Content-Length", std::to_string(LongUploadBytes)}}};
+    UploadResult result;
+    channel->exchange(requestText(head) + std::string(LongUploadBytes, 'u'),
+                      false,
+                      1000ms,
+                      {.onHead = [](const MessageHead &, const std::optional<uint64_t> &) { return true; },
+                       .onBody =
+                           [&](std::string_view bytes) {
+                               result.body += bytes;
+                               if (result.body == FirstPart) {
+                                   // Called when the channel's next read has begun.
+                                   boost::asio::post(loop, continueServer);
+                               }
+                           },
+                       .onEnd =
+                           [&](ChannelEnd end, const std::string &error) {
+                               result.end = end;
+                               result.error = error;
+                           }});
+    while (!result.end && loop.run_one_for(5000ms) > 0) { }
+    return result;
+}
+
+} // namespace
+
+// Guards against the first part of an answer without a length that passes for the whole one: if the write of the request has met the reset, the read finds an
+// end that looks orderly.
+TEST(BrokenAnswers, EarlyAnswerThatIsResetIsNotComplete)
+{
+    for (const auto loopState : {Loop::Runs, Loop::IsHeldUp}) {
+        const auto result = upload(WithoutLength, loopState, [](ByteServer::Connection &connection) { connection.reset(); });
+        EXPECT_EQ(result.end, ChannelEnd::Broken);
+        EXPECT_EQ(result.body, FirstPart);
+        EXPECT_EQ(result.error, "Connection reset by peer");
+    }
+}
+
+// Guards against an early answer that counts as broken although it has ended in an orderly way, before its server reads on or closes its socket.
+TEST(BrokenAnswers, EarlyAnswerThatEndsIsComplete)
+{
+    const auto readOn = [](ByteServer::Connection &connection) {
+        connection.write("b");
+        connection.finish();
+    };
+    const auto close = [](ByteServer::Connection &connection) {
+        connection.write("b");
+        connection.finishSending();
+        connection.reset();
+    };
+    for (const auto &result :
+         {upload(WithoutLength, Loop::Runs, readOn), upload(WithoutLength, Loop::Runs, close), upload(WithoutLength, Loop::IsHeldUp, close)}) {
+        EXPECT_EQ(result.end, ChannelEnd::Complete) << result.error;
+        EXPECT_EQ(result.body, FirstPart + "b");
+    }
+}
+
+// Guards against an early rejection with a length that is lost because its server resets the connection behind it.
+TEST(BrokenAnswers, EarlyAnswerWithALengthOutlivesAReset)
+{
+    const auto result = upload(WithLength, Loop::IsHeldUp, [](ByteServer::Connection &connection) {
+        connection.write("b");
+        connection.reset();
+    });
+    EXPECT_EQ(result.end, ChannelEnd::Complete) << result.error;
+    EXPECT_EQ(result.body, FirstPart + "b");
+}
--- a/Tests/Support/ByteServer.cpp
+++ b/Tests/Support/ByteServer.cpp
@@ -82,10 +82,15 @@
 }
 
 void ByteServer::Connection::finish()
+{
+    finishSending();
+    waitForEnd();
+}
+
+void ByteServer::Connection::finishSending()
 {
     LoopError ignored;
     m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
-    waitForEnd();
 }
 
 void ByteServer::Connection::reset()
@@ -128,6 +133,17 @@
     }
 }
 
+void ByteServer::waitUntilClosed()
+{
+    const auto hasOpen = [this] {
+        const std::lock_guard lock(m_mutex);
+        return !m_sockets.empty();
+    };
+    while (hasOpen()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+}
+
 void ByteServer::accept()
 {
     m_acceptor.async_accept([this](const LoopError &error, Tcp::socket accepted) {
--- a/Tests/Support/ByteServer.h
+++ b/Tests/Support/ByteServer.h
@@ -43,6 +43,8 @@
         size_t writePieces(const std::function<std::string(size_t number)> &piece, size_t most);
         // Sends the end of the connection (FIN) behind all bytes, and waits for that of the client.
         void finish();
+        // Sends the end of the connection only.
+        void finishSending();
         // Sends a reset (RST) as soon as the script returns. Nothing is received any more.
         void reset();
         // Waits until the client closes the connection.
@@ -77,6 +79,9 @@
         return m_connectionCount;
     }
 
+    // Waits until each script so far has returned and its connection is closed.
+    void waitUntilClosed();
+
 private:
     void accept();
 
