--- a/Libraries/LibHttp/HttpTransfer.cpp
+++ b/Libraries/LibHttp/HttpTransfer.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <LibCore/AbslView.h>
 #include <LibCore/HttpStatus.h>
 
@@ -17,6 +18,39 @@
 // The body of a response that is no success is not awaited for ever by those that receive a stream.
 constexpr size_t MaxErrorBodyBytes = size_t {64} * 1024;
 
+// Whether a character may be part of a field's name (RFC 9110, section 5.6.2).
+bool isTokenCharacter(char character)
+{
+    constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+    return absl::ascii_isalnum(static_cast<unsigned char>(character)) || Marks.find(character) != std::string_view::npos;
+}
+
+// Control characters are refused in values, except for tabs (RFC 9110, section 5.5).
+bool isValueCharacter(char character)
+{
+    return character == '\t' || !absl::ascii_iscntrl(static_cast<unsigned char>(character));
+}
+
+// Whether a line without its end is a header field. libcurl accepts lines that are none, and frames the body as if they were not there.
+bool isField(std::string_view line)
+{
+    const auto colon = line.find(':');
+    if (colon == 0 || colon == std::string_view::npos) {
+        return false;
+    }
+    const auto value = line.substr(colon + 1);
+    return std::all_of(line.begin(), line.begin() + static_cast<ptrdiff_t>(colon), isTokenCharacter)
+        && std::all_of(value.begin(), value.end(), isValueCharacter);
+}
+
+std::string_view withoutLineEnd(std::string_view line)
+{
+    if (line.ends_with('\n')) {
+        line.remove_suffix(line.ends_with("\r\n") ? 2 : 1);
+    }
+    return line;
+}
+
 } // namespace
 
 HttpTransfer::HttpTransfer(HttpClient::StreamId id, HttpCall call, HttpStreamSink sink, MayReuse mayReuse)
@@ -121,6 +155,11 @@
 
 bool HttpTransfer::noteHeaderLine(std::string_view line)
 {
+    line = withoutLineEnd(line);
+    if (!m_isStatusLineDue && !line.empty() && !isField(line)) {
+        m_defect = "the response has a malformed header field";
+        return false;
+    }
     if (m_isHeadComplete) {
         // A field of the trailers.
         return true;
@@ -130,16 +169,17 @@
         // libcurl has refused a line without three digits before.
         long status = 0;
         curl_easy_getinfo(m_handle, CURLINFO_RESPONSE_CODE, &status);
-        m_isStatusInvalid = statusKindOf(static_cast<int>(status)) == StatusKind::Invalid;
-        m_answer.status = m_isStatusInvalid ? 0 : static_cast<int>(status);
-        return !m_isStatusInvalid;
+        if (statusKindOf(static_cast<int>(status)) == StatusKind::Invalid) {
+            m_defect = "the response has an invalid status";
+            return false;
+        }
+        m_answer.status = static_cast<int>(status);
+        return true;
     }
-    const auto colon = line.find(':');
-    if (colon != std::string_view::npos) {
+    if (!line.empty()) {
+        const auto colon = line.find(':');
         const auto name = absl::AsciiStrToLower(toAbsl(line.substr(0, colon)));
         m_answer.headers[name] = std::string(absl::StripAsciiWhitespace(toAbsl(line.substr(colon + 1))));
-    }
-    if (!absl::StripAsciiWhitespace(toAbsl(line)).empty()) {
         return true;
     }
     m_isHeadComplete = statusKindOf(m_answer.status) == StatusKind::Final;
@@ -212,8 +252,8 @@
 {
     m_answer.refused = result == CURLE_COULDNT_CONNECT;
     const auto end = endFor(result);
-    if (m_isStatusInvalid) {
-        finish(end, "the response has an invalid status");
+    if (!m_defect.empty()) {
+        finish(end, std::string(m_defect));
         return;
     }
     const bool isHeadMissing = result == CURLE_OK && !m_isHeadComplete;
--- a/Libraries/LibHttp/HttpTransfer.h
+++ b/Libraries/LibHttp/HttpTransfer.h
@@ -60,7 +60,7 @@
     static int beforeRequest(void *self, char *address, char *localAddress, int port, int localPort);
 
     void applyCall();
-    // Returns false for a status line whose status is invalid.
+    // Returns false for a status line with an invalid status, and for a line that is no field.
     bool noteHeaderLine(std::string_view line);
     size_t acceptBody(std::string_view bytes);
     HttpEnd endFor(CURLcode result) const;
@@ -78,7 +78,8 @@
     bool m_isConnectionUnusable = false;
     // Whether the next line is a status line: the first one, and that behind an interim response.
     bool m_isStatusLineDue = true;
-    bool m_isStatusInvalid = false;
+    // Why the header section or the trailers make the response a broken one. Empty if they do not.
+    std::string_view m_defect;
     // Whether the empty line behind the header section of the final response has arrived. libcurl reports success for a connection that ends before.
     bool m_isHeadComplete = false;
     size_t m_headerBytes = 0;
--- a/Tests/LibHttp/TestBrokenResponses.cpp
+++ b/Tests/LibHttp/TestBrokenResponses.cpp
@@ -14,6 +14,9 @@
 namespace
 {
 
+// More than the sockets' buffers hold, so that the request is still being written while its server does not read it.
+constexpr size_t LongUploadBytes = 32 << 20;
+
 std::string urlOf(const ByteServer &server)
 {
     return "http://" + server.address().toText() + "/";
@@ -117,6 +120,88 @@
     }
 }
 
+// Guards against a response that is reported, with other fields or another body than its server's, although a line of its header section or trailers is no
+// field.
+TEST(HttpClient, MalformedFieldBreaksTheResponse)
+{
+    HttpClient client;
+    const auto check = [&](const std::string &text, bool isSound) {
+        ByteServer server([&](ByteServer::Connection &connection) {
+            connection.readRequest();
+            connection.write(text);
+            connection.finish();
+        });
+        const HttpCall call {.method = "POST", .url = urlOf(server), .totalTimeout = 2000ms, .freshConnection = true};
+        for (const auto &answer : {client.call(call), callAsStream(client, call)}) {
+            EXPECT_EQ(answer.end, isSound ? HttpEnd::Complete : HttpEnd::Broken) << text;
+            EXPECT_EQ(answer.isSuccess(), isSound) << text;
+        }
+    };
+    const auto checkLine = [&](const std::string &line, bool isSound) {
+        const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+        check("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 2\r\n\r\nok", isSound);
+        check("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + line + "\r\n\r\nok", isSound);
+        check("HTTP/1.1 200 OK\r\nA: b\r\n" + line + "\r\n\r\nok", isSound);
+        check("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", isSound);
+        check(chunked + line + "\r\n\r\n", isSound);
+    };
+    for (const auto &line : malformedFieldLines()) {
+        checkLine(line, false);
+    }
+    // A line that begins with a blank continues the field before it, which senders must not do (RFC 9112, section 5.2).
+    check("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n X: a\r\n\r\nok", false);
+    for (const std::string line : {"X:", "X:a", "X: \t a b\t ", "X: a\xe4", "x!#$%&'*+-.^_`|~09AZ: a"}) {
+        checkLine(line, true);
+    }
+}
+
+// Guards against the first part of a response without a length that passes for the whole one, because its server resets the connection during the upload.
+TEST(HttpClient, EarlyResponseThatIsResetIsNotComplete)
+{
+    const auto upload = [](bool isResetAtOnce) {
+        std::promise<void> isFirstPartRead;
+        ByteServer server([&](ByteServer::Connection &connection) {
+            connection.readHead();
+            connection.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart");
+            if (!isResetAtOnce) {
+                isFirstPartRead.get_future().wait();
+            }
+            connection.reset();
+        });
+        HttpClient client;
+        std::promise<HttpAnswer> ended;
+        const HttpCall call {.method = "POST", .url = urlOf(server), .body = std::string(LongUploadBytes, 'u'), .freshConnection = true};
+        client.open(call,
+                    {.onBytes =
+                         [&](int, std::string_view) {
+                             // The client has not looked at the socket again when it has been reset.
+                             if (!isResetAtOnce) {
+                                 isFirstPartRead.set_value();
+                             }
+                             server.waitUntilClosed();
+                             return true;
+                         },
+                     .onEnd = [&](const HttpAnswer &answer) { ended.set_value(answer); }});
+        return ended.get_future().get();
+    };
+    EXPECT_EQ(upload(true).end, HttpEnd::Broken);
+    EXPECT_EQ(upload(false).end, HttpEnd::Broken);
+}
+
+// Guards against an early response that counts as broken although it has ended in an orderly way, and its server reads on.
+TEST(HttpClient, EarlyResponseThatEndsIsComplete)
+{
+    ByteServer server([&](ByteServer::Connection &connection) {
+        connection.readHead();
+        connection.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole");
+        connection.finish();
+    });
+    HttpClient client;
+    const auto answer = client.call({.method = "POST", .url = urlOf(server), .body = std::string(LongUploadBytes, 'u'), .freshConnection = true});
+    EXPECT_EQ(answer.end, HttpEnd::Complete) << answer.error;
+    EXPECT_EQ(answer.body, "whole");
+}
+
 // Guards against a second copy of a rejection that is taken for the response to the next request on a kept connection. The copy arrives with the rejection,
 // in part with it, or behind it.
 TEST(HttpClient, SecondCopyOfARejectionIsNoResponse)
--- a/Tests/Support/BrokenResponses.h
+++ b/Tests/Support/BrokenResponses.h
@@ -45,4 +45,32 @@
     return all;
 }
 
+// Lines in place of a header field whose name or value is malformed (RFC 9110, sections 5.1 and 5.5; RFC 9112, section 5.1).
+inline std::vector<std::string> malformedFieldLines()
+{
+    using namespace std::string_literals;
+    return {"X Y: a",
+            "X\tY: a",
+            "X : a",
+            "X\t: a",
+            "X\0Y: a"s,
+            "X\aY: a",
+            "X\x7fY: a",
+            "X\x80Y: a",
+            "X[Y]: a",
+            "X\rY: a",
+            ": a",
+            " : a",
+            "X",
+            "Content-Length : 1",
+            "Content-Length\t: 1",
+            "Content-Length\x01: 1",
+            "Content Length: 1",
+            "Transfer-Encoding : chunked",
+            "Transfer-Encoding\x01: chunked",
+            "X: a\0b"s,
+            "X: a\rb",
+            "X: a\x01"};
+}
+
 } // namespace Jujube
