--- a/Libraries/LibLoop/MessageParser.cpp
+++ b/Libraries/LibLoop/MessageParser.cpp
@@ -97,6 +97,14 @@
     return codings > 1 || (codings == 1 && !absl::EqualsIgnoreCase(toAbsl(head.value("transfer-encoding")), "chunked"));
 }
 
+// Whether the header section at the front of a buffer is all there and has a line that continues the field before it. Beast would append the line to the value
+// of that field, whatever its sender meant. RFC 9112, section 5.2, lets a gateway refuse such an answer.
+bool hasContinuationLine(std::string_view buffer)
+{
+    const auto head = buffer.substr(0, buffer.find("\r\n\r\n"));
+    return head.size() < buffer.size() && (head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos);
+}
+
 template<typename Parser>
 std::optional<ParseError> feedParser(Parser &parser, std::string &buffer, size_t mostUnused)
 {
@@ -160,7 +168,12 @@
 
 std::optional<ParseError> MessageParser::feed(std::string &buffer)
 {
-    return m_impl->visit([&](auto &parser) { return feedParser(parser, buffer, m_impl->mostUnused); });
+    return m_impl->visit([&]<bool IsRequest>(CollectingParser<IsRequest> &parser) -> std::optional<ParseError> {
+        if (!IsRequest && !parser.is_header_done() && hasContinuationLine(buffer)) {
+            return ParseError::Malformed;
+        }
+        return feedParser(parser, buffer, m_impl->mostUnused);
+    });
 }
 
 bool MessageParser::finishAtEnd()
--- a/Libraries/LibLoop/MessageParser.h
+++ b/Libraries/LibLoop/MessageParser.h
@@ -16,7 +16,8 @@
 
 // Parses one HTTP/1.1 message with Boost.Beast. Requests are framed strictly (RFC 9112, section 6.3): a message with two lengths, with a length beside chunks,
 // with an unknown transfer coding or with a bare line feed is malformed. Input that the parser cannot use yet is bounded by the limit of the head: an
-// incomplete head, chunk line (with its extensions) or list of trailers. An answer with an invalid status (statusKindOf()) is malformed.
+// incomplete head, chunk line (with its extensions) or list of trailers. An answer with an invalid status (statusKindOf()) or with a continued line in its head
+// is malformed.
 class MessageParser
 {
 public:
--- a/Tests/LibLoop/TestBrokenAnswers.cpp
+++ b/Tests/LibLoop/TestBrokenAnswers.cpp
@@ -159,6 +159,31 @@
     }
 }
 
+// Guards against an answer that is reported, with other fields or another body than its server's, although a line of its head or trailers is no field.
+TEST(BrokenAnswers, MalformedFieldBreaksTheAnswer)
+{
+    boost::asio::io_context loop;
+    LoopClient client(loop);
+    const auto check = [&](const std::string &text) {
+        ByteServer server([&](ByteServer::Connection &connection) {
+            connection.readRequest();
+            connection.write(text);
+            connection.finish();
+        });
+        const auto answer = callAndWait(loop, client, server.address());
+        EXPECT_EQ(answer.end, ChannelEnd::Broken) << text;
+        EXPECT_EQ(answer.status, 0) << text;
+    };
+    for (const auto &line : malformedFieldLines()) {
+        check("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 2\r\n\r\nok");
+        check("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + line + "\r\n\r\nok");
+        check("HTTP/1.1 200 OK\r\nA: b\r\n" + line + "\r\n\r\nok");
+        check("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        check("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + line + "\r\n\r\n");
+    }
+    check("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n X: a\r\n\r\nok");
+}
+
 namespace
 {
 
