--- a/Libraries/LibRelay/RolloutTypes.cpp
+++ b/Libraries/LibRelay/RolloutTypes.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <LibCore/AbslView.h>
 #include <limits>
 #include <numeric>
@@ -117,11 +118,14 @@
     return isListed && (!targets || targets->contains(toAbsl(target)));
 }
 
-VersionFilter VersionFilter::restrictedTo(const std::string &version) const
+VersionFilter VersionFilter::restrictedTo(const std::set<std::string> &allowed) const
 {
-    const bool isNamed = std::ranges::find(versions, version) != versions.end();
-    const bool isAllowed = kind == Kind::Any || isNamed == (kind == Kind::Only);
-    return {.kind = Kind::Only, .versions = isAllowed ? std::vector {version} : std::vector<std::string> {}, .targets = targets};
+    VersionFilter result {.kind = Kind::Only, .versions = {}, .targets = targets};
+    std::ranges::copy_if(allowed, std::back_inserter(result.versions), [&](const std::string &version) {
+        const bool isNamed = std::ranges::find(versions, version) != versions.end();
+        return kind == Kind::Any || isNamed == (kind == Kind::Only);
+    });
+    return result;
 }
 
 } // namespace Jujube
--- a/Libraries/LibRelay/RolloutTypes.h
+++ b/Libraries/LibRelay/RolloutTypes.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -168,8 +169,8 @@
 
     bool allows(std::string_view target, std::string_view version) const;
 
-    // The same filter for one version only. It allows nothing if this filter does not allow the version.
-    VersionFilter restrictedTo(const std::string &version) const;
+    // The same filter for some versions only: those of them that this filter allows.
+    VersionFilter restrictedTo(const std::set<std::string> &allowed) const;
 };
 
 } // namespace Jujube
--- a/Libraries/LibRelay/VersionHistory.cpp
+++ b/Libraries/LibRelay/VersionHistory.cpp
@@ -1,6 +1,7 @@
 #include <LibRelay/VersionHistory.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace Jujube
 {
@@ -29,7 +30,7 @@
 
 VersionHistory::Service &VersionHistory::serviceOf(const std::string &name)
 {
-    return m_services.try_emplace(name, Service {.serving = {}, .servedUntil = {}, .knownFrom = m_knownFrom}).first->second;
+    return m_services.try_emplace(name, Service {.serving = {}, .servedUntil = {}, .knownFrom = m_knownFrom, .servingSince = {}, .settled = {}}).first->second;
 }
 
 bool VersionHistory::isRelevant(MonotonicTime servedUntil, MonotonicTime now) const
@@ -46,23 +47,84 @@
     if (known.serving == serving) {
         return false;
     }
+    const bool isFirst = known.servingSince.empty() && known.settled.empty();
+    known.settled = settledOf(known, now);
     for (const auto &version : known.serving) {
         if (!serving.contains(version)) {
             known.servedUntil[version] = now;
+            known.servingSince.erase(version);
         }
     }
     known.serving = serving;
     for (const auto &version : serving) {
         known.servedUntil.erase(version);
+        known.servingSince.try_emplace(version, now);
+        if (isFirst) {
+            known.settled.insert(version);
+        }
     }
     return true;
 }
 
+std::set<std::string> VersionHistory::settledOf(const Service &service, MonotonicTime now) const
+{
+    // Before other relays forget that it has served, because they may have seen it leave earlier.
+    const auto retention = m_options.streamLifetime / 2;
+    auto versions = service.settled;
+    std::erase_if(versions, [&](const auto &version) {
+        const auto left = service.servedUntil.find(version);
+        return !service.serving.contains(version) && (left == service.servedUntil.end() || now - left->second > retention);
+    });
+    return versions;
+}
+
+std::optional<std::set<std::string>> VersionHistory::settledVersions(const std::string &service, MonotonicTime now) const
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end() || (found->second.servingSince.empty() && found->second.settled.empty())) {
+        return std::nullopt;
+    }
+    return settledOf(found->second, now);
+}
+
+std::vector<std::string> VersionHistory::unsettledVersions(const std::string &service) const
+{
+    std::vector<std::string> versions;
+    if (const auto found = m_services.find(service); found != m_services.end()) {
+        std::ranges::set_difference(found->second.serving, found->second.settled, std::back_inserter(versions));
+    }
+    return versions;
+}
+
+void VersionHistory::settle(const std::string &service, const std::string &version)
+{
+    if (const auto found = m_services.find(service); found != m_services.end()) {
+        found->second.settled.insert(version);
+    }
+}
+
+void VersionHistory::settleUntil(const std::string &service, MonotonicTime confirmedAt)
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return;
+    }
+    for (const auto &[version, since] : found->second.servingSince) {
+        if (confirmedAt - since >= m_options.settleTime) {
+            found->second.settled.insert(version);
+        }
+    }
+}
+
 void VersionHistory::interrupt(MonotonicTime now)
 {
     m_knownFrom = now;
     for (auto &[name, service] : m_services) {
         service.knownFrom = now;
+        // They may have left meanwhile.
+        for (auto &[version, since] : service.servingSince) {
+            since = now;
+        }
     }
 }
 
@@ -156,6 +218,7 @@
 {
     for (auto &[name, service] : m_services) {
         std::erase_if(service.servedUntil, [&](const auto &entry) { return !isRelevant(entry.second, now); });
+        service.settled = settledOf(service, now);
     }
     // Until the list is known for long enough without it, a service that was merged is known for longer than the others.
     const bool isKnown = m_knownFrom <= now - m_options.streamLifetime;
--- a/Libraries/LibRelay/VersionHistory.h
+++ b/Libraries/LibRelay/VersionHistory.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Jujube
 {
@@ -28,6 +29,8 @@
     struct Options {
         // Callers take a stream up again for at most this time after its version has stopped serving.
         std::chrono::seconds streamLifetime {60};
+        // A version settles after this time in the list. It has to be longer than a relay may conclude anything from a list that is not confirmed any more.
+        std::chrono::milliseconds settleTime {4000};
     };
 
     // This process knows the list of targets from `knownFrom` on.
@@ -50,6 +53,16 @@
     // Whether more than one version is known to have served within Options::streamLifetime, even if there may be others.
     bool hasSeveral(const std::string &service, MonotonicTime now) const;
 
+    // The versions at which streams may begin, because no relay takes another version for the only one any more. Nothing while the list has had no version of
+    // the service. The first versions settle at once, later ones by settleUntil() or settle().
+    std::optional<std::set<std::string>> settledVersions(const std::string &service, MonotonicTime now) const;
+    // The versions that serve and have not settled.
+    std::vector<std::string> unsettledVersions(const std::string &service) const;
+    // The list was current at a time: settles the versions that had been in it for Options::settleTime then.
+    void settleUntil(const std::string &service, MonotonicTime confirmedAt);
+    // All relays know that the version serves.
+    void settle(const std::string &service, const std::string &version);
+
     // What is known of the service, to be stored now.
     StoredVersions toStore(const std::string &service, MonotonicTime now) const;
 
@@ -73,8 +86,13 @@
         std::map<std::string, MonotonicTime> servedUntil;
         // All versions that served since then are known.
         MonotonicTime knownFrom;
+        // Since when each version that serves is known to have served all the time.
+        std::map<std::string, MonotonicTime> servingSince;
+        // Versions that have settled, among those that serve or have served lately.
+        std::set<std::string> settled;
     };
 
+    std::set<std::string> settledOf(const Service &service, MonotonicTime now) const;
     Service &serviceOf(const std::string &name);
     bool isRelevant(MonotonicTime servedUntil, MonotonicTime now) const;
     // All versions that are known to have served within the lifetime.
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -36,8 +36,6 @@
 // Age that is reported for a target list that this relay has never read itself.
 constexpr std::chrono::hours AgeOfUnreadTable {1};
 constexpr uint64_t TicksPerExpiry = 10;
-// A relay that is cut off from the store and from most other relays for longer than this may miss targets that others use.
-constexpr std::chrono::milliseconds MaxAgeOfCurrentList {3000};
 constexpr uint64_t TicksPerSettingsCheck = 20;
 constexpr uint64_t TicksPerEngineCheck = 3;
 
@@ -138,18 +136,20 @@
     m_streamVersions = std::make_unique<StreamVersions>(
         m_core,
         m_core.options.isFirstStart,
-        StreamVersions::Hooks {.isListCurrent = [this](MonotonicTime now) { return isTargetListCurrent(now); },
+        StreamVersions::Hooks {.listAge = [this](MonotonicTime now) { return m_targets->hasRows() ? m_targets->age(now) : AgeOfUnreadTable; },
+                               .isKnownToAll = [this](int64_t version, MonotonicTime now) { return isListVersionKnownToAll(version, now); },
                                .isReader = [this] { return m_readers.isReading(); },
                                .sendDatagram = [this](const std::string &address, const std::string &datagram) { m_peers.sendDatagramTo(address, datagram); }});
     m_core.streamVersions = m_streamVersions.get();
 }
 
-bool Relay::isTargetListCurrent(MonotonicTime now) const
+bool Relay::isListVersionKnownToAll(int64_t version, MonotonicTime now) const
 {
-    if (!m_targets->hasRows() && !m_hasPeerTargets) {
-        return false;
-    }
-    return m_targets->age(now) < MaxAgeOfCurrentList || 2 * m_core.liveRelays(now) > m_core.peers.knownRelayCount();
+    const auto peers = m_core.peers.livePeers(now);
+    const auto isKnownTo
+        = [&](const Peer *peer) { return peer->latestHeartbeat.targetsEra == m_targets->era() && peer->latestHeartbeat.targetsVersion >= version; };
+    const bool areAllLive = m_core.peers.hasDiscoveredPeers(now) && static_cast<int>(peers.size()) + 1 >= m_core.peers.sharingRelays().count;
+    return areAllLive && std::ranges::all_of(peers, isKnownTo);
 }
 
 CallerChannel::Hooks Relay::hooksFor(std::function<void(const std::shared_ptr<CallerChannel> &, CallerRequest)> onRequest)
--- a/Libraries/LibRelayServer/Relay.h
+++ b/Libraries/LibRelayServer/Relay.h
@@ -102,8 +102,8 @@
     // State of this relay's own reads of a table, without the reports of peers.
     TargetListState readStateOf(const TableFollower &follower) const;
     TargetListState listSources(MonotonicTime now) const;
-    // Whether no target can have joined the list unseen: it has been confirmed lately, or the store is away for most relays.
-    bool isTargetListCurrent(MonotonicTime now) const;
+    // Whether all relays, those that are silent included, have reported that they know the target list up to a version of the store.
+    bool isListVersionKnownToAll(int64_t version, MonotonicTime now) const;
     // Whether this relay reads all tables successfully, so that other relays can rely on it.
     bool isReadingSuccessfully(MonotonicTime now) const;
     // Notifies all relays at once when this relay's reads begin to succeed or to fail.
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -399,20 +399,30 @@
     }
     const auto &service = *m_admission.service;
     const auto chooseNow = [&] { return m_core.balancer.choose(query, m_core.targets, service, now, m_core.random()); };
-    query.versions = allowedVersions(now);
+    const auto allowed = allowedVersions(now);
+    query.versions = withoutUnsettled(allowed, now);
     if (!m_core.rollouts) {
         return chooseNow();
     }
     query.withheld = m_core.rollouts->withheldTargets();
     auto choice = chooseNow();
-    if (!choice.target && !m_streamVersion && m_core.rollouts->isForTrial(service.name, query.versions)) {
+    if (!choice.target && !m_streamVersion && m_core.rollouts->isForTrial(service.name, allowed)) {
         m_isTurnedAwayFromTrial = true;
-        query.versions = m_core.rollouts->filterForRetry(service.name, now);
+        query.versions = withoutUnsettled(m_core.rollouts->filterForRetry(service.name, now), now);
         choice = chooseNow();
     }
     return choice;
 }
 
+VersionFilter RelayExchange::withoutUnsettled(VersionFilter allowed, MonotonicTime now) const
+{
+    if (m_streamVersion || m_admission.route->kind != RouteKind::Stream || !m_admission.route->resumable) {
+        return allowed;
+    }
+    const auto settled = m_core.streamVersions->settledVersions(m_admission.service->name, now);
+    return settled ? allowed.restrictedTo(*settled) : allowed;
+}
+
 bool RelayExchange::mayUseTargets(MonotonicTime now)
 {
     if (!m_core.rollouts) {
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -105,6 +105,8 @@
     bool mayUseTargets(MonotonicTime now);
     // The versions to which an attempt may go.
     VersionFilter allowedVersions(MonotonicTime now);
+    // The same without the versions at which a resumable stream must not begin yet, because some relay may not know of them.
+    VersionFilter withoutUnsettled(VersionFilter allowed, MonotonicTime now) const;
     // Makes the request wait for the next request that a limit allows, or returns when the caller may come back.
     TargetChoice holdBack(const TargetBalancer::Choice &choice, MonotonicTime now);
     // The target for whose request limit this request has a valid reservation. Empty for none.
--- a/Libraries/LibRelayServer/RelayExchangeMigration.cpp
+++ b/Libraries/LibRelayServer/RelayExchangeMigration.cpp
@@ -33,7 +33,7 @@
 VersionFilter RelayExchange::versionsToContinue(const std::string &target, const std::string &version, MonotonicTime now) const
 {
     const auto allowed = m_core.rollouts ? m_core.rollouts->filterForCopy(target, now) : VersionFilter {};
-    return allowed.restrictedTo(version);
+    return allowed.restrictedTo({version});
 }
 
 TargetBalancer::Query RelayExchange::copyQuery(const std::string &source, const std::string &version, const std::set<std::string> &excluded, MonotonicTime now)
--- a/Libraries/LibRelayServer/StreamVersions.cpp
+++ b/Libraries/LibRelayServer/StreamVersions.cpp
@@ -28,7 +28,7 @@
     , m_isFirstStart(isFirstStart)
     , m_hooks(std::move(hooks))
     , m_origins({})
-    , m_history({}, monotonicNow())
+    , m_history({.settleTime = MaxListAge + MaxAgeError}, monotonicNow())
     , m_store(core.loop,
               core.client,
               core.adapter,
@@ -67,7 +67,7 @@
             }
         }
     }
-    if (question.services.size() != 1 || !m_hooks.isListCurrent(now)) {
+    if (question.services.size() != 1 || m_hooks.listAge(now) >= MaxListAge) {
         return std::nullopt;
     }
     const auto &service = question.services.front();
@@ -171,11 +171,16 @@
     const std::string &workspace, const std::string &service, const std::string &attempt, const std::string &version, MonotonicTime until, MonotonicTime now)
 {
     m_origins.recordOwn(StreamOrigins::keyOf(workspace, service, attempt), version, until, now);
-    if (m_history.hasSeveral(service, now)) {
+    if (m_history.hasSeveral(service, now) || !m_wasListCurrent) {
         scheduleReports();
     }
 }
 
+std::optional<std::set<std::string>> StreamVersions::settledVersions(const std::string &service, MonotonicTime now) const
+{
+    return m_history.settledVersions(service, now);
+}
+
 void StreamVersions::scheduleReports()
 {
     if (std::exchange(m_isReportScheduled, true)) {
@@ -192,7 +197,7 @@
 
 void StreamVersions::sendReports(MonotonicTime now)
 {
-    if (m_withSeveral.empty()) {
+    if (m_withSeveral.empty() && m_wasListCurrent) {
         return;
     }
     std::map<std::string, std::vector<StreamOrigin>> reports;
@@ -263,8 +268,13 @@
 
 void StreamVersions::recordVersions(MonotonicTime now)
 {
-    if (!m_hooks.isListCurrent(now)) {
-        m_wasListCurrent = false;
+    const auto listAge = m_hooks.listAge(now);
+    if (listAge >= MaxListAge) {
+        if (std::exchange(m_wasListCurrent, false)) {
+            // If the store is away for all relays, none of them can conclude by which version a stream began.
+            m_origins.reportAll(now);
+            scheduleReports();
+        }
         return;
     }
     if (!std::exchange(m_wasListCurrent, true)) {
@@ -281,6 +291,8 @@
         if (m_history.record(service, serving, now)) {
             m_toStore.insert(service);
         }
+        m_history.settleUntil(service, now - listAge);
+        settleVersions(service, now);
         if (!m_history.hasSeveral(service, now)) {
             m_withSeveral.erase(service);
         } else if (m_withSeveral.insert(service).second) {
@@ -291,6 +303,22 @@
     }
 }
 
+void StreamVersions::settleVersions(const std::string &service, MonotonicTime now)
+{
+    for (const auto &version : m_history.unsettledVersions(service)) {
+        // Whoever knows the list up to the first of these entries knows of the version.
+        std::optional<int64_t> listedAt;
+        for (const auto *target : m_core.targets.ofService(service)) {
+            if (target->entry.softwareVersion == version && target->entry.version > 0) {
+                listedAt = std::min(listedAt.value_or(target->entry.version), target->entry.version);
+            }
+        }
+        if (listedAt && m_hooks.isKnownToAll(*listedAt, now)) {
+            m_history.settle(service, version);
+        }
+    }
+}
+
 void StreamVersions::readStore(MonotonicTime now)
 {
     if (now >= m_nextStoreRead) {
@@ -361,6 +389,11 @@
         m_history.expire(now);
         m_core.metrics.set("relay_stream_origins", static_cast<double>(m_origins.size()));
         m_core.metrics.set("relay_services_with_several_versions", static_cast<double>(m_withSeveral.size()));
+        size_t unsettled = 0;
+        for (const auto &service : services()) {
+            unsettled += m_history.unsettledVersions(service).size();
+        }
+        m_core.metrics.set("relay_unsettled_versions", static_cast<double>(unsettled));
     }
 }
 
--- a/Libraries/LibRelayServer/StreamVersions.h
+++ b/Libraries/LibRelayServer/StreamVersions.h
@@ -17,12 +17,22 @@
 // While a service has had one version only for longer than callers take streams up again, that version began the stream. Otherwise relays report to each other
 // by which version each resumable stream began, and ask each other. The store keeps which versions of each service have served lately, so that a relay that has
 // just started knows whether there was only one.
+//
+// A relay that is cut off or stands still takes the version that it knows for the only one until its list is MaxListAge old. Therefore streams begin at a
+// version that joins only once all relays have reported that they know of it, or after more than that time.
 class StreamVersions
 {
 public:
+    // Nothing is concluded from a target list that has not been confirmed for this time.
+    static constexpr std::chrono::milliseconds MaxListAge {3000};
+    // A list may be older than it seems by the delay of heartbeats and by suspensions that are too short to be noticed.
+    static constexpr std::chrono::milliseconds MaxAgeError {1000};
+
     struct Hooks {
-        // Whether this relay knows the target list, and no version can have come unseen.
-        std::function<bool(MonotonicTime now)> isListCurrent;
+        // Time since the target list was last confirmed.
+        std::function<std::chrono::milliseconds(MonotonicTime now)> listAge;
+        // Whether all relays that may be running know the target list up to a version of the store.
+        std::function<bool(int64_t version, MonotonicTime now)> isKnownToAll;
         // Whether this relay reads the store for others. Such relays store the versions.
         std::function<bool()> isReader;
         std::function<void(const std::string &address, const std::string &datagram)> sendDatagram;
@@ -55,6 +65,9 @@
                 MonotonicTime until,
                 MonotonicTime now);
 
+    // The versions of a service at which resumable streams may begin. Nothing while this relay has no list of its targets.
+    std::optional<std::set<std::string>> settledVersions(const std::string &service, MonotonicTime now) const;
+
     void onReport(const StreamOriginReport &report, MonotonicTime now);
     // The store has come back from an older copy of itself.
     void onStoreRestored(MonotonicTime now);
@@ -86,6 +99,8 @@
     void sendReports(MonotonicTime now);
     // Takes the versions of the target list into the history.
     void recordVersions(MonotonicTime now);
+    // Settles the versions of a service that all relays know by now.
+    void settleVersions(const std::string &service, MonotonicTime now);
     // Stores what has changed, if this relay is one of those that do.
     void updateStore(MonotonicTime now);
     void readStore(MonotonicTime now);
--- a/Tests/LibRelay/TestVersionHistory.cpp
+++ b/Tests/LibRelay/TestVersionHistory.cpp
@@ -191,3 +191,117 @@
     }
     EXPECT_GT(known, 10'000);
 }
+
+// Guards against streams that begin at a version of which some relay may not know yet, and against settled versions that have to settle again.
+TEST(VersionHistory, VersionsSettle)
+{
+    VersionHistory history({.settleTime = 4s}, Start);
+    EXPECT_EQ(history.settledVersions("s", Start), std::nullopt);
+    history.merge("s", {.versions = {{"v1", std::nullopt}}, .completeFor = 70s}, Start);
+    EXPECT_EQ(history.settledVersions("s", Start), std::nullopt);
+    history.record("s", {"v1"}, Start);
+    EXPECT_EQ(history.settledVersions("s", Start), Versions {"v1"});
+    history.record("s", {"v1", "v2"}, Start + 1s);
+    history.settleUntil("s", Start + 5s - 1ms);
+    EXPECT_EQ(history.settledVersions("s", Start + 5s), Versions {"v1"});
+    EXPECT_EQ(history.unsettledVersions("s"), std::vector<std::string> {"v2"});
+    history.settleUntil("s", Start + 5s);
+    EXPECT_EQ(history.settledVersions("s", Start + 5s), (Versions {"v1", "v2"}));
+    EXPECT_EQ(history.unsettledVersions("s"), std::vector<std::string>());
+    // All targets of a service have crashed, and come back.
+    history.record("s", {}, Start + 10s);
+    history.expire(Start + 10s);
+    history.record("s", {"v1", "v2", "v3"}, Start + 20s);
+    EXPECT_EQ(history.settledVersions("s", Start + 20s), (Versions {"v1", "v2"}));
+    // One that leaves before it has settled, or may have left unseen, begins anew.
+    history.record("s", {"v1", "v2"}, Start + 22s);
+    history.record("s", {"v1", "v2", "v3"}, Start + 23s);
+    history.settleUntil("s", Start + 26s);
+    history.interrupt(Start + 30s);
+    history.settleUntil("s", Start + 33s);
+    EXPECT_EQ(history.settledVersions("s", Start + 33s), (Versions {"v1", "v2"}));
+    history.settle("s", "v3");
+    EXPECT_EQ(history.settledVersions("s", Start + 33s), (Versions {"v1", "v2", "v3"}));
+    // One that has been away for long may be forgotten elsewhere.
+    history.record("s", {"v1"}, Start + 40s);
+    EXPECT_EQ(history.settledVersions("s", Start + 70s), (Versions {"v1", "v2", "v3"}));
+    EXPECT_EQ(history.settledVersions("s", Start + 70s + 1ms), Versions {"v1"});
+    history.record("s", {"v1", "v2"}, Start + 71s);
+    EXPECT_EQ(history.settledVersions("s", Start + 71s), Versions {"v1"});
+}
+
+// Guards against a stream that begins at one version through one relay and goes on at another one through a relay that is cut off for any time, or whose list
+// was confirmed lately.
+TEST(VersionHistory, NoRelayConcludesAnotherVersionThanBeganAStream)
+{
+    constexpr auto MaxListAge = 3s;
+    struct Relay {
+        VersionHistory history {{.settleTime = 4s}, Start - 60s};
+        MonotonicTime confirmedAt = Start;
+        MonotonicTime cutUntil = Start;
+        // Number of changes of the list that it knows.
+        size_t changes = 0;
+    };
+    struct Stream {
+        std::string version;
+        MonotonicTime begunAt;
+    };
+    int conclusions = 0;
+    int streamsAtNewVersions = 0;
+    for (uint64_t seed = 1; seed <= 300; ++seed) {
+        std::mt19937_64 random(seed);
+        const auto below = [&](uint64_t limit) { return random() % limit; };
+        std::vector<Relay> relays(4);
+        std::vector<Stream> streams;
+        std::vector<Versions> lists {{"v0"}};
+        const auto learn = [&](Relay &relay, MonotonicTime now) {
+            if (now - relay.confirmedAt >= MaxListAge) {
+                relay.history.interrupt(now);
+            }
+            for (; relay.changes < lists.size(); ++relay.changes) {
+                relay.history.record("s", lists[relay.changes], now);
+            }
+            relay.confirmedAt = now;
+            relay.history.settleUntil("s", now);
+        };
+        for (auto now = Start; now < Start + 300s; now += 100ms) {
+            if (below(200) == 0) {
+                auto changed = lists.back();
+                const auto version = "v" + std::to_string(below(4));
+                if (changed.erase(version) == 0) {
+                    changed.insert(version);
+                }
+                lists.push_back(changed);
+            }
+            for (auto &relay : relays) {
+                if (below(300) == 0) {
+                    relay.cutUntil = now + std::chrono::milliseconds(below(8000));
+                }
+                if (now >= relay.cutUntil && below(3) == 0) {
+                    learn(relay, now);
+                }
+            }
+            auto &relay = relays[below(relays.size())];
+            if (std::ranges::all_of(relays, [&](const Relay &other) { return other.changes == relay.changes; })) {
+                for (const auto &version : relay.history.unsettledVersions("s")) {
+                    relay.history.settle("s", version);
+                }
+            }
+            for (const auto &version : relay.history.settledVersions("s", now).value_or(Versions())) {
+                if (lists.back().contains(version)) {
+                    streams.push_back({.version = version, .begunAt = now});
+                    streamsAtNewVersions += version == "v0" ? 0 : 1;
+                }
+            }
+            std::erase_if(streams, [&](const Stream &stream) { return now - stream.begunAt > 39s; });
+            for (const auto &other : relays) {
+                const auto only = now - other.confirmedAt < MaxListAge ? other.history.onlyVersion("s", now) : std::nullopt;
+                conclusions += only ? 1 : 0;
+                const auto isJoined = [&](const Stream &stream) { return only && stream.version != *only; };
+                ASSERT_TRUE(std::ranges::none_of(streams, isJoined)) << "seed " << seed << " after " << (now - Start) / 1ms << " ms";
+            }
+        }
+    }
+    EXPECT_GT(conclusions, 10'000);
+    EXPECT_GT(streamsAtNewVersions, 10'000);
+}
--- a/Tests/Platform/TestResumedStreams.cpp
+++ b/Tests/Platform/TestResumedStreams.cpp
@@ -1,4 +1,5 @@
 #include "RelayTestBed.h"
+#include "ScriptedPeer.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
@@ -56,6 +57,35 @@
         m_testBed.runFor(SettleTime);
     }
 
+    // Replaces all engines by ones of another version, of which the relay at `node` learns.
+    void replaceEngines(const std::string &from, const std::string &to)
+    {
+        addEngines(to, 2);
+        m_testBed.runFor(300ms);
+        removeEngines(from);
+        m_testBed.runFor(300ms);
+    }
+
+    // Status of a new stream, which is left after some events if it begins.
+    int tryToBegin(const std::string &node, const std::string &id)
+    {
+        const auto response = std::make_shared<RelayTestBed::Response>();
+        const auto caller = m_testBed.begin(node, {.path = "/hint/x", .id = id}, response);
+        m_testBed.runUntil([&] { return response->end != ChannelEnd::NotSent || response->body.size() >= eventsText(1, LastEvent).size(); });
+        caller->abort();
+        m_testBed.runFor(50ms);
+        return response->status;
+    }
+
+    // A peer that confirms nothing, and knows the target list up to a version.
+    std::unique_ptr<ScriptedPeer> addPeer(const std::string &node, int64_t targetsVersion)
+    {
+        auto peer = std::make_unique<ScriptedPeer>(m_testBed.loop, "p1", m_testBed.options(node).peers);
+        peer->setHeartbeat({.targetsEra = 1, .targetsVersion = targetsVersion});
+        m_testBed.runFor(300ms);
+        return peer;
+    }
+
     // Begins a stream at a relay, and leaves it after some events.
     void beginAndBreak(const std::string &node, const std::string &id)
     {
@@ -222,3 +252,81 @@
     m_testBed.runFor(SettleTime);
     expectRejected("n1", "r1");
 }
+
+// Guards against a relay that is cut off from the store and takes streams up by an old list, while others begin them at a version that it has not heard of.
+TEST_F(ResumedStreams, AreRejectedIfTheirVersionMayHaveComeUnseen)
+{
+    addEngines("v1", 2);
+    startRelay("n1", true);
+    const auto peer = addPeer("n1", 1);
+    m_testBed.store->setFault(StandInStore::Fault::Silent);
+    m_testBed.runFor(1000ms);
+    EXPECT_EQ(takeUp("n1", "elsewhere-1").status, 200);
+    EXPECT_EQ(versionOf(m_lastTakeUp), "v1");
+    m_testBed.runFor(StreamVersions::MaxListAge);
+    expectRejected("n1", "elsewhere-2");
+    m_testBed.store->setFault(StandInStore::Fault::None);
+    m_testBed.runFor(1500ms);
+    EXPECT_EQ(takeUp("n1", "elsewhere-3").status, 200);
+}
+
+// Guards against streams that begin at a version of which some relay has not heard, and which that relay would take up at another version.
+TEST_F(ResumedStreams, BeginAtANewVersionWhenAllRelaysKnowOfIt)
+{
+    addEngines("v1", 2);
+    startRelay("n1", true);
+    const auto peer = addPeer("n1", 1);
+    EXPECT_EQ(tryToBegin("n1", "r1"), 200);
+    addEngines("v2", 6);
+    m_testBed.runFor(300ms);
+    for (const std::string id : {"r2", "r3", "r4", "r5"}) {
+        EXPECT_EQ(tryToBegin("n1", id), 200);
+        EXPECT_EQ(versionOf(id), "v1");
+    }
+    removeEngines("v1");
+    m_testBed.runFor(300ms);
+    EXPECT_EQ(tryToBegin("n1", "r6"), 503);
+    ASSERT_TRUE(peer->received());
+    peer->setHeartbeat({.targetsEra = 1, .targetsVersion = peer->received()->targetsVersion});
+    m_testBed.runFor(300ms);
+    EXPECT_EQ(tryToBegin("n1", "r7"), 200);
+    EXPECT_EQ(versionOf("r7"), "v2");
+}
+
+// Guards against streams that wait for a relay that has ended, or that begin before a relay that stands still has stopped to rely on its old list.
+TEST_F(ResumedStreams, BeginAtANewVersionWhenSilentRelaysDoNotRelyOnTheirList)
+{
+    addEngines("v1", 2);
+    startRelay("n1", true);
+    startRelay("n2");
+    m_testBed.setFrozen("n2", true);
+    const auto joinedAt = monotonicNow();
+    replaceEngines("v1", "v2");
+    int tries = 0;
+    while (tryToBegin("n1", absl::StrCat("r", ++tries)) == 503) {
+        m_testBed.runFor(100ms);
+    }
+    const auto begun = absl::StrCat("r", tries);
+    EXPECT_GE(monotonicNow() - joinedAt, StreamVersions::MaxListAge);
+    EXPECT_EQ(versionOf(begun), "v2");
+    m_testBed.setFrozen("n2", false);
+    const auto response = takeUp("n2", begun);
+    EXPECT_TRUE(response.status == 503 || versionOf(m_lastTakeUp) == "v2") << response.status << versionOf(m_lastTakeUp);
+    m_testBed.runFor(SettleTime);
+    expectGoesOn("n2", begun);
+}
+
+// Guards against streams of a service with one version that are rejected because the store is away, although only their relay has ended.
+TEST_F(ResumedStreams, GoOnWithoutTheirRelayWhileTheStoreIsAway)
+{
+    addEngines("v1", 3);
+    startRelay("n1", true);
+    startRelay("n2");
+    beginAndBreak("n1", "r1");
+    m_testBed.store->setFault(StandInStore::Fault::Silent);
+    m_testBed.runFor(StreamVersions::MaxListAge + 300ms);
+    beginAndBreak("n1", "r2");
+    m_testBed.killRelay("n1");
+    expectGoesOn("n2", "r1");
+    expectGoesOn("n2", "r2");
+}
