--- a/Tests/LibLoop/TestMessageParser.cpp
+++ b/Tests/LibLoop/TestMessageParser.cpp
@@ -1,3 +1,5 @@
+#include "../Support/BrokenResponses.h"
+
 #include <gtest/gtest.h>
 #include <LibLoop/MessageParser.h>
 #include <random>
@@ -76,6 +78,15 @@
     }
 }
 
+// Guards against a request that is passed on with a line that is no field, or that is framed otherwise than its target reads it.
+TEST(MessageParser, RefusesRequestsWithMalformedFields)
+{
+    for (const auto &line : malformedFieldLines()) {
+        const auto parsed = parseWhole(MessageParser::Direction::Request, "POST / HTTP/1.1\r\n" + line + "\r\nHost: a\r\nContent-Length: 2\r\n\r\nok");
+        EXPECT_EQ(parsed.error, ParseError::Malformed) << line;
+    }
+}
+
 // Guards against a target that is decoded or normalised on its way.
 TEST(MessageParser, KeepsTheTargetByteForByte)
 {
