--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -369,7 +369,7 @@
     }
     const auto *known = targets.find(target);
     const bool isReplaced = known && isLaterProcess(known->entry.incarnation, interruption.incarnation);
-    if (!isStateCheck && (isReplaced || targetRuns.isGone(target, interruption.incarnation))) {
+    if (!isStateCheck && (isReplaced || targetRuns.isGone(target, interruption.incarnation, startedAt))) {
         recordCrash(target, interruption.incarnation, interruption.requests, isReplaced ? "later process" : "gone", startedAt);
         return;
     }
@@ -387,6 +387,9 @@
         }
         const auto state = response.isSuccess() ? adapter.decodeState(response.body) : absl::StatusOr<EngineState>(EngineState {});
         const bool isBackAlready = response.isSuccess() && state.ok() && state->incarnation != interruption.incarnation;
+        if (response.isSuccess() && state.ok()) {
+            targetRuns.recordAlive(target, state->incarnation, now);
+        }
         if (!interruption.requests.empty() && (isBackAlready || response.end != ChannelEnd::Complete)) {
             handleFailedCheck(target, interruption, isBackAlready, response, now);
             return;
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -317,6 +317,7 @@
                                  [this](std::string_view bytes) {
                                      m_caller->write(bytes);
                                      if (m_targetConnection && m_caller->isCongested()) {
+                                         m_hasPausedTarget = true;
                                          m_targetConnection->pause();
                                      }
                                  },
@@ -496,6 +497,7 @@
     m_targetConnection = mayReuse ? m_core.channels.acquire(*endpoint, now) : m_core.channels.fresh(*endpoint);
     m_isConnectionKept = m_targetConnection->isIdle();
     m_isResponseNamed = false;
+    m_hasPausedTarget = false;
     m_sentAt = now;
     m_silentSince = now;
     if (m_attemptFailed) {
@@ -647,6 +649,7 @@
     }
     m_responseHead = head;
     m_core.balancer.markReachable(m_target);
+    m_core.targetRuns.recordAlive(m_target, m_targetIncarnation, now);
     const auto response = parseTargetResponse(head, length, fields);
     if (!response.misdirected) {
         noteTargetState(response, now);
@@ -687,6 +690,9 @@
     const auto now = monotonicNow();
     const auto attemptNumber = m_attemptNumber;
     const auto eventsBefore = m_session->eventCount();
+    if (!m_hasPausedTarget) {
+        m_core.targetRuns.recordAlive(m_target, m_targetIncarnation, now);
+    }
     m_session->onBody(bytes, now);
     if (m_isFinished || attemptNumber != m_attemptNumber || m_session->eventCount() == eventsBefore) {
         return;
@@ -729,6 +735,10 @@
 {
     const auto now = monotonicNow();
     m_targetConnection.reset();
+    if (end == ChannelEnd::Broken && !m_isConnectionKept) {
+        // The connection was accepted after the request was to be sent.
+        m_core.targetRuns.recordAlive(m_target, m_targetIncarnation, m_sentAt);
+    }
     sampleEnd(end, now);
     if (end != ChannelEnd::Complete) {
         auto line = m_core.line(EventKind::RelayTargetFailed);
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -206,6 +206,8 @@
     uint64_t m_attemptNumber = 0;
     // Whether the connection of the current attempt has carried other requests.
     bool m_isConnectionKept = false;
+    // Whether the connection of the current attempt has been paused, so that its bytes may have waited here since before the target's end.
+    bool m_hasPausedTarget = false;
     // Whether the response to the current attempt has the id of the request.
     bool m_isResponseNamed = false;
     MessageHead m_responseHead;
--- a/Libraries/LibRelayServer/TargetRunsReader.cpp
+++ b/Libraries/LibRelayServer/TargetRunsReader.cpp
@@ -1,5 +1,7 @@
 #include <LibRelayServer/TargetRunsReader.h>
 
+#include <algorithm>
+
 namespace Jujube
 {
 
@@ -11,7 +13,9 @@
 // A lost packet makes one connection time out.
 constexpr int MinTimeoutsOfUnreachable = 2;
 // Responses of one target do not break off later than this after its end.
-constexpr std::chrono::milliseconds GoneLifetime {std::chrono::seconds(60)};
+constexpr std::chrono::milliseconds ReplacedLifetime {std::chrono::seconds(60)};
+// Responses that break off with the target's end do so within this time, also where a packet was lost.
+constexpr std::chrono::milliseconds RefusalLifetime {1000};
 
 } // namespace
 
@@ -24,11 +28,11 @@
 
 void TargetRunsReader::read(const RelayTarget &target, Hook hook, MonotonicTime now)
 {
-    if (isGone(target.id, target.incarnation)) {
+    if (isGone(target.id, target.incarnation, now)) {
         hook({.kind = TargetRuns::Kind::Gone, .askedAt = now, .requests = {}});
         return;
     }
-    const auto [entry, isNew] = m_reads.try_emplace(Key {target.id, target.incarnation}, Read {.askedAt = now, .hooks = {}});
+    const auto [entry, isNew] = m_reads.try_emplace(Key {target.id, target.incarnation}, Read {.askedAt = now, .connectingSince = now, .hooks = {}});
     entry->second.hooks.push_back(std::move(hook));
     if (isNew) {
         call(target, now);
@@ -50,22 +54,27 @@
         const auto answeredAt = monotonicNow();
         auto &read = m_reads.at({target.id, target.incarnation});
         if (answer.connectFailure == ConnectFailure::TimedOut && ++read.connectTimeouts < MinTimeoutsOfUnreachable) {
+            read.connectingSince = answeredAt;
             this->call(target, answeredAt);
             return;
         }
-        finish(target, runsOf(target, answer), answeredAt);
+        finish(target, runsOf(target, answer, answeredAt), answeredAt);
     });
 }
 
-TargetRuns TargetRunsReader::runsOf(const RelayTarget &target, const LoopAnswer &answer) const
+TargetRuns TargetRunsReader::runsOf(const RelayTarget &target, const LoopAnswer &answer, MonotonicTime now)
 {
+    const Key key {target.id, target.incarnation};
     TargetRuns runs;
     if (answer.connectFailure == ConnectFailure::Refused) {
         runs.kind = TargetRuns::Kind::Gone;
+        m_refused[key] = now;
         return runs;
     }
     if (answer.connectFailure == ConnectFailure::TimedOut) {
-        runs.kind = TargetRuns::Kind::Unreachable;
+        const auto &read = m_reads.at(key);
+        // A target that sends on its other connections is not out of reach: it accepts no further ones.
+        runs.kind = read.aliveAt > read.connectingSince ? TargetRuns::Kind::Unknown : TargetRuns::Kind::Unreachable;
         return runs;
     }
     const auto state = answer.isSuccess() ? m_adapter.decodeState(answer.body) : absl::StatusOr<EngineState>(EngineState {});
@@ -75,8 +84,10 @@
     // A target whose start is not known cannot be told from its successor, and the statement of an earlier process says nothing.
     if (target.incarnation != 0 && state->incarnation > target.incarnation) {
         runs.kind = TargetRuns::Kind::Gone;
+        m_replaced[key] = now;
     } else if ((target.incarnation == 0 || state->incarnation == target.incarnation) && state->runs) {
         runs.kind = TargetRuns::Kind::Listed;
+        recordAlive(target.id, target.incarnation, now);
         runs.requests = *state->runs;
         runs.queued = state->queued;
     }
@@ -88,9 +99,6 @@
     const Key key {target.id, target.incarnation};
     const auto read = m_reads.extract(key);
     runs.askedAt = read.mapped().askedAt;
-    if (runs.kind == TargetRuns::Kind::Gone) {
-        m_gone[key] = now;
-    }
     if (runs.kind == TargetRuns::Kind::Gone || runs.kind == TargetRuns::Kind::Unreachable) {
         m_hooks.onUnreachable(target.id, now);
     }
@@ -99,9 +107,31 @@
     }
 }
 
+void TargetRunsReader::recordAlive(const std::string &target, int64_t incarnation, MonotonicTime at)
+{
+    if (m_reads.empty() && m_refused.empty()) {
+        return;
+    }
+    const Key key {target, incarnation};
+    if (const auto read = m_reads.find(key); read != m_reads.end()) {
+        read->second.aliveAt = std::max(read->second.aliveAt, at);
+    }
+    if (const auto refused = m_refused.find(key); refused != m_refused.end() && at > refused->second) {
+        m_refused.erase(refused);
+    }
+}
+
+bool TargetRunsReader::isGone(const std::string &target, int64_t incarnation, MonotonicTime now) const
+{
+    const Key key {target, incarnation};
+    const auto refused = m_refused.find(key);
+    return m_replaced.contains(key) || (refused != m_refused.end() && now - refused->second < RefusalLifetime);
+}
+
 void TargetRunsReader::expire(MonotonicTime now)
 {
-    absl::erase_if(m_gone, [now](const auto &entry) { return now - entry.second >= GoneLifetime; });
+    absl::erase_if(m_replaced, [now](const auto &entry) { return now - entry.second >= ReplacedLifetime; });
+    absl::erase_if(m_refused, [now](const auto &entry) { return now - entry.second >= RefusalLifetime; });
 }
 
 } // namespace Jujube
--- a/Libraries/LibRelayServer/TargetRunsReader.h
+++ b/Libraries/LibRelayServer/TargetRunsReader.h
@@ -13,7 +13,9 @@
 {
 
 // Asks targets which requests they run. Requests that ask about one target at the same time share a call, and a target that has ended is not asked again, so
-// that one that interrupts many responses gets few calls. Used on the loop's thread only.
+// that one that interrupts many responses gets few calls. A later process proves the end of the earlier one. A refused connection does not: proxies, cut links
+// and processes that are starting refuse too. It counts as the end for a second, and only until something comes from the process again. Used on the loop's
+// thread only.
 class TargetRunsReader
 {
 public:
@@ -29,11 +31,11 @@
     // Asks a target and passes its statement on, at once or later.
     void read(const RelayTarget &target, Hook hook, MonotonicTime now);
 
-    // Whether it is known that the target's process has ended.
-    bool isGone(const std::string &target, int64_t incarnation) const
-    {
-        return m_gone.contains({target, incarnation});
-    }
+    // Records that the target's process has sent something, or accepted a connection, at this time.
+    void recordAlive(const std::string &target, int64_t incarnation, MonotonicTime at);
+
+    // Whether the target's process has ended, as far as is known at this time.
+    bool isGone(const std::string &target, int64_t incarnation, MonotonicTime now) const;
 
     // Frees what is known of targets that have ended long ago.
     void expire(MonotonicTime now);
@@ -42,19 +44,26 @@
     using Key = std::pair<std::string, int64_t>;
     struct Read {
         MonotonicTime askedAt;
+        // Of the last attempt to connect.
+        MonotonicTime connectingSince;
         int connectTimeouts = 0;
+        // The last sign of life of the process meanwhile.
+        MonotonicTime aliveAt {};
         std::vector<Hook> hooks;
     };
 
     void call(const RelayTarget &target, MonotonicTime now);
-    TargetRuns runsOf(const RelayTarget &target, const LoopAnswer &answer) const;
+    TargetRuns runsOf(const RelayTarget &target, const LoopAnswer &answer, MonotonicTime now);
     void finish(const RelayTarget &target, TargetRuns runs, MonotonicTime now);
 
     LoopClient &m_client;
     const PlatformAdapter &m_adapter;
     const Hooks m_hooks;
     absl::flat_hash_map<Key, Read> m_reads;
-    absl::flat_hash_map<Key, MonotonicTime> m_gone;
+    // When a later process was found in the place of these.
+    absl::flat_hash_map<Key, MonotonicTime> m_replaced;
+    // When these refused a connection.
+    absl::flat_hash_map<Key, MonotonicTime> m_refused;
 };
 
 } // namespace Jujube
--- a/Tests/Platform/TestInterruptedRuns.cpp
+++ b/Tests/Platform/TestInterruptedRuns.cpp
@@ -118,3 +118,26 @@
     EXPECT_EQ(response->body, eventsText(Events));
     EXPECT_EQ(m_engines[0]->copyOrders() + m_engines[1]->copyOrders() + m_engines[2]->copyOrders(), 0);
 }
+
+// Guards against an engine that refused connections during a cut, is reached again, and is not asked when it loses another response (review/7).
+TEST_F(InterruptedRequests, EngineThatRefusedConnectionsIsAskedAgain)
+{
+    constexpr int MaxRequests = 16;
+    ASSERT_TRUE(m_testBed.waitUntilReady("n1"));
+    setBehaviour(StandInTarget::Behaviour::Detach);
+    StandInTarget *refusing = nullptr;
+    send("/draft/x", [&] {
+        refusing = *std::ranges::find_if(m_engines, [](const auto *candidate) { return candidate->isRunning("r1"); });
+        refusing->setRefusesConnections(true);
+    });
+    ASSERT_TRUE(refusing);
+    ASSERT_TRUE(m_testBed.runUntil([&] { return atWork() == 0; }));
+    refusing->setRefusesConnections(false);
+    m_overlap = {};
+    for (int count = 0; count < MaxRequests && refusing->runCount() < 2; ++count) {
+        const auto response = send("/draft/x");
+        EXPECT_EQ(response->body, eventsText(Events));
+    }
+    EXPECT_EQ(refusing->runCount(), 2);
+    EXPECT_LT(m_overlap, MaxOverlap);
+}
