--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -84,7 +84,6 @@
     m_events.discardPartialEvent();
     m_interruption.reset();
     m_isReadingRuns = false;
-    m_hasKvCache = !kvCacheSource.empty();
     m_sentAt = now;
     m_firstEventAt.reset();
     ++m_attempts;
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -252,6 +252,8 @@
         // Whether the retry that follows has been taken from the budget.
         bool hasRetry = false;
         std::chrono::milliseconds readInterval {0};
+        // Whether the last statement does not list the run, and the target's queue is not empty.
+        bool mayBeQueued = false;
         // Orders to stop the run. The last one is in progress if it has a destination.
         int stopOrders = 0;
         std::optional<RelayTarget> stopDestination;
@@ -279,7 +281,7 @@
     RunState stateOf(const TargetRuns &runs) const;
     // When the target has listed the run at the latest.
     MonotonicTime runBegunAt() const;
-    // Whether the run was not waiting in its target's queue when it was interrupted.
+    // Whether the run probably was not waiting in its target's queue when it was interrupted, so that an order to stop it is worth its call.
     bool wasRunning() const;
     void onInterruptedRunEnded(std::string_view reason, MonotonicTime now);
     // Makes the target stop the interrupted run, by an order to copy it or by closing its connection. Returns false if it can only be waited for.
@@ -352,7 +354,6 @@
     // Orders to copy that have no result yet.
     int m_copyOrders = 0;
     // Of the current attempt.
-    bool m_hasKvCache = false;
     MonotonicTime m_sentAt;
     std::optional<MonotonicTime> m_firstEventAt;
     MonotonicTime m_lastEventAt;
--- a/Libraries/LibRelay/RelaySessionInterruption.cpp
+++ b/Libraries/LibRelay/RelaySessionInterruption.cpp
@@ -86,9 +86,9 @@
     if (std::ranges::find(runs.requests, m_request.id) != runs.requests.end()) {
         return RunState::AtWork;
     }
-    // The statement may be older than the run, or the run may be in the target's queue. A continued run does not queue.
+    // The statement may be older than the run. A target that is short of memory puts running requests back into its queue at any time.
     const bool isOlder = runs.askedAt - runBegunAt() < MaxStatementAge;
-    const bool mayBeQueued = runs.queued > 0 && !wasRunning() && !m_hasKvCache;
+    const bool mayBeQueued = runs.queued > 0;
     return isOlder || mayBeQueued ? RunState::Unknown : RunState::Ended;
 }
 
@@ -109,7 +109,14 @@
         return;
     }
     const auto interval = m_interruption->readInterval;
-    m_interruption->readInterval = std::min(2 * interval, MaxReadInterval);
+    if (now - m_interruption->since >= MaxStatementAge) {
+        m_interruption->readInterval = std::min(2 * interval, MaxReadInterval);
+    }
+    const bool mayBeQueued = state == RunState::Unknown && runs.kind == TargetRuns::Kind::Listed && runs.queued > 0;
+    if (mayBeQueued && !m_interruption->mayBeQueued) {
+        m_hooks.record("may_be_queued", m_target->id);
+    }
+    m_interruption->mayBeQueued = mayBeQueued;
     const auto oldEnoughAt = runBegunAt() + MaxStatementAge;
     const bool isOnlyTooOld = runs.kind == TargetRuns::Kind::Listed && state == RunState::Unknown && now < oldEnoughAt;
     readRuns(isOnlyTooOld ? oldEnoughAt : now + interval);
@@ -194,9 +201,10 @@
         continueAt(m_destination, m_copyHandle, now);
         return;
     }
-    if (result.kind == CopyResult::Kind::NotRunning && (wasRunning() || m_hasKvCache)) {
-        onInterruptedRunEnded("not running", now);
-        return;
+    // A run in the queue cannot be copied either, so a target without the run has not shown its end. An order that was not carried out may be given again.
+    const bool isNotCarriedOut = result.kind == CopyResult::Kind::NotRunning || result.kind == CopyResult::Kind::Busy;
+    if (isNotCarriedOut && !m_interruption->isOpen) {
+        --m_interruption->stopOrders;
     }
     if (result.kind == CopyResult::Kind::NotRunning) {
         dropInterruptedRun(now);
--- a/Tests/LibRelay/TestInterruptedRuns.cpp
+++ b/Tests/LibRelay/TestInterruptedRuns.cpp
@@ -105,8 +105,9 @@
     EXPECT_EQ(harness.attempts[1].kvCacheSource, harness.attempts[0].target.address + "/h");
 }
 
-// Guards against waiting for a statement that is some hundred milliseconds old when the engine has dropped the run with its connection.
-TEST(InterruptedRuns, RunThatTheEngineDoesNotHaveAnyMoreHasEnded)
+// Guards against an engine that says that it does not run a draft, which waits in its queue after a preemption (review/8), and against waiting on when its
+// queue is empty.
+TEST(InterruptedRuns, RunThatCannotBeCopiedMayWaitInTheQueue)
 {
     SessionHarness harness(Draft);
     harness.backup = "b";
@@ -114,10 +115,55 @@
     harness.session().onEnd(ExchangeResult::Broken, harness.now());
     state(harness, {Id});
     harness.session().onCopied({.kind = CopyResult::Kind::NotRunning}, harness.now());
+    EXPECT_EQ(harness.attempts.size(), 1U);
+    state(harness, {}, 1);
+    EXPECT_EQ(harness.attempts.size(), 1U);
+    state(harness, {});
     ASSERT_EQ(harness.attempts.size(), 2U);
     EXPECT_EQ(harness.attempts[1].kvCacheSource, "b:1/r");
 }
 
+// Guards against a draft that goes on elsewhere while its engine, which has preempted it, will read it in again (review/8): before the response was lost,
+// between two questions, after an order that failed, and after it had been continued from a copy.
+TEST(InterruptedRuns, PreemptedRunIsAwaitedAndStopped)
+{
+    for (const bool isContinued : {false, true}) {
+        SessionHarness harness(Draft);
+        harness.backup = "b";
+        startOldStream(harness);
+        harness.session().onEnd(ExchangeResult::Broken, harness.now());
+        if (isContinued) {
+            harness.backup = "c";
+            state(harness, {});
+            harness.session().onHead(SessionHarness::streamHead(), harness.now());
+            harness.session().onBody(SessionHarness::events(3, 3), harness.now());
+            harness.advance(2s);
+            harness.session().onEnd(ExchangeResult::Broken, harness.now());
+        }
+        const size_t attempts = harness.attempts.size();
+        // It was put back into the queue just before, and cannot be stopped there. Once it runs again, it is preempted before the order comes, each time.
+        constexpr int Preemptions = 5;
+        for (int count = 0; count < Preemptions; ++count) {
+            auto orders = harness.copyOrders.size();
+            state(harness, {"other"}, 1);
+            if (harness.copyOrders.size() > orders) {
+                harness.session().onCopied({.kind = CopyResult::Kind::NotRunning}, harness.now());
+            }
+            harness.advance(1s);
+            orders = harness.copyOrders.size();
+            state(harness, {"other", Id}, 0);
+            ASSERT_EQ(harness.copyOrders.size(), orders + 1);
+            harness.session().onCopied({.kind = CopyResult::Kind::NotRunning}, harness.now());
+            ASSERT_EQ(harness.attempts.size(), attempts);
+            harness.advance(1s);
+        }
+        state(harness, {Id}, 3);
+        ASSERT_TRUE(harness.copyOrders.back());
+        harness.session().onCopied({.kind = CopyResult::Kind::Copied, .handle = "h"}, harness.now());
+        EXPECT_EQ(harness.attempts.size(), attempts + 1);
+    }
+}
+
 // Guards against a statement that is older than the run and frees it, and against one of a run that waits in the queue.
 TEST(InterruptedRuns, StatementThatCannotKnowTheRunDoesNotFreeIt)
 {
@@ -264,6 +310,9 @@
         ASSERT_EQ(harness.copyOrders.size(), 3U);
         EXPECT_EQ(harness.attempts.size(), 2U);
         harness.session().onCopied({.kind = CopyResult::Kind::NotRunning}, harness.now());
+        state(harness, {}, 1);
+        EXPECT_EQ(harness.attempts.size(), 2U);
+        state(harness, {});
         ASSERT_EQ(harness.attempts.size(), 3U);
         EXPECT_EQ(harness.attempts[2].target.id, harness.attempts[0].target.id);
     }
@@ -272,17 +321,28 @@
 namespace
 {
 
-// One engine's view of the run, with statements that are up to half a second old.
+// One engine's view of the run, which is preempted at times, with statements that are up to half a second old.
 struct ModelRun {
     MonotonicTime begins;
     // When it ends, whatever becomes of its connection.
     MonotonicTime ends;
     bool isGone = false;
+    // It waits in the queue again for a part of each period.
+    std::chrono::milliseconds period {1000};
+    std::chrono::milliseconds preemptedFor {0};
 
-    bool isAtWork(MonotonicTime at) const
+    bool isThere(MonotonicTime at) const
     {
         return !isGone && at >= begins && at < ends;
     }
+    bool isQueued(MonotonicTime at) const
+    {
+        return isThere(at) && (at - begins) % period >= period - preemptedFor;
+    }
+    bool isAtWork(MonotonicTime at) const
+    {
+        return isThere(at) && !isQueued(at);
+    }
 };
 
 // Interrupts a run at random and lets the engine answer truthfully, late or not at all. No attempt may begin elsewhere while the run is at work.
@@ -298,6 +358,10 @@
     auto &session = harness.session();
     session.start(harness.now());
     ModelRun run {.begins = harness.now(), .ends = harness.now() + 500ms + upTo(9000)};
+    if (chance(50)) {
+        run.period = 200ms + upTo(3000);
+        run.preemptedFor = upTo(static_cast<int>(run.period.count()));
+    }
     const bool hasEvents = chance(80);
     if (hasEvents) {
         session.onHead(SessionHarness::streamHead(), harness.now());
@@ -337,10 +401,11 @@
             } else if (run.isAtWork(asOf)) {
                 runs.requests.push_back(Id);
             }
+            runs.queued = (run.isQueued(asOf) ? 1 : 0) + (chance(20) ? 1 : 0);
             session.onRunsRead(runs, now);
         }
         if (harness.attempts.size() > 1) {
-            ASSERT_FALSE(run.isAtWork(now)) << seed;
+            ASSERT_FALSE(run.isThere(now)) << seed;
         }
     }
 }
--- a/Tests/Platform/TestInterruptedRuns.cpp
+++ b/Tests/Platform/TestInterruptedRuns.cpp
@@ -101,6 +101,25 @@
     EXPECT_EQ(response->body, eventsText(Events));
 }
 
+// Guards against a draft that goes on from its backup while its engine, which was short of memory when it lost the response, has the run in its queue
+// (review/8).
+TEST_F(InterruptedRequests, PreemptedDraftIsAtOneEngineAtATime)
+{
+    constexpr auto PreemptedTime = 700ms;
+    ASSERT_TRUE(m_testBed.waitUntilReady("n1"));
+    setBehaviour(StandInTarget::Behaviour::Detach);
+    boost::asio::steady_timer resume(m_testBed.loop);
+    const auto response = send("/draft/x", [&] {
+        auto *engine = *std::ranges::find_if(m_engines, [](const auto *candidate) { return candidate->isRunning("r1"); });
+        engine->setPreemptsStreams(true);
+        resume.expires_after(PreemptedTime);
+        resume.async_wait([engine](const LoopError &) { engine->setPreemptsStreams(false); });
+    });
+    EXPECT_LT(m_overlap, MaxOverlap);
+    EXPECT_EQ(response->end, ChannelEnd::Complete);
+    EXPECT_EQ(response->body, eventsText(Events));
+}
+
 // Guards against a draft that is lost, or goes on late, after a real crash: its engine refuses connections, so that it goes on at once.
 TEST_F(InterruptedRequests, DraftGoesOnAtOnceAfterACrash)
 {
