--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -288,6 +288,8 @@
     bool stopInterruptedRun(MonotonicTime now);
     // Closes the connection of a silent run that may run again. Most targets drop a request with its connection.
     void dropInterruptedRun(MonotonicTime now);
+    // The same for a run that its target did not find when it was to be stopped, also if only a copy of it can be continued.
+    void dropUnknownRun(MonotonicTime now);
     // Where the KV cache of the interrupted run would be copied.
     std::optional<RelayTarget> chooseStopDestination(MonotonicTime now) const;
     void onInterruptedRunCopied(const CopyResult &result, MonotonicTime now);
--- a/Libraries/LibRelay/RelaySessionInterruption.cpp
+++ b/Libraries/LibRelay/RelaySessionInterruption.cpp
@@ -179,6 +179,17 @@
     }
 }
 
+void RelaySession::dropUnknownRun(MonotonicTime now)
+{
+    const bool hasCopyElsewhere = hasInterruptedRunResponded() ? mayContinueFromBackup(now) : mayContinueAtSource(now);
+    if (!m_interruption->isOpen || !hasCopyElsewhere) {
+        dropInterruptedRun(now);
+        return;
+    }
+    m_hooks.record("close_interrupted_run", m_target->id);
+    closeInterruptedRun(std::exchange(m_isResponseAccepted, false));
+}
+
 void RelaySession::onInterruptedRunCopied(const CopyResult &result, MonotonicTime now)
 {
     const auto destination = std::exchange(m_interruption->stopDestination, std::nullopt);
@@ -207,7 +218,7 @@
         --m_interruption->stopOrders;
     }
     if (result.kind == CopyResult::Kind::NotRunning) {
-        dropInterruptedRun(now);
+        dropUnknownRun(now);
     }
     readRuns(now);
 }
--- a/Tests/LibRelay/TestInterruptedRuns.cpp
+++ b/Tests/LibRelay/TestInterruptedRuns.cpp
@@ -164,6 +164,25 @@
     }
 }
 
+// Guards against a silent draft that stays with an engine which lists it and does not find it, until the draft's deadline.
+TEST(InterruptedRuns, SilentDraftIsClosedIfItsEngineDoesNotFindIt)
+{
+    SessionHarness harness(Draft);
+    harness.backup = "b";
+    startOldStream(harness);
+    harness.advance(2s);
+    harness.session().onStreamTimeout(harness.now());
+    state(harness, {Id});
+    ASSERT_EQ(harness.copyOrders, std::vector<bool> {true});
+    EXPECT_EQ(harness.aborts, 0);
+    harness.session().onCopied({.kind = CopyResult::Kind::NotRunning}, harness.now());
+    EXPECT_EQ(harness.aborts, 1);
+    EXPECT_EQ(harness.attempts.size(), 1U);
+    state(harness, {});
+    ASSERT_EQ(harness.attempts.size(), 2U);
+    EXPECT_EQ(harness.attempts[1].kvCacheSource, "b:1/r");
+}
+
 // Guards against a statement that is older than the run and frees it, and against one of a run that waits in the queue.
 TEST(InterruptedRuns, StatementThatCannotKnowTheRunDoesNotFreeIt)
 {
