--- a/Libraries/LibLoop/LoopClient.cpp
+++ b/Libraries/LibLoop/LoopClient.cpp
@@ -26,6 +26,7 @@
     std::chrono::milliseconds timeout {0};
     MonotonicTime latest;
     std::function<void()> onProgress;
+    std::function<bool()> isWanted;
     bool over = false;
 
     static void armTimer(const std::shared_ptr<PendingCall> &call)
@@ -63,6 +64,7 @@
         over = true;
         timer.cancel();
         onProgress = nullptr;
+        isWanted = nullptr;
         const auto hook = std::move(onAnswer);
         hook(answer);
     }
@@ -101,6 +103,7 @@
     pending->mostAnswerBytes = call.mostAnswerBytes;
     pending->timeout = call.timeout;
     pending->onProgress = call.onProgress;
+    pending->isWanted = call.isWanted;
     pending->latest = monotonicNow() + std::max(call.timeout, call.longest);
     PendingCall::armTimer(pending);
     pending->channel->exchange(textOf(address, call),
@@ -118,6 +121,9 @@
                                         if (pending->answer.body.size() > pending->mostAnswerBytes) {
                                             pending->answer.isTooLong = true;
                                             pending->fail("answer too long");
+                                        } else if (pending->isWanted && !pending->isWanted()) {
+                                            pending->answer.isUnwanted = true;
+                                            pending->fail("not wanted");
                                         }
                                         PendingCall::reportProgress(pending);
                                     },
--- a/Libraries/LibLoop/LoopClient.h
+++ b/Libraries/LibLoop/LoopClient.h
@@ -18,6 +18,8 @@
     // the longest time of all.
     std::function<void()> onProgress;
     std::chrono::milliseconds longest {10000};
+    // Asked at each part of the answer. Once it returns false, the call ends as Broken.
+    std::function<bool()> isWanted;
     // A longer answer ends the call as Broken. Many calls may be in progress at the same time.
     size_t mostAnswerBytes = 256 << 10;
     // Uses a connection of its own, so that a connection that has gone silent cannot affect the call.
@@ -34,6 +36,8 @@
     ConnectFailure connectFailure = ConnectFailure::None;
     // Whether the call was ended because the answer was longer than the call allows.
     bool isTooLong = false;
+    // Whether the call was ended because its answer was not wanted any more.
+    bool isUnwanted = false;
 
     bool isSuccess() const
     {
--- a/Libraries/LibRelay/Generated/Relay_types.cpp
+++ b/Libraries/LibRelay/Generated/Relay_types.cpp
@@ -2934,6 +2934,382 @@
 }
 
 
+TableRow::~TableRow() noexcept {
+}
+
+
+void TableRow::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void TableRow::__set_value(const std::string& val) {
+  this->value = val;
+}
+
+void TableRow::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void TableRow::__set_removed(const bool val) {
+  this->removed = val;
+}
+std::ostream& operator<<(std::ostream& out, const TableRow& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TableRow::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->removed);
+          this->__isset.removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TableRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TableRow");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->removed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TableRow &a, TableRow &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.value, b.value);
+  swap(a.version, b.version);
+  swap(a.removed, b.removed);
+  swap(a.__isset, b.__isset);
+}
+
+TableRow::TableRow(const TableRow& other132) {
+  key = other132.key;
+  value = other132.value;
+  version = other132.version;
+  removed = other132.removed;
+  __isset = other132.__isset;
+}
+TableRow::TableRow(TableRow&& other133) noexcept {
+  key = std::move(other133.key);
+  value = std::move(other133.value);
+  version = other133.version;
+  removed = other133.removed;
+  __isset = other133.__isset;
+}
+TableRow& TableRow::operator=(const TableRow& other134) {
+  key = other134.key;
+  value = other134.value;
+  version = other134.version;
+  removed = other134.removed;
+  __isset = other134.__isset;
+  return *this;
+}
+TableRow& TableRow::operator=(TableRow&& other135) noexcept {
+  key = std::move(other135.key);
+  value = std::move(other135.value);
+  version = other135.version;
+  removed = other135.removed;
+  __isset = other135.__isset;
+  return *this;
+}
+void TableRow::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TableRow(";
+  out << "key=" << to_string(key);
+  out << ", " << "value=" << to_string(value);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "removed=" << to_string(removed);
+  out << ")";
+}
+
+
+TableChanges::~TableChanges() noexcept {
+}
+
+
+void TableChanges::__set_era(const int64_t val) {
+  this->era = val;
+}
+
+void TableChanges::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void TableChanges::__set_changeVersion(const int64_t val) {
+  this->changeVersion = val;
+}
+
+void TableChanges::__set_whole(const bool val) {
+  this->whole = val;
+}
+
+void TableChanges::__set_rows(const std::vector<TableRow> & val) {
+  this->rows = val;
+}
+std::ostream& operator<<(std::ostream& out, const TableChanges& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TableChanges::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->changeVersion);
+          this->__isset.changeVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->whole);
+          this->__isset.whole = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rows.clear();
+            uint32_t _size136;
+            ::apache::thrift::protocol::TType _etype139;
+            xfer += iprot->readListBegin(_etype139, _size136);
+            this->rows.resize(_size136);
+            uint32_t _i140;
+            for (_i140 = 0; _i140 < _size136; ++_i140)
+            {
+              xfer += this->rows[_i140].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TableChanges::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TableChanges");
+
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changeVersion", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->changeVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("whole", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->whole);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
+    std::vector<TableRow> ::const_iterator _iter141;
+    for (_iter141 = this->rows.begin(); _iter141 != this->rows.end(); ++_iter141)
+    {
+      xfer += (*_iter141).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TableChanges &a, TableChanges &b) {
+  using ::std::swap;
+  swap(a.era, b.era);
+  swap(a.version, b.version);
+  swap(a.changeVersion, b.changeVersion);
+  swap(a.whole, b.whole);
+  swap(a.rows, b.rows);
+  swap(a.__isset, b.__isset);
+}
+
+TableChanges::TableChanges(const TableChanges& other142) {
+  era = other142.era;
+  version = other142.version;
+  changeVersion = other142.changeVersion;
+  whole = other142.whole;
+  rows = other142.rows;
+  __isset = other142.__isset;
+}
+TableChanges::TableChanges(TableChanges&& other143) noexcept {
+  era = other143.era;
+  version = other143.version;
+  changeVersion = other143.changeVersion;
+  whole = other143.whole;
+  rows = std::move(other143.rows);
+  __isset = other143.__isset;
+}
+TableChanges& TableChanges::operator=(const TableChanges& other144) {
+  era = other144.era;
+  version = other144.version;
+  changeVersion = other144.changeVersion;
+  whole = other144.whole;
+  rows = other144.rows;
+  __isset = other144.__isset;
+  return *this;
+}
+TableChanges& TableChanges::operator=(TableChanges&& other145) noexcept {
+  era = other145.era;
+  version = other145.version;
+  changeVersion = other145.changeVersion;
+  whole = other145.whole;
+  rows = std::move(other145.rows);
+  __isset = other145.__isset;
+  return *this;
+}
+void TableChanges::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TableChanges(";
+  out << "era=" << to_string(era);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "changeVersion=" << to_string(changeVersion);
+  out << ", " << "whole=" << to_string(whole);
+  out << ", " << "rows=" << to_string(rows);
+  out << ")";
+}
+
+
 RelayHeartbeat::~RelayHeartbeat() noexcept {
 }
 
@@ -3068,6 +3444,16 @@
   this->targetsEra = val;
 __isset.targetsEra = true;
 }
+
+void RelayHeartbeat::__set_linkMbps(const double val) {
+  this->linkMbps = val;
+__isset.linkMbps = true;
+}
+
+void RelayHeartbeat::__set_receivingDocument(const bool val) {
+  this->receivingDocument = val;
+__isset.receivingDocument = true;
+}
 std::ostream& operator<<(std::ostream& out, const RelayHeartbeat& obj)
 {
   obj.printTo(out);
@@ -3164,14 +3550,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size132;
-            ::apache::thrift::protocol::TType _etype135;
-            xfer += iprot->readListBegin(_etype135, _size132);
-            this->loads.resize(_size132);
-            uint32_t _i136;
-            for (_i136 = 0; _i136 < _size132; ++_i136)
+            uint32_t _size146;
+            ::apache::thrift::protocol::TType _etype149;
+            xfer += iprot->readListBegin(_etype149, _size146);
+            this->loads.resize(_size146);
+            uint32_t _i150;
+            for (_i150 = 0; _i150 < _size146; ++_i150)
             {
-              xfer += this->loads[_i136].read(iprot);
+              xfer += this->loads[_i150].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3184,14 +3570,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size137;
-            ::apache::thrift::protocol::TType _etype140;
-            xfer += iprot->readListBegin(_etype140, _size137);
-            this->targets.resize(_size137);
-            uint32_t _i141;
-            for (_i141 = 0; _i141 < _size137; ++_i141)
+            uint32_t _size151;
+            ::apache::thrift::protocol::TType _etype154;
+            xfer += iprot->readListBegin(_etype154, _size151);
+            this->targets.resize(_size151);
+            uint32_t _i155;
+            for (_i155 = 0; _i155 < _size151; ++_i155)
             {
-              xfer += this->targets[_i141].read(iprot);
+              xfer += this->targets[_i155].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3204,14 +3590,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size142;
-            ::apache::thrift::protocol::TType _etype145;
-            xfer += iprot->readListBegin(_etype145, _size142);
-            this->crashes.resize(_size142);
-            uint32_t _i146;
-            for (_i146 = 0; _i146 < _size142; ++_i146)
+            uint32_t _size156;
+            ::apache::thrift::protocol::TType _etype159;
+            xfer += iprot->readListBegin(_etype159, _size156);
+            this->crashes.resize(_size156);
+            uint32_t _i160;
+            for (_i160 = 0; _i160 < _size156; ++_i160)
             {
-              xfer += this->crashes[_i146].read(iprot);
+              xfer += this->crashes[_i160].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3224,14 +3610,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->known.clear();
-            uint32_t _size147;
-            ::apache::thrift::protocol::TType _etype150;
-            xfer += iprot->readListBegin(_etype150, _size147);
-            this->known.resize(_size147);
-            uint32_t _i151;
-            for (_i151 = 0; _i151 < _size147; ++_i151)
+            uint32_t _size161;
+            ::apache::thrift::protocol::TType _etype164;
+            xfer += iprot->readListBegin(_etype164, _size161);
+            this->known.resize(_size161);
+            uint32_t _i165;
+            for (_i165 = 0; _i165 < _size161; ++_i165)
             {
-              xfer += iprot->readString(this->known[_i151]);
+              xfer += iprot->readString(this->known[_i165]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3300,14 +3686,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size152;
-            ::apache::thrift::protocol::TType _etype155;
-            xfer += iprot->readListBegin(_etype155, _size152);
-            this->limits.resize(_size152);
-            uint32_t _i156;
-            for (_i156 = 0; _i156 < _size152; ++_i156)
+            uint32_t _size166;
+            ::apache::thrift::protocol::TType _etype169;
+            xfer += iprot->readListBegin(_etype169, _size166);
+            this->limits.resize(_size166);
+            uint32_t _i170;
+            for (_i170 = 0; _i170 < _size166; ++_i170)
             {
-              xfer += this->limits[_i156].read(iprot);
+              xfer += this->limits[_i170].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3352,14 +3738,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->promptCrashes.clear();
-            uint32_t _size157;
-            ::apache::thrift::protocol::TType _etype160;
-            xfer += iprot->readListBegin(_etype160, _size157);
-            this->promptCrashes.resize(_size157);
-            uint32_t _i161;
-            for (_i161 = 0; _i161 < _size157; ++_i161)
+            uint32_t _size171;
+            ::apache::thrift::protocol::TType _etype174;
+            xfer += iprot->readListBegin(_etype174, _size171);
+            this->promptCrashes.resize(_size171);
+            uint32_t _i175;
+            for (_i175 = 0; _i175 < _size171; ++_i175)
             {
-              xfer += this->promptCrashes[_i161].read(iprot);
+              xfer += this->promptCrashes[_i175].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3372,14 +3758,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->soundParts.clear();
-            uint32_t _size162;
-            ::apache::thrift::protocol::TType _etype165;
-            xfer += iprot->readListBegin(_etype165, _size162);
-            this->soundParts.resize(_size162);
-            uint32_t _i166;
-            for (_i166 = 0; _i166 < _size162; ++_i166)
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->soundParts.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
             {
-              xfer += this->soundParts[_i166].read(iprot);
+              xfer += this->soundParts[_i180].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3392,14 +3778,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rollouts.clear();
-            uint32_t _size167;
-            ::apache::thrift::protocol::TType _etype170;
-            xfer += iprot->readListBegin(_etype170, _size167);
-            this->rollouts.resize(_size167);
-            uint32_t _i171;
-            for (_i171 = 0; _i171 < _size167; ++_i171)
+            uint32_t _size181;
+            ::apache::thrift::protocol::TType _etype184;
+            xfer += iprot->readListBegin(_etype184, _size181);
+            this->rollouts.resize(_size181);
+            uint32_t _i185;
+            for (_i185 = 0; _i185 < _size181; ++_i185)
             {
-              xfer += this->rollouts[_i171].read(iprot);
+              xfer += this->rollouts[_i185].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3432,6 +3818,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 32:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->linkMbps);
+          this->__isset.linkMbps = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 33:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->receivingDocument);
+          this->__isset.receivingDocument = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3484,10 +3886,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<LoadOnTarget> ::const_iterator _iter172;
-    for (_iter172 = this->loads.begin(); _iter172 != this->loads.end(); ++_iter172)
+    std::vector<LoadOnTarget> ::const_iterator _iter186;
+    for (_iter186 = this->loads.begin(); _iter186 != this->loads.end(); ++_iter186)
     {
-      xfer += (*_iter172).write(oprot);
+      xfer += (*_iter186).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3496,10 +3898,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<ChangedTarget> ::const_iterator _iter173;
-    for (_iter173 = this->targets.begin(); _iter173 != this->targets.end(); ++_iter173)
+    std::vector<ChangedTarget> ::const_iterator _iter187;
+    for (_iter187 = this->targets.begin(); _iter187 != this->targets.end(); ++_iter187)
     {
-      xfer += (*_iter173).write(oprot);
+      xfer += (*_iter187).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3508,10 +3910,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<CrashOnTarget> ::const_iterator _iter174;
-    for (_iter174 = this->crashes.begin(); _iter174 != this->crashes.end(); ++_iter174)
+    std::vector<CrashOnTarget> ::const_iterator _iter188;
+    for (_iter188 = this->crashes.begin(); _iter188 != this->crashes.end(); ++_iter188)
     {
-      xfer += (*_iter174).write(oprot);
+      xfer += (*_iter188).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3520,10 +3922,10 @@
   xfer += oprot->writeFieldBegin("known", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->known.size()));
-    std::vector<std::string> ::const_iterator _iter175;
-    for (_iter175 = this->known.begin(); _iter175 != this->known.end(); ++_iter175)
+    std::vector<std::string> ::const_iterator _iter189;
+    for (_iter189 = this->known.begin(); _iter189 != this->known.end(); ++_iter189)
     {
-      xfer += oprot->writeString((*_iter175));
+      xfer += oprot->writeString((*_iter189));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3561,10 +3963,10 @@
     xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 21);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-      std::vector<LimitOfTarget> ::const_iterator _iter176;
-      for (_iter176 = this->limits.begin(); _iter176 != this->limits.end(); ++_iter176)
+      std::vector<LimitOfTarget> ::const_iterator _iter190;
+      for (_iter190 = this->limits.begin(); _iter190 != this->limits.end(); ++_iter190)
       {
-        xfer += (*_iter176).write(oprot);
+        xfer += (*_iter190).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3594,10 +3996,10 @@
     xfer += oprot->writeFieldBegin("promptCrashes", ::apache::thrift::protocol::T_LIST, 26);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->promptCrashes.size()));
-      std::vector<PromptCrash> ::const_iterator _iter177;
-      for (_iter177 = this->promptCrashes.begin(); _iter177 != this->promptCrashes.end(); ++_iter177)
+      std::vector<PromptCrash> ::const_iterator _iter191;
+      for (_iter191 = this->promptCrashes.begin(); _iter191 != this->promptCrashes.end(); ++_iter191)
       {
-        xfer += (*_iter177).write(oprot);
+        xfer += (*_iter191).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3607,10 +4009,10 @@
     xfer += oprot->writeFieldBegin("soundParts", ::apache::thrift::protocol::T_LIST, 27);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->soundParts.size()));
-      std::vector<SoundPart> ::const_iterator _iter178;
-      for (_iter178 = this->soundParts.begin(); _iter178 != this->soundParts.end(); ++_iter178)
+      std::vector<SoundPart> ::const_iterator _iter192;
+      for (_iter192 = this->soundParts.begin(); _iter192 != this->soundParts.end(); ++_iter192)
       {
-        xfer += (*_iter178).write(oprot);
+        xfer += (*_iter192).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3620,10 +4022,10 @@
     xfer += oprot->writeFieldBegin("rollouts", ::apache::thrift::protocol::T_LIST, 28);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rollouts.size()));
-      std::vector<RolloutNotice> ::const_iterator _iter179;
-      for (_iter179 = this->rollouts.begin(); _iter179 != this->rollouts.end(); ++_iter179)
+      std::vector<RolloutNotice> ::const_iterator _iter193;
+      for (_iter193 = this->rollouts.begin(); _iter193 != this->rollouts.end(); ++_iter193)
       {
-        xfer += (*_iter179).write(oprot);
+        xfer += (*_iter193).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3644,6 +4046,16 @@
     xfer += oprot->writeI64(this->targetsEra);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.linkMbps) {
+    xfer += oprot->writeFieldBegin("linkMbps", ::apache::thrift::protocol::T_DOUBLE, 32);
+    xfer += oprot->writeDouble(this->linkMbps);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.receivingDocument) {
+    xfer += oprot->writeFieldBegin("receivingDocument", ::apache::thrift::protocol::T_BOOL, 33);
+    xfer += oprot->writeBool(this->receivingDocument);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3681,141 +4093,151 @@
   swap(a.rolloutCount, b.rolloutCount);
   swap(a.documentEra, b.documentEra);
   swap(a.targetsEra, b.targetsEra);
+  swap(a.linkMbps, b.linkMbps);
+  swap(a.receivingDocument, b.receivingDocument);
   swap(a.__isset, b.__isset);
 }
 
-RelayHeartbeat::RelayHeartbeat(const RelayHeartbeat& other180) {
-  node = other180.node;
-  incarnation = other180.incarnation;
-  sequence = other180.sequence;
-  callers = other180.callers;
-  peers = other180.peers;
-  dataCentre = other180.dataCentre;
-  accepting = other180.accepting;
-  documentTableVersion = other180.documentTableVersion;
-  loads = other180.loads;
-  targets = other180.targets;
-  crashes = other180.crashes;
-  known = other180.known;
-  targetsDigest = other180.targetsDigest;
-  targetsVersion = other180.targetsVersion;
-  targetsAgeMs = other180.targetsAgeMs;
-  reading = other180.reading;
-  trying = other180.trying;
-  beatMs = other180.beatMs;
-  onlyLoads = other180.onlyLoads;
-  limits = other180.limits;
-  knownRelays = other180.knownRelays;
-  documentVersion = other180.documentVersion;
-  documentHistoryFrom = other180.documentHistoryFrom;
-  documentAgeMs = other180.documentAgeMs;
-  promptCrashes = other180.promptCrashes;
-  soundParts = other180.soundParts;
-  rollouts = other180.rollouts;
-  rolloutCount = other180.rolloutCount;
-  documentEra = other180.documentEra;
-  targetsEra = other180.targetsEra;
-  __isset = other180.__isset;
-}
-RelayHeartbeat::RelayHeartbeat(RelayHeartbeat&& other181) noexcept {
-  node = std::move(other181.node);
-  incarnation = other181.incarnation;
-  sequence = other181.sequence;
-  callers = std::move(other181.callers);
-  peers = std::move(other181.peers);
-  dataCentre = std::move(other181.dataCentre);
-  accepting = other181.accepting;
-  documentTableVersion = other181.documentTableVersion;
-  loads = std::move(other181.loads);
-  targets = std::move(other181.targets);
-  crashes = std::move(other181.crashes);
-  known = std::move(other181.known);
-  targetsDigest = other181.targetsDigest;
-  targetsVersion = other181.targetsVersion;
-  targetsAgeMs = other181.targetsAgeMs;
-  reading = other181.reading;
-  trying = other181.trying;
-  beatMs = other181.beatMs;
-  onlyLoads = other181.onlyLoads;
-  limits = std::move(other181.limits);
-  knownRelays = other181.knownRelays;
-  documentVersion = other181.documentVersion;
-  documentHistoryFrom = other181.documentHistoryFrom;
-  documentAgeMs = other181.documentAgeMs;
-  promptCrashes = std::move(other181.promptCrashes);
-  soundParts = std::move(other181.soundParts);
-  rollouts = std::move(other181.rollouts);
-  rolloutCount = other181.rolloutCount;
-  documentEra = other181.documentEra;
-  targetsEra = other181.targetsEra;
-  __isset = other181.__isset;
-}
-RelayHeartbeat& RelayHeartbeat::operator=(const RelayHeartbeat& other182) {
-  node = other182.node;
-  incarnation = other182.incarnation;
-  sequence = other182.sequence;
-  callers = other182.callers;
-  peers = other182.peers;
-  dataCentre = other182.dataCentre;
-  accepting = other182.accepting;
-  documentTableVersion = other182.documentTableVersion;
-  loads = other182.loads;
-  targets = other182.targets;
-  crashes = other182.crashes;
-  known = other182.known;
-  targetsDigest = other182.targetsDigest;
-  targetsVersion = other182.targetsVersion;
-  targetsAgeMs = other182.targetsAgeMs;
-  reading = other182.reading;
-  trying = other182.trying;
-  beatMs = other182.beatMs;
-  onlyLoads = other182.onlyLoads;
-  limits = other182.limits;
-  knownRelays = other182.knownRelays;
-  documentVersion = other182.documentVersion;
-  documentHistoryFrom = other182.documentHistoryFrom;
-  documentAgeMs = other182.documentAgeMs;
-  promptCrashes = other182.promptCrashes;
-  soundParts = other182.soundParts;
-  rollouts = other182.rollouts;
-  rolloutCount = other182.rolloutCount;
-  documentEra = other182.documentEra;
-  targetsEra = other182.targetsEra;
-  __isset = other182.__isset;
+RelayHeartbeat::RelayHeartbeat(const RelayHeartbeat& other194) {
+  node = other194.node;
+  incarnation = other194.incarnation;
+  sequence = other194.sequence;
+  callers = other194.callers;
+  peers = other194.peers;
+  dataCentre = other194.dataCentre;
+  accepting = other194.accepting;
+  documentTableVersion = other194.documentTableVersion;
+  loads = other194.loads;
+  targets = other194.targets;
+  crashes = other194.crashes;
+  known = other194.known;
+  targetsDigest = other194.targetsDigest;
+  targetsVersion = other194.targetsVersion;
+  targetsAgeMs = other194.targetsAgeMs;
+  reading = other194.reading;
+  trying = other194.trying;
+  beatMs = other194.beatMs;
+  onlyLoads = other194.onlyLoads;
+  limits = other194.limits;
+  knownRelays = other194.knownRelays;
+  documentVersion = other194.documentVersion;
+  documentHistoryFrom = other194.documentHistoryFrom;
+  documentAgeMs = other194.documentAgeMs;
+  promptCrashes = other194.promptCrashes;
+  soundParts = other194.soundParts;
+  rollouts = other194.rollouts;
+  rolloutCount = other194.rolloutCount;
+  documentEra = other194.documentEra;
+  targetsEra = other194.targetsEra;
+  linkMbps = other194.linkMbps;
+  receivingDocument = other194.receivingDocument;
+  __isset = other194.__isset;
+}
+RelayHeartbeat::RelayHeartbeat(RelayHeartbeat&& other195) noexcept {
+  node = std::move(other195.node);
+  incarnation = other195.incarnation;
+  sequence = other195.sequence;
+  callers = std::move(other195.callers);
+  peers = std::move(other195.peers);
+  dataCentre = std::move(other195.dataCentre);
+  accepting = other195.accepting;
+  documentTableVersion = other195.documentTableVersion;
+  loads = std::move(other195.loads);
+  targets = std::move(other195.targets);
+  crashes = std::move(other195.crashes);
+  known = std::move(other195.known);
+  targetsDigest = other195.targetsDigest;
+  targetsVersion = other195.targetsVersion;
+  targetsAgeMs = other195.targetsAgeMs;
+  reading = other195.reading;
+  trying = other195.trying;
+  beatMs = other195.beatMs;
+  onlyLoads = other195.onlyLoads;
+  limits = std::move(other195.limits);
+  knownRelays = other195.knownRelays;
+  documentVersion = other195.documentVersion;
+  documentHistoryFrom = other195.documentHistoryFrom;
+  documentAgeMs = other195.documentAgeMs;
+  promptCrashes = std::move(other195.promptCrashes);
+  soundParts = std::move(other195.soundParts);
+  rollouts = std::move(other195.rollouts);
+  rolloutCount = other195.rolloutCount;
+  documentEra = other195.documentEra;
+  targetsEra = other195.targetsEra;
+  linkMbps = other195.linkMbps;
+  receivingDocument = other195.receivingDocument;
+  __isset = other195.__isset;
+}
+RelayHeartbeat& RelayHeartbeat::operator=(const RelayHeartbeat& other196) {
+  node = other196.node;
+  incarnation = other196.incarnation;
+  sequence = other196.sequence;
+  callers = other196.callers;
+  peers = other196.peers;
+  dataCentre = other196.dataCentre;
+  accepting = other196.accepting;
+  documentTableVersion = other196.documentTableVersion;
+  loads = other196.loads;
+  targets = other196.targets;
+  crashes = other196.crashes;
+  known = other196.known;
+  targetsDigest = other196.targetsDigest;
+  targetsVersion = other196.targetsVersion;
+  targetsAgeMs = other196.targetsAgeMs;
+  reading = other196.reading;
+  trying = other196.trying;
+  beatMs = other196.beatMs;
+  onlyLoads = other196.onlyLoads;
+  limits = other196.limits;
+  knownRelays = other196.knownRelays;
+  documentVersion = other196.documentVersion;
+  documentHistoryFrom = other196.documentHistoryFrom;
+  documentAgeMs = other196.documentAgeMs;
+  promptCrashes = other196.promptCrashes;
+  soundParts = other196.soundParts;
+  rollouts = other196.rollouts;
+  rolloutCount = other196.rolloutCount;
+  documentEra = other196.documentEra;
+  targetsEra = other196.targetsEra;
+  linkMbps = other196.linkMbps;
+  receivingDocument = other196.receivingDocument;
+  __isset = other196.__isset;
   return *this;
 }
-RelayHeartbeat& RelayHeartbeat::operator=(RelayHeartbeat&& other183) noexcept {
-  node = std::move(other183.node);
-  incarnation = other183.incarnation;
-  sequence = other183.sequence;
-  callers = std::move(other183.callers);
-  peers = std::move(other183.peers);
-  dataCentre = std::move(other183.dataCentre);
-  accepting = other183.accepting;
-  documentTableVersion = other183.documentTableVersion;
-  loads = std::move(other183.loads);
-  targets = std::move(other183.targets);
-  crashes = std::move(other183.crashes);
-  known = std::move(other183.known);
-  targetsDigest = other183.targetsDigest;
-  targetsVersion = other183.targetsVersion;
-  targetsAgeMs = other183.targetsAgeMs;
-  reading = other183.reading;
-  trying = other183.trying;
-  beatMs = other183.beatMs;
-  onlyLoads = other183.onlyLoads;
-  limits = std::move(other183.limits);
-  knownRelays = other183.knownRelays;
-  documentVersion = other183.documentVersion;
-  documentHistoryFrom = other183.documentHistoryFrom;
-  documentAgeMs = other183.documentAgeMs;
-  promptCrashes = std::move(other183.promptCrashes);
-  soundParts = std::move(other183.soundParts);
-  rollouts = std::move(other183.rollouts);
-  rolloutCount = other183.rolloutCount;
-  documentEra = other183.documentEra;
-  targetsEra = other183.targetsEra;
-  __isset = other183.__isset;
+RelayHeartbeat& RelayHeartbeat::operator=(RelayHeartbeat&& other197) noexcept {
+  node = std::move(other197.node);
+  incarnation = other197.incarnation;
+  sequence = other197.sequence;
+  callers = std::move(other197.callers);
+  peers = std::move(other197.peers);
+  dataCentre = std::move(other197.dataCentre);
+  accepting = other197.accepting;
+  documentTableVersion = other197.documentTableVersion;
+  loads = std::move(other197.loads);
+  targets = std::move(other197.targets);
+  crashes = std::move(other197.crashes);
+  known = std::move(other197.known);
+  targetsDigest = other197.targetsDigest;
+  targetsVersion = other197.targetsVersion;
+  targetsAgeMs = other197.targetsAgeMs;
+  reading = other197.reading;
+  trying = other197.trying;
+  beatMs = other197.beatMs;
+  onlyLoads = other197.onlyLoads;
+  limits = std::move(other197.limits);
+  knownRelays = other197.knownRelays;
+  documentVersion = other197.documentVersion;
+  documentHistoryFrom = other197.documentHistoryFrom;
+  documentAgeMs = other197.documentAgeMs;
+  promptCrashes = std::move(other197.promptCrashes);
+  soundParts = std::move(other197.soundParts);
+  rollouts = std::move(other197.rollouts);
+  rolloutCount = other197.rolloutCount;
+  documentEra = other197.documentEra;
+  targetsEra = other197.targetsEra;
+  linkMbps = other197.linkMbps;
+  receivingDocument = other197.receivingDocument;
+  __isset = other197.__isset;
   return *this;
 }
 void RelayHeartbeat::printTo(std::ostream& out) const {
@@ -3851,6 +4273,8 @@
   out << ", " << "rolloutCount="; (__isset.rolloutCount ? (out << to_string(rolloutCount)) : (out << "<null>"));
   out << ", " << "documentEra="; (__isset.documentEra ? (out << to_string(documentEra)) : (out << "<null>"));
   out << ", " << "targetsEra="; (__isset.targetsEra ? (out << to_string(targetsEra)) : (out << "<null>"));
+  out << ", " << "linkMbps="; (__isset.linkMbps ? (out << to_string(linkMbps)) : (out << "<null>"));
+  out << ", " << "receivingDocument="; (__isset.receivingDocument ? (out << to_string(receivingDocument)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibRelay/Generated/Relay_types.h
+++ b/Libraries/LibRelay/Generated/Relay_types.h
@@ -45,6 +45,10 @@
 
 class RolloutReport;
 
+class TableRow;
+
+class TableChanges;
+
 class RelayHeartbeat;
 
 typedef struct _LoadOnTarget__isset {
@@ -1041,8 +1045,146 @@
 
 std::ostream& operator<<(std::ostream& out, const RolloutReport& obj);
 
+typedef struct _TableRow__isset {
+  _TableRow__isset() : key(false), value(false), version(false), removed(false) {}
+  bool key :1;
+  bool value :1;
+  bool version :1;
+  bool removed :1;
+} _TableRow__isset;
+
+class TableRow : public virtual ::apache::thrift::TBase {
+ public:
+
+  TableRow(const TableRow&);
+  TableRow(TableRow&&) noexcept;
+  TableRow& operator=(const TableRow&);
+  TableRow& operator=(TableRow&&) noexcept;
+  TableRow() noexcept
+           : key(),
+             value(),
+             version(0),
+             removed(0) {
+  }
+
+  virtual ~TableRow() noexcept;
+  std::string key;
+  std::string value;
+  int64_t version;
+  bool removed;
+
+  _TableRow__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_value(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  void __set_removed(const bool val);
+
+  bool operator == (const TableRow & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(removed == rhs.removed))
+      return false;
+    return true;
+  }
+  bool operator != (const TableRow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TableRow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TableRow &a, TableRow &b);
+
+std::ostream& operator<<(std::ostream& out, const TableRow& obj);
+
+typedef struct _TableChanges__isset {
+  _TableChanges__isset() : era(false), version(false), changeVersion(false), whole(false), rows(false) {}
+  bool era :1;
+  bool version :1;
+  bool changeVersion :1;
+  bool whole :1;
+  bool rows :1;
+} _TableChanges__isset;
+
+class TableChanges : public virtual ::apache::thrift::TBase {
+ public:
+
+  TableChanges(const TableChanges&);
+  TableChanges(TableChanges&&) noexcept;
+  TableChanges& operator=(const TableChanges&);
+  TableChanges& operator=(TableChanges&&) noexcept;
+  TableChanges() noexcept
+               : era(0),
+                 version(0),
+                 changeVersion(0),
+                 whole(0) {
+  }
+
+  virtual ~TableChanges() noexcept;
+  int64_t era;
+  int64_t version;
+  int64_t changeVersion;
+  bool whole;
+  std::vector<TableRow>  rows;
+
+  _TableChanges__isset __isset;
+
+  void __set_era(const int64_t val);
+
+  void __set_version(const int64_t val);
+
+  void __set_changeVersion(const int64_t val);
+
+  void __set_whole(const bool val);
+
+  void __set_rows(const std::vector<TableRow> & val);
+
+  bool operator == (const TableChanges & rhs) const
+  {
+    if (!(era == rhs.era))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(changeVersion == rhs.changeVersion))
+      return false;
+    if (!(whole == rhs.whole))
+      return false;
+    if (!(rows == rhs.rows))
+      return false;
+    return true;
+  }
+  bool operator != (const TableChanges &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TableChanges & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TableChanges &a, TableChanges &b);
+
+std::ostream& operator<<(std::ostream& out, const TableChanges& obj);
+
 typedef struct _RelayHeartbeat__isset {
-  _RelayHeartbeat__isset() : node(false), incarnation(false), sequence(false), callers(false), peers(false), dataCentre(false), accepting(false), documentTableVersion(false), loads(false), targets(false), crashes(false), known(false), targetsDigest(false), targetsVersion(false), targetsAgeMs(false), reading(false), trying(false), beatMs(false), onlyLoads(false), limits(false), knownRelays(false), documentVersion(false), documentHistoryFrom(false), documentAgeMs(false), promptCrashes(false), soundParts(false), rollouts(false), rolloutCount(false), documentEra(false), targetsEra(false) {}
+  _RelayHeartbeat__isset() : node(false), incarnation(false), sequence(false), callers(false), peers(false), dataCentre(false), accepting(false), documentTableVersion(false), loads(false), targets(false), crashes(false), known(false), targetsDigest(false), targetsVersion(false), targetsAgeMs(false), reading(false), trying(false), beatMs(false), onlyLoads(false), limits(false), knownRelays(false), documentVersion(false), documentHistoryFrom(false), documentAgeMs(false), promptCrashes(false), soundParts(false), rollouts(false), rolloutCount(false), documentEra(false), targetsEra(false), linkMbps(false), receivingDocument(false) {}
   bool node :1;
   bool incarnation :1;
   bool sequence :1;
@@ -1073,6 +1215,8 @@
   bool rolloutCount :1;
   bool documentEra :1;
   bool targetsEra :1;
+  bool linkMbps :1;
+  bool receivingDocument :1;
 } _RelayHeartbeat__isset;
 
 class RelayHeartbeat : public virtual ::apache::thrift::TBase {
@@ -1104,7 +1248,9 @@
                    documentAgeMs(0),
                    rolloutCount(0),
                    documentEra(0),
-                   targetsEra(0) {
+                   targetsEra(0),
+                   linkMbps(0),
+                   receivingDocument(0) {
   }
 
   virtual ~RelayHeartbeat() noexcept;
@@ -1138,6 +1284,8 @@
   int32_t rolloutCount;
   int64_t documentEra;
   int64_t targetsEra;
+  double linkMbps;
+  bool receivingDocument;
 
   _RelayHeartbeat__isset __isset;
 
@@ -1201,6 +1349,10 @@
 
   void __set_targetsEra(const int64_t val);
 
+  void __set_linkMbps(const double val);
+
+  void __set_receivingDocument(const bool val);
+
   bool operator == (const RelayHeartbeat & rhs) const
   {
     if (!(node == rhs.node))
@@ -1285,6 +1437,14 @@
       return false;
     else if (__isset.targetsEra && !(targetsEra == rhs.targetsEra))
       return false;
+    if (__isset.linkMbps != rhs.__isset.linkMbps)
+      return false;
+    else if (__isset.linkMbps && !(linkMbps == rhs.linkMbps))
+      return false;
+    if (__isset.receivingDocument != rhs.__isset.receivingDocument)
+      return false;
+    else if (__isset.receivingDocument && !(receivingDocument == rhs.receivingDocument))
+      return false;
     return true;
   }
   bool operator != (const RelayHeartbeat &rhs) const {
--- a/Libraries/LibRelay/PeerHeartbeatCodec.cpp
+++ b/Libraries/LibRelay/PeerHeartbeatCodec.cpp
@@ -1,6 +1,7 @@
 #include <LibRelay/PeerHeartbeatCodec.h>
 
 #include <algorithm>
+#include <cmath>
 #include <LibCore/ThriftCompact.h>
 #include <LibRelay/CrashWire.h>
 #include <LibRelay/RolloutWire.h>
@@ -132,6 +133,12 @@
         result.__set_documentHistoryFrom(heartbeat.documentHistoryFrom);
         result.__set_documentAgeMs(static_cast<int32_t>(std::min<int64_t>(heartbeat.documentAge->count(), std::numeric_limits<int32_t>::max())));
     }
+    if (heartbeat.linkMbps > 0) {
+        result.__set_linkMbps(heartbeat.linkMbps);
+    }
+    if (heartbeat.receivingDocument) {
+        result.__set_receivingDocument(true);
+    }
     if (heartbeat.documentEra > 0) {
         result.__set_documentEra(heartbeat.documentEra);
     }
@@ -165,6 +172,8 @@
                              .documentEra = wire.documentEra,
                              .targetsEra = wire.targetsEra,
                              .documentTableVersion = wire.documentTableVersion,
+                             .receivingDocument = wire.receivingDocument,
+                             .linkMbps = std::isfinite(wire.linkMbps) && wire.linkMbps > 0 ? wire.linkMbps : 0,
                              .targetsDigest = static_cast<uint64_t>(wire.targetsDigest),
                              .targetsVersion = wire.targetsVersion,
                              .targetsAge = std::chrono::milliseconds(wire.targetsAgeMs),
--- a/Libraries/LibRelay/PeerTable.h
+++ b/Libraries/LibRelay/PeerTable.h
@@ -43,6 +43,10 @@
     int64_t documentHistoryFrom = 0;
     // Time since the relay's own last read of it. Nothing before one.
     std::optional<std::chrono::milliseconds> documentAge;
+    // Whether the relay is receiving changes of the document's table from the store.
+    bool receivingDocument = false;
+    // Rate of the link of its VM. Zero if it is unknown.
+    double linkMbps = 0;
     // Digest of the targets that the relay knows, the store's version that it corresponds to, and the time since the relay's own last read of the list.
     uint64_t targetsDigest = 0;
     int64_t targetsVersion = 0;
--- a/Libraries/LibRelay/Relay.thrift
+++ b/Libraries/LibRelay/Relay.thrift
@@ -141,6 +141,26 @@
   11: list<RolloutSample> samples
 }
 
+// A row of a table of the store.
+struct TableRow {
+  1: string key
+  2: binary value
+  3: i64 version
+  4: bool removed
+}
+
+// Changes of a table that a relay hands over to another one, as the body of a response.
+struct TableChanges {
+  1: i64 era
+  // All changes up to this version of the store are among the rows.
+  2: i64 version
+  // Version of the newest change.
+  3: i64 changeVersion
+  // The rows are the whole table.
+  4: bool whole
+  5: list<TableRow> rows
+}
+
 struct RelayHeartbeat {
   1: string node
   2: i64 incarnation
@@ -186,4 +206,8 @@
   // Eras of the store to which the versions of the document's table and of the targets belong. Missing if the store states none.
   30: optional i64 documentEra
   31: optional i64 targetsEra
+  // Rate of the link of the sender's VM.
+  32: optional double linkMbps
+  // Whether the sender is receiving changes of the document's table from the store.
+  33: optional bool receivingDocument
 }
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -66,6 +66,8 @@
                        heartbeat.documentVersion = document.version;
                        heartbeat.documentHistoryFrom = document.historyFrom;
                        heartbeat.documentAge = document.age;
+                       heartbeat.receivingDocument = m_documents->isReceiving();
+                       heartbeat.linkMbps = m_core.options.linkMbps;
                        heartbeat.targetsDigest = m_core.targets.digest();
                        heartbeat.targetsVersion = m_targets->version();
                        heartbeat.targetsAge = m_targets->state(now).age.value_or(AgeOfUnreadTable);
@@ -76,6 +78,7 @@
     , m_timer(loop)
     , m_lastRunAt(monotonicNow())
     , m_lastSuspendedTime(suspendedTime())
+    , m_documentSource({.node = m_core.options.node, .linkMbps = m_core.options.linkMbps})
     , m_readers({.node = m_core.options.node})
 {
 }
@@ -192,7 +195,7 @@
     }
     if (status.ok()) {
         status = open(m_peerCalls, m_core.options.peers, [this](const std::shared_ptr<CallerChannel> &channel, const CallerRequest &request) {
-            onPeerRequest(*channel, request);
+            onPeerRequest(channel, request);
         });
     }
     if (status.ok()) {
@@ -286,7 +289,7 @@
     applyFormerEntries(now);
     m_documents->check(now);
     m_targets->check(now);
-    requestDocumentIfUnavailable(now);
+    readDocumentChanges(now);
     if (m_ticks % TicksPerPeerRead == 0) {
         requestTargetsIfUnavailable(now);
     }
@@ -394,6 +397,8 @@
         m_targets->readNow();
         return;
     }
+    // Its response may have been sent before the suspension.
+    m_documentRead = 0;
     m_documents->onSuspended(frozen);
     m_targets->onSuspended(frozen);
     m_streamVersions->onSuspended(frozen, now);
--- a/Libraries/LibRelayServer/Relay.h
+++ b/Libraries/LibRelayServer/Relay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibLoop/CallerListener.h>
+#include <LibRelay/ChangeSource.h>
 #include <LibRelay/StoreReaderElection.h>
 #include <LibRelay/TableLag.h>
 #include <LibRelay/TargetListFreshness.h>
@@ -8,6 +9,7 @@
 #include <LibRelayServer/RelayCore.h>
 #include <LibRelayServer/RolloutAgent.h>
 #include <LibRelayServer/StreamVersions.h>
+#include <LibRelayServer/TableChangesServer.h>
 #include <LibRelayServer/TableFollower.h>
 #include <memory>
 
@@ -48,7 +50,7 @@
     void onMetricsRequest(CallerChannel &channel, const CallerRequest &request) const;
     void onReadyRequest(CallerChannel &channel, const CallerRequest &request) const;
     void onDirectoryRequest(CallerChannel &channel, const CallerRequest &request);
-    void onPeerRequest(CallerChannel &channel, const CallerRequest &request);
+    void onPeerRequest(const std::shared_ptr<CallerChannel> &channel, const CallerRequest &request);
 
     // The store's tables (RelayTables.cpp).
     void onDocumentRow(const StoreRow &row, const TableFollower::ReadContext &context);
@@ -83,10 +85,20 @@
     void addDelays(LogLine &line, MonotonicTime now) const;
 
     std::vector<std::string> addressesFor(const std::string &dataCentre, const std::string &region, MonotonicTime now) const;
-    // Requests the document from a peer that has a newer one, while this relay cannot read the store.
-    void requestDocumentIfUnavailable(MonotonicTime now);
-    void requestDocumentFromPeer(const std::string &address);
-    // Delay before this relay reads a change of the document that a peer has reported.
+    // Position of the newest change of the document's table that a live peer has reported: the store's era and version.
+    std::pair<int64_t, int64_t> newestDocumentPosition(MonotonicTime now) const;
+    // The relays from which this relay may take the document's changes up to a position: those of its region, or all if it cannot read the store.
+    std::vector<ChangeSource::Relay> documentHolders(const std::pair<int64_t, int64_t> &position, MonotonicTime now) const;
+    // Where this relay gets the changes of the document that it lacks. Nothing if it lacks none, or reads them all the time.
+    std::optional<ChangeSource::Decision> chooseDocumentSource(MonotonicTime now);
+    void readDocumentChanges(MonotonicTime now);
+    void readDocumentFromPeer(const std::string &address, MonotonicTime now);
+    void onDocumentFromPeer(const std::string &address, MonotonicTime requestedAt, const LoopAnswer &response, MonotonicTime now);
+    // Whether relays of the region that come before this one read what it is reading from the store.
+    bool leavesDocumentToPeers(MonotonicTime now) const;
+    // Whether the changes of the document come from peers, or are about to.
+    bool awaitsDocumentFromPeers(MonotonicTime now);
+    // Delay before this relay reads a change from the store that a peer has reported.
     std::chrono::milliseconds catchUpDelay(MonotonicTime now);
     // Time since the last confirmation of a table after which this relay reads the store itself.
     std::chrono::milliseconds maxTableAge(MonotonicTime now) const;
@@ -134,7 +146,11 @@
     bool m_wasReading = false;
     // Whether the requests that outlast the grace period have got their responses.
     bool m_hasEndedRequests = false;
-    bool m_isRequestingDocument = false;
+    // Number of the read of the document from a peer that is in progress. Zero if there is none.
+    uint64_t m_documentRead = 0;
+    uint64_t m_documentReads = 0;
+    ChangeSource m_documentSource;
+    std::unique_ptr<TableChangesServer> m_documentServer;
     bool m_isRequestingTargets = false;
     // Whether a peer has sent its whole target list.
     bool m_hasPeerTargets = false;
--- a/Libraries/LibRelayServer/RelayOptions.h
+++ b/Libraries/LibRelayServer/RelayOptions.h
@@ -33,6 +33,8 @@
     // Maximum cooldown for which a target may ask.
     std::chrono::milliseconds maxCooldown {60000};
     size_t maxConnections = 3000;
+    // Rate of this VM's link in Mbit/s. Zero if it is unknown.
+    double linkMbps = 0;
     // Whether the whole system starts for the first time, so that no stream can have begun before.
     bool isFirstStart = false;
     // Features in use, by the platform's names. Unknown names have no effect.
--- a/Libraries/LibRelayServer/RelayTables.cpp
+++ b/Libraries/LibRelayServer/RelayTables.cpp
@@ -16,20 +16,20 @@
 namespace
 {
 
-constexpr std::string_view SnapshotPath = "/snapshot/";
 constexpr std::string_view TargetsPath = "/targets";
-// An older snapshot is of no use, and its age would not fit into a time.
-constexpr std::chrono::milliseconds MaxSnapshotAge = std::chrono::hours(24 * 365);
 // A table that has never been confirmed has no age.
 constexpr std::chrono::milliseconds MaxLoggedAge = std::chrono::minutes(1);
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
+constexpr int StatusUnavailable = 503;
 
 // Maximum time between two reads by a relay that reads the store all the time: the time for which the store holds a read, the delay between two reads, and the
 // way there and back.
 constexpr std::chrono::milliseconds MaxReadInterval {1150};
 // If the target list of a relay that reads the store differs for this time, the whole list is read.
 constexpr std::chrono::milliseconds MaxDifferenceTime {4000};
+// Beyond its interval, a heartbeat comes this much later at most from a relay that is not frozen or cut off.
+constexpr std::chrono::milliseconds MaxHeartbeatDelay {300};
 // Heartbeats of such a relay that may be lost or late before others read the store themselves.
 constexpr int HeartbeatsUntilOwnRead = 2;
 // Maximum delay before a relay reads a change of which a peer has notified it. All relays are notified at the same moment.
@@ -43,60 +43,6 @@
 // target that is alive.
 constexpr std::chrono::seconds SilentTargetRemovalTime {8};
 
-// Encoding of rows between peers.
-std::string encodeSnapshot(const StoreRows &rows, std::optional<std::chrono::milliseconds> age)
-{
-    nlohmann::json list = nlohmann::json::array();
-    for (const auto &row : rows.rows) {
-        list.push_back({{"key", absl::Base64Escape(row.key)}, {"value", absl::Base64Escape(row.value)}, {"version", row.version}});
-    }
-    nlohmann::json snapshot {{"era", rows.era}, {"version", rows.version}, {"change", rows.changeVersion}, {"rows", std::move(list)}};
-    if (age) {
-        snapshot["age_ms"] = age->count();
-    }
-    return snapshot.dump();
-}
-
-struct Snapshot {
-    StoreRows rows;
-    // Time since the rows were last known to be current, if the peer knows it.
-    std::optional<std::chrono::milliseconds> age;
-};
-
-std::optional<Snapshot> snapshotOf(const nlohmann::json &json)
-{
-    StoreRows rows {.version = json.value("version", int64_t {0}), .era = json.value("era", int64_t {0}), .changeVersion = json.value("change", int64_t {0})};
-    for (const auto &item : json.at("rows")) {
-        StoreRow row {.version = item.value("version", int64_t {0})};
-        if (!absl::Base64Unescape(item.value("key", std::string()), &row.key) || !absl::Base64Unescape(item.value("value", std::string()), &row.value)) {
-            return std::nullopt;
-        }
-        rows.rows.push_back(std::move(row));
-    }
-    Snapshot snapshot {.rows = std::move(rows)};
-    if (json.contains("age_ms")) {
-        const auto age = toWholeNumber(json.at("age_ms"));
-        if (!age || *age < 0 || *age > MaxSnapshotAge.count()) {
-            return std::nullopt;
-        }
-        snapshot.age = std::chrono::milliseconds(*age);
-    }
-    return snapshot;
-}
-
-std::optional<Snapshot> decodeSnapshot(std::string_view text)
-{
-    const auto json = parseJson(text);
-    if (!json.ok()) {
-        return std::nullopt;
-    }
-    try {
-        return snapshotOf(*json);
-    } catch (const nlohmann::json::exception &) {
-        return std::nullopt;
-    }
-}
-
 std::string_view sourceOf(const TableFollower &follower)
 {
     return follower.source().empty() ? std::string_view("store") : std::string_view(follower.source());
@@ -124,17 +70,30 @@
     const auto onAvailable = [this](const std::string &table) {
         return [this, table](std::chrono::milliseconds outage) { logStore(EventKind::PlatformRegained, table, absl::StrCat("after ", outage.count(), " ms")); };
     };
+    auto documentOptions = optionsFor(adapter.documentTable);
+    documentOptions.awaitsPeers = [this](MonotonicTime now) { return awaitsDocumentFromPeers(now); };
+    documentOptions.leavesReadToPeers = [this](MonotonicTime now) { return leavesDocumentToPeers(now); };
     m_documents = std::make_unique<TableFollower>(
         m_core.loop,
         m_core.client,
         adapter,
         m_core.options.store,
-        optionsFor(adapter.documentTable),
+        std::move(documentOptions),
         TableFollower::Hooks {.onChange = [this](const StoreRow &row, const TableFollower::ReadContext &context) { onDocumentRow(row, context); },
                               .onTable = [](const StoreRows &, const TableFollower::ReadContext &) {},
                               .onEra = [this](int64_t era) { onDocumentEra(era, monotonicNow()); },
                               .onUnavailable = onUnavailable(adapter.documentTable),
-                              .onAvailable = onAvailable(adapter.documentTable)});
+                              .onAvailable = onAvailable(adapter.documentTable),
+                              .onReceiving = [this] { m_peers.scheduleHeartbeat(NotificationScope::Region); }});
+    m_documentServer
+        = std::make_unique<TableChangesServer>(TableChangesServer::Options {.linkMbps = m_core.options.linkMbps},
+                                               TableChangesServer::Hooks {.onSent =
+                                                                              [this](size_t bytes) {
+                                                                                  m_core.metrics.count("relay_table_changes_sent_total");
+                                                                                  m_core.metrics.count("relay_table_changes_bytes_sent_total", {}, bytes);
+                                                                              },
+                                                                          .onBusy = [this] { m_core.metrics.count("relay_table_changes_busy_total"); }},
+                                               *m_documents);
     m_targets = std::make_unique<TableFollower>(
         m_core.loop,
         m_core.client,
@@ -217,18 +176,17 @@
     m_core.metrics.set("relay_datagram_wait_seconds", std::chrono::duration<double>(m_peers.longestDatagramWait(now)).count());
 }
 
-void Relay::onPeerRequest(CallerChannel &channel, const CallerRequest &request)
+void Relay::onPeerRequest(const std::shared_ptr<CallerChannel> &channel, const CallerRequest &request)
 {
     const auto &target = request.head.target;
-    const auto matches = [&](const std::string &table) { return target == absl::StrCat(toAbsl(SnapshotPath), table); };
-    if (matches(m_core.adapter.documentTable) && m_documents->hasRows()) {
-        channel.send({.status = StatusOk}, encodeSnapshot(m_documents->snapshot(), m_documents->state(monotonicNow()).age));
+    if (target == TableChangesServer::pathOf(m_core.adapter.documentTable)) {
+        m_documentServer->respond(channel, request.head, monotonicNow());
     } else if (target == TargetsPath && m_core.targets.size() > 0) {
         const PeerHeartbeat heartbeat {
             .node = m_core.options.node, .targetsEra = m_targets->era(), .targetsVersion = m_targets->version(), .targets = m_core.targets.allEntries()};
-        channel.send({.status = StatusOk}, encodePeerHeartbeat(heartbeat, MaxPeerResponseBytes));
+        channel->send({.status = StatusOk}, encodePeerHeartbeat(heartbeat, MaxPeerResponseBytes));
     } else {
-        channel.send({.status = StatusNotFound}, {});
+        channel->send({.status = StatusNotFound}, {});
     }
 }
 
@@ -250,60 +208,134 @@
     }
 }
 
-void Relay::requestDocumentIfUnavailable(MonotonicTime now)
+std::pair<int64_t, int64_t> Relay::newestDocumentPosition(MonotonicTime now) const
 {
-    if (m_isRequestingDocument || (m_documents->hasRows() && !m_documents->failingSince())) {
+    std::pair<int64_t, int64_t> newest;
+    for (const auto *peer : m_core.peers.livePeers(now)) {
+        newest = std::max(newest, std::pair(peer->latestHeartbeat.documentEra, peer->latestHeartbeat.documentTableVersion));
+    }
+    return newest;
+}
+
+std::vector<ChangeSource::Relay> Relay::documentHolders(const std::pair<int64_t, int64_t> &position, MonotonicTime now) const
+{
+    std::vector<ChangeSource::Relay> relays;
+    const auto peers = m_documents->failingSince() ? m_core.peers.livePeers(now) : m_core.peers.livePeersInRegion(now);
+    for (const auto *peer : peers) {
+        const auto &heartbeat = peer->latestHeartbeat;
+        const auto [era, version] = position;
+        relays.push_back({.node = heartbeat.node,
+                          .address = heartbeat.peers,
+                          .linkMbps = heartbeat.linkMbps,
+                          .hasChanges = version > 0 && heartbeat.documentEra == era && heartbeat.documentTableVersion >= version,
+                          .isReceiving = heartbeat.receivingDocument && now - peer->receivedAt < heartbeat.heartbeatInterval + MaxHeartbeatDelay});
+    }
+    return relays;
+}
+
+std::optional<ChangeSource::Decision> Relay::chooseDocumentSource(MonotonicTime now)
+{
+    const auto position = newestDocumentPosition(now);
+    const auto [era, version] = position;
+    if (!m_documents->isBehind(era, version)) {
+        m_documentSource.recordCaughtUp();
+        return std::nullopt;
+    }
+    // What the store has lost when a new era begins, only it can tell.
+    const bool mustRead = m_readers.isReading() || era != m_documents->era();
+    if (m_documents->hasRows() && !m_documents->failingSince() && mustRead) {
+        return std::nullopt;
+    }
+    return m_documentSource.decide(documentHolders(position, now), now, m_core.random());
+}
+
+bool Relay::leavesDocumentToPeers(MonotonicTime now) const
+{
+    return !m_readers.isReading() && m_documentSource.isReadByOthers(documentHolders(newestDocumentPosition(now), now));
+}
+
+bool Relay::awaitsDocumentFromPeers(MonotonicTime now)
+{
+    if (m_documentRead != 0) {
+        return true;
+    }
+    if (!m_documents->hasRows() && leavesDocumentToPeers(now)) {
+        return true;
+    }
+    const auto decision = chooseDocumentSource(now);
+    return decision && decision->kind != ChangeSource::Decision::Kind::Store;
+}
+
+void Relay::readDocumentChanges(MonotonicTime now)
+{
+    if (m_documentRead != 0) {
         return;
     }
-    // A different peer each time, so that one that does not respond is not asked again and again.
-    std::vector<const Peer *> newer;
-    for (const auto *peer : m_core.peers.livePeers(now)) {
-        if (m_documents->isBehind(peer->latestHeartbeat.documentEra, peer->latestHeartbeat.documentTableVersion)) {
-            newer.push_back(peer);
-        }
+    const auto decision = chooseDocumentSource(now);
+    if (!decision || decision->kind == ChangeSource::Decision::Kind::Wait) {
+        return;
     }
-    if (!newer.empty()) {
-        requestDocumentFromPeer(newer[m_core.random() % newer.size()]->latestHeartbeat.peers);
+    if (decision->kind == ChangeSource::Decision::Kind::Peer) {
+        readDocumentFromPeer(decision->address, now);
+    } else if (m_documents->hasRows() && !m_documents->failingSince()) {
+        m_documents->readSoon(std::chrono::milliseconds(0));
     }
 }
 
-void Relay::requestDocumentFromPeer(const std::string &address)
+void Relay::readDocumentFromPeer(const std::string &address, MonotonicTime now)
 {
     const auto endpoint = Endpoint::parse(address);
     if (!endpoint) {
+        m_documentSource.recordFailure(address, now);
         return;
     }
-    m_isRequestingDocument = true;
-    const auto &table = m_core.adapter.documentTable;
-    const LoopCall call {.target = absl::StrCat(toAbsl(SnapshotPath), table),
-                         .timeout = PeerReadTimeout,
-                         .onProgress = [] {},
-                         .mostAnswerBytes = MaxPeerResponseBytes,
-                         .freshConnection = true};
-    m_core.client.call(*endpoint, call, [this, table, address, requestedAt = monotonicNow()](const LoopAnswer &response) {
-        m_isRequestingDocument = false;
-        const auto now = monotonicNow();
-        const auto snapshot = response.isSuccess() ? decodeSnapshot(response.body) : std::nullopt;
-        if (!snapshot) {
-            logPeerReadFailure(table, address, response, now - requestedAt);
-            return;
-        }
-        const auto currentAt = snapshot->age ? std::optional(requestedAt - *snapshot->age) : std::nullopt;
-        if (m_documents->merge(snapshot->rows, address, currentAt)) {
-            logStore(EventKind::TableReplaced, table, absl::StrCat("from peer ", address, " as of ", snapshot->rows.version));
+    const auto [era, wanted] = newestDocumentPosition(now);
+    const auto after = m_documents->hasRows() ? m_documents->version() : 0;
+    const auto call = TableChangesServer::buildCall(m_core.adapter.documentTable,
+                                                    {.era = m_documents->era(), .after = after, .wanted = wanted, .receiver = m_core.options.peers.toText()});
+    m_documentRead = ++m_documentReads;
+    m_core.client.call(*endpoint, call, [this, address, number = m_documentRead, requestedAt = now](const LoopAnswer &response) {
+        if (number == m_documentRead) {
+            m_documentRead = 0;
+            onDocumentFromPeer(address, requestedAt, response, monotonicNow());
         }
     });
 }
 
+void Relay::onDocumentFromPeer(const std::string &address, MonotonicTime requestedAt, const LoopAnswer &response, MonotonicTime now)
+{
+    const auto &table = m_core.adapter.documentTable;
+    if (response.status == StatusUnavailable) {
+        m_documentSource.recordBusy(address, TableChangesServer::holdersOf(response), now);
+        readDocumentChanges(now);
+        return;
+    }
+    const auto changes = response.isSuccess() ? decodeTableChanges(response.body) : std::nullopt;
+    if (!changes) {
+        logPeerReadFailure(table, address, response, now - requestedAt);
+        m_documentSource.recordFailure(address, now);
+        readDocumentChanges(now);
+        return;
+    }
+    const auto age = TableChangesServer::ageOf(response);
+    if (m_documents->merge(*changes, address, age ? std::optional(requestedAt - *age) : std::nullopt)) {
+        m_documentSource.recordReceived();
+        logStore(EventKind::TableReplaced, table, absl::StrCat("from peer ", address, " as of ", changes->rows.version));
+    } else if (chooseDocumentSource(now)) {
+        m_documentSource.recordFailure(address, now);
+    }
+}
+
 void Relay::onPeerDocument(const PeerHeartbeat &heartbeat)
 {
     const auto now = monotonicNow();
     if (m_documents->isBehind(heartbeat.documentEra, heartbeat.documentTableVersion)) {
         m_documentLag.recordBehind(heartbeat.node, heartbeat.documentTableVersion, now);
-        if (m_documents->hasRows()) {
+        const bool mustRead = m_readers.isReading() || heartbeat.documentEra != m_documents->era();
+        if (m_documents->hasRows() && mustRead) {
             m_documents->readSoon(catchUpDelay(now));
         } else {
-            requestDocumentIfUnavailable(now);
+            readDocumentChanges(now);
         }
         return;
     }
@@ -468,6 +500,9 @@
     updateLag(m_documentLag, m_core.adapter.documentTable, row.version >= m_documentLag.version(), monotonicNow());
     if (m_readers.isReading()) {
         m_peers.scheduleHeartbeat(NotificationScope::All);
+    } else if (m_documents->source().empty()) {
+        // Relays of the region wait for those that read the store.
+        m_peers.scheduleHeartbeat(NotificationScope::Region);
     }
 }
 
--- a/Libraries/LibRelayServer/TableFollower.cpp
+++ b/Libraries/LibRelayServer/TableFollower.cpp
@@ -50,7 +50,10 @@
         m_hedgeDelay = m_options.hedgeDelay;
         return;
     }
-    const bool isWaiting = m_readActiveAt && !m_isReadHeld;
+    if (m_options.awaitsPeers && m_options.awaitsPeers(now)) {
+        return;
+    }
+    const bool isWaiting = isWaitingForResponse();
     if (m_isRetryScheduled || (isWaiting && now - *m_readActiveAt < m_hedgeDelay)) {
         return;
     }
@@ -101,7 +104,12 @@
     m_isCatchingUp = true;
     m_catchUpTimer.expires_after(delay);
     m_catchUpTimer.async_wait([this](const LoopError &error) {
-        if (!error) {
+        if (error) {
+            return;
+        }
+        if (isWaitingForResponse()) {
+            m_isCatchingUp = false;
+        } else {
             startRead({});
         }
     });
@@ -114,6 +122,7 @@
     m_timer.cancel();
     m_isRetryScheduled = false;
     m_readActiveAt = read->sentAt;
+    m_partsReceived = 0;
     m_isReadHeld = !m_needsTable && hold.count() > 0;
     if (m_needsTable) {
         requestPage(read);
@@ -131,7 +140,8 @@
         }
         const auto now = monotonicNow();
         const bool isOld = age(now) >= m_options.maxAge(now);
-        if (!m_needsTable && !isOld && !m_options.shouldRead(now)) {
+        const bool awaitsPeers = m_options.awaitsPeers && m_options.awaitsPeers(now);
+        if (awaitsPeers || (!m_needsTable && !isOld && !m_options.shouldRead(now))) {
             m_isRetryScheduled = false;
             schedule(m_options.idleInterval);
             return;
@@ -147,11 +157,16 @@
     // A copy of an earlier response on a kept connection would confirm rows as of a later request.
     call.freshConnection = true;
     call.onProgress = [this, read] {
-        if (read->number == m_readNumber) {
-            m_readActiveAt = monotonicNow();
-            m_isReadHeld = false;
+        if (read->number != m_readNumber) {
+            return;
+        }
+        m_readActiveAt = monotonicNow();
+        m_isReadHeld = false;
+        if (++m_partsReceived == 2 && m_hooks.onReceiving) {
+            m_hooks.onReceiving();
         }
     };
+    call.isWanted = [this] { return !isReceiving() || !m_options.leavesReadToPeers || !m_options.leavesReadToPeers(monotonicNow()); };
     m_client.call(m_store, call, [this, read](const LoopAnswer &response) { onResponse(read, response, monotonicNow()); });
 }
 
@@ -206,8 +221,21 @@
     return read->era == m_era;
 }
 
+void TableFollower::leaveRead()
+{
+    m_readActiveAt.reset();
+    m_isCatchingUp = false;
+    schedule(m_options.idleInterval);
+}
+
 void TableFollower::onResponse(const ReadPointer &read, const LoopAnswer &response, MonotonicTime now)
 {
+    if (response.isUnwanted) {
+        if (read->number == m_readNumber) {
+            leaveRead();
+        }
+        return;
+    }
     if (response.end == ChannelEnd::Complete && !acceptEra(read, response, now)) {
         // Neither changes since a version of another era nor pages of two eras say what is in the table.
         if (read->number == m_readNumber && !m_isRetryScheduled) {
@@ -276,14 +304,8 @@
 {
     m_source.clear();
     onSuccess(read, now);
-    for (const auto &row : changes.rows) {
-        if (mergeRow(row)) {
-            m_hooks.onChange(row, {.afterOutage = m_afterOutage, .sentAt = read.sentAt});
-        }
-    }
-    m_version = std::max(m_version, changes.version);
+    mergeChanges(changes, {.afterOutage = m_afterOutage, .sentAt = read.sentAt});
     m_afterOutage = false;
-    forgetRemovedRows();
     if (changes.hasMore) {
         if (read.number == m_readNumber) {
             startRead({});
@@ -317,6 +339,17 @@
     return true;
 }
 
+void TableFollower::mergeChanges(const StoreRows &changes, const ReadContext &context)
+{
+    for (const auto &row : changes.rows) {
+        if (mergeRow(row)) {
+            m_hooks.onChange(row, context);
+        }
+    }
+    m_version = std::max(m_version, changes.version);
+    forgetRemovedRows();
+}
+
 void TableFollower::mergeTable(const StoreRows &rows, std::optional<MonotonicTime> sentAt)
 {
     const ReadContext context {.afterOutage = m_afterOutage || m_awaitsFirstTable, .afterRestore = m_awaitsFirstTable, .sentAt = sentAt};
@@ -396,9 +429,11 @@
     }
 }
 
-bool TableFollower::merge(const StoreRows &rows, const std::string &peer, std::optional<MonotonicTime> currentAt)
+bool TableFollower::merge(const TableChanges &changes, const std::string &peer, std::optional<MonotonicTime> currentAt)
 {
-    if (rows.era < m_era) {
+    const auto &rows = changes.rows;
+    const bool mayBeMerged = changes.isWhole ? rows.era >= m_era : m_hasRows && !m_awaitsFirstTable && rows.era == m_era;
+    if (!mayBeMerged) {
         return false;
     }
     enterEra(rows.era);
@@ -407,13 +442,17 @@
     }
     const bool wasUnavailable = m_isUnavailable;
     m_source = peer;
-    mergeTable(rows, std::nullopt);
+    if (changes.isWhole) {
+        mergeTable(rows, std::nullopt);
+    } else {
+        mergeChanges(rows, {.afterOutage = m_afterOutage});
+    }
     m_changeVersion = std::max(m_changeVersion, rows.changeVersion);
     if (currentAt) {
         confirm(*currentAt);
     }
     // The next read of the store requests the changes since then.
-    m_afterOutage = wasUnavailable;
+    m_afterOutage = m_afterOutage || wasUnavailable;
     return true;
 }
 
@@ -474,16 +513,15 @@
     }
 }
 
-StoreRows TableFollower::snapshot() const
+TableChanges TableFollower::changesSince(int64_t era, int64_t version) const
 {
-    StoreRows result {.version = m_version, .era = m_era, .changeVersion = m_changeVersion};
-    result.rows.reserve(m_rows.size());
+    TableChanges changes {.rows = {.version = m_version, .era = m_era, .changeVersion = m_changeVersion}, .isWhole = era != m_era || version < m_historyFrom};
     for (const auto &[key, row] : m_rows) {
-        if (!row.removed) {
-            result.rows.push_back(row);
+        if (changes.isWhole ? !row.removed : row.version > version) {
+            changes.rows.rows.push_back(row);
         }
     }
-    return result;
+    return changes;
 }
 
 TableState TableFollower::state(MonotonicTime now) const
--- a/Libraries/LibRelayServer/TableFollower.h
+++ b/Libraries/LibRelayServer/TableFollower.h
@@ -3,6 +3,7 @@
 #include <LibCore/Time.h>
 #include <LibLoop/LoopClient.h>
 #include <LibRelayServer/PlatformAdapter.h>
+#include <LibRelayServer/TableChangesCodec.h>
 #include <map>
 #include <random>
 
@@ -50,6 +51,10 @@
         std::chrono::milliseconds idleInterval {250};
         // The store is read if the rows have not been known to be current for this time.
         std::function<std::chrono::milliseconds(MonotonicTime now)> maxAge;
+        // Whether the rows that this relay lacks come from a peer, or are about to, so that it does not read the store. May be left out.
+        std::function<bool(MonotonicTime now)> awaitsPeers;
+        // Whether this relay ends a read whose response takes long, because peers receive the same. May be left out.
+        std::function<bool(MonotonicTime now)> leavesReadToPeers;
         // Number of live relays. The maximum delay after failed reads grows with it, because all relays retry.
         std::function<int()> liveRelays;
         // Timeout for each part of a response, in addition to the hold time.
@@ -82,6 +87,8 @@
         std::function<void(int64_t era)> onEra;
         std::function<void(const std::string &error)> onUnavailable;
         std::function<void(std::chrono::milliseconds outage)> onAvailable;
+        // A response has begun to arrive that takes more than one part. May be left out.
+        std::function<void()> onReceiving;
     };
 
     TableFollower(boost::asio::io_context &loop, LoopClient &client, const PlatformAdapter &adapter, Endpoint store, Options options, Hooks hooks);
@@ -98,7 +105,8 @@
     // Reads at once.
     void onSuspended(std::chrono::nanoseconds time);
 
-    // Reads the changes after a delay, because a peer has some that this relay lacks. Does nothing while such a read is planned or in progress.
+    // Reads the changes after a delay, because a peer has some that this relay lacks. Does nothing while such a read is planned or another one than a held one
+    // is in progress.
     void readSoon(std::chrono::milliseconds delay);
 
     // Reads the whole table at once, because the rows differ from those of a peer although all changes have been read.
@@ -113,11 +121,17 @@
     // Takes over that the store is in this era, as a peer has reported together with rows of it. Does nothing if it is not a later one.
     void enterEra(int64_t era);
 
-    // Merges the table that a peer has sent, and that was current at the given time. Returns whether it is newer than the own rows.
-    bool merge(const StoreRows &rows, const std::string &peer, std::optional<MonotonicTime> currentAt);
+    // Merges what a peer has sent, and what was current at the given time. Returns whether it is newer than the own rows.
+    bool merge(const TableChanges &changes, const std::string &peer, std::optional<MonotonicTime> currentAt);
 
-    // The current rows, for peers.
-    StoreRows snapshot() const;
+    // What a peer lacks that knows all changes up to a version of an era: the changes since then, or the whole table if they are not known one by one.
+    TableChanges changesSince(int64_t era, int64_t version) const;
+
+    // Whether a response of more than one part is arriving from the store.
+    bool isReceiving() const
+    {
+        return isWaitingForResponse() && m_partsReceived > 1;
+    }
 
     TableState state(MonotonicTime now) const;
 
@@ -206,7 +220,14 @@
     };
     using ReadPointer = std::shared_ptr<Read>;
 
+    // Whether a read that the store may not hold is in progress.
+    bool isWaitingForResponse() const
+    {
+        return m_readActiveAt && !m_isReadHeld;
+    }
     void startRead(std::chrono::milliseconds hold);
+    // Ends the newest read for the sake of what peers receive.
+    void leaveRead();
     void request(const ReadPointer &read, LoopCall call);
     void requestPage(const ReadPointer &read);
     void requestChanges(const ReadPointer &read);
@@ -217,6 +238,7 @@
     void onChanges(const Read &read, const StoreRows &changes, MonotonicTime now);
     // Schedules the next read after the newest one.
     void onReadEnded(const Read &read);
+    void mergeChanges(const StoreRows &changes, const ReadContext &context);
     void mergeTable(const StoreRows &rows, std::optional<MonotonicTime> sentAt);
     // Takes a row over if it is newer than the known one. Returns whether it is.
     bool mergeRow(const StoreRow &row);
@@ -261,6 +283,7 @@
     // When the newest read was sent or the last part of its response arrived, if it is in progress, and whether the store may hold it.
     std::optional<MonotonicTime> m_readActiveAt;
     bool m_isReadHeld = false;
+    int m_partsReceived = 0;
     // Whether the next read after a failed one is scheduled.
     bool m_isRetryScheduled = false;
     bool m_isCatchingUp = false;
--- a/Tests/Platform/RelayTestBed.h
+++ b/Tests/Platform/RelayTestBed.h
@@ -53,6 +53,11 @@
     bool runUntil(const std::function<bool()> &condition, std::chrono::milliseconds timeout = std::chrono::seconds(8));
     void runFor(std::chrono::milliseconds time);
 
+    const Endpoint &storeAddress() const
+    {
+        return m_storeAddress;
+    }
+
     const RelayOptions &options(const std::string &node) const
     {
         return m_nodes.at(node).options;
--- a/Tests/Platform/TestOddEntries.cpp
+++ b/Tests/Platform/TestOddEntries.cpp
@@ -2,6 +2,8 @@
 #include "ScriptedPeer.h"
 
 #include <gtest/gtest.h>
+#include <LibCore/Compression.h>
+#include <LibRelayServer/TableChangesServer.h>
 #include <LibRelayServer/TargetEntryCheck.h>
 #include <platform/DocumentCodec.h>
 #include <platform/PlatformAdapter.h>
@@ -310,6 +312,8 @@
     const auto entry = entryWith("version", "\"v1\"");
     const std::string page
         = R"({"rows":[{"table":"t","part":"","key":"k","value":"aGk=","ver":4},{"key":"g","ver":5,"deleted":true}],"ver":9,"has_more":false})";
+    const auto peerChanges = encodeTableChanges({.rows = {.rows = {{.key = "k", .value = "hi", .version = 4}}, .version = 9, .changeVersion = 4}});
+    const auto peerMessage = *decompressZstd(std::string_view(peerChanges).substr(2), MaxTableChangesBytes);
     std::mt19937 random(29);
     int usable = 0;
     for (int count = 0; count < Texts; ++count) {
@@ -328,6 +332,8 @@
         [[maybe_unused]] const auto state = adapter.decodeState(damaged(R"({"state":"ready","born":1769571039051,"leaves_ms":1500})", random));
         [[maybe_unused]] const auto copy
             = adapter.decodeCopy({.end = ChannelEnd::Complete, .status = 200, .body = damaged(R"({"handle":"h-1","created":35})", random)});
+        [[maybe_unused]] const auto changes = decodeTableChanges(damaged(peerChanges, random));
+        [[maybe_unused]] const auto message = decodeTableChanges("T1" + compressZstd(damaged(peerMessage, random)));
         [[maybe_unused]] const auto order = adapter.decodeRolloutOrder("s", damaged(R"({"service":"s","to":"v2","duration_s":12.5})", random));
         [[maybe_unused]] const auto transaction = adapter.decodeTransaction({.end = ChannelEnd::Complete, .status = 412, .body = damaged(page, random)});
         [[maybe_unused]] const auto query = adapter.decodeDirectoryQuery(damaged("zone=lahore&region=punjab", random));
@@ -415,24 +421,30 @@
     EXPECT_EQ(target.runCount(), 20);
 }
 
-// Guards against a relay that ends because of a snapshot of another shape from a peer.
-TEST(OddEntries, SnapshotsOfAnotherShapeAreRefused)
+// Guards against a relay that ends because of changes of another shape from a peer.
+TEST(OddEntries, ChangesOfAnotherShapeAreRefused)
 {
-    for (const std::string text : {R"({"version":"x","rows":[]})",
-                                   R"({"version":1,"change":{},"rows":[]})",
-                                   R"({"version":1,"rows":[7]})",
-                                   R"({"version":1,"rows":7})",
-                                   R"({"version":1,"rows":[{"version":"x"}]})",
-                                   R"({"version":1,"rows":[{"version":1,"key":7}]})",
-                                   R"({"version":1,"rows":[],"age_ms":"x"})",
-                                   R"({"version":1,"rows":[],"age_ms":-9223372036854775808})",
-                                   R"({"version":1,"rows":[],"age_ms":1e300})"}) {
+    const auto good
+        = encodeTableChanges({.rows = {.rows = {{.key = "config", .value = "{}", .version = 5}}, .version = 5, .changeVersion = 5}, .isWhole = true});
+    for (const std::string &text : {std::string(),
+                                    std::string("T1"),
+                                    std::string(R"({"version":1,"rows":[]})"),
+                                    "T2" + good.substr(2),
+                                    good.substr(0, good.size() / 2),
+                                    "T1" + compressZstd("no message"),
+                                    "T1" + compressZstd(std::string(MaxTableChangesBytes + 1, 'a')),
+                                    "T1" + compressZstd(std::string(1000, '\xff'))}) {
         RelayTestBed testBed;
         testBed.store->setFault(StandInStore::Fault::Silent);
         testBed.addRelay("n1");
         ScriptedPeer peer(testBed.loop, "a0", testBed.options("n1").peers);
-        peer.setResponse("/snapshot/op", text);
+        peer.setResponse("/changes/op", text);
         peer.setHeartbeat({.documentTableVersion = 5});
-        EXPECT_TRUE(testBed.runUntil([&] { return peer.requestCount() > 1; })) << text;
+        EXPECT_TRUE(testBed.runUntil([&] { return peer.requestCount() > 1; })) << shortened(text);
+        EXPECT_EQ(testBed.readiness("n1"), 503);
     }
+    for (const std::string age : {"x", "", "-1", "-9223372036854775808", "1e300", "99999999999999"}) {
+        EXPECT_FALSE(TableChangesServer::ageOf({.fields = {{.name = "Table-Age-Ms", .value = age}}})) << age;
+    }
+    EXPECT_EQ(TableChangesServer::ageOf({.fields = {{.name = "Table-Age-Ms", .value = "12"}}}), 12ms);
 }
--- a/Tests/Platform/TestTableFollower.cpp
+++ b/Tests/Platform/TestTableFollower.cpp
@@ -133,7 +133,8 @@
 {
     follower.start();
     ASSERT_NE(read(0), "");
-    EXPECT_TRUE(follower.merge({.rows = {{.key = "config", .value = "new", .version = 20}}, .version = 20, .changeVersion = 20}, "peer", std::nullopt));
+    EXPECT_TRUE(follower.merge(
+        {.rows = {.rows = {{.key = "config", .value = "new", .version = 20}}, .version = 20, .changeVersion = 20}, .isWhole = true}, "peer", std::nullopt));
     respond(0, {{.key = "config", .value = "old", .version = 5}, {.key = "evacuate/a", .value = "{}", .version = 6}}, 10);
     EXPECT_EQ(changes, std::vector<std::string> {"config=new@20"});
     EXPECT_EQ(follower.version(), 20);
@@ -145,7 +146,8 @@
     readTable({{.key = "config", .value = "a", .version = 1}, {.key = "evacuate/a", .value = "{}", .version = 2}}, 2);
     follower.readNow();
     ASSERT_NE(read(1), "");
-    EXPECT_TRUE(follower.merge({.rows = {{.key = "config", .value = "c", .version = 9}}, .version = 10, .changeVersion = 10}, "peer", std::nullopt));
+    EXPECT_TRUE(follower.merge(
+        {.rows = {.rows = {{.key = "config", .value = "c", .version = 9}}, .version = 10, .changeVersion = 10}, .isWhole = true}, "peer", std::nullopt));
     EXPECT_EQ(changes, (std::vector<std::string> {"config=c@9", "evacuate/a=removed@10"}));
     respond(1, {{.key = "config", .value = "b", .version = 5}, {.key = "evacuate/a", .value = "{}", .version = 6}}, 6);
     EXPECT_EQ(changes.size(), 2U);
@@ -271,7 +273,7 @@
     respond(1, {{.key = "config", .value = "a", .version = 1}}, 90);
     respond(0, {{.key = "config", .value = "a", .version = 1}, {.key = "evacuate/a", .value = "{}", .version = 70}}, 80);
     EXPECT_EQ(changes, std::vector<std::string> {"config=a@1"});
-    EXPECT_EQ(follower.snapshot().rows.size(), 1U);
+    EXPECT_EQ(follower.changesSince(0, 0).rows.rows.size(), 1U);
 }
 
 // Guards against a store that is silent, over each new connection, and never counts as unavailable.
@@ -356,7 +358,9 @@
     readTable({{.key = "config", .value = "b", .version = 9}}, 10);
     follower.readNow();
     ASSERT_NE(read(1), "");
-    EXPECT_TRUE(follower.merge({.rows = {{.key = "config", .value = "a", .version = 5}}, .version = 7, .era = 2, .changeVersion = 5}, "peer", std::nullopt));
+    EXPECT_TRUE(follower.merge({.rows = {.rows = {{.key = "config", .value = "a", .version = 5}}, .version = 7, .era = 2, .changeVersion = 5}, .isWhole = true},
+                               "peer",
+                               std::nullopt));
     respond(1, {{.key = "config", .value = "d", .version = 11}}, 11);
     EXPECT_EQ(changes, std::vector<std::string> {"config=a@5"});
     follower.readTable();
@@ -383,7 +387,9 @@
     EXPECT_EQ(follower.currentAt(), currentAt);
     EXPECT_EQ(follower.version(), 7);
     EXPECT_FALSE(
-        follower.merge({.rows = {{.key = "config", .value = "z", .version = 20}}, .version = 20, .era = 1, .changeVersion = 20}, "peer", std::nullopt));
+        follower.merge({.rows = {.rows = {{.key = "config", .value = "z", .version = 20}}, .version = 20, .era = 1, .changeVersion = 20}, .isWhole = true},
+                       "peer",
+                       std::nullopt));
     EXPECT_TRUE(changes.empty());
 }
 
