--- a/Libraries/LibRelayServer/Relay.h
+++ b/Libraries/LibRelayServer/Relay.h
@@ -148,6 +148,7 @@
     bool m_hasEndedRequests = false;
     // Number of the read of the document from a peer that is in progress. Zero if there is none.
     uint64_t m_documentRead = 0;
+    // Reads of the document from peers so far.
     uint64_t m_documentReads = 0;
     ChangeSource m_documentSource;
     std::unique_ptr<TableChangesServer> m_documentServer;
--- a/Libraries/LibRelayServer/TableChangesServer.h
+++ b/Libraries/LibRelayServer/TableChangesServer.h
@@ -29,9 +29,9 @@
 
     TableChangesServer(Options options, Hooks hooks, const TableFollower &table);
 
-    // The path of the request for changes, without its query.
+    // The path of a request for changes.
     static std::string pathOf(const std::string &table);
-    // What a relay asks for.
+    // What a relay asks for, as header fields of the request.
     struct Request {
         // It has all changes up to this version of the store, in this era.
         int64_t era = 0;
