--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -291,6 +291,10 @@
         self.runs = {}
         self.stopped = set()
         self.heartbeats = None
+        # Seconds for Retry-After while new requests are turned away as the server is full.
+        self.full_for = None
+        # Whether the destinations of copies have no room for the rest of a run that is stopped.
+        self.lacks_room = False
         # Called with a request and the number of an event. Returns True if the connection is lost after it, while the run goes on.
         self.loses = lambda request, number: False
         # Called with a request before its answer begins. Returns True if the request crashes the server.
@@ -365,11 +369,16 @@
             self.record.add(f"run {id} stopped at {self.id}")
         handle = f"h-{id}"
         copies.add(f"{HOST}:{self.port}/{handle}")
-        return answer(200, {"Content-Type": "application/json"}, json.dumps({"handle": handle, "created": self.runs.get(id, 0)}).encode())
+        status = 503 if order.get("last") and self.lacks_room else 200
+        return answer(status, {"Content-Type": "application/json"}, json.dumps({"handle": handle, "created": self.runs.get(id, 0)}).encode())
 
     async def run(self, request, reader, writer):
         id = request.get("x-attempt-id")
         source = request.get("kv-from")
+        if self.full_for and not source:
+            self.record.add(f"run {id} turned away by {self.id} for {self.full_for} s")
+            writer.write(answer(503, {"X-Not-Executed": "1", "X-Attempt-Id": id, "Retry-After": self.full_for}))
+            return True
         if source and source not in copies:
             writer.write(answer(503, {"X-Not-Executed": "1", "X-Attempt-Id": id}))
             return True
@@ -377,6 +386,7 @@
         if backup := request.get("x-kv-backup"):
             copies.add(f"{backup}/{id}")
         first = int(request.get("last-event-id", "0") or 0) + 1
+        last = 1 if request.start.split(" ")[1].endswith(SHORT) else self.events
         self.record.add(f"run {id} at {self.id} ({self.version}) from event {first}{' with the memory of ' + source if source else ''}")
         self.runs[id] = first - 1
         self.stopped.discard(id)
@@ -393,7 +403,7 @@
                 await writer.drain()
                 asyncio.get_running_loop().call_soon(self._crash)
                 await asyncio.sleep(1)
-            for number in range(first, self.events + 1):
+            for number in range(first, last + 1):
                 if id in self.stopped:
                     return False
                 # A request is dropped with its connection, except where the server itself has lost that.
@@ -594,6 +604,8 @@
         self.temporary.cleanup()
 
 
+# Requests whose path ends so get a stream of one event.
+SHORT = "-short"
 KEY = "k9dnn2ctnfzs989anu6"
 OTHER_KEY = "wsjnbanfqasnmgkcuyj8"
 
@@ -655,12 +667,15 @@
         return {event["by"] for event in self.events}
 
 
-async def open_stream(record, port, path, body, *, parts, usage="2550,64", deadline_ms=6000, key=KEY, fields=None, stop=None):
+async def open_stream(record, port, path, body, *, parts, usage="2550,64", deadline_ms=6000, key=KEY, fields=None, stop=None, kept=False):
     """Sends a request for a stream and reads its answer to its end, or until the caller is to stop."""
     stream = Stream(attempt_id())
     writer = None
     try:
         reader, writer = await asyncio.wait_for(asyncio.open_connection(HOST, port), 1)
+        if kept:
+            # The channel has carried a short request before.
+            await _use(reader, writer, path, key)
         head = [
             f"POST {path} HTTP/1.1", "Host: desk.example", f"X-Attempt-Id: {stream.id}", "X-Model: m", f"X-Token-Usage: {usage}", f"X-Prefix-Hash: {parts}",
             f"X-Deadline-Ms: {deadline_ms}", f"Authorization: Bearer {key}", f"Content-Length: {len(body)}",
@@ -685,6 +700,18 @@
     return stream
 
 
+async def _use(reader, writer, path, key):
+    head = [
+        f"POST {path}{SHORT} HTTP/1.1", "Host: desk.example", f"X-Attempt-Id: {attempt_id()}", "X-Model: m", "X-Token-Usage: 100,4",
+        f"X-Prefix-Hash: a1:79,{os.urandom(4).hex()}:21", "X-Deadline-Ms: 10000", f"Authorization: Bearer {key}", "Content-Length: 0",
+    ]
+    writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
+    stream = Stream("")
+    await _read_stream(stream, reader)
+    if not stream.is_complete:
+        raise ConnectionError("the first request of the channel was not served")
+
+
 async def _read_stream(stream, reader):
     head = await read_head(reader)
     if head is None:
