--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -4,6 +4,7 @@
 import base64
 import json
 import os
+import random
 import re
 import shlex
 import signal
@@ -44,18 +45,19 @@
 
 
 def free_port():
-    """A port on which nothing listens, for TCP and UDP."""
+    """A port on which nothing listens, for TCP and UDP. It is below those that the system gives to outgoing connections."""
     while True:
+        port = random.randrange(15000, 32000)
+        if port in _used_ports:
+            continue
         with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-            tcp.bind((HOST, 0))
-            port = tcp.getsockname()[1]
             try:
+                tcp.bind((HOST, port))
                 udp.bind((HOST, port))
             except OSError:
                 continue
-        if port not in _used_ports:
-            _used_ports.add(port)
-            return port
+        _used_ports.add(port)
+        return port
 
 
 def reset(writer):
