--- a/review/13/play.py
+++ b/review/13/play.py
@@ -1,4 +1,4 @@
-"""A server that has turned requests away with Retry-After is drained. See claim.txt."""
+"""All relays are stopped and started in turn while two versions of a service serve side by side. See claim.txt."""
 import asyncio
 import os
 import sys
@@ -8,65 +8,86 @@
 
 CASE = os.path.dirname(os.path.abspath(__file__))
 RELAYS = 3
-SERVERS = 6
-DRAFTS = 90
-EVENTS = 60
-EVENT_S = 0.2
-RETRY_AFTER_S = 8
-DRAIN_S = 2.5
-MOST_LOST = 3
+STREAMS = 20
+EVENTS = 70
+EVENT_S = 0.5
+DEADLINE_MS = 39000
+# Pause of roll_term between a relay that is back and the next one.
+GAP_S = 1.3
+PAUSE_S = 0.5
+FEWEST = 12
 
 
 async def play():
     deployment = world.Deployment(CASE, RELAYS)
     record, store = deployment.record, deployment.store
     try:
-        servers = [world.ModelServer(store, record, "pool", "lahore-a", f"i-{number}", events=EVENTS, event_s=EVENT_S) for number in range(SERVERS)]
-        route = world.stream_route("pool", "/draft/", 39000, resumable=False, max_attempts=1)
+        servers = [
+            world.ModelServer(store, record, "pool", "lahore-a", f"i-{version}-{number}", version, events=EVENTS, event_s=EVENT_S)
+            for version in ("v1", "v2") for number in range(2)
+        ]
+        route = world.stream_route("pool", "/draft/", DEADLINE_MS)
         await deployment.start(world.config([route], [world.engine_service("pool")]), servers)
-        leaving = servers[0]
-        for server in servers:
-            server.lacks_room = True
-        ended = []
+        *others, last = deployment.relays
+        taken_up, new = [], []
+        broken, enough = asyncio.Event(), asyncio.Event()
 
-        async def call(number):
-            relay = deployment.relays[number % RELAYS]
-            stream = await world.open_stream(
-                record, relay.port, f"/draft/{number}", f"draft {number}".encode(), parts=f"a1:79,{0x1000 + number:x}:1200", usage="1279,200", deadline_ms=39000, kept=True
+        async def call(relay, number, deadline_ms, fields=None, stop=None):
+            return await world.open_stream(
+                record, relay.port, f"/draft/{number}", f"draft {number}".encode(), parts=f"a1:79,{0x1000 + number:x}:300", usage="379,300",
+                deadline_ms=deadline_ms, fields=fields, stop=stop,
             )
-            ended.append((world.now(), stream))
-            return stream
 
-        calls = []
+        async def caller(number):
+            begun = world.now()
+            # Without TROUBLE the callers lose their connections, and the relays run on.
+            stream = await call(last, number, DEADLINE_MS, stop=None if world.TROUBLE else broken)
+            if stream.is_complete or not stream.events:
+                return
+            await asyncio.sleep(PAUSE_S)
+            relay = others[number % len(others)]
+            in_touch = relay.in_touch(world.now())
+            left = DEADLINE_MS - int(1000 * (world.now() - begun))
+            again = await call(relay, number, left, {"Last-Event-Id": stream.last_event, "Resumes": stream.id}, enough)
+            if in_touch and again.status is not None:
+                taken_up.append(bool(again.events))
+            if again.events:
+                record.add(f"GOES ON {stream.id} as {again.id}: {stream.versions()} then {again.versions()}")
 
-        async def begin(count, gap):
-            for _ in range(count):
-                calls.append(asyncio.create_task(call(len(calls))))
-                await asyncio.sleep(gap)
+        async def begin_new(number):
+            relay = others[number % len(others)]
+            in_touch = relay.in_touch(world.now())
+            stream = await call(relay, number, DEADLINE_MS, stop=enough)
+            if in_touch:
+                new.append(bool(stream.events))
 
-        await begin(DRAFTS, 0.04)
+        callers = []
+        for number in range(STREAMS):
+            callers.append(asyncio.create_task(caller(number)))
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(1)
         if world.TROUBLE:
-            # The server is full for a moment.
-            leaving.full_for = RETRY_AFTER_S
-        await begin(24, 0.04)
-        leaving.full_for = None
-        await asyncio.sleep(0.5)
-        there = set(leaving.runs)
-        record.add(f"{leaving.id} is drained, {len(there)} drafts run there")
-        leaving.state = "draining"
-        drained = world.now()
-        await asyncio.sleep(DRAIN_S)
-        until = world.now()
-        lost = [stream for at, stream in ended if stream.id in there and stream.status == 200 and not stream.is_complete and drained <= at < until]
-        streams = await asyncio.gather(*calls)
-        line = f"{len(there)} drafts ran at the server that leaves; {len(lost)} were cut within {DRAIN_S} s (at most {MOST_LOST} allowed)"
+            for relay in others:
+                await relay.restart()
+                await asyncio.sleep(GAP_S)
+            # The first relays are in touch again before the last one stops.
+            await asyncio.sleep(world.CONTACT_S)
+            await last.restart()
+        else:
+            await asyncio.sleep(20)
+            record.add("the callers lose their connections")
+            broken.set()
+        fresh = [asyncio.create_task(begin_new(1000 + number)) for number in range(STREAMS)]
+        await asyncio.sleep(4)
+        enough.set()
+        await asyncio.gather(*callers, *fresh)
+        goes_on, begin = (sum(results) / max(1, len(results)) for results in (taken_up, new))
+        line = f"{len(taken_up)} streams taken up at relays in touch, share that goes on {goes_on:.2f}; {len(new)} new streams, share that begins {begin:.2f}"
         print(line)
         record.add(line)
-        for stream in lost:
-            record.add(f"LOST {stream.id} after {len(stream.events)} events")
-        if len(there) < 8 or sum(stream.is_complete for stream in streams) < DRAFTS / 2:
-            raise RuntimeError("too few drafts")
-        return 1 if len(lost) > MOST_LOST else 0
+        if len(taken_up) < FEWEST or len(new) < FEWEST:
+            raise RuntimeError("too few streams")
+        return 1 if goes_on < begin / 2 else 0
     finally:
         await deployment.stop()
 
--- a/review/14/play.py
+++ b/review/14/play.py
@@ -1,4 +1,4 @@
-"""All relays are killed at the same moment while two versions of a service serve side by side. See claim.txt."""
+"""A server that has turned requests away with Retry-After is drained. See claim.txt."""
 import asyncio
 import os
 import sys
@@ -8,84 +8,65 @@
 
 CASE = os.path.dirname(os.path.abspath(__file__))
 RELAYS = 3
-STREAMS = 24
-DOWN_S = 1.5
-DEADLINE_MS = 39000
-# Pauses of a caller before each of its tries after its stream broke off.
-PAUSES_S = (1.0, 2.0, 4.0)
-FEWEST = 12
+SERVERS = 6
+DRAFTS = 90
+EVENTS = 60
+EVENT_S = 0.2
+RETRY_AFTER_S = 8
+DRAIN_S = 2.5
+MOST_LOST = 3
 
 
 async def play():
     deployment = world.Deployment(CASE, RELAYS)
     record, store = deployment.record, deployment.store
     try:
-        servers = [
-            world.ModelServer(store, record, "pool", "lahore-a", f"i-{version}-{number}", version, events=60, event_s=0.15)
-            for version in ("v1", "v2") for number in range(2)
-        ]
-        route = world.stream_route("pool", "/draft/", DEADLINE_MS)
+        servers = [world.ModelServer(store, record, "pool", "lahore-a", f"i-{number}", events=EVENTS, event_s=EVENT_S) for number in range(SERVERS)]
+        route = world.stream_route("pool", "/draft/", 39000, resumable=False, max_attempts=1)
         await deployment.start(world.config([route], [world.engine_service("pool")]), servers)
-        # Tries to go on with a stream at a relay in touch: whether it went on, and whether pieces are missing or come twice.
-        taken_up, new = [], []
-        broken = asyncio.Event()
+        leaving = servers[0]
+        for server in servers:
+            server.lacks_room = True
+        ended = []
 
-        async def call(number, fields=None, stop=None):
+        async def call(number):
             relay = deployment.relays[number % RELAYS]
-            return relay, await world.open_stream(
-                record, relay.port, f"/draft/{number}", f"draft {number}".encode(), parts=f"a1:79,{0x1000 + number:x}:1200", usage="1279,600",
-                deadline_ms=DEADLINE_MS, fields=fields, stop=stop,
+            stream = await world.open_stream(
+                record, relay.port, f"/draft/{number}", f"draft {number}".encode(), parts=f"a1:79,{0x1000 + number:x}:1200", usage="1279,200", deadline_ms=39000, kept=True
             )
+            ended.append((world.now(), stream))
+            return stream
 
-        async def caller(number):
-            # Without TROUBLE the callers lose their connections, and the relays run on.
-            _, stream = await call(number, stop=None if world.TROUBLE else broken)
-            if stream.is_complete or not stream.events:
-                return
-            for index, pause in enumerate(PAUSES_S):
-                await asyncio.sleep(pause)
-                relay = deployment.relays[(number + 1 + index) % RELAYS]
-                in_touch = relay.in_touch(world.now())
-                _, again = await call(number + 1 + index, {"Last-Event-Id": stream.last_event, "Resumes": stream.id})
-                if in_touch and again.status is not None:
-                    taken_up.append(bool(again.events))
-                if again.events:
-                    record.add(f"GOES ON {stream.id} as {again.id}: {stream.versions()} then {again.versions()}")
-                    return
-                if again.retry_after:
-                    await asyncio.sleep(again.retry_after)
+        calls = []
 
-        async def begin_new(number):
-            relay = deployment.relays[number % RELAYS]
-            in_touch = relay.in_touch(world.now())
-            _, stream = await call(number)
-            if in_touch:
-                new.append(bool(stream.events))
+        async def begin(count, gap):
+            for _ in range(count):
+                calls.append(asyncio.create_task(call(len(calls))))
+                await asyncio.sleep(gap)
 
-        callers = []
-        for number in range(STREAMS):
-            callers.append(asyncio.create_task(caller(100 * number)))
-            await asyncio.sleep(0.1)
-        await asyncio.sleep(1)
-        record.add("the streams break off")
-        broken.set()
+        await begin(DRAFTS, 0.04)
         if world.TROUBLE:
-            await asyncio.gather(*(relay.kill() for relay in deployment.relays))
-            await asyncio.sleep(DOWN_S)
-            await asyncio.gather(*(relay.start(False) for relay in deployment.relays))
-        await asyncio.sleep(world.CONTACT_S + 0.3)
-        fresh = []
-        for number in range(STREAMS):
-            fresh.append(asyncio.create_task(begin_new(10000 + number)))
-            await asyncio.sleep(0.15)
-        await asyncio.gather(*callers, *fresh)
-        goes_on, begin = (sum(results) / max(1, len(results)) for results in (taken_up, new))
-        line = f"{len(taken_up)} tries to go on at relays in touch, share that goes on {goes_on:.2f}; {len(new)} new streams, share that begins {begin:.2f}"
+            # The server is full for a moment.
+            leaving.full_for = RETRY_AFTER_S
+        await begin(24, 0.04)
+        leaving.full_for = None
+        await asyncio.sleep(0.5)
+        there = set(leaving.runs)
+        record.add(f"{leaving.id} is drained, {len(there)} drafts run there")
+        leaving.state = "draining"
+        drained = world.now()
+        await asyncio.sleep(DRAIN_S)
+        until = world.now()
+        lost = [stream for at, stream in ended if stream.id in there and stream.status == 200 and not stream.is_complete and drained <= at < until]
+        streams = await asyncio.gather(*calls)
+        line = f"{len(there)} drafts ran at the server that leaves; {len(lost)} were cut within {DRAIN_S} s (at most {MOST_LOST} allowed)"
         print(line)
         record.add(line)
-        if len(taken_up) < FEWEST or len(new) < FEWEST:
-            raise RuntimeError("too few streams")
-        return 1 if goes_on < begin / 2 else 0
+        for stream in lost:
+            record.add(f"LOST {stream.id} after {len(stream.events)} events")
+        if len(there) < 8 or sum(stream.is_complete for stream in streams) < DRAFTS / 2:
+            raise RuntimeError("too few drafts")
+        return 1 if len(lost) > MOST_LOST else 0
     finally:
         await deployment.stop()
 
--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -538,6 +538,17 @@
         self.process.kill()
         await self.process.wait()
 
+    async def restart(self):
+        """Stops the process with SIGTERM, kills it if it still runs after grace_s, and starts it again."""
+        self.deployment.record.add(f"relay {self.name} told to stop")
+        self.process.terminate()
+        try:
+            await asyncio.wait_for(self.process.wait(), BOUNDS["grace_s"])
+        except asyncio.TimeoutError:
+            await self.kill()
+        self.deployment.record.add(f"relay {self.name} stopped")
+        await self.start(False)
+
     def in_touch(self, at):
         """Whether the relay had run for the whole contact_ms before a moment. Only for cases that do nothing else to relays, and nothing to the store."""
         return self.process.returncode is None and at - self.started >= CONTACT_S
