--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -4,7 +4,6 @@
 import base64
 import json
 import os
-import random
 import re
 import shlex
 import signal
@@ -41,22 +40,23 @@
         self.file.close()
 
 
-_used_ports = set()
+# Each script takes its ports from a block of its own, below those that the system gives to outgoing connections.
+PORTS_PER_SCRIPT = 100
+_next_port = 15000 + os.getpid() % 160 * PORTS_PER_SCRIPT
 
 
 def free_port():
-    """A port on which nothing listens, for TCP and UDP. It is below those that the system gives to outgoing connections."""
+    """A port on which nothing listens, for TCP and UDP."""
+    global _next_port
     while True:
-        port = random.randrange(15000, 32000)
-        if port in _used_ports:
-            continue
+        port = _next_port
+        _next_port += 1
         with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
             try:
                 tcp.bind((HOST, port))
                 udp.bind((HOST, port))
             except OSError:
                 continue
-        _used_ports.add(port)
         return port
 
 
