--- a/Libraries/LibRelay/RelaySession.cpp
+++ b/Libraries/LibRelay/RelaySession.cpp
@@ -95,6 +95,9 @@
                          .lastEventId = m_events.lastId(),
                          .kvCacheSource = kvCacheSource,
                          .backup = m_backup});
+    if (kvCacheSource.empty()) {
+        m_hooks.releaseContinuations();
+    }
 }
 
 bool RelaySession::onHead(const TargetResponse &response, MonotonicTime now)
@@ -133,6 +136,8 @@
     }
     m_response = response;
     m_isResponseAccepted = true;
+    // The source of a migration is not needed any more.
+    m_hooks.releaseContinuations();
     return true;
 }
 
@@ -213,7 +218,7 @@
         return;
     }
     if (m_migration == Migration::Draining) {
-        continueAt(m_destination, m_copyHandle, now);
+        continueStoppedRun(now);
         return;
     }
     if (m_interruption) {
@@ -244,7 +249,9 @@
 void RelaySession::onFailure(ExchangeResult result, bool notRun, MonotonicTime now)
 {
     const bool hadResponse = std::exchange(m_isResponseAccepted, false);
-    m_migration = Migration::None;
+    if (m_migration != Migration::None) {
+        abandonMigration();
+    }
     if (m_target) {
         m_excluded.insert(m_target->id);
     }
@@ -384,6 +391,24 @@
     send(target, kvCacheSource, now);
 }
 
+void RelaySession::continueStoppedRun(MonotonicTime now)
+{
+    if (m_destination.id != m_source.id && !m_hooks.mayContinue(m_destination, now)) {
+        m_hooks.record("destination_lost", m_destination.id);
+        m_destination = m_source;
+    }
+    if (m_destination.id == m_source.id && !m_hooks.mayContinue(m_source, now) && continueFromBackup(now)) {
+        return;
+    }
+    continueAt(m_destination, m_copyHandle, now);
+}
+
+void RelaySession::abandonMigration()
+{
+    m_migration = Migration::None;
+    m_hooks.releaseContinuations();
+}
+
 void RelaySession::fail(RelayOutcome outcome, std::chrono::milliseconds retryAfter)
 {
     m_isOver = true;
@@ -410,11 +435,17 @@
 
 void RelaySession::startMigration(MonotonicTime now)
 {
+    // The destination may have no room for the rest of the KV cache when the run has been stopped.
+    if (!m_hooks.reserveContinuation(*m_target, now)) {
+        m_hooks.record("stay", "no reservation at the source");
+        return;
+    }
     auto excluded = m_excluded;
     excluded.insert(m_target->id);
     const auto destination = m_hooks.chooseDestination(excluded, now);
     if (!destination) {
         m_hooks.record("stay", "no destination");
+        m_hooks.releaseContinuations();
         return;
     }
     m_destination = *destination;
@@ -440,7 +471,7 @@
         return;
     }
     if (m_migration == Migration::Copying) {
-        const bool mayGoOn = m_hooks.mayContinue(m_destination, now) || m_hooks.mayContinue(*m_target, now);
+        const bool mayGoOn = m_hooks.mayContinue(m_destination, now) && m_hooks.reserveContinuation(*m_target, now);
         if (result.kind == CopyResult::Kind::Copied && mayGoOn) {
             m_migration = Migration::Stopping;
             m_source = *m_target;
@@ -448,7 +479,7 @@
             startCopy(m_source, m_destination, true);
             return;
         }
-        m_migration = Migration::None;
+        abandonMigration();
         if (!mayGoOn) {
             m_hooks.record("stay", "no continuation");
         }
@@ -463,7 +494,7 @@
     const bool hasCopy = result.kind == CopyResult::Kind::Copied;
     const bool isKeptAtSource = result.kind == CopyResult::Kind::DestinationUnavailable && !result.handle.empty();
     if (!hasCopy && !isKeptAtSource) {
-        m_migration = Migration::None;
+        abandonMigration();
         m_hooks.record("copy_failed", "no handle");
         const bool hasNotStopped = result.kind == CopyResult::Kind::NotRunning || result.kind == CopyResult::Kind::Busy;
         m_mayBeStopped = m_mayBeStopped || !hasNotStopped;
@@ -479,14 +510,14 @@
     }
     m_copyHandle = m_source.address + "/" + result.handle;
     // The source keeps the KV cache of a run that it has stopped.
-    if (isKeptAtSource || !m_hooks.mayContinue(m_destination, now)) {
+    if (isKeptAtSource) {
         m_destination = m_source;
     }
     if (m_target) {
         m_migration = Migration::Draining;
         return;
     }
-    continueAt(m_destination, m_copyHandle, now);
+    continueStoppedRun(now);
 }
 
 void RelaySession::onBackupLost()
--- a/Libraries/LibRelay/RelaySession.h
+++ b/Libraries/LibRelay/RelaySession.h
@@ -131,11 +131,16 @@
         std::function<TargetChoice(const std::set<std::string> &excluded, MonotonicTime now)> choose;
         // Chooses an engine that keeps a backup of the generation on the target. Nothing if no engine is worth the memory that it takes.
         std::function<std::optional<RelayTarget>(const RelayTarget &target, MonotonicTime now)> chooseBackup;
-        // Chooses the destination of a migration from a target that is leaving.
+        // Chooses the destination of a migration from a target that is leaving, and reserves the continuation there.
         std::function<std::optional<RelayTarget>(const std::set<std::string> &excluded, MonotonicTime now)> chooseDestination;
         // Whether a generation may be continued at the target that holds its KV cache: the target's data centre is in service and in a home region of the
         // request, the target has no cooldown, and the generation is not a poison request.
         std::function<bool(const RelayTarget &target, MonotonicTime now)> mayContinue;
+        // Reserves the continuation at a target that holds the generation's KV cache or will hold it, so that mayContinue() stays true there for this
+        // generation until it is sent there or all reservations are released. Returns false if the target does not allow it now.
+        std::function<bool(const RelayTarget &target, MonotonicTime now)> reserveContinuation;
+        // Releases the reservations, that of the destination of a migration included.
+        std::function<void()> releaseContinuations;
         // Takes one retry from the budget of the service. Returns false if none is left.
         std::function<bool(MonotonicTime now)> tryTakeRetry;
         std::function<void(const RelayAttempt &send)> sendAttempt;
@@ -290,8 +295,10 @@
     void dropInterruptedRun(MonotonicTime now);
     // The same for a run that its target did not find when it was to be stopped, also if only a copy of it can be continued.
     void dropUnknownRun(MonotonicTime now);
-    // Where the KV cache of the interrupted run would be copied.
+    // Where the KV cache of the interrupted run would be copied. Nothing also if it is not certain that the run could continue afterwards.
     std::optional<RelayTarget> chooseStopDestination(MonotonicTime now) const;
+    // An engine that has a copy of the interrupted run from before its interruption.
+    std::optional<RelayTarget> copyHolder(MonotonicTime now) const;
     void onInterruptedRunCopied(const CopyResult &result, MonotonicTime now);
     // The response of the interrupted run goes on.
     void resumeInterruptedRun();
@@ -307,7 +314,11 @@
     // used.
     bool continueAtSource(MonotonicTime now);
     void continueAt(const RelayTarget &target, const std::string &kvCacheSource, MonotonicTime now);
+    // Continues a run that was ordered to stop, at its destination, or at its source if the destination is not allowed any more.
+    void continueStoppedRun(MonotonicTime now);
     void startMigration(MonotonicTime now);
+    // Gives up a migration whose run has not been stopped.
+    void abandonMigration();
     // Ends the request with a response of the relay's own, or cuts the response if it has begun.
     void fail(RelayOutcome outcome, std::chrono::milliseconds retryAfter);
     void ensureResponseBegun(std::optional<uint64_t> length);
--- a/Libraries/LibRelay/RelaySessionInterruption.cpp
+++ b/Libraries/LibRelay/RelaySessionInterruption.cpp
@@ -136,17 +136,31 @@
     }
 }
 
-std::optional<RelayTarget> RelaySession::chooseStopDestination(MonotonicTime now) const
+std::optional<RelayTarget> RelaySession::copyHolder(MonotonicTime now) const
 {
     if (!hasInterruptedRunResponded() && mayContinueAtSource(now)) {
         return m_source;
     }
-    if (mayContinueFromBackup(now)) {
-        return m_backup;
+    return mayContinueFromBackup(now) ? m_backup : std::nullopt;
+}
+
+std::optional<RelayTarget> RelaySession::chooseStopDestination(MonotonicTime now) const
+{
+    const bool isReserved = m_hooks.reserveContinuation(*m_target, now);
+    auto holder = copyHolder(now);
+    if (holder && (m_hooks.reserveContinuation(*holder, now) || isReserved)) {
+        return holder;
+    }
+    if (!isReserved) {
+        return std::nullopt;
     }
     auto excluded = m_excluded;
     excluded.insert(m_target->id);
-    return m_hooks.chooseDestination(excluded, now);
+    auto destination = m_hooks.chooseDestination(excluded, now);
+    if (!destination) {
+        m_hooks.releaseContinuations();
+    }
+    return destination;
 }
 
 bool RelaySession::stopInterruptedRun(MonotonicTime now)
@@ -181,13 +195,15 @@
 
 void RelaySession::dropUnknownRun(MonotonicTime now)
 {
-    const bool hasCopyElsewhere = hasInterruptedRunResponded() ? mayContinueFromBackup(now) : mayContinueAtSource(now);
-    if (!m_interruption->isOpen || !hasCopyElsewhere) {
+    const bool hasResponded = hasInterruptedRunResponded();
+    const bool hasCopyElsewhere = hasResponded ? mayContinueFromBackup(now) : mayContinueAtSource(now);
+    // The copy is used when the run has ended, and must be allowed then, too.
+    if (!hasCopyElsewhere || !m_hooks.reserveContinuation(hasResponded ? *m_backup : m_source, now)) {
         dropInterruptedRun(now);
-        return;
+    } else if (m_interruption->isOpen) {
+        m_hooks.record("close_interrupted_run", m_target->id);
+        closeInterruptedRun(std::exchange(m_isResponseAccepted, false));
     }
-    m_hooks.record("close_interrupted_run", m_target->id);
-    closeInterruptedRun(std::exchange(m_isResponseAccepted, false));
 }
 
 void RelaySession::onInterruptedRunCopied(const CopyResult &result, MonotonicTime now)
@@ -206,12 +222,13 @@
         ++m_runs;
         m_excluded.insert(m_target->id);
         m_source = *m_target;
-        m_destination = isKeptAtSource || !m_hooks.mayContinue(*destination, now) ? m_source : *destination;
+        m_destination = isKeptAtSource ? m_source : *destination;
         m_copyHandle = m_source.address + "/" + result.handle;
         m_hooks.abortAttempt();
-        continueAt(m_destination, m_copyHandle, now);
+        continueStoppedRun(now);
         return;
     }
+    m_hooks.releaseContinuations();
     // A run in the queue cannot be copied either, so a target without the run has not shown its end. An order that was not carried out may be given again.
     const bool isNotCarriedOut = result.kind == CopyResult::Kind::NotRunning || result.kind == CopyResult::Kind::Busy;
     if (isNotCarriedOut && !m_interruption->isOpen) {
--- a/Libraries/LibRelay/TargetCooldowns.cpp
+++ b/Libraries/LibRelay/TargetCooldowns.cpp
@@ -28,10 +28,25 @@
     return found != m_targets.end() && now < found->second.until ? std::optional(found->second.until) : std::nullopt;
 }
 
-bool TargetCooldowns::mayContinue(const std::string &target, MonotonicTime now) const
+size_t TargetCooldowns::continuations(const std::string &target, MonotonicTime now) const
+{
+    const auto found = m_targets.find(target);
+    return found != m_targets.end() && now < found->second.until ? found->second.continuations : 0;
+}
+
+std::optional<size_t> TargetCooldowns::remainingContinuations(const std::string &target, MonotonicTime now) const
 {
     const auto found = m_targets.find(target);
-    return found == m_targets.end() || now >= found->second.until || found->second.continuations < m_options.maxContinuations;
+    if (found == m_targets.end() || now >= found->second.until) {
+        return std::nullopt;
+    }
+    return m_options.maxContinuations - std::min(m_options.maxContinuations, found->second.continuations);
+}
+
+bool TargetCooldowns::mayContinue(const std::string &target, MonotonicTime now) const
+{
+    const auto remaining = remainingContinuations(target, now);
+    return !remaining || *remaining > 0;
 }
 
 void TargetCooldowns::recordContinuation(const std::string &target)
--- a/Libraries/LibRelay/TargetCooldowns.h
+++ b/Libraries/LibRelay/TargetCooldowns.h
@@ -17,7 +17,7 @@
         // Maximum cooldown, however long a target asks for.
         std::chrono::milliseconds maxCooldown {60000};
         // Continuations that a target gets during its cooldown, because the KV cache of a running generation exists only there.
-        int maxContinuations = 1;
+        size_t maxContinuations = 1;
     };
 
     explicit TargetCooldowns(Options options);
@@ -28,6 +28,10 @@
     // When the cooldown of a target ends. Nothing if it may get work.
     std::optional<MonotonicTime> until(const std::string &target, MonotonicTime now) const;
 
+    // Continuations that a target has had during its cooldown. None without one.
+    size_t continuations(const std::string &target, MonotonicTime now) const;
+    // Continuations that a target may still get during its cooldown. Nothing if it has no cooldown.
+    std::optional<size_t> remainingContinuations(const std::string &target, MonotonicTime now) const;
     // Whether a running generation may be continued at a target.
     bool mayContinue(const std::string &target, MonotonicTime now) const;
     // Records that a running generation was sent to a target.
@@ -40,7 +44,7 @@
 private:
     struct Cooldown {
         MonotonicTime until;
-        int continuations = 0;
+        size_t continuations = 0;
     };
 
     const Options m_options;
--- a/Libraries/LibRelay/TargetRequestLimits.cpp
+++ b/Libraries/LibRelay/TargetRequestLimits.cpp
@@ -221,9 +221,35 @@
     if (!sendAt || *sendAt > latest) {
         return std::nullopt;
     }
+    return take(target, *sendAt, now);
+}
+
+std::optional<TargetRequestLimits::Reservation> TargetRequestLimits::reserveContinuation(const std::string &target, MonotonicTime now)
+{
+    const auto sendAt = nextContinueTime(target, now);
+    return sendAt && *sendAt <= now ? std::optional(take(target, now, now)) : std::nullopt;
+}
+
+TargetRequestLimits::Reservation TargetRequestLimits::take(const std::string &target, MonotonicTime sendAt, MonotonicTime now)
+{
     auto &entry = m_targets.at(target);
+    const auto dueAt = std::max(entry.dueAt, now);
     advance(entry, now);
-    return Reservation {.target = target, .sendAt = *sendAt, .reductions = entry.reductions};
+    return {.target = target,
+            .sendAt = sendAt,
+            .reductions = entry.reductions,
+            .incarnation = entry.incarnation,
+            .delay = std::max(entry.dueAt - dueAt, MonotonicTime::duration(0))};
+}
+
+void TargetRequestLimits::cancel(const Reservation &reservation)
+{
+    const auto found = m_targets.find(reservation.target);
+    if (found == m_targets.end() || found->second.incarnation != reservation.incarnation || found->second.reductions != reservation.reductions) {
+        // The time that was taken for it belongs to a share that does not apply any more.
+        return;
+    }
+    found->second.dueAt -= std::min(reservation.delay, intervalOf(found->second.share));
 }
 
 bool TargetRequestLimits::isValid(const Reservation &reservation, MonotonicTime now) const
--- a/Libraries/LibRelay/TargetRequestLimits.h
+++ b/Libraries/LibRelay/TargetRequestLimits.h
@@ -104,6 +104,10 @@
         MonotonicTime sendAt;
         // Number of reductions of the share before the reservation was made. A later reduction makes it invalid.
         uint64_t reductions = 0;
+        // The process that named the limit.
+        int64_t incarnation = 0;
+        // By how much the reservation delays later requests.
+        MonotonicTime::duration delay {0};
     };
 
     explicit TargetRequestLimits(Options options);
@@ -139,6 +143,10 @@
     // Reserves the next request to a target. Nothing if that is later than `latest`, or if this relay has no share.
     std::optional<Reservation> reserve(const std::string &target, MonotonicTime latest, MonotonicTime now);
     bool isValid(const Reservation &reservation, MonotonicTime now) const;
+    // Reserves what saves a running generation, for any time from now on. Nothing if the target has no limit or does not allow it.
+    std::optional<Reservation> reserveContinuation(const std::string &target, MonotonicTime now);
+    // Gives back a reservation that has not been used.
+    void cancel(const Reservation &reservation);
     // Records a request that is sent without a reservation.
     void recordSend(const std::string &target, MonotonicTime now);
 
@@ -179,6 +187,7 @@
     static void setShare(Entry &entry, double share, double phase, MonotonicTime now);
     static MonotonicTime::duration intervalOf(double share);
     void advance(Entry &entry, MonotonicTime now) const;
+    Reservation take(const std::string &target, MonotonicTime sendAt, MonotonicTime now);
     bool mayProceed(const std::string &target, std::chrono::milliseconds burstTime, MonotonicTime now) const;
     std::optional<MonotonicTime> nextTime(const std::string &target, std::chrono::milliseconds burstTime, MonotonicTime now) const;
     static Statement statementOf(const std::string &target, const Entry &entry, MonotonicTime now);
--- a/Libraries/LibRelayServer/RelayCore.cpp
+++ b/Libraries/LibRelayServer/RelayCore.cpp
@@ -59,6 +59,7 @@
     , client(loopInUse)
     , targets({})
     , balancer({.region = options.region, .regions = options.regions, .cooldowns = {.maxCooldown = options.maxCooldown}})
+    , continuations({.onReleased = [this](const std::string &target) { resumeMigrations(target); }}, balancer.cooldowns(), balancer.requestLimits())
     , targetRuns(client,
                  adapter,
                  {.tryTakeCall =
@@ -512,6 +513,18 @@
     }
 }
 
+void RelayCore::resumeMigrations(const std::string &target)
+{
+    bool areQueued = false;
+    for (auto *exchange : running) {
+        areQueued = (exchange->target() == target && exchange->resumeMigration()) || areQueued;
+    }
+    if (areQueued) {
+        // The caller may be in the middle of a decision about its own request.
+        boost::asio::post(loop, [this] { runMigrations(); });
+    }
+}
+
 void RelayCore::runMigrations()
 {
     const auto now = monotonicNow();
--- a/Libraries/LibRelayServer/RelayCore.h
+++ b/Libraries/LibRelayServer/RelayCore.h
@@ -8,6 +8,7 @@
 #include <LibMetrics/Metrics.h>
 #include <LibPolicy/CrashSuspects.h>
 #include <LibPolicy/PromptPartSuspects.h>
+#include <LibRelay/ContinuationReservations.h>
 #include <LibRelay/MigrationSchedule.h>
 #include <LibRelay/PeerTable.h>
 #include <LibRelay/RouteTable.h>
@@ -55,6 +56,7 @@
     std::shared_ptr<const RouteTable> routes;
     TargetTable targets;
     TargetBalancer balancer;
+    ContinuationReservations continuations;
     TargetRunsReader targetRuns;
     PeerTable peers;
     CrashSuspects crashSuspects;
@@ -152,6 +154,8 @@
 
     // Starts the migrations that are due and schedules the later ones.
     void runMigrations();
+    // Lets the generations migrate that wait for a reservation at their target.
+    void resumeMigrations(const std::string &target);
     // Ends the turn of a request's generation, so that the next one on its engine can migrate.
     void finishMigration(const std::string &request);
 
--- a/Libraries/LibRelayServer/RelayExchange.cpp
+++ b/Libraries/LibRelayServer/RelayExchange.cpp
@@ -59,6 +59,7 @@
     , m_deadlineTimer(core.loop)
     , m_silenceTimer(core.loop)
     , m_migrationTimer(core.loop)
+    , m_copyTimer(core.loop)
     , m_runsTimer(core.loop)
 {
 }
@@ -305,6 +306,8 @@
                              .chooseBackup = [this](const RelayTarget &target, MonotonicTime now) { return chooseBackup(target, now); },
                              .chooseDestination = [this](const std::set<std::string> &excluded, MonotonicTime now) { return chooseDestination(excluded, now); },
                              .mayContinue = [this](const RelayTarget &target, MonotonicTime now) { return mayContinue(target, now); },
+                             .reserveContinuation = [this](const RelayTarget &target, MonotonicTime now) { return reserveContinuation(target, now); },
+                             .releaseContinuations = [this] { releaseContinuations(); },
                              .tryTakeRetry
                              = [this](MonotonicTime now) { return m_core.retryBudget(m_admission.service->name).tryRetry(m_core.peers.sharingRelays(), now); },
                              .sendAttempt = [this](const RelayAttempt &attempt) { send(attempt); },
@@ -483,8 +486,12 @@
 void RelayExchange::useRequestLimit(const std::string &target, MonotonicTime now)
 {
     const bool isReserved = reservedTarget(now) == target;
+    if (m_reservation && !isReserved) {
+        m_core.balancer.requestLimits().cancel(*m_reservation);
+    }
     m_reservation.reset();
-    if (!isReserved) {
+    m_reservedAt.erase(target);
+    if (!m_core.continuations.use(target, m_id, now) && !isReserved) {
         m_core.balancer.requestLimits().recordSend(target, now);
     }
 }
@@ -952,6 +959,8 @@
     m_deadlineTimer.cancel();
     m_silenceTimer.cancel();
     m_migrationTimer.cancel();
+    m_copyTimer.cancel();
+    releaseContinuations();
     m_runsTimer.cancel();
 }
 
--- a/Libraries/LibRelayServer/RelayExchange.h
+++ b/Libraries/LibRelayServer/RelayExchange.h
@@ -36,6 +36,8 @@
     void retryMigrationAfter(CopyResult::Kind kind);
     // Queues the generation again after a delay, because no copy could be started.
     void retryMigrationLater();
+    // Queues the generation again if it only waits for a reservation that others had. Returns whether it did.
+    bool resumeMigration();
 
     // The target has restarted with another version. Which one sent the last events is not certain, so that nothing goes on elsewhere.
     void onTargetReplaced(const TargetEntry &entry);
@@ -119,6 +121,10 @@
     TargetBalancer::Query copyQuery(const std::string &source, const std::string &version, const std::set<std::string> &excluded, MonotonicTime now);
     std::optional<RelayTarget> chooseDestination(const std::set<std::string> &excluded, MonotonicTime now);
     bool mayContinue(const RelayTarget &holder, MonotonicTime now);
+    // Whether requests may be sent to a target at all, by its data centre and the homes of the request.
+    bool isServable(const std::string &target);
+    bool reserveContinuation(const RelayTarget &holder, MonotonicTime now);
+    void releaseContinuations();
     // Stops relying on the generation's backup.
     void dropBackup();
     std::optional<RelayTarget> chooseBackup(const RelayTarget &target, MonotonicTime now);
@@ -221,7 +227,13 @@
     MonotonicTime m_lastEventAt;
     std::chrono::milliseconds m_firstEventAfter {0};
     std::chrono::milliseconds m_maxGap {0};
+    // Attempts to migrate the generation, and those of them that ordered a copy.
     int m_migrationAttempts = 0;
+    int m_copyAttempts = 0;
+    // Whether the generation could not be migrated because others had the reservations at its target.
+    bool m_awaitsReservation = false;
+    // The targets at which the generation may have reserved its continuation.
+    std::set<std::string> m_reservedAt;
     // Interrupted responses of targets that were not known to be leaving.
     int m_unexpectedFailures = 0;
     bool m_isFinished = false;
@@ -237,6 +249,7 @@
     boost::asio::steady_timer m_deadlineTimer;
     boost::asio::steady_timer m_silenceTimer;
     boost::asio::steady_timer m_migrationTimer;
+    boost::asio::steady_timer m_copyTimer;
     boost::asio::steady_timer m_runsTimer;
 };
 
--- a/Libraries/LibRelayServer/RelayExchangeMigration.cpp
+++ b/Libraries/LibRelayServer/RelayExchangeMigration.cpp
@@ -12,13 +12,14 @@
 
 // Timeout for copying the KV cache of a running generation.
 constexpr std::chrono::milliseconds CopyTimeout {2500};
-// Maximum number of attempts to migrate one generation away from targets that are leaving.
-constexpr int MaxMigrationAttempts = 12;
+// Maximum number of attempts to migrate one generation away from targets that are leaving for which a copy is ordered.
+constexpr int MaxCopyAttempts = 12;
 constexpr std::chrono::milliseconds MigrationRetryDelay {150};
-// The same after that number of attempts. Engines that only have been superseded stay, so that the generation may leave them at any time.
+// The same after a number of attempts. A destination or a reservation may become available at any time.
 constexpr std::chrono::milliseconds LateMigrationRetryDelay {500};
+constexpr int EarlyMigrationAttempts = 12;
 // Maximum time for which a migration that has begun waits until the request limit of its source allows the next order to copy.
-constexpr std::chrono::milliseconds MaxWaitForCopy {1000};
+constexpr std::chrono::milliseconds MaxWaitForCopy {3000};
 // Weight of an output token relative to a prompt token in the value of a generation.
 constexpr int64_t OutputWeight = 10;
 // Engines above this fraction of their KV cache keep no backups of generations elsewhere, so that their own generations are not evicted.
@@ -99,8 +100,44 @@
         // A later process has nothing of the generation, and may be of another version.
         return false;
     }
-    return !(known && m_core.targets.isOutOfService(known->entry.dataCentre)) && isHome(holder.id) && m_core.balancer.cooldowns().mayContinue(holder.id, now)
-        && (reservedTarget(now) == holder.id || m_core.balancer.requestLimits().mayContinue(holder.id, now));
+    if (!isServable(holder.id)) {
+        return false;
+    }
+    if (reservedTarget(now) == holder.id) {
+        // The limit allows it, and a cooldown may have begun since.
+        return m_core.continuations.isAllowedByCooldown(holder.id, now);
+    }
+    return m_core.continuations.mayContinue(holder.id, m_id, now);
+}
+
+bool RelayExchange::isServable(const std::string &target)
+{
+    const auto *known = m_core.targets.find(target);
+    return !(known && m_core.targets.isOutOfService(known->entry.dataCentre)) && isHome(target);
+}
+
+bool RelayExchange::reserveContinuation(const RelayTarget &holder, MonotonicTime now)
+{
+    if (holder.id == m_target && !isServable(holder.id)) {
+        // Nothing may be sent there any more, so the generation could only stay until its target is gone.
+        return true;
+    }
+    if (!mayContinue(holder, now) || !m_core.continuations.tryReserve(holder.id, m_id, now)) {
+        m_awaitsReservation = holder.id == m_target;
+        return false;
+    }
+    m_reservedAt.insert(holder.id);
+    return true;
+}
+
+void RelayExchange::releaseContinuations()
+{
+    if (const auto reservation = std::exchange(m_reservation, std::nullopt)) {
+        m_core.balancer.requestLimits().cancel(*reservation);
+    }
+    for (const auto &target : std::exchange(m_reservedAt, {})) {
+        m_core.continuations.release(target, m_id);
+    }
 }
 
 std::optional<RelayTarget> RelayExchange::chooseBackup(const RelayTarget &target, MonotonicTime now)
@@ -220,9 +257,9 @@
     const auto next = m_core.balancer.requestLimits().nextContinueTime(source.id, now);
     // After a long wait the engine is gone, and others may migrate in the meantime.
     const bool isGivenUp = !isHome(destination.id) || !next || *next - now > MaxWaitForCopy;
-    m_migrationTimer.expires_at(isGivenUp ? now : *next);
+    m_copyTimer.expires_at(isGivenUp ? now : *next);
     // The source's stream may end while the order waits, and then nothing else keeps the exchange alive.
-    m_migrationTimer.async_wait([self = shared_from_this(), source, destination, stop, isGivenUp](const LoopError &error) {
+    m_copyTimer.async_wait([self = shared_from_this(), source, destination, stop, isGivenUp](const LoopError &error) {
         if (error || self->m_isFinished) {
             return;
         }
@@ -255,10 +292,11 @@
     if (m_isFinished || !m_admission.demand.isMigratable || m_session->backup()) {
         return;
     }
-    if (m_migrationAttempts >= MaxMigrationAttempts && (m_core.targets.isLeaving(m_target) || !m_core.mustBeLeft(m_target))) {
+    if (m_copyAttempts >= MaxCopyAttempts && (m_core.targets.isLeaving(m_target) || !m_core.mustBeLeft(m_target))) {
         return;
     }
     ++m_migrationAttempts;
+    m_awaitsReservation = false;
     // The value of a generation grows with its tokens. Output tokens count most.
     const double value = static_cast<double>(m_admission.demand.promptTokens + OutputWeight * m_admission.demand.expectedTokens);
     m_core.migrations.add(m_target, m_id, value);
@@ -266,11 +304,25 @@
 
 bool RelayExchange::startMigration(MonotonicTime now)
 {
-    if (m_isFinished || !m_core.balancer.requestLimits().mayContinue(m_target, now)) {
+    if (m_isFinished) {
         return false;
     }
     m_session->onTargetLeaving(now);
-    return !m_isFinished && m_session->isMigrating();
+    if (m_isFinished || !m_session->isMigrating()) {
+        return false;
+    }
+    ++m_copyAttempts;
+    return true;
+}
+
+bool RelayExchange::resumeMigration()
+{
+    if (m_isFinished || !std::exchange(m_awaitsReservation, false) || m_session->isMigrating() || m_session->isInterrupted()) {
+        return false;
+    }
+    m_migrationTimer.cancel();
+    queueMigration();
+    return true;
 }
 
 void RelayExchange::retryMigrationLater()
@@ -278,7 +330,10 @@
     if (m_isFinished) {
         return;
     }
-    m_migrationTimer.expires_after(m_migrationAttempts < MaxMigrationAttempts ? MigrationRetryDelay : LateMigrationRetryDelay);
+    const auto now = monotonicNow();
+    const auto retryAt = now + (m_migrationAttempts < EarlyMigrationAttempts ? MigrationRetryDelay : LateMigrationRetryDelay);
+    // The target may allow a continuation sooner.
+    m_migrationTimer.expires_at(std::min(retryAt, m_core.continuations.nextTime(m_target, now).value_or(retryAt)));
     m_migrationTimer.async_wait([weak = weak_from_this()](const LoopError &error) {
         if (const auto self = weak.lock(); self && !error && !self->m_isFinished && !self->m_session->isMigrating() && !self->m_session->isInterrupted()) {
             self->queueMigration();
--- a/Libraries/LibRelayServer/RelayTables.cpp
+++ b/Libraries/LibRelayServer/RelayTables.cpp
@@ -621,6 +621,7 @@
         }
         m_core.balancer.markReachable(entry.id);
         m_core.balancer.cooldowns().forget(entry.id);
+        m_core.continuations.forget(entry.id);
         m_core.balancer.requestLimits().forgetBefore(entry.id, entry.incarnation);
         m_peers.scheduleHeartbeat(notificationScopeForTarget(fromPeer, false, false));
     }
--- a/Tests/LibRelay/SessionHarness.cpp
+++ b/Tests/LibRelay/SessionHarness.cpp
@@ -30,10 +30,23 @@
                                      lastExcluded = excluded;
                                      return hasDestination ? std::optional(RelayTarget {.id = "d", .incarnation = 1, .address = "d:1"}) : std::nullopt;
                                  },
-                             .mayContinue = [this](const RelayTarget &target, MonotonicTime) { return !continuationExcluded.contains(target.id); },
+                             .mayContinue =
+                                 [this](const RelayTarget &target, MonotonicTime) {
+                                     return !continuationExcluded.contains(target.id) && (reserved.contains(target.id) || !cooldowns.contains(target.id));
+                                 },
+                             .reserveContinuation =
+                                 [this](const RelayTarget &target, MonotonicTime) {
+                                     const bool isAllowed = !continuationExcluded.contains(target.id) && !cooldowns.contains(target.id);
+                                     if (isAllowed) {
+                                         reserved.insert(target.id);
+                                     }
+                                     return isAllowed;
+                                 },
+                             .releaseContinuations = [this] { reserved.clear(); },
                              .tryTakeRetry = [this](MonotonicTime) { return retriesLeft-- > 0; },
                              .sendAttempt =
                                  [this](const RelayAttempt &send) {
+                                     reserved.erase(send.target.id);
                                      attempts.push_back(send);
                                      targetsLeft -= send.kvCacheSource.empty() ? 1 : 0;
                                  },
--- a/Tests/LibRelay/SessionHarness.h
+++ b/Tests/LibRelay/SessionHarness.h
@@ -71,6 +71,10 @@
     std::string backup;
     // Targets at which a generation must not be continued.
     std::set<std::string> continuationExcluded;
+    // Targets whose cooldowns allow no continuation without a reservation, and none to be reserved.
+    std::set<std::string> cooldowns;
+    // Targets at which the generation has a reservation.
+    std::set<std::string> reserved;
 
 private:
     MonotonicTime m_now {std::chrono::hours(1)};
--- a/Tests/LibRelay/TestInterruptedRuns.cpp
+++ b/Tests/LibRelay/TestInterruptedRuns.cpp
@@ -91,6 +91,40 @@
     EXPECT_EQ(harness.attempts[1].lastEventId, 2);
 }
 
+// Guards against stopping a run that is then lost, because neither its engine nor an engine with a backup of it may continue it.
+TEST(InterruptedRuns, RunIsNotStoppedIfNothingIsCertainToContinueIt)
+{
+    SessionHarness harness(Draft);
+    harness.backup = "b";
+    startOldStream(harness);
+    harness.cooldowns.insert(harness.attempts[0].target.id);
+    harness.session().onEnd(ExchangeResult::Broken, harness.now());
+    harness.cooldowns.insert("b");
+    state(harness, {Id});
+    EXPECT_TRUE(harness.copyOrders.empty());
+    EXPECT_EQ(harness.cuts, 0);
+    harness.cooldowns.erase("b");
+    state(harness, {Id});
+    EXPECT_EQ(harness.copyOrders, std::vector<bool> {true});
+}
+
+// Guards against a draft that is cut although a backup of it exists: its engine has stopped it, keeps its KV cache and may not continue it.
+TEST(InterruptedRuns, StoppedRunGoesOnFromItsBackupIfItsSourceHasACooldown)
+{
+    SessionHarness harness(Draft);
+    harness.backup = "b";
+    startOldStream(harness);
+    harness.cooldowns.insert(harness.attempts[0].target.id);
+    harness.session().onEnd(ExchangeResult::Broken, harness.now());
+    state(harness, {Id});
+    harness.cooldowns.insert("b");
+    harness.session().onCopied({.kind = CopyResult::Kind::DestinationUnavailable, .handle = "h"}, harness.now());
+    ASSERT_EQ(harness.attempts.size(), 2U);
+    EXPECT_EQ(harness.attempts[1].target.id, "b");
+    EXPECT_EQ(harness.attempts[1].kvCacheSource, "b:1/r");
+    EXPECT_EQ(harness.cuts, 0);
+}
+
 // Guards against a draft that is cut although its engine has stopped it and keeps its KV cache.
 TEST(InterruptedRuns, StoppedRunGoesOnAtItsSourceIfItCouldNotBeCopied)
 {
--- a/Tests/LibRelay/TestRelaySession.cpp
+++ b/Tests/LibRelay/TestRelaySession.cpp
@@ -687,3 +687,119 @@
     EXPECT_EQ(harness.receivedIds(), idsUpTo(4));
     EXPECT_EQ(harness.cuts, 0);
 }
+
+// Guards against stopping a draft whose source is the only place to which it could return and has no turn left for it.
+TEST(RelaySession, DraftIsNotStoppedWithoutAReservationAtItsSource)
+{
+    SessionHarness harness(Draft);
+    harness.startStream(SessionHarness::events(1, 2));
+    const auto source = harness.attempts.front().target.id;
+    harness.cooldowns.insert(source);
+    harness.session().onTargetLeaving(harness.now());
+    EXPECT_TRUE(harness.copyOrders.empty());
+    EXPECT_FALSE(harness.session().isMigrating());
+    harness.cooldowns.clear();
+    harness.session().onTargetLeaving(harness.now());
+    EXPECT_EQ(harness.copyOrders, std::vector<bool> {false});
+    EXPECT_TRUE(harness.reserved.contains(source));
+}
+
+// Guards against a stopped draft that is cut because a cooldown of its source began after the order to stop it.
+TEST(RelaySession, StoppedDraftKeepsItsReservationUntilTheDestinationResponds)
+{
+    SessionHarness harness(Draft);
+    harness.startStream(SessionHarness::events(1, 2));
+    const auto source = harness.attempts.front().target.id;
+    harness.session().onTargetLeaving(harness.now());
+    harness.session().onCopied({.kind = CopyResult::Kind::Copied, .handle = "h"}, harness.now());
+    harness.cooldowns.insert(source);
+    harness.session().onEnd(ExchangeResult::Broken, harness.now());
+    harness.session().onCopied({.kind = CopyResult::Kind::Copied, .handle = "h"}, harness.now());
+    ASSERT_EQ(harness.attempts.size(), 2U);
+    EXPECT_TRUE(harness.reserved.contains(source));
+    harness.session().onHead({.status = 503, .notRun = true}, harness.now());
+    ASSERT_EQ(harness.attempts.size(), 3U);
+    EXPECT_EQ(harness.attempts[2].target.id, source);
+    EXPECT_EQ(harness.cuts, 0);
+}
+
+// Guards against reservations that are kept when the migration has ended, so that other drafts miss them.
+TEST(RelaySession, ReservationsEndWithTheMigration)
+{
+    for (const auto kind : {CopyResult::Kind::Busy, CopyResult::Kind::NotRunning, CopyResult::Kind::DestinationUnavailable, CopyResult::Kind::Unknown}) {
+        SessionHarness harness(Draft);
+        harness.startStream(SessionHarness::events(1, 2));
+        harness.session().onTargetLeaving(harness.now());
+        EXPECT_FALSE(harness.reserved.empty());
+        harness.session().onCopied({.kind = kind}, harness.now());
+        EXPECT_TRUE(harness.reserved.empty());
+    }
+    SessionHarness harness(Draft);
+    migrateToDestination(harness);
+    EXPECT_FALSE(harness.reserved.empty());
+    harness.session().onHead(SessionHarness::streamHead(), harness.now());
+    EXPECT_TRUE(harness.reserved.empty());
+}
+
+// Guards against a draft that is cut by its migration, whatever cooldowns begin and end meanwhile and whether or not the destination takes it: its engine is
+// sound and keeps the KV cache of a run that it has stopped.
+TEST(RelaySession, MigrationsLoseNoDraftInRandomCooldowns)
+{
+    constexpr unsigned Sequences = 20000;
+    constexpr int Steps = 80;
+    constexpr int LastEvent = 20;
+    for (unsigned seed = 0; seed < Sequences; ++seed) {
+        std::mt19937 random(seed);
+        const auto chance = [&](int percent) { return static_cast<int>(random() % 100) < percent; };
+        SessionHarness harness(Draft);
+        auto &session = harness.session();
+        harness.startStream(SessionHarness::events(1, 1));
+        const auto source = harness.attempts.front().target.id;
+        int nextEvent = 2;
+        bool hasHead = true;
+        // Whether the engine has stopped the run, and its stream has ended.
+        bool isStopped = false;
+        bool hasEnded = false;
+        size_t attempts = 1;
+        size_t answeredOrders = 0;
+        for (int step = 0; step < Steps && !session.isOver(); ++step) {
+            if (harness.attempts.size() > attempts) {
+                attempts = harness.attempts.size();
+                hasHead = false;
+                isStopped = false;
+                hasEnded = false;
+            }
+            const bool isAtSource = harness.attempts.back().target.id == source;
+            if (chance(25)) {
+                const auto target = chance(50) ? source : std::string("d");
+                harness.cooldowns.erase(target) > 0 || harness.cooldowns.insert(target).second;
+            } else if (harness.copyOrders.size() > answeredOrders && chance(60)) {
+                answeredOrders = harness.copyOrders.size();
+                if (!harness.copyOrders.back()) {
+                    session.onCopied({.kind = chance(70) ? CopyResult::Kind::Copied : CopyResult::Kind::Busy, .handle = "h"}, harness.now());
+                } else if (isStopped || chance(80)) {
+                    isStopped = true;
+                    session.onCopied({.kind = chance(50) ? CopyResult::Kind::Copied : CopyResult::Kind::DestinationUnavailable, .handle = "h"}, harness.now());
+                } else {
+                    session.onCopied({.kind = CopyResult::Kind::NotRunning}, harness.now());
+                }
+            } else if (!hasHead) {
+                const bool isRejected = !isAtSource && chance(40);
+                hasHead = session.onHead(isRejected ? TargetResponse {.status = 503, .notRun = true} : SessionHarness::streamHead(), harness.now());
+            } else if (session.isMigrating() && harness.copyOrders.back() && harness.copyOrders.size() > answeredOrders && !isStopped) {
+                isStopped = chance(50);
+            } else if (isStopped && !hasEnded) {
+                hasEnded = true;
+                session.onEnd(ExchangeResult::Broken, harness.now());
+            } else if (!isStopped && chance(60)) {
+                nextEvent <= LastEvent ? session.onBody(SessionHarness::events(nextEvent, nextEvent), harness.now())
+                                       : session.onEnd(ExchangeResult::Complete, harness.now());
+                ++nextEvent;
+            } else if (isAtSource && !session.isMigrating() && !isStopped) {
+                session.onTargetLeaving(harness.now());
+            }
+        }
+        ASSERT_EQ(harness.cuts, 0) << seed;
+        ASSERT_EQ(harness.receivedIds(), idsUpTo(std::min(nextEvent - 1, LastEvent))) << seed;
+    }
+}
