--- a/Libraries/LibRelay/StreamOrigins.cpp
+++ b/Libraries/LibRelay/StreamOrigins.cpp
@@ -8,6 +8,14 @@
 namespace Jujube
 {
 
+namespace
+{
+
+// More versions are not needed to know that a stream is contradictory.
+constexpr size_t MaxVersions = 2;
+
+} // namespace
+
 StreamOrigins::StreamOrigins(Options options)
     : m_options(options)
 {
@@ -22,10 +30,8 @@
 
 void StreamOrigins::recordOwn(uint64_t key, std::string version, MonotonicTime expiresAt, MonotonicTime now)
 {
-    // Receivers need no more than two versions to know that a stream is contradictory.
-    constexpr size_t MaxOwnVersions = 2;
     auto *record = this->record(key, version, expiresAt, now);
-    if (!record || record->ownVersions.size() >= MaxOwnVersions || std::ranges::find(record->ownVersions, version) != record->ownVersions.end()) {
+    if (!record || record->ownVersions.size() >= MaxVersions || std::ranges::find(record->ownVersions, version) != record->ownVersions.end()) {
         return;
     }
     record->ownVersions.push_back(version);
@@ -46,9 +52,12 @@
     if (found != m_records.end() && found->second.expiresAt <= now) {
         erase(key);
     }
-    auto &record = m_records.try_emplace(key, Record {.version = version, .expiresAt = expiresAt}).first->second;
+    auto &record = m_records.try_emplace(key, Record {.versions = {version}, .expiresAt = expiresAt, .recordedAt = now}).first->second;
     m_byExpiry.erase({record.expiresAt, key});
-    record.isContradictory = record.isContradictory || record.version != version;
+    if (record.versions.size() < MaxVersions && record.versions.front() != version) {
+        record.versions.push_back(version);
+        record.recordedAt = now;
+    }
     record.expiresAt = std::max(record.expiresAt, expiresAt);
     m_byExpiry.emplace(record.expiresAt, key);
     bool isDropped = false;
@@ -77,20 +86,40 @@
 std::optional<std::string> StreamOrigins::version(uint64_t key, MonotonicTime now) const
 {
     const auto found = m_records.find(key);
-    if (found == m_records.end() || found->second.isContradictory || found->second.expiresAt <= now) {
+    if (found == m_records.end() || found->second.versions.size() > 1 || found->second.expiresAt <= now) {
         return std::nullopt;
     }
-    return found->second.version;
+    return found->second.versions.front();
+}
+
+std::vector<StreamOrigin> StreamOrigins::find(uint64_t key, MonotonicTime now) const
+{
+    const auto record = known(key, now);
+    return record ? record->origins : std::vector<StreamOrigin>();
 }
 
-std::optional<StreamOrigin> StreamOrigins::find(uint64_t key, MonotonicTime now) const
+std::optional<StreamOrigins::Known> StreamOrigins::known(uint64_t key, MonotonicTime now) const
 {
-    auto known = version(key, now);
-    const auto lifetime = known ? lifetimeOf(m_records.at(key), now) : std::chrono::milliseconds(0);
+    const auto found = m_records.find(key);
+    const auto lifetime = found == m_records.end() ? std::chrono::milliseconds(0) : lifetimeOf(found->second, now);
     if (lifetime.count() == 0) {
         return std::nullopt;
     }
-    return StreamOrigin {.key = key, .version = *std::move(known), .lifetime = lifetime};
+    Known result {.isOwn = !found->second.ownVersions.empty(), .recordedAt = found->second.recordedAt, .origins = {}};
+    for (const auto &version : found->second.versions) {
+        result.origins.push_back({.key = key, .version = version, .lifetime = lifetime});
+    }
+    return result;
+}
+
+std::vector<uint64_t> StreamOrigins::keys() const
+{
+    std::vector<uint64_t> result;
+    result.reserve(m_byExpiry.size());
+    for (const auto &[expiresAt, key] : m_byExpiry) {
+        result.push_back(key);
+    }
+    return result;
 }
 
 std::optional<StreamOrigin> StreamOrigins::originOf(const Report &report, MonotonicTime now) const
--- a/Libraries/LibRelay/StreamOrigins.h
+++ b/Libraries/LibRelay/StreamOrigins.h
@@ -46,13 +46,26 @@
     // Records a stream that began through this relay, to be reported to the others. If it contradicts an earlier record, it is reported all the same, so that
     // the other relays learn of the contradiction. Does nothing if it has expired.
     void recordOwn(uint64_t key, std::string version, MonotonicTime expiresAt, MonotonicTime now);
-    // Records what another relay reports. It is not reported any further.
+    // Records what another relay reports. It is not reported any further, but may be handed over.
     void recordReported(const StreamOrigin &origin, MonotonicTime now);
 
     // Nothing if the version is unknown or contradictory, or the record has expired.
     std::optional<std::string> version(uint64_t key, MonotonicTime now) const;
-    // The same with the remaining lifetime, to answer a question. Nothing also in the last millisecond.
-    std::optional<StreamOrigin> find(uint64_t key, MonotonicTime now) const;
+    // All versions that are recorded with the remaining lifetime, to answer a question: two if they are contradictory. None also in the last millisecond.
+    std::vector<StreamOrigin> find(uint64_t key, MonotonicTime now) const;
+
+    // A record as another relay gets it that lacks it.
+    struct Known {
+        // Whether this relay itself has recorded it.
+        bool isOwn = false;
+        // When this relay learned of it, or of a contradiction.
+        MonotonicTime recordedAt;
+        std::vector<StreamOrigin> origins;
+    };
+    // Nothing if the record has expired or is gone.
+    std::optional<Known> known(uint64_t key, MonotonicTime now) const;
+    // Keys of all records, those that expire first at first.
+    std::vector<uint64_t> keys() const;
 
     // At most `count` own records for a report. Each is handed out twice in all, in different calls, because datagrams may be lost. Those that have not been
     // handed out yet come first.
@@ -72,9 +85,10 @@
 
 private:
     struct Record {
-        std::string version;
+        // One version, or two if they are contradictory.
+        std::vector<std::string> versions;
         MonotonicTime expiresAt;
-        bool isContradictory = false;
+        MonotonicTime recordedAt;
         // The versions that this relay itself has recorded, at most two.
         std::vector<std::string> ownVersions;
     };
--- a/Libraries/LibRelayServer/PeerLink.cpp
+++ b/Libraries/LibRelayServer/PeerLink.cpp
@@ -172,6 +172,9 @@
         m_core.promptParts.recordCrash(crash, now);
     }
     m_hooks.onDocumentVersion(*heartbeat);
+    if (change == PeerTable::Change::Joined || isRestarted) {
+        m_core.streamVersions->onRelaysChanged(now);
+    }
     if (change == PeerTable::Change::Joined) {
         auto line = m_core.line(EventKind::PeerJoined);
         line.add("peer", heartbeat->node).add("address", heartbeat->callers);
--- a/Libraries/LibRelayServer/Relay.cpp
+++ b/Libraries/LibRelayServer/Relay.cpp
@@ -139,6 +139,7 @@
     m_streamVersions = std::make_unique<StreamVersions>(
         m_core,
         m_core.options.isFirstStart,
+        m_peers.incarnation(),
         StreamVersions::Hooks {.listAge = [this](MonotonicTime now) { return m_targets->hasRows() ? m_targets->age(now) : AgeOfUnreadTable; },
                                .isKnownToAll = [this](int64_t version, MonotonicTime now) { return isListVersionKnownToAll(version, now); },
                                .isReader = [this] { return m_readers.isReading(); },
--- a/Libraries/LibRelayServer/StreamVersions.cpp
+++ b/Libraries/LibRelayServer/StreamVersions.cpp
@@ -1,8 +1,8 @@
 #include <LibRelayServer/StreamVersions.h>
 
 #include <algorithm>
+#include <iterator>
 #include <map>
-#include <xxhash.h>
 
 namespace Jujube
 {
@@ -14,20 +14,20 @@
 constexpr std::chrono::milliseconds MaxQuestionTime {200};
 // Delay before streams that have begun are reported, so that a datagram covers several.
 constexpr std::chrono::milliseconds ReportDelay {20};
-// Up to this number of relays, each of them keeps the origins of all streams.
-constexpr int MaxSmallFleetSize = 12;
-// Relays that keep the origin of a stream in larger fleets, so that each of them gets a bounded number of reports.
-constexpr size_t KeepersInLargeFleets = 3;
+// A handover looks at so many origins at a time, so that requests do not wait for it.
+constexpr size_t OriginsInHandoverStep = 500;
+constexpr std::chrono::milliseconds HandoverStepInterval {20};
 constexpr std::chrono::milliseconds StoreReadInterval {500};
 constexpr uint64_t TicksPerExpiry = 10;
 
 } // namespace
 
-StreamVersions::StreamVersions(RelayCore &core, bool isFirstStart, Hooks hooks)
+StreamVersions::StreamVersions(RelayCore &core, bool isFirstStart, int64_t incarnation, Hooks hooks)
     : m_core(core)
     , m_isFirstStart(isFirstStart)
     , m_hooks(std::move(hooks))
     , m_origins({})
+    , m_keepers({.ownNode = core.options.node, .ownAddress = core.options.peers.toText(), .ownIncarnation = incarnation})
     , m_history({.settleTime = MaxListAge + MaxAgeError}, monotonicNow())
     , m_store(core.loop,
               core.client,
@@ -46,6 +46,7 @@
               wallMsNow)
     , m_traffic({})
     , m_reportTimer(core.loop)
+    , m_handoverTimer(core.loop)
 {
 }
 
@@ -95,6 +96,7 @@
         if (const auto late = weak.lock(); late && !error) {
             late->awaited = 0;
             late->awaitsStore = false;
+            late->isLate = true;
             settle(monotonicNow());
         }
     });
@@ -103,17 +105,9 @@
 
 void StreamVersions::ask(const PendingPointer &pending, MonotonicTime now)
 {
-    std::map<std::string, std::vector<uint64_t>> questions;
-    for (const auto key : pending->keys) {
-        for (const auto &address : keepersOf(key, now)) {
-            questions[address].push_back(key);
-        }
-    }
     if (!pending->question.attempt.empty()) {
-        pending->awaited = questions.size();
-        for (const auto &[address, keys] : questions) {
-            m_hooks.sendDatagram(address, encodeStreamOriginReport({.node = m_core.options.node, .peers = m_core.options.peers.toText(), .questions = keys}));
-        }
+        updateRelays(now);
+        askPeers(pending, now);
         m_core.metrics.count("relay_stream_version_questions_total");
     }
     const bool lacksHistory = std::ranges::any_of(pending->question.services, [&](const auto &service) { return !m_history.candidates(service, now); });
@@ -123,11 +117,31 @@
     }
 }
 
+void StreamVersions::askPeers(const PendingPointer &pending, MonotonicTime now)
+{
+    std::map<std::string, std::vector<uint64_t>> questions;
+    for (const auto key : pending->keys) {
+        for (const auto &address : m_keepers.relaysToAsk(key, now)) {
+            if (!pending->asked.contains(address)) {
+                questions[address].push_back(key);
+            }
+        }
+    }
+    for (const auto &[address, keys] : questions) {
+        pending->asked.insert(address);
+        ++pending->awaited;
+        m_hooks.sendDatagram(address, encodeStreamOriginReport({.node = m_core.options.node, .peers = m_core.options.peers.toText(), .questions = keys}));
+    }
+}
+
 void StreamVersions::settle(MonotonicTime now)
 {
+    // Until then, relays may answer that have not been heard yet.
+    const bool hasDiscoveredPeers = m_core.peers.hasDiscoveredPeers(now);
     std::vector<PendingPointer> done;
     for (const auto &pending : m_pending) {
-        if ((pending->awaited == 0 && !pending->awaitsStore) || known(pending->question, pending->keys, now)) {
+        const bool isAnswered = pending->awaited == 0 && (hasDiscoveredPeers || pending->isLate) && !pending->awaitsStore;
+        if (isAnswered || known(pending->question, pending->keys, now)) {
             done.push_back(pending);
         }
     }
@@ -147,24 +161,20 @@
     pending->hook(origin);
 }
 
-std::vector<std::string> StreamVersions::keepersOf(uint64_t key, MonotonicTime now) const
+void StreamVersions::updateRelays(MonotonicTime now)
 {
-    std::vector<std::pair<uint64_t, std::string>> peers;
+    std::vector<StreamOriginKeepers::Relay> live;
     for (const auto *peer : m_core.peers.livePeers(now)) {
         const auto &heartbeat = peer->latestHeartbeat;
-        peers.emplace_back(XXH3_64bits_withSeed(heartbeat.node.data(), heartbeat.node.size(), key), heartbeat.peers);
-    }
-    if (m_core.liveRelays(now) > MaxSmallFleetSize) {
-        const auto count = std::min(peers.size(), KeepersInLargeFleets);
-        std::ranges::partial_sort(peers, peers.begin() + static_cast<ptrdiff_t>(count), std::greater());
-        peers.resize(count);
+        live.push_back({.node = heartbeat.node, .address = heartbeat.peers, .incarnation = heartbeat.incarnation, .heardAt = peer->receivedAt});
     }
-    std::vector<std::string> addresses;
-    addresses.reserve(peers.size());
-    for (const auto &[weight, address] : peers) {
-        addresses.push_back(address);
+    if (m_keepers.update(std::move(live), now)) {
+        for (const auto &pending : m_pending) {
+            if (!pending->question.attempt.empty()) {
+                askPeers(pending, now);
+            }
+        }
     }
-    return addresses;
 }
 
 void StreamVersions::record(
@@ -197,25 +207,87 @@
 
 void StreamVersions::sendReports(MonotonicTime now)
 {
-    if (m_withSeveral.empty() && m_wasListCurrent) {
+    if (!areOriginsInUse()) {
         return;
     }
+    updateRelays(now);
     std::map<std::string, std::vector<StreamOrigin>> reports;
     for (const auto &origin : m_origins.takeReports(MaxStreamsInDatagram, now)) {
-        for (const auto &address : keepersOf(origin.key, now)) {
+        for (const auto &address : m_keepers.keepersOf(origin.key)) {
             reports[address].push_back(origin);
         }
     }
+    const bool areSent = !reports.empty();
+    m_traffic.recordSent(sendOrigins(reports), now);
+    if (areSent && m_origins.hasReports(now)) {
+        scheduleReports();
+    }
+}
+
+void StreamVersions::onRelaysChanged(MonotonicTime now)
+{
+    if (areOriginsInUse()) {
+        updateRelays(now);
+    }
+    beginHandover(now);
+}
+
+size_t StreamVersions::sendOrigins(const std::map<std::string, std::vector<StreamOrigin>> &origins)
+{
     size_t bytes = 0;
-    for (auto &[address, streams] : reports) {
-        const auto datagram = encodeStreamOriginReport({.node = m_core.options.node, .peers = m_core.options.peers.toText(), .streams = std::move(streams)});
-        m_hooks.sendDatagram(address, datagram);
-        bytes += datagram.size();
+    for (const auto &[address, streams] : origins) {
+        const StreamOriginReport report {.node = m_core.options.node, .peers = m_core.options.peers.toText(), .streams = streams};
+        for (const auto &datagram : encodeStreamOriginReports(report)) {
+            m_hooks.sendDatagram(address, datagram);
+            bytes += datagram.size();
+        }
     }
-    m_traffic.recordSent(bytes, now);
-    if (!reports.empty() && m_origins.hasReports(now)) {
-        scheduleReports();
+    return bytes;
+}
+
+void StreamVersions::beginHandover(MonotonicTime now)
+{
+    using Scope = StreamOriginKeepers::HandoverScope;
+    const bool wereInUse = std::exchange(m_wereOriginsInUse, areOriginsInUse());
+    if (!m_toHandOver.empty() || !m_keepers.needsHandover()) {
+        return;
+    }
+    if (!areOriginsInUse() || !wereInUse) {
+        // The relay's own origins are reported to all relays when they come into use.
+        m_keepers.beginHandover(Scope::None);
+        return;
     }
+    m_keepers.beginHandover(m_core.peers.hasDiscoveredPeers(now) ? Scope::All : Scope::SinceOwnStart);
+    m_toHandOver = m_origins.keys();
+    continueHandover(now);
+}
+
+void StreamVersions::continueHandover(MonotonicTime now)
+{
+    std::map<std::string, std::vector<StreamOrigin>> origins;
+    for (size_t count = 0; count < OriginsInHandoverStep && !m_toHandOver.empty(); ++count) {
+        const auto key = m_toHandOver.back();
+        m_toHandOver.pop_back();
+        const auto record = m_origins.known(key, now);
+        if (!record) {
+            continue;
+        }
+        for (const auto &address : m_keepers.receiversOf(key, record->isOwn, record->recordedAt)) {
+            auto &streams = origins[address];
+            streams.insert(streams.end(), record->origins.begin(), record->origins.end());
+            m_core.metrics.count("relay_stream_origins_handed_over_total");
+        }
+    }
+    m_traffic.recordSent(sendOrigins(origins), now);
+    if (m_toHandOver.empty()) {
+        return;
+    }
+    m_handoverTimer.expires_at(std::max(now + HandoverStepInterval, m_traffic.nextAt(now)));
+    m_handoverTimer.async_wait([this](const LoopError &error) {
+        if (!error) {
+            continueHandover(monotonicNow());
+        }
+    });
 }
 
 void StreamVersions::onReport(const StreamOriginReport &report, MonotonicTime now)
@@ -235,11 +307,11 @@
     if (!report.questions.empty()) {
         StreamOriginReport answer {.node = m_core.options.node, .peers = m_core.options.peers.toText()};
         for (const auto key : report.questions) {
-            if (auto origin = m_origins.find(key, now)) {
-                answer.streams.push_back(*std::move(origin));
-            } else {
+            auto origins = m_origins.find(key, now);
+            if (origins.empty()) {
                 answer.unknown.push_back(key);
             }
+            std::ranges::move(origins, std::back_inserter(answer.streams));
         }
         for (const auto &datagram : encodeStreamOriginReports(answer)) {
             m_hooks.sendDatagram(report.peers, datagram);
@@ -381,6 +453,7 @@
     }
     recordVersions(now);
     updateStore(now);
+    onRelaysChanged(now);
     if (m_origins.hasReports(now)) {
         scheduleReports();
     }
--- a/Libraries/LibRelayServer/StreamVersions.h
+++ b/Libraries/LibRelayServer/StreamVersions.h
@@ -4,6 +4,7 @@
 #include <LibLoop/Asio.h>
 #include <LibRelay/PeerTrafficLimit.h>
 #include <LibRelay/StreamOriginCodec.h>
+#include <LibRelay/StreamOriginKeepers.h>
 #include <LibRelay/VersionHistory.h>
 #include <LibRelayServer/RelayCore.h>
 #include <LibRelayServer/VersionStore.h>
@@ -15,8 +16,8 @@
 // Finds out by which version of its service a stream began that a caller takes up again. docs/design.md, section 21.
 //
 // While a service has had one version only for longer than callers take streams up again, that version began the stream. Otherwise relays report to each other
-// by which version each resumable stream began, and ask each other. The store keeps which versions of each service have served lately, so that a relay that has
-// just started knows whether there was only one.
+// by which version each resumable stream began, hand that over to relays that lack it when the live relays have changed, and ask each other. The store keeps
+// which versions of each service have served lately, so that a relay that has just started knows whether there was only one.
 //
 // A relay that is cut off or stands still takes the version that it knows for the only one until its list is MaxListAge old. Therefore streams begin at a
 // version that joins only once all relays have reported that they know of it, or after more than that time.
@@ -52,7 +53,8 @@
         std::string attempt;
     };
 
-    StreamVersions(RelayCore &core, bool isFirstStart, Hooks hooks);
+    // `incarnation` is the start of this process, as in heartbeats.
+    StreamVersions(RelayCore &core, bool isFirstStart, int64_t incarnation, Hooks hooks);
 
     // Passes on by which version a stream began, at once or within 200 ms, or nothing if that is not known.
     void find(const Question &question, Hook hook, MonotonicTime now);
@@ -68,6 +70,8 @@
     // The versions of a service at which resumable streams may begin. Nothing while this relay has no list of its targets.
     std::optional<std::set<std::string>> settledVersions(const std::string &service, MonotonicTime now) const;
 
+    // Other relays may have joined, restarted or fallen silent, so that some lack origins of streams.
+    void onRelaysChanged(MonotonicTime now);
     void onReport(const StreamOriginReport &report, MonotonicTime now);
     // The store has come back from an older copy of itself.
     void onStoreRestored(MonotonicTime now);
@@ -80,9 +84,13 @@
         Question question;
         Hook hook;
         std::vector<uint64_t> keys;
-        // Peers that have not answered yet.
+        // Addresses of the peers that were asked.
+        std::set<std::string> asked;
+        // Those of them that have not answered yet.
         size_t awaited = 0;
         bool awaitsStore = false;
+        // Whether the time for answers is over.
+        bool isLate = false;
         std::unique_ptr<boost::asio::steady_timer> timer;
     };
     using PendingPointer = std::shared_ptr<PendingQuestion>;
@@ -90,13 +98,25 @@
     std::vector<uint64_t> keysOf(const Question &question) const;
     std::optional<Origin> known(const Question &question, const std::vector<uint64_t> &keys, MonotonicTime now) const;
     void ask(const PendingPointer &pending, MonotonicTime now);
+    // Asks the peers that may know the stream and were not asked yet.
+    void askPeers(const PendingPointer &pending, MonotonicTime now);
     // Ends the questions that can be answered, and those for which no more answers are to come.
     void settle(MonotonicTime now);
     void finish(const PendingPointer &pending, MonotonicTime now);
-    // Addresses of the peers that keep the origin of a stream: all in small fleets, some otherwise.
-    std::vector<std::string> keepersOf(uint64_t key, MonotonicTime now) const;
+    // Whether the origins of single streams decide at which version they go on.
+    bool areOriginsInUse() const
+    {
+        return !m_withSeveral.empty() || !m_wasListCurrent;
+    }
+    // Takes over which relays are alive.
+    void updateRelays(MonotonicTime now);
     void scheduleReports();
     void sendReports(MonotonicTime now);
+    // Sends origins to peers, by their addresses. Returns the number of bytes.
+    size_t sendOrigins(const std::map<std::string, std::vector<StreamOrigin>> &origins);
+    // Begins to hand origins over to the relays that lack some.
+    void beginHandover(MonotonicTime now);
+    void continueHandover(MonotonicTime now);
     // Takes the versions of the target list into the history.
     void recordVersions(MonotonicTime now);
     // Settles the versions of a service that all relays know by now.
@@ -112,11 +132,16 @@
     const bool m_isFirstStart;
     const Hooks m_hooks;
     StreamOrigins m_origins;
+    StreamOriginKeepers m_keepers;
     VersionHistory m_history;
     VersionStore m_store;
     PeerTrafficLimit m_traffic;
     boost::asio::steady_timer m_reportTimer;
     bool m_isReportScheduled = false;
+    // Keys of the origins that have not been looked at yet in the handover in progress, last one first.
+    std::vector<uint64_t> m_toHandOver;
+    boost::asio::steady_timer m_handoverTimer;
+    bool m_wereOriginsInUse = false;
     std::vector<PendingPointer> m_pending;
     bool m_wasListCurrent = false;
     // Whether the stored versions are known, so that what this relay stores does not lack any.
--- a/Tests/LibRelay/TestStreamOrigins.cpp
+++ b/Tests/LibRelay/TestStreamOrigins.cpp
@@ -68,7 +68,7 @@
     origins.recordReported({.key = 4, .version = "v2", .lifetime = -1ms}, Start);
     EXPECT_EQ(origins.size(), 2U);
     EXPECT_EQ(origins.version(1, End - 1ns), "v1");
-    EXPECT_EQ(origins.find(1, End - 2500us), (StreamOrigin {.key = 1, .version = "v1", .lifetime = 2ms}));
+    EXPECT_EQ(origins.find(1, End - 2500us), (std::vector<StreamOrigin> {{.key = 1, .version = "v1", .lifetime = 2ms}}));
     EXPECT_EQ(origins.version(1, End), std::nullopt);
     EXPECT_EQ(origins.version(2, Start + 60s - 1ns), "v2");
     EXPECT_EQ(origins.version(2, Start + 60s), std::nullopt);
@@ -90,7 +90,12 @@
     origins.recordReported({.key = 1, .version = "v1", .lifetime = 1s}, Start);
     origins.expire(Start + 25s);
     EXPECT_EQ(origins.version(1, Start + 25s), std::nullopt);
-    EXPECT_EQ(origins.find(1, Start + 25s), std::nullopt);
+    EXPECT_EQ(origins.find(1, Start + 25s).size(), 2U);
+    StreamOrigins other({});
+    for (const auto &origin : origins.find(1, Start + 25s)) {
+        other.recordReported(origin, Start + 25s);
+    }
+    EXPECT_EQ(other.version(1, Start + 25s), std::nullopt);
 }
 
 // Guards against other relays that keep the first version because only this relay knows of the contradiction.
--- a/Tests/Platform/TestResumedStreams.cpp
+++ b/Tests/Platform/TestResumedStreams.cpp
@@ -57,6 +57,14 @@
         m_testBed.runFor(SettleTime);
     }
 
+    // Ends a relay as a crash does, and starts it again.
+    void restartRelay(const std::string &node)
+    {
+        m_testBed.killRelay(node);
+        m_testBed.setFrozen(node, false);
+        startRelay(node);
+    }
+
     // Replaces all engines by ones of another version, of which the relay at `node` learns.
     void replaceEngines(const std::string &from, const std::string &to)
     {
@@ -187,6 +195,39 @@
     expectGoesOn("n2", "r1");
 }
 
+// Guards against streams of a relay that nobody knows when it ends, because all others have been restarted since they began (review/13).
+TEST_F(ResumedStreams, GoOnAfterARestartOfAllOtherRelays)
+{
+    addEngines("v1", 2);
+    addEngines("v2", 6);
+    startRelay("n1", true);
+    startRelay("n2");
+    startRelay("n3");
+    for (const auto *id : {"r1", "r2"}) {
+        beginAndBreak("n1", id);
+    }
+    restartRelay("n2");
+    restartRelay("n3");
+    m_testBed.killRelay("n1");
+    expectGoesOn("n2", "r1");
+    expectGoesOn("n3", "r2");
+}
+
+// Guards against the same if the relay through which the streams began has ended before.
+TEST_F(ResumedStreams, GoOnAfterARestartOfTheRelaysThatKeepThem)
+{
+    addEngines("v1", 2);
+    addEngines("v2", 6);
+    startRelay("n1", true);
+    startRelay("n2");
+    startRelay("n3");
+    beginAndBreak("n1", "r1");
+    m_testBed.killRelay("n1");
+    restartRelay("n2");
+    restartRelay("n3");
+    expectGoesOn("n2", "r1");
+}
+
 // Guards against streams that began while there was one version and are not known elsewhere when a second one comes.
 TEST_F(ResumedStreams, OfTheTimeWithOneVersionAreKnownWhenASecondOneComes)
 {
