--- a/Libraries/LibRelay/StreamOrigins.h
+++ b/Libraries/LibRelay/StreamOrigins.h
@@ -35,7 +35,7 @@
         // If there are more, those that expire first are dropped.
         size_t maxStreams = 20000;
         // Longer lifetimes in reports, received or handed out, are reduced to it.
-        std::chrono::milliseconds maxLifetime {60000};
+        std::chrono::milliseconds maxLifetime {600'000};
     };
 
     explicit StreamOrigins(Options options);
