--- a/Tests/Platform/TestContinuations.cpp
+++ b/Tests/Platform/TestContinuations.cpp
@@ -176,3 +176,18 @@
     EXPECT_EQ(cutDrafts(), 0U);
     EXPECT_TRUE(m_testBed.runUntil([&] { return m_responses.front()->end == ChannelEnd::Complete; }));
 }
+
+// Guards against drafts that are cut, or stay for good, when both their engine and the only destination have a cooldown, of which the latter ends first.
+TEST_F(Continuations, DraftsLeaveASourceInItsCooldownWhenThatOfTheDestinationEnds)
+{
+    beginDrafts();
+    beginCooldown(*m_source, "8");
+    auto &destination = addDestination();
+    beginCooldown(destination, "2");
+    m_testBed.registerTarget("i-1", "draining");
+    m_testBed.runFor(1000ms);
+    EXPECT_EQ(m_source->stoppedRuns(), 0);
+    EXPECT_TRUE(m_testBed.runUntil([&] { return destination.continuations() == Drafts; }, 3s)) << destination.continuations();
+    EXPECT_EQ(m_source->continuations(), 0);
+    EXPECT_EQ(cutDrafts(), 0U);
+}
